--- /dev/null
+++ b/packages/client/src/process/Commands.cpp
@@ -0,0 +1,377 @@
+#include "process/Commands.h"
+
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <utility>
+
+#include "cactuswick/model/process/Codec.h"
+#include "cactuswick/model/process/Error.h"
+#include "cactuswick/model/process/Hash.h"
+#include "cactuswick/model/process/Json.h"
+#include "cactuswick/model/process/Text.h"
+#include "cactuswick/telemetry/process/BurnReport.h"
+#include "process/Output.h"
+
+namespace cactuswick::client {
+
+namespace {
+
+using model::Concat;
+using model::ErrorKind;
+using model::MakeError;
+using nlohmann::json;
+
+constexpr std::string_view kRoot = "/v1/operator/";
+constexpr std::string_view kResources = "/v1/operator/resources/";
+
+std::string
+RequestIdOf(const CommandContext& aContext)
+{
+  return aContext.requestId_.empty() ? Concat("cli-", model::RandomHex())
+                                     : aContext.requestId_;
+}
+
+absl::StatusOr<transport::QueryReply>
+Query(const CommandContext& aContext, const std::string& aKey)
+{
+  const auto answer = aContext.api_.Send({ .path_ = Concat(kResources, aKey) });
+  if (!answer.ok()) {
+    return answer.status();
+  }
+  const auto message =
+    model::DecodeJson<transport::PeerMessage>(answer->body_);
+  if (!message.ok()) {
+    return message.status();
+  }
+  const auto* reply = std::get_if<transport::QueryReply>(&*message);
+  if (reply == nullptr) {
+    return MakeError(ErrorKind::kMalformed, "", "unexpected answer");
+  }
+  return *reply;
+}
+
+absl::StatusOr<transport::ControlStatus>
+QueryStatus(const CommandContext& aContext)
+{
+  const auto answer =
+    aContext.api_.Send({ .path_ = Concat(kRoot, "status") });
+  if (!answer.ok()) {
+    return answer.status();
+  }
+  return model::DecodeJson<transport::ControlStatus>(answer->body_);
+}
+
+/// Version of a live resource; 0 when it does not exist.
+absl::StatusOr<int64_t>
+CurrentVersion(const CommandContext& aContext, const std::string& aKey)
+{
+  const auto reply = Query(aContext, aKey);
+  if (!reply.ok()) {
+    return reply.status();
+  }
+  if (!reply->accounts_.empty()) {
+    return reply->accounts_.front().account_.version_;
+  }
+  const bool live =
+    !reply->resources_.empty() && !reply->resources_.front().deleted_;
+  return live ? reply->resources_.front().version_ : 0;
+}
+
+absl::Status
+ApplyOne(const CommandContext& aContext,
+         const json& aDocument,
+         const std::string& aRequestId)
+{
+  json spec = aDocument;
+  int64_t base = -1;
+  if (spec.is_object() && spec.contains("base_version") &&
+      spec["base_version"].is_number_integer()) {
+    base = spec["base_version"].get<int64_t>();
+    spec.erase("base_version");
+  }
+  const auto decoded = model::DecodeJson<model::Spec>(model::PrintJson(spec));
+  absl::Status status =
+    decoded.ok() ? model::Validate(*decoded) : decoded.status();
+  if (!status.ok()) {
+    return status;
+  }
+  const std::string key = model::KeyOf(*decoded);
+  if (base < 0) {
+    const auto current = CurrentVersion(aContext, key);
+    if (!current.ok()) {
+      return current.status();
+    }
+    base = *current;
+  }
+  const auto answer = aContext.api_.Send(
+    { .method_ = "PUT",
+      .path_ = Concat(kResources, key),
+      .body_ = model::EncodeJson(*decoded),
+      .headers_ = { { "X-Cactuswick-Base-Version", Concat(base) },
+                    { "X-Cactuswick-Request-Id", aRequestId } } });
+  if (!answer.ok()) {
+    return answer.status();
+  }
+  std::cout << key << " applied";
+  const auto document = model::ParseJson(answer->body_);
+  if (document.ok()) {
+    std::cout << ", version " << document->value("version", 0);
+  }
+  std::cout << "\n";
+  return absl::OkStatus();
+}
+
+absl::Status
+Post(const CommandContext& aContext,
+     std::string_view aPath,
+     const json& aBody,
+     std::string_view aSaid)
+{
+  const auto answer = aContext.api_.Send({ .method_ = "POST",
+                                           .path_ = Concat(kRoot, aPath),
+                                           .body_ = model::PrintJson(aBody) });
+  if (answer.ok()) {
+    std::cout << aSaid << "\n";
+  }
+  return answer.status();
+}
+
+/// "rank" means all ranks.
+std::string
+ListKey(const std::string& aKey)
+{
+  return aKey.find('/') == std::string::npos ? aKey + "/" : aKey;
+}
+
+} // namespace
+
+absl::Status
+Apply(const CommandContext& aContext, const std::string& aFile)
+{
+  std::ifstream stream(aFile, std::ios::binary);
+  if (!stream) {
+    return MakeError(ErrorKind::kIo, aFile, "cannot read the file");
+  }
+  const std::string text{ std::istreambuf_iterator<char>(stream), {} };
+  const auto document = model::ParseJson(text);
+  if (!document.ok()) {
+    return document.status();
+  }
+  const json list =
+    document->is_array() ? *document : json::array({ *document });
+  const std::string requestId = RequestIdOf(aContext);
+  int64_t number = 0;
+  for (const auto& one : list) {
+    const auto status =
+      ApplyOne(aContext, one, Concat(requestId, "-", ++number));
+    if (!status.ok()) {
+      return status;
+    }
+  }
+  return absl::OkStatus();
+}
+
+absl::Status
+Get(const CommandContext& aContext, const std::string& aKey)
+{
+  const auto reply = Query(aContext, ListKey(aKey));
+  if (!reply.ok()) {
+    return reply.status();
+  }
+  if (reply->accounts_.empty() && reply->resources_.empty() &&
+      ListKey(aKey) == aKey) {
+    return MakeError(ErrorKind::kUnknownResource, aKey, "does not exist");
+  }
+  std::cout << (aContext.json_
+                  ? model::EncodeJson(transport::PeerMessage(*reply)) + "\n"
+                  : TableOf(*reply));
+  return absl::OkStatus();
+}
+
+absl::Status
+Describe(const CommandContext& aContext, const std::string& aKey)
+{
+  const auto reply = Query(aContext, aKey);
+  const auto status = QueryStatus(aContext);
+  if (!reply.ok() || !status.ok()) {
+    return reply.ok() ? status.status() : reply.status();
+  }
+  std::cout << DescriptionOf(*reply, *status);
+  return absl::OkStatus();
+}
+
+absl::Status
+Watch(const CommandContext& aContext, int aChanges)
+{
+  int64_t revision = -1;
+  int seen = 0;
+  while (aChanges == 0 || seen < aChanges) {
+    const auto answer = aContext.api_.Send(
+      { .path_ = Concat(kRoot, "watch?since=", revision) });
+    if (!answer.ok()) {
+      return answer.status();
+    }
+    const auto document = model::ParseJson(answer->body_);
+    const int64_t now =
+      document.ok() ? document->value("revision", revision) : revision;
+    if (now > revision) {
+      revision = now;
+      ++seen;
+      std::cout << "revision " << revision << " is in force\n" << std::flush;
+    }
+  }
+  return absl::OkStatus();
+}
+
+absl::Status
+Delete(const CommandContext& aContext, const std::string& aKey)
+{
+  const auto version = CurrentVersion(aContext, aKey);
+  if (!version.ok()) {
+    return version.status();
+  }
+  const auto answer = aContext.api_.Send(
+    { .method_ = "DELETE",
+      .path_ = Concat(kResources, aKey),
+      .headers_ = { { "X-Cactuswick-Base-Version", Concat(*version) },
+                    { "X-Cactuswick-Request-Id", RequestIdOf(aContext) } } });
+  if (answer.ok()) {
+    std::cout << aKey << " deleted\n";
+  }
+  return answer.status();
+}
+
+absl::Status
+TopUp(const CommandContext& aContext,
+      const std::string& aBudget,
+      int64_t aAmount)
+{
+  const std::string id = RequestIdOf(aContext);
+  return Post(
+    aContext,
+    "topups",
+    { { "id", id }, { "budget", aBudget }, { "amount", aAmount } },
+    Concat(aBudget, " topped up by ", aAmount, " (id ", id, ")"));
+}
+
+absl::Status
+Release(const CommandContext& aContext,
+        const std::string& aBudget,
+        int64_t aAmount)
+{
+  return Post(aContext,
+              "releases",
+              { { "request_id", RequestIdOf(aContext) },
+                { "budget", aBudget },
+                { "amount", aAmount } },
+              Concat(aBudget, ": ", aAmount, " held tokens released"));
+}
+
+absl::Status
+Status(const CommandContext& aContext)
+{
+  const auto status = QueryStatus(aContext);
+  if (!status.ok()) {
+    return status.status();
+  }
+  std::cout << (aContext.json_ ? model::EncodeJson(*status) + "\n"
+                               : TableOf(*status));
+  return absl::OkStatus();
+}
+
+absl::Status
+Drain(const CommandContext& aContext, const std::string& aRouter)
+{
+  const auto address = transport::ParseAddress("router", aRouter);
+  if (!address.ok()) {
+    return address.status();
+  }
+  const auto answer = aContext.api_.SendTo(
+    *address, { .method_ = "POST", .path_ = Concat(kRoot, "drain") });
+  if (answer.ok()) {
+    std::cout << aRouter << " drains\n";
+  }
+  return answer.status();
+}
+
+absl::Status
+EndRouter(const CommandContext& aContext, int64_t aIncarnation)
+{
+  return Post(aContext,
+              "end-router",
+              { { "request_id", RequestIdOf(aContext) },
+                { "incarnation", aIncarnation } },
+              Concat("router ", aIncarnation, " ended"));
+}
+
+absl::Status
+ChangeReplica(const CommandContext& aContext,
+              const std::string& aAction,
+              const std::string& aId)
+{
+  if (aAction != "add" && aAction != "remove") {
+    return MakeError(
+      ErrorKind::kMalformed, "action", "expected add or remove");
+  }
+  const auto answer = aContext.api_.Send(
+    { .method_ = aAction == "remove" ? "DELETE" : "POST",
+      .path_ = Concat(kRoot, "replicas/", aId) });
+  if (answer.ok()) {
+    std::cout << aId << ": " << aAction << " committed\n";
+  }
+  return answer.status();
+}
+
+absl::Status
+CreateKey(const CommandContext& aContext,
+          const std::string& aWorkspace,
+          const std::string& aName)
+{
+  const std::string key =
+    Concat("cw-", model::RandomHex(), model::RandomHex());
+  const auto status = ApplyOne(aContext,
+                               { { "type", "apikey" },
+                                 { "name", aName },
+                                 { "workspace", aWorkspace },
+                                 { "sha256", model::Sha256Hex(key) } },
+                               RequestIdOf(aContext));
+  if (status.ok()) {
+    std::cout << "key: " << key << "\n";
+  }
+  return status;
+}
+
+absl::Status
+ReportBurn(const CommandContext& aContext, const std::string& aFormat)
+{
+  const auto routers = aContext.api_.Routers();
+  if (!routers.ok()) {
+    return routers.status();
+  }
+  std::vector<telemetry::BurnRows> rows;
+  for (const auto& router : *routers) {
+    const auto answer =
+      aContext.api_.SendTo(router, { .path_ = Concat(kRoot, "burn") });
+    const auto decoded =
+      answer.ok() ? model::DecodeJson<telemetry::BurnRows>(answer->body_)
+                  : answer.status();
+    if (decoded.ok()) {
+      rows.push_back(*decoded);
+    } else {
+      std::cerr << "cactuswick: " << router.ToString()
+                << " is left out: " << decoded.status().message() << "\n";
+    }
+  }
+  const auto report = telemetry::MakeBurnReport(rows);
+  if (aFormat == "html") {
+    std::cout << telemetry::BurnReportAsHtml(report);
+  } else if (aFormat == "json" || aContext.json_) {
+    std::cout << telemetry::BurnReportAsJson(report) << "\n";
+  } else {
+    std::cout << telemetry::BurnReportAsTable(report);
+  }
+  return absl::OkStatus();
+}
+
+} // namespace cactuswick::client
--- /dev/null
+++ b/packages/client/src/process/Output.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <string>
+
+#include "cactuswick/transport/connection/PeerMessage.h"
+
+namespace cactuswick::client {
+
+/// Resources and budgets as an aligned table.
+std::string
+TableOf(const transport::QueryReply& aReply);
+
+/// The state of control and routers as a table.
+std::string
+TableOf(const transport::ControlStatus& aStatus);
+
+/// One resource or budget in full, with the routers that have it in force.
+std::string
+DescriptionOf(const transport::QueryReply& aReply,
+              const transport::ControlStatus& aStatus);
+
+} // namespace cactuswick::client
--- /dev/null
+++ b/packages/control/src/connection/ControlService.cpp
@@ -0,0 +1,321 @@
+#include "connection/ControlService.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cactuswick/model/process/Error.h"
+#include "cactuswick/model/process/Text.h"
+#include "cactuswick/transport/process/EventLoop.h"
+
+namespace cactuswick::control {
+
+namespace {
+
+constexpr size_t kMaxListed = 10'000;
+constexpr std::string_view kBudgetType = "budget";
+
+/// Splits "type/rest" at its first slash.
+struct TypedKey
+{
+  std::string_view type_;
+  std::string_view name_;
+};
+
+TypedKey
+SplitKey(std::string_view aKey)
+{
+  const auto slash = std::min(aKey.find('/'), aKey.size());
+  return { aKey.substr(0, slash),
+           aKey.substr(std::min(slash + 1, aKey.size())) };
+}
+
+} // namespace
+
+ControlService::ControlService(ControlServiceOptions aOptions)
+  : options_(std::move(aOptions))
+{
+}
+
+void
+ControlService::Redirect(LinkId aLink, CallId aCall)
+{
+  transport::Redirect redirect{ .call_ = aCall };
+  for (const auto& member : options_.replica_.Members()) {
+    if (member.id_ == options_.replica_.LeaderId()) {
+      redirect.leader_ = member.address_;
+    }
+  }
+  options_.send_(aLink, redirect);
+}
+
+void
+ControlService::Reject(LinkId aLink, CallId aCall, const absl::Status& aStatus)
+{
+  options_.send_(
+    aLink,
+    transport::ProposeReply{ aCall,
+                             ledger::Rejected{
+                               model::KindOf(aStatus),
+                               model::FieldOf(aStatus),
+                               std::string(aStatus.message()) } });
+}
+
+void
+ControlService::On(LinkId aLink, const transport::ProposeRequest& aMessage)
+{
+  if (!options_.replica_.CanServe()) {
+    Redirect(aLink, aMessage.call_);
+    return;
+  }
+  if (std::holds_alternative<ledger::ChangeMembers>(aMessage.command_)) {
+    Reject(aLink,
+           aMessage.call_,
+           model::MakeError(model::ErrorKind::kForbidden,
+                            "command",
+                            "members are changed by their own request"));
+    return;
+  }
+  const auto index =
+    options_.replica_.Propose(aMessage.command_, transport::EventLoop::NowMs());
+  waiters_[*index] = { aLink, aMessage.call_, options_.replica_.CurrentTerm() };
+  options_.flush_();
+}
+
+void
+ControlService::On(LinkId aLink, const transport::MembersRequest& aMessage)
+{
+  std::vector<ledger::Member> members = options_.replica_.Members();
+  const std::string& id = aMessage.member_.id_;
+  const auto removed = std::erase_if(
+    members, [&](const ledger::Member& aMember) { return aMember.id_ == id; });
+  if (!options_.replica_.CanServe()) {
+    Redirect(aLink, aMessage.call_);
+    return;
+  }
+  const auto waiting = waiting_.find(id);
+  const bool known =
+    aMessage.remove_ ? removed > 0 : waiting != waiting_.end() && removed == 0;
+  if (!known || (aMessage.remove_ && members.empty())) {
+    Reject(aLink,
+           aMessage.call_,
+           model::MakeError(model::ErrorKind::kUnknownResource,
+                            "id",
+                            "no such replica to add or remove"));
+    return;
+  }
+  if (!aMessage.remove_) {
+    members.push_back(waiting->second);
+  }
+  const auto status = options_.replica_.ProposeMembers(
+    std::move(members), transport::EventLoop::NowMs());
+  if (!status.ok()) {
+    Reject(aLink, aMessage.call_, status);
+    return;
+  }
+  waiters_[options_.replica_.Log().LastIndex()] = {
+    aLink, aMessage.call_, options_.replica_.CurrentTerm()
+  };
+  options_.flush_();
+}
+
+void
+ControlService::On(LinkId aLink, const transport::QueryRequest& aMessage)
+{
+  const ledger::ReadId read = ++lastRead_;
+  if (!options_.replica_.RequestRead(read)) {
+    Redirect(aLink, aMessage.call_);
+    return;
+  }
+  queries_[read] = { aLink, aMessage };
+  options_.flush_();
+}
+
+void
+ControlService::On(LinkId aLink, const transport::Subscribe& aMessage)
+{
+  if (!options_.replica_.CanServe()) {
+    Redirect(aLink, 0);
+    return;
+  }
+  subscribers_[aLink] = { aMessage.incarnation_, aMessage.revision_ };
+  PushConfig();
+}
+
+void
+ControlService::On(LinkId, const transport::JoinRequest& aMessage)
+{
+  waiting_[aMessage.member_.id_] = aMessage.member_;
+}
+
+void
+ControlService::OnLinkDown(LinkId aLink)
+{
+  subscribers_.erase(aLink);
+}
+
+void
+ControlService::OnApplied(const ledger::Entry& aEntry,
+                          const ledger::Reply& aReply)
+{
+  const auto found = waiters_.find(aEntry.index_);
+  if (found != waiters_.end()) {
+    const Waiter waiter = found->second;
+    waiters_.erase(found);
+    // Another leader's entry may have taken this place in the log.
+    if (waiter.term_ == aEntry.term_) {
+      options_.send_(waiter.link_,
+                     transport::ProposeReply{ waiter.call_, aReply });
+    } else {
+      Redirect(waiter.link_, waiter.call_);
+    }
+  }
+  const auto* batch = std::get_if<ledger::RouterBatch>(&aEntry.command_);
+  const auto* results = std::get_if<ledger::BatchReply>(&aReply);
+  if (batch != nullptr && results != nullptr) {
+    Recall(*batch, *results);
+  }
+}
+
+void
+ControlService::Recall(const ledger::RouterBatch& aBatch,
+                       const ledger::BatchReply& aReply)
+{
+  for (size_t i = 0; i < aReply.results_.size(); ++i) {
+    const auto* ask = std::get_if<ledger::AcquireGrant>(&aBatch.ops_[i]);
+    const auto* result = std::get_if<ledger::GrantResult>(&aReply.results_[i]);
+    if (ask == nullptr || result == nullptr || result->granted_ > 0) {
+      continue;
+    }
+    for (const auto& share : options_.ledger_.GrantsOf(ask->budget_)) {
+      for (const auto& [link, subscriber] : subscribers_) {
+        if (subscriber.incarnation_ == share.holder_ &&
+            share.holder_ != aBatch.incarnation_) {
+          options_.send_(link, transport::RecallGrant{ ask->budget_ });
+        }
+      }
+    }
+  }
+}
+
+void
+ControlService::OnReadReady(ledger::ReadId aRead)
+{
+  const auto found = queries_.find(aRead);
+  if (found != queries_.end()) {
+    options_.send_(found->second.link_, Answer(found->second.query_));
+    queries_.erase(found);
+  }
+}
+
+void
+ControlService::OnReadFailed(ledger::ReadId aRead)
+{
+  const auto found = queries_.find(aRead);
+  if (found != queries_.end()) {
+    Redirect(found->second.link_, found->second.query_.call_);
+    queries_.erase(found);
+  }
+}
+
+void
+ControlService::PushConfig()
+{
+  const int64_t revision = options_.ledger_.Revision();
+  for (auto& [link, subscriber] : subscribers_) {
+    if (subscriber.revision_ < revision) {
+      options_.send_(link,
+                     transport::ConfigPush{
+                       options_.ledger_.ConfigSince(subscriber.revision_) });
+      subscriber.revision_ = revision;
+    }
+  }
+}
+
+void
+ControlService::OnLeadershipLost()
+{
+  const auto waiters = std::exchange(waiters_, {});
+  for (const auto& [index, waiter] : waiters) {
+    Redirect(waiter.link_, waiter.call_);
+  }
+  for (const auto& [link, subscriber] : std::exchange(subscribers_, {})) {
+    Redirect(link, 0);
+  }
+}
+
+transport::QueryReply
+ControlService::Answer(const transport::QueryRequest& aQuery) const
+{
+  const ledger::Ledger& ledger = options_.ledger_;
+  transport::QueryReply reply{ .call_ = aQuery.call_,
+                               .revision_ = ledger.Revision() };
+  const TypedKey key = SplitKey(aQuery.key_);
+  switch (aQuery.query_) {
+    case transport::QueryType::kStatus:
+      reply.status_ = Status();
+      break;
+    case transport::QueryType::kResource:
+      if (key.type_ == kBudgetType) {
+        const std::string budget(key.name_);
+        if (const auto* account = ledger.FindAccount(budget)) {
+          reply.accounts_.push_back(
+            { budget, *account, ledger.GrantsOf(budget) });
+        }
+      } else if (const auto* resource = ledger.FindResource(aQuery.key_)) {
+        reply.resources_.push_back(*resource);
+      }
+      break;
+    case transport::QueryType::kResources:
+      if (key.type_ == kBudgetType) {
+        reply.accounts_ = ledger.Accounts(key.name_, kMaxListed);
+        break;
+      }
+      for (const auto& [name, resource] : ledger.Resources()) {
+        if (name.starts_with(aQuery.key_) && !resource.deleted_ &&
+            reply.resources_.size() < kMaxListed) {
+          reply.resources_.push_back(resource);
+        }
+      }
+      break;
+  }
+  return reply;
+}
+
+transport::ControlStatus
+ControlService::Status() const
+{
+  const ledger::Ledger& ledger = options_.ledger_;
+  const ledger::Replica& replica = options_.replica_;
+  transport::ControlStatus status{
+    .leader_ = replica.LeaderId(),
+    .term_ = replica.CurrentTerm(),
+    .commit_ = replica.CommitIndex(),
+    .logBase_ = replica.Log().BaseIndex(),
+    .revision_ = ledger.Revision(),
+    .budgets_ = static_cast<int64_t>(ledger.AccountCount()),
+    .settledKeys_ = static_cast<int64_t>(ledger.SettledKeyCount()),
+    .claims_ = static_cast<int64_t>(ledger.ClaimCount())
+  };
+  for (const auto& member : replica.Members()) {
+    const bool self = member.id_ == replica.LeaderId();
+    status.members_.push_back(
+      { member,
+        self ? replica.Log().LastIndex() : replica.MatchOf(member.id_) });
+  }
+  for (const auto& [id, member] : waiting_) {
+    const auto& members = replica.Members();
+    const bool added =
+      std::any_of(members.begin(), members.end(), [&](const auto& aMember) {
+        return aMember.id_ == id;
+      });
+    if (!added) {
+      status.waiting_.push_back(member);
+    }
+  }
+  for (const auto& [incarnation, router] : ledger.Routers()) {
+    status.routers_.push_back(router);
+  }
+  return status;
+}
+
+} // namespace cactuswick::control
--- /dev/null
+++ b/packages/control/src/connection/ControlService.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "cactuswick/ledger/version/Ledger.h"
+#include "cactuswick/ledger/version/Replica.h"
+#include "cactuswick/transport/connection/PeerListener.h"
+
+namespace cactuswick::control {
+
+using transport::CallId;
+using transport::LinkId;
+
+struct ControlServiceOptions
+{
+  const ledger::Ledger& ledger_;
+  ledger::Replica& replica_;
+  std::function<void(LinkId, const transport::PeerMessage&)> send_;
+  /// Asks for the effects of the replica to be carried out.
+  std::function<void()> flush_;
+};
+
+/// Serves routers and operators at a control replica: proposals, reads
+/// through a quorum, configuration pushes and recalls of grants.
+class ControlService
+{
+public:
+  explicit ControlService(ControlServiceOptions aOptions);
+
+  void On(LinkId aLink, const transport::ProposeRequest& aMessage);
+  void On(LinkId aLink, const transport::QueryRequest& aMessage);
+  void On(LinkId aLink, const transport::MembersRequest& aMessage);
+  void On(LinkId aLink, const transport::Subscribe& aMessage);
+  void On(LinkId aLink, const transport::JoinRequest& aMessage);
+  void OnLinkDown(LinkId aLink);
+
+  /// Answers whoever proposed the entry, after it was applied.
+  void OnApplied(const ledger::Entry& aEntry, const ledger::Reply& aReply);
+  void OnReadReady(ledger::ReadId aRead);
+  void OnReadFailed(ledger::ReadId aRead);
+  /// Sends configuration to every subscriber that is behind.
+  void PushConfig();
+  /// Sends everyone who still waits to the new leader.
+  void OnLeadershipLost();
+
+private:
+  struct Waiter
+  {
+    LinkId link_ = 0;
+    CallId call_ = 0;
+    ledger::Term term_ = 0;
+  };
+
+  struct PendingQuery
+  {
+    LinkId link_ = 0;
+    transport::QueryRequest query_;
+  };
+
+  struct Subscriber
+  {
+    ledger::Incarnation incarnation_ = 0;
+    int64_t revision_ = 0;
+  };
+
+  void Redirect(LinkId aLink, CallId aCall);
+  void Reject(LinkId aLink, CallId aCall, const absl::Status& aStatus);
+  transport::QueryReply Answer(const transport::QueryRequest& aQuery) const;
+  transport::ControlStatus Status() const;
+  void Recall(const ledger::RouterBatch& aBatch,
+              const ledger::BatchReply& aReply);
+
+  ControlServiceOptions options_;
+  std::map<ledger::Index, Waiter> waiters_;
+  ledger::ReadId lastRead_ = 0;
+  std::map<ledger::ReadId, PendingQuery> queries_;
+  std::map<LinkId, Subscriber> subscribers_;
+  std::map<std::string, ledger::Member> waiting_;
+};
+
+} // namespace cactuswick::control
--- /dev/null
+++ b/packages/control/src/process/SnapshotTask.cpp
@@ -0,0 +1,93 @@
+#include "cactuswick/control/process/SnapshotTask.h"
+
+#include <chrono>
+#include <thread>
+#include <utility>
+
+#include "cactuswick/transport/process/Channel.h"
+
+namespace cactuswick::control {
+
+struct SnapshotTask::State
+{
+  explicit State(SnapshotTaskOptions aOptions)
+    : options_(std::move(aOptions))
+    , lastSnapshot_(options_.header_.lastIndex_)
+    , thread_([this] { Run(); })
+  {
+  }
+
+  ~State()
+  {
+    channel_.Close();
+    thread_.join();
+  }
+
+  void Run()
+  {
+    while (true) {
+      const auto batches = channel_.ReceiveAll();
+      if (batches.empty()) {
+        return;
+      }
+      for (const auto& batch : batches) {
+        ApplyBatch(batch);
+      }
+      const auto since = options_.header_.lastIndex_ - lastSnapshot_;
+      if (since >= options_.everyEntries_) {
+        Write();
+      }
+    }
+  }
+
+  void ApplyBatch(const std::vector<ledger::Entry>& aEntries)
+  {
+    auto& header = options_.header_;
+    for (const auto& entry : aEntries) {
+      options_.ledger_.Apply(entry.command_, entry.timeMs_);
+      header.lastIndex_ = entry.index_;
+      header.lastTerm_ = entry.term_;
+      header.lastTimeMs_ = entry.timeMs_;
+      if (const auto* change =
+            std::get_if<ledger::ChangeMembers>(&entry.command_)) {
+        header.members_ = change->members_;
+      }
+    }
+  }
+
+  void Write()
+  {
+    const auto start = std::chrono::steady_clock::now();
+    const auto bytes = ledger::WriteSnapshot(
+      options_.directory_, options_.header_, options_.ledger_);
+    const std::chrono::duration<double, std::milli> elapsed =
+      std::chrono::steady_clock::now() - start;
+    lastSnapshot_ = options_.header_.lastIndex_;
+    options_.onWritten_({ lastSnapshot_,
+                          bytes.value_or(0),
+                          elapsed.count(),
+                          bytes.status() });
+  }
+
+  SnapshotTaskOptions options_;
+  ledger::Index lastSnapshot_;
+  transport::Channel<std::vector<ledger::Entry>> channel_;
+  std::thread thread_;
+};
+
+SnapshotTask::SnapshotTask(SnapshotTaskOptions aOptions)
+  : state_(std::make_unique<State>(std::move(aOptions)))
+{
+}
+
+SnapshotTask::~SnapshotTask() = default;
+
+void
+SnapshotTask::Apply(std::vector<ledger::Entry> aEntries)
+{
+  if (!aEntries.empty()) {
+    state_->channel_.Send(std::move(aEntries));
+  }
+}
+
+} // namespace cactuswick::control
--- /dev/null
+++ b/packages/ledger/include/cactuswick/ledger/process/SnapshotFile.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+#include "cactuswick/ledger/version/Ledger.h"
+#include "cactuswick/ledger/version/RaftMessage.h"
+
+namespace cactuswick::ledger {
+
+/// First frame of a snapshot.
+struct SnapshotHeader
+{
+  Index lastIndex_ = 0;
+  Term lastTerm_ = 0;
+  LogTimeMs lastTimeMs_ = 0;
+  std::vector<Member> members_;
+
+  bool operator==(const SnapshotHeader&) const = default;
+};
+
+/// Further frames of a snapshot: some records each; the last one is closing.
+struct SnapshotRecords
+{
+  std::vector<SnapshotRecord> records_;
+  /// Records in the whole file; set in the closing frame, which has none.
+  int64_t total_ = 0;
+
+  bool operator==(const SnapshotRecords&) const = default;
+};
+
+/// Name of the snapshot inside a data folder.
+std::string
+SnapshotPath(const std::string& aDirectory);
+
+/// Writes a snapshot under its final name once it is durable; returns its
+/// size in bytes.
+absl::StatusOr<int64_t>
+WriteSnapshot(const std::string& aDirectory,
+              const SnapshotHeader& aHeader,
+              const Ledger& aLedger);
+
+/// Reads the folder's snapshot into an empty ledger. A folder without one
+/// gives a header of index 0; an incomplete one is kCorruptStorage.
+absl::StatusOr<SnapshotHeader>
+ReadSnapshot(const std::string& aDirectory, Ledger& aLedger);
+
+/// Puts a snapshot received from a leader in place, durably.
+absl::Status
+InstallSnapshot(const std::string& aDirectory, std::string_view aBytes);
+
+constexpr auto
+FieldsOf(const SnapshotHeader*)
+{
+  return model::MakeFields(
+    model::Field{ "last_index", &SnapshotHeader::lastIndex_ },
+    model::Field{ "last_term", &SnapshotHeader::lastTerm_ },
+    model::Field{ "last_time_ms", &SnapshotHeader::lastTimeMs_ },
+    model::Field{ "members", &SnapshotHeader::members_ });
+}
+constexpr auto
+FieldsOf(const SnapshotRecords*)
+{
+  return model::MakeFields(
+    model::Field{ "records", &SnapshotRecords::records_ },
+    model::Field{ "total", &SnapshotRecords::total_ });
+}
+
+} // namespace cactuswick::ledger
--- /dev/null
+++ b/packages/ledger/include/cactuswick/ledger/version/Command.h
@@ -0,0 +1,324 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "cactuswick/ledger/request/RouterOp.h"
+
+/// Commands of the replicated log and the ledger's replies to them.
+namespace cactuswick::ledger {
+
+/// One replica of the control log.
+struct Member
+{
+  /// Identity of the data folder; a lost disk comes back under a new one.
+  std::string id_;
+  /// "address:port" of its peer listener.
+  std::string address_;
+  std::string failureDomain_;
+  bool voter_ = false;
+
+  bool operator==(const Member&) const = default;
+};
+
+/// Replaces the set of replicas; differs by one member at most from the last.
+/// Every leader opens its term with the set in force.
+struct ChangeMembers
+{
+  std::vector<Member> members_;
+
+  bool operator==(const ChangeMembers&) const = default;
+};
+
+/// Creates or changes a resource.
+struct ApplyResource
+{
+  /// The operator's idempotency id; a resend gets the first answer.
+  std::string requestId_;
+  /// Version that the change was based on; 0 says "must not exist".
+  int64_t baseVersion_ = 0;
+  model::Spec spec_;
+
+  bool operator==(const ApplyResource&) const = default;
+};
+
+/// Deletes a resource by its "type/name" key.
+struct DeleteResource
+{
+  std::string requestId_;
+  int64_t baseVersion_ = 0;
+  std::string key_;
+
+  bool operator==(const DeleteResource&) const = default;
+};
+
+/// Adds prepaid tokens to a budget, once per id.
+struct TopUp
+{
+  std::string id_;
+  std::string budget_;
+  Tokens amount_ = 0;
+
+  bool operator==(const TopUp&) const = default;
+};
+
+/// Frees tokens that are held because nobody can account for them.
+struct ReleaseHeld
+{
+  std::string requestId_;
+  std::string budget_;
+  Tokens amount_ = 0;
+
+  bool operator==(const ReleaseHeld&) const = default;
+};
+
+/// An operator's word that a router incarnation is dead.
+struct EndRouter
+{
+  std::string requestId_;
+  Incarnation incarnation_ = 0;
+
+  bool operator==(const EndRouter&) const = default;
+};
+
+/// Starts a router incarnation. The VM's earlier ones are thereby proved
+/// dead: the new process has bound their address exclusively.
+struct RegisterRouter
+{
+  /// Random per process; tells a resend from a new process.
+  std::string nonce_;
+  std::string vm_;
+  std::string failureDomain_;
+  std::string region_;
+  /// "address:port" that callers use.
+  std::string address_;
+  /// "address:port" that routers use among themselves.
+  std::string peerAddress_;
+
+  bool operator==(const RegisterRouter&) const = default;
+};
+
+/// Operations of one router, applied in one step, once per sequence number.
+struct RouterBatch
+{
+  Incarnation incarnation_ = 0;
+  int64_t sequence_ = 0;
+  std::vector<RouterOp> ops_;
+
+  bool operator==(const RouterBatch&) const = default;
+};
+
+using Command = std::variant<ChangeMembers,
+                             ApplyResource,
+                             DeleteResource,
+                             TopUp,
+                             ReleaseHeld,
+                             EndRouter,
+                             RegisterRouter,
+                             RouterBatch>;
+
+/// The change is committed.
+struct Accepted
+{
+  int64_t version_ = 0;
+  int64_t revision_ = 0;
+
+  bool operator==(const Accepted&) const = default;
+};
+
+/// The change was refused; nothing happened.
+struct Rejected
+{
+  model::ErrorKind kind_ = model::ErrorKind::kIo;
+  std::string field_;
+  std::string detail_;
+
+  bool operator==(const Rejected&) const = default;
+};
+
+/// The router may serve under this incarnation.
+struct Registered
+{
+  Incarnation incarnation_ = 0;
+  int64_t revision_ = 0;
+  LogTimeMs timeMs_ = 0;
+
+  bool operator==(const Registered&) const = default;
+};
+
+/// Results of a RouterBatch, one per operation, in order.
+struct BatchReply
+{
+  int64_t sequence_ = 0;
+  LogTimeMs timeMs_ = 0;
+  std::vector<OpResult> results_;
+
+  bool operator==(const BatchReply&) const = default;
+};
+
+using Reply = std::variant<Accepted, Rejected, Registered, BatchReply>;
+
+constexpr std::string_view
+TypeNameOf(const ChangeMembers*)
+{
+  return "members";
+}
+constexpr std::string_view
+TypeNameOf(const ApplyResource*)
+{
+  return "apply";
+}
+constexpr std::string_view
+TypeNameOf(const DeleteResource*)
+{
+  return "delete";
+}
+constexpr std::string_view
+TypeNameOf(const TopUp*)
+{
+  return "topup";
+}
+constexpr std::string_view
+TypeNameOf(const ReleaseHeld*)
+{
+  return "release";
+}
+constexpr std::string_view
+TypeNameOf(const EndRouter*)
+{
+  return "end_router";
+}
+constexpr std::string_view
+TypeNameOf(const RegisterRouter*)
+{
+  return "register";
+}
+constexpr std::string_view
+TypeNameOf(const RouterBatch*)
+{
+  return "batch";
+}
+constexpr std::string_view
+TypeNameOf(const Accepted*)
+{
+  return "accepted";
+}
+constexpr std::string_view
+TypeNameOf(const Rejected*)
+{
+  return "rejected";
+}
+constexpr std::string_view
+TypeNameOf(const Registered*)
+{
+  return "registered";
+}
+constexpr std::string_view
+TypeNameOf(const BatchReply*)
+{
+  return "results";
+}
+
+constexpr auto
+FieldsOf(const Member*)
+{
+  return model::MakeFields(
+    model::Field{ "id", &Member::id_ },
+    model::Field{ "address", &Member::address_ },
+    model::Field{ "failure_domain", &Member::failureDomain_ },
+    model::Field{ "voter", &Member::voter_ });
+}
+constexpr auto
+FieldsOf(const ChangeMembers*)
+{
+  return model::MakeFields(model::Field{ "members", &ChangeMembers::members_ });
+}
+constexpr auto
+FieldsOf(const ApplyResource*)
+{
+  return model::MakeFields(
+    model::Field{ "request_id", &ApplyResource::requestId_ },
+    model::Field{ "base_version", &ApplyResource::baseVersion_ },
+    model::Field{ "spec", &ApplyResource::spec_ });
+}
+constexpr auto
+FieldsOf(const DeleteResource*)
+{
+  return model::MakeFields(
+    model::Field{ "request_id", &DeleteResource::requestId_ },
+    model::Field{ "base_version", &DeleteResource::baseVersion_ },
+    model::Field{ "key", &DeleteResource::key_ });
+}
+constexpr auto
+FieldsOf(const TopUp*)
+{
+  return model::MakeFields(model::Field{ "id", &TopUp::id_ },
+                           model::Field{ "budget", &TopUp::budget_ },
+                           model::Field{ "amount", &TopUp::amount_ });
+}
+constexpr auto
+FieldsOf(const ReleaseHeld*)
+{
+  return model::MakeFields(
+    model::Field{ "request_id", &ReleaseHeld::requestId_ },
+    model::Field{ "budget", &ReleaseHeld::budget_ },
+    model::Field{ "amount", &ReleaseHeld::amount_ });
+}
+constexpr auto
+FieldsOf(const EndRouter*)
+{
+  return model::MakeFields(
+    model::Field{ "request_id", &EndRouter::requestId_ },
+    model::Field{ "incarnation", &EndRouter::incarnation_ });
+}
+constexpr auto
+FieldsOf(const RegisterRouter*)
+{
+  return model::MakeFields(
+    model::Field{ "nonce", &RegisterRouter::nonce_ },
+    model::Field{ "vm", &RegisterRouter::vm_ },
+    model::Field{ "failure_domain", &RegisterRouter::failureDomain_ },
+    model::Field{ "region", &RegisterRouter::region_ },
+    model::Field{ "address", &RegisterRouter::address_ },
+    model::Field{ "peer_address", &RegisterRouter::peerAddress_ });
+}
+constexpr auto
+FieldsOf(const RouterBatch*)
+{
+  return model::MakeFields(
+    model::Field{ "incarnation", &RouterBatch::incarnation_ },
+    model::Field{ "sequence", &RouterBatch::sequence_ },
+    model::Field{ "ops", &RouterBatch::ops_ });
+}
+constexpr auto
+FieldsOf(const Accepted*)
+{
+  return model::MakeFields(model::Field{ "version", &Accepted::version_ },
+                           model::Field{ "revision", &Accepted::revision_ });
+}
+constexpr auto
+FieldsOf(const Rejected*)
+{
+  return model::MakeFields(model::Field{ "kind", &Rejected::kind_ },
+                           model::Field{ "field", &Rejected::field_ },
+                           model::Field{ "detail", &Rejected::detail_ });
+}
+constexpr auto
+FieldsOf(const Registered*)
+{
+  return model::MakeFields(
+    model::Field{ "incarnation", &Registered::incarnation_ },
+    model::Field{ "revision", &Registered::revision_ },
+    model::Field{ "time_ms", &Registered::timeMs_ });
+}
+constexpr auto
+FieldsOf(const BatchReply*)
+{
+  return model::MakeFields(model::Field{ "sequence", &BatchReply::sequence_ },
+                           model::Field{ "time_ms", &BatchReply::timeMs_ },
+                           model::Field{ "results", &BatchReply::results_ });
+}
+
+} // namespace cactuswick::ledger
--- /dev/null
+++ b/packages/ledger/include/cactuswick/ledger/version/Ledger.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/status/status.h>
+
+#include "cactuswick/ledger/version/Command.h"
+#include "cactuswick/ledger/version/KeyTable.h"
+#include "cactuswick/ledger/version/Records.h"
+
+namespace cactuswick::ledger {
+
+/// How long callers may retry under one key after their first try.
+inline constexpr LogTimeMs kSettlementHorizonMs = 10 * 60 * 1'000;
+
+/// How long the claim of a non-idempotent call is remembered.
+inline constexpr LogTimeMs kClaimHorizonMs = 24LL * 3'600 * 1'000;
+
+/// How long an operator's resend gets its first answer.
+inline constexpr LogTimeMs kOperatorHorizonMs = 3'600 * 1'000;
+
+/// How long a top-up's id is recognised.
+inline constexpr LogTimeMs kTopUpHorizonMs = 30LL * 24 * 3'600 * 1'000;
+
+/// Most claims remembered; further ones are refused, never forgotten.
+inline constexpr size_t kMaxClaims = 1'000'000;
+
+/// Largest answer kept with a claim, in bytes.
+inline constexpr size_t kMaxClaimBodyBytes = 4'096;
+
+/// The replicated state machine: budgets, claims, configuration, routers.
+///
+/// Deterministic: the same commands at the same log times give the same state
+/// and replies at every replica. Does no input or output.
+class Ledger
+{
+public:
+  using RecordSink = std::function<void(const SnapshotRecord&)>;
+
+  /// Applies one committed command at log time @p aTimeMs, which never falls.
+  Reply Apply(const Command& aCommand, LogTimeMs aTimeMs);
+
+  LogTimeMs Time() const { return counters_.timeMs_; }
+  int64_t Revision() const { return counters_.revision_; }
+
+  /// Configuration newer than @p aRevision, without budgets.
+  ConfigDelta ConfigSince(int64_t aRevision) const;
+
+  /// The stored resource, deleted ones included, or null. No budgets.
+  const model::Resource* FindResource(const std::string& aKey) const;
+  const std::map<std::string, model::Resource>& Resources() const
+  {
+    return resources_;
+  }
+
+  const Account* FindAccount(const std::string& aBudget) const;
+  size_t AccountCount() const { return accounts_.size(); }
+  /// Accounts whose names start with @p aPrefix, at most @p aLimit.
+  std::vector<AccountRecord> Accounts(std::string_view aPrefix,
+                                      size_t aLimit) const;
+
+  const std::vector<GrantShare>& GrantsOf(const std::string& aBudget) const;
+
+  const std::map<Incarnation, RouterRecord>& Routers() const
+  {
+    return routers_;
+  }
+  size_t SettledKeyCount() const { return settled_.Size(); }
+  size_t ClaimCount() const { return claims_.size(); }
+
+  /// Checks every account against its grants; kCorruptStorage on a breach.
+  absl::Status CheckInvariants() const;
+
+  /// Writes the whole state as records, one call per record.
+  void Save(const RecordSink& aSink) const;
+
+  /// Takes one record of a snapshot into an empty ledger.
+  void Load(const SnapshotRecord& aRecord);
+
+private:
+  friend struct RecordLoader;
+
+  Reply On(const ChangeMembers& aCommand);
+  Reply On(const ApplyResource& aCommand);
+  Reply On(const DeleteResource& aCommand);
+  Reply On(const TopUp& aCommand);
+  Reply On(const ReleaseHeld& aCommand);
+  Reply On(const EndRouter& aCommand);
+  Reply On(const RegisterRouter& aCommand);
+  Reply On(const RouterBatch& aCommand);
+
+  OpResult OnOp(Incarnation aRouter, const AcquireGrant& aOp);
+  OpResult OnOp(Incarnation aRouter, const ReturnGrant& aOp);
+  OpResult OnOp(Incarnation aRouter, const Settle& aOp);
+  OpResult OnOp(Incarnation aRouter, const Claim& aOp);
+  OpResult OnOp(Incarnation aRouter, const ResolveClaim& aOp);
+  OpResult OnOp(Incarnation aRouter, const ConfirmNoCopies& aOp);
+  OpResult OnOp(Incarnation aRouter, const SetDraining& aOp);
+  OpResult OnOp(Incarnation aRouter, const Goodbye& aOp);
+  OpResult OnOp(Incarnation aRouter, const Heartbeat& aOp);
+
+  Reply Remember(const std::string& aRequestId, Reply aReply);
+  const Reply* FindReply(const std::string& aRequestId) const;
+  Reply ApplyBudget(const ApplyResource& aCommand);
+  Reply DeleteBudget(const DeleteResource& aCommand);
+  Reply CheckReferences(const model::Spec& aSpec) const;
+  bool HasDependents(const std::string& aWorkspace) const;
+  bool IsLive(std::string_view aType, std::string_view aName) const;
+
+  Tokens* FindShare(const std::string& aBudget, Incarnation aHolder);
+  void AddToShare(const std::string& aBudget,
+                  Incarnation aHolder,
+                  Tokens aAmount);
+  /// Bills or holds tokens out of a grant; false when it has too few.
+  bool TakeFromShare(const std::string& aBudget,
+                     Incarnation aHolder,
+                     Tokens aAmount,
+                     bool aHold);
+  void DropEmptyShare(const std::string& aBudget, Incarnation aHolder);
+
+  void EndIncarnation(Incarnation aIncarnation);
+  void Confirm(Incarnation aDead, Incarnation aWitness, bool aLost);
+  void ConfirmEverywhere(Incarnation aWitness, bool aLost);
+  void Reclaim(Incarnation aDead);
+  void RoutersChanged();
+
+  void Expire();
+  void ForgetKeys();
+
+  CountersRecord counters_;
+  absl::flat_hash_map<std::string, Account> accounts_;
+  absl::flat_hash_map<std::string, std::vector<GrantShare>> grants_;
+  absl::flat_hash_map<std::string, int64_t> budgetsOfWorkspace_;
+  std::map<std::string, model::Resource> resources_;
+  std::map<Incarnation, RouterRecord> routers_;
+  absl::flat_hash_map<Incarnation, SessionRecord> sessions_;
+  KeyTable settled_;
+  absl::flat_hash_map<std::string, ClaimRecord> claims_;
+  std::deque<std::string> claimOrder_;
+  absl::flat_hash_map<std::string, TopUpRecord> topUps_;
+  std::deque<std::string> topUpOrder_;
+  absl::flat_hash_map<std::string, OperatorRecord> operators_;
+  std::deque<std::string> operatorOrder_;
+};
+
+} // namespace cactuswick::ledger
--- /dev/null
+++ b/packages/ledger/include/cactuswick/ledger/version/Replica.h
@@ -0,0 +1,222 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "cactuswick/ledger/version/RaftLog.h"
+
+namespace cactuswick::ledger {
+
+/// Names a pending read that waits for proof of leadership.
+using ReadId = int64_t;
+
+/// Milliseconds of a steady clock local to the process.
+using SteadyMs = int64_t;
+
+struct ReplicaOptions
+{
+  std::string id_;
+  SteadyMs heartbeatMs_ = 100;
+  /// A follower campaigns after a random silence in this range.
+  SteadyMs electionMinMs_ = 500;
+  SteadyMs electionMaxMs_ = 1'000;
+  size_t maxEntriesPerAppend_ = 512;
+  int64_t snapshotChunkBytes_ = 256 * 1'024;
+  uint64_t seed_ = 1;
+  /// Reads bytes of the snapshot file from an offset.
+  std::function<std::string(int64_t aOffset, int64_t aBytes)> readSnapshot_;
+};
+
+/// What a replica starts from.
+struct ReplicaStart
+{
+  HardState hardState_;
+  Index snapshotIndex_ = 0;
+  Term snapshotTerm_ = 0;
+  LogTimeMs snapshotTimeMs_ = 0;
+  std::vector<Member> members_;
+  std::vector<Entry> entries_;
+};
+
+/// A message for one replica.
+struct Envelope
+{
+  std::string to_;
+  RaftMessage message_;
+};
+
+/// A whole snapshot received from the leader.
+struct ReceivedSnapshot
+{
+  Index lastIndex_ = 0;
+  Term lastTerm_ = 0;
+  std::string bytes_;
+};
+
+/// What the caller must do after feeding events to a replica.
+struct Effects
+{
+  /// To append to the log file, in this order, before the later sends.
+  std::optional<HardState> hardState_;
+  std::optional<Index> truncateFrom_;
+  std::vector<Entry> persist_;
+  std::vector<Envelope> sendNow_;
+  /// Only after all that was ever handed out to persist is durable.
+  std::vector<Envelope> sendAfterSync_;
+  /// Reads for which leadership is proved.
+  std::vector<ReadId> readsReady_;
+  /// Reads that must be asked again of another replica.
+  std::vector<ReadId> readsFailed_;
+  std::optional<ReceivedSnapshot> install_;
+
+  bool NeedsPersisting() const
+  {
+    return hardState_ || truncateFrom_ || !persist_.empty();
+  }
+};
+
+enum class ReplicaRole
+{
+  kFollower,
+  kPreCandidate,
+  kCandidate,
+  kLeader,
+};
+
+/// One replica of the log: elections with pre-vote and quorum check,
+/// replication, membership and proofs of leadership for reads.
+///
+/// Pure: it is fed events and leaves effects to be taken; it owns no clock,
+/// file or socket. Follows the Raft algorithm (Ongaro, 2014).
+class Replica
+{
+public:
+  Replica(ReplicaOptions aOptions, ReplicaStart aStart);
+
+  void Tick(SteadyMs aNowMs);
+  void Receive(const RaftMessage& aMessage, SteadyMs aNowMs);
+
+  /// Appends a command at the leader; nullopt at any other replica.
+  std::optional<Index> Propose(Command aCommand, SteadyMs aNowMs);
+
+  /// Changes one member at the leader; kInProgress while a change is open.
+  absl::Status ProposeMembers(std::vector<Member> aMembers, SteadyMs aNowMs);
+
+  /// Asks for proof of leadership; false when it is not the leader.
+  bool RequestRead(ReadId aRead);
+
+  /// Says that entries through @p aIndex of @p aTerm are durable here.
+  void Persisted(Index aIndex, Term aTerm);
+
+  /// Says that a snapshot through @p aIndex is durable here.
+  void SnapshotWritten(Index aIndex, Index aCompactThrough);
+
+  /// Says that the received snapshot is in place.
+  void SnapshotInstalled(const ReplicaStart& aSnapshot);
+
+  /// Takes the effects of everything fed since the last call.
+  Effects Take();
+
+  ReplicaRole Role() const { return role_; }
+  Term CurrentTerm() const { return hardState_.term_; }
+  Index CommitIndex() const { return commit_; }
+  const RaftLog& Log() const { return log_; }
+  const HardState& Hard() const { return hardState_; }
+  const std::string& LeaderId() const { return leaderId_; }
+  const std::vector<Member>& Members() const { return members_; }
+  /// True at a leader that has committed an entry of its own term.
+  bool CanServe() const;
+  /// Last entry known to be at @p aMember; 0 unless leader.
+  Index MatchOf(const std::string& aMember) const;
+
+private:
+  struct Peer
+  {
+    Index next_ = 1;
+    Index match_ = 0;
+    int64_t ackedRound_ = 0;
+    SteadyMs lastHeardMs_ = 0;
+    SteadyMs lastSentMs_ = 0;
+    SteadyMs lastProgressMs_ = 0;
+    /// Snapshot transfer: bytes acknowledged, or -1 when none is open.
+    int64_t snapshotOffset_ = -1;
+  };
+
+  struct PendingRead
+  {
+    ReadId id_ = 0;
+    int64_t round_ = 0;
+  };
+
+  void On(const VoteRequest& aMessage);
+  void On(const VoteReply& aMessage);
+  void On(const AppendRequest& aMessage);
+  void On(const AppendReply& aMessage);
+  void On(const SnapshotChunk& aMessage);
+  void On(const SnapshotReply& aMessage);
+
+  bool IsVoter(const std::string& aId) const;
+  size_t Quorum() const;
+  bool LogIsCurrent(Index aLastIndex, Term aLastTerm) const;
+  void BecomeFollower(Term aTerm, const std::string& aLeader);
+  void Campaign(bool aPreVote);
+  void CountVote(const std::string& aFrom);
+  void BecomeLeader();
+  void ResetElectionTimer();
+  void LeaderTick();
+  bool HeardFromQuorum() const;
+
+  void AppendOwn(Command aCommand);
+  void AcceptEntries(const AppendRequest& aMessage);
+  void Truncate(Index aFrom);
+  void UpdateMembers();
+  std::vector<Member> MembersThrough(Index aIndex) const;
+  void SyncPeers();
+  void Replicate();
+  void SendAppend(const std::string& aTo, Peer& aPeer, bool aEvenIfEmpty);
+  void SendSnapshot(const std::string& aTo, Peer& aPeer);
+  void AdvanceCommit();
+  void ConfirmReads();
+  void FailReads();
+  void PromoteCaughtUp();
+
+  ReplicaOptions options_;
+  HardState hardState_;
+  RaftLog log_;
+  Index snapshotIndex_ = 0;
+  Term snapshotTerm_ = 0;
+  std::vector<Member> startMembers_;
+  std::vector<Member> members_;
+  Index membersIndex_ = 0;
+  Index commit_ = 0;
+  Index persisted_ = 0;
+
+  ReplicaRole role_ = ReplicaRole::kFollower;
+  std::string leaderId_;
+  std::vector<std::string> votes_;
+  std::map<std::string, Peer> peers_;
+  Index termStart_ = 0;
+  int64_t round_ = 0;
+  std::vector<PendingRead> reads_;
+
+  SteadyMs nowMs_ = 0;
+  SteadyMs electionDeadlineMs_ = 0;
+  SteadyMs lastLeaderMs_ = -1'000'000;
+  SteadyMs lastBroadcastMs_ = 0;
+  /// Log time at @c termStartMs_, from which a leader's log time runs on.
+  LogTimeMs termStartTimeMs_ = 0;
+  SteadyMs termStartMs_ = 0;
+  bool replicate_ = false;
+  bool heartbeat_ = false;
+
+  ReceivedSnapshot receiving_;
+  std::mt19937_64 random_;
+  Effects effects_;
+};
+
+} // namespace cactuswick::ledger
--- /dev/null
+++ b/packages/ledger/src/process/SnapshotFile.cpp
@@ -0,0 +1,151 @@
+#include "cactuswick/ledger/process/SnapshotFile.h"
+
+#include <fstream>
+
+#include "cactuswick/ledger/process/FrameFile.h"
+#include "cactuswick/model/process/Codec.h"
+#include "cactuswick/model/process/Error.h"
+
+namespace cactuswick::ledger {
+
+namespace {
+
+constexpr size_t kRecordsPerFrame = 256;
+
+/// Collects records into frames of a file.
+class FrameWriter
+{
+public:
+  explicit FrameWriter(FrameFile& aFile)
+    : file_(aFile)
+  {
+  }
+
+  void Add(const SnapshotRecord& aRecord)
+  {
+    pending_.records_.push_back(aRecord);
+    ++total_;
+    if (pending_.records_.size() >= kRecordsPerFrame) {
+      Flush();
+    }
+  }
+
+  absl::Status Close()
+  {
+    Flush();
+    pending_.total_ = total_;
+    Flush();
+    return status_;
+  }
+
+private:
+  void Flush()
+  {
+    if (status_.ok()) {
+      status_ = file_.Append(model::EncodeCbor(pending_));
+    }
+    pending_ = {};
+  }
+
+  FrameFile& file_;
+  SnapshotRecords pending_;
+  int64_t total_ = 0;
+  absl::Status status_;
+};
+
+absl::Status
+Incomplete(const std::string& aPath)
+{
+  return model::MakeError(model::ErrorKind::kCorruptStorage,
+                          aPath,
+                          "the snapshot is incomplete");
+}
+
+} // namespace
+
+std::string
+SnapshotPath(const std::string& aDirectory)
+{
+  return aDirectory + "/snapshot";
+}
+
+absl::StatusOr<int64_t>
+WriteSnapshot(const std::string& aDirectory,
+              const SnapshotHeader& aHeader,
+              const Ledger& aLedger)
+{
+  const std::string path = SnapshotPath(aDirectory);
+  const std::string fresh = path + ".new";
+  auto file = FrameFile::Open(fresh, 0);
+  if (!file.ok()) {
+    return file.status();
+  }
+  absl::Status status = file->Append(model::EncodeCbor(aHeader));
+  FrameWriter writer(*file);
+  aLedger.Save([&](const SnapshotRecord& aRecord) { writer.Add(aRecord); });
+  status.Update(writer.Close());
+  status.Update(file->Sync());
+  if (status.ok()) {
+    status = RenameDurably(aDirectory, fresh, path);
+  }
+  if (!status.ok()) {
+    return status;
+  }
+  return file->Size();
+}
+
+absl::StatusOr<SnapshotHeader>
+ReadSnapshot(const std::string& aDirectory, Ledger& aLedger)
+{
+  const std::string path = SnapshotPath(aDirectory);
+  SnapshotHeader header;
+  int64_t frames = 0;
+  int64_t loaded = 0;
+  int64_t total = -1;
+  const auto end = ReadFrames(path, [&](std::string_view aPayload) {
+    if (frames++ == 0) {
+      auto decoded = model::DecodeCbor<SnapshotHeader>(aPayload);
+      if (decoded.ok()) {
+        header = *std::move(decoded);
+      }
+      return decoded.status();
+    }
+    const auto records = model::DecodeCbor<SnapshotRecords>(aPayload);
+    if (!records.ok()) {
+      return records.status();
+    }
+    for (const auto& record : records->records_) {
+      aLedger.Load(record);
+      ++loaded;
+    }
+    total = records->records_.empty() ? records->total_ : -1;
+    return absl::OkStatus();
+  });
+  if (!end.ok()) {
+    return end.status();
+  }
+  if (frames > 0 && total != loaded) {
+    return Incomplete(path);
+  }
+  return header;
+}
+
+absl::Status
+InstallSnapshot(const std::string& aDirectory, std::string_view aBytes)
+{
+  const std::string path = SnapshotPath(aDirectory);
+  const std::string fresh = path + ".received";
+  std::ofstream stream(fresh, std::ios::binary | std::ios::trunc);
+  stream.write(aBytes.data(), static_cast<std::streamsize>(aBytes.size()));
+  stream.close();
+  // Reopening at the end is only for the sync of what was written.
+  auto file = FrameFile::Open(fresh, static_cast<int64_t>(aBytes.size()));
+  if (!stream || !file.ok()) {
+    return model::MakeError(
+      model::ErrorKind::kIo, fresh, "cannot store the received snapshot");
+  }
+  auto status = file->Sync();
+  return status.ok() ? RenameDurably(aDirectory, fresh, path) : status;
+}
+
+} // namespace cactuswick::ledger
--- /dev/null
+++ b/packages/ledger/src/version/KeyTable.cpp
@@ -0,0 +1,71 @@
+#include "cactuswick/ledger/version/KeyTable.h"
+
+#include <algorithm>
+#include <string>
+
+#include "cactuswick/model/process/Hash.h"
+#include "cactuswick/model/process/Text.h"
+
+namespace cactuswick::ledger {
+
+namespace {
+
+constexpr uint64_t kSecondSeed = 0x9e3779b97f4a7c15;
+
+} // namespace
+
+KeyHash
+HashKey(std::string_view aWorkspace,
+        std::string_view aKey,
+        int64_t aFingerprint)
+{
+  // Workspace names hold no slash, so the parts cannot run into each other.
+  const std::string text =
+    model::Concat(aWorkspace, "/", aFingerprint, "/", aKey);
+  return { model::Hash64(text), model::Hash64(text, kSecondSeed) };
+}
+
+std::optional<SettledBy>
+KeyTable::Find(const KeyHash& aKey) const
+{
+  const auto found = byKey_.find(aKey);
+  if (found == byKey_.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+void
+KeyTable::Add(const Item& aItem, const SettledBy& aBy)
+{
+  byKey_.emplace(aItem.key_, aBy);
+  items_.push_back(aItem);
+  if (items_.size() > kMaxKeys) {
+    ForgetOldest();
+  }
+}
+
+void
+KeyTable::SetAmount(const KeyHash& aKey, Tokens aAmount)
+{
+  byKey_[aKey].amount_ = aAmount;
+}
+
+void
+KeyTable::ForgetBefore(LogTimeMs aTimeMs)
+{
+  while (!items_.empty() && items_.front().atMs_ < aTimeMs) {
+    ForgetOldest();
+  }
+}
+
+void
+KeyTable::ForgetOldest()
+{
+  const Item& oldest = items_.front();
+  forgottenThroughMs_ = std::max(forgottenThroughMs_, oldest.atMs_);
+  byKey_.erase(oldest.key_);
+  items_.pop_front();
+}
+
+} // namespace cactuswick::ledger
--- /dev/null
+++ b/packages/ledger/src/version/Ledger.cpp
@@ -0,0 +1,340 @@
+#include "cactuswick/ledger/version/Ledger.h"
+
+#include <algorithm>
+
+#include "cactuswick/model/process/Text.h"
+
+namespace cactuswick::ledger {
+
+namespace {
+
+using model::Concat;
+
+/// A grant beyond the minimum takes at most this share of what is free, so
+/// that one router cannot drain a budget for all others.
+constexpr Tokens kGrantShareDivisor = 4;
+
+std::string
+ClaimKey(std::string_view aWorkspace, std::string_view aKey)
+{
+  return Concat(aWorkspace, "/", aKey);
+}
+
+/// Drops the front of @p aOrder and its record while it is older than
+/// @p aBeforeMs. Order entries whose record is gone are dropped too.
+template<class Table>
+void
+ExpireOldest(Table& aTable,
+             std::deque<std::string>& aOrder,
+             LogTimeMs aBeforeMs)
+{
+  while (!aOrder.empty()) {
+    const auto found = aTable.find(aOrder.front());
+    if (found != aTable.end() && found->second.atMs_ >= aBeforeMs) {
+      return;
+    }
+    if (found != aTable.end()) {
+      aTable.erase(found);
+    }
+    aOrder.pop_front();
+  }
+}
+
+} // namespace
+
+Reply
+Ledger::Apply(const Command& aCommand, LogTimeMs aTimeMs)
+{
+  counters_.timeMs_ = std::max(counters_.timeMs_, aTimeMs);
+  Expire();
+  return std::visit([this](const auto& aOne) { return On(aOne); }, aCommand);
+}
+
+void
+Ledger::Expire()
+{
+  const LogTimeMs now = counters_.timeMs_;
+  ExpireOldest(claims_, claimOrder_, now - kClaimHorizonMs);
+  ExpireOldest(topUps_, topUpOrder_, now - kTopUpHorizonMs);
+  ExpireOldest(operators_, operatorOrder_, now - kOperatorHorizonMs);
+}
+
+Reply
+Ledger::On(const ChangeMembers&)
+{
+  return Accepted{ .revision_ = counters_.revision_ };
+}
+
+Reply
+Ledger::On(const RouterBatch& aBatch)
+{
+  const auto router = routers_.find(aBatch.incarnation_);
+  if (router == routers_.end() ||
+      router->second.state_ == RouterState::kEnded) {
+    return Rejected{ model::ErrorKind::kForbidden,
+                     "incarnation",
+                     "the ledger knows this router as ended" };
+  }
+  const Incarnation incarnation = aBatch.incarnation_;
+  const auto session = sessions_.find(incarnation);
+  if (session != sessions_.end() &&
+      aBatch.sequence_ <= session->second.sequence_) {
+    if (aBatch.sequence_ == session->second.sequence_) {
+      return session->second.reply_;
+    }
+    return Rejected{ model::ErrorKind::kMalformed,
+                     "sequence",
+                     "older than the last batch" };
+  }
+  router->second.lastSeenMs_ = counters_.timeMs_;
+  BatchReply reply{ .sequence_ = aBatch.sequence_,
+                    .timeMs_ = counters_.timeMs_ };
+  for (const auto& op : aBatch.ops_) {
+    if (!routers_.contains(incarnation)) {
+      break;
+    }
+    reply.results_.push_back(std::visit(
+      [&](const auto& aOne) { return OnOp(incarnation, aOne); }, op));
+  }
+  if (routers_.contains(incarnation)) {
+    sessions_[incarnation] = { incarnation, aBatch.sequence_, reply };
+  }
+  return reply;
+}
+
+OpResult
+Ledger::OnOp(Incarnation aRouter, const AcquireGrant& aOp)
+{
+  const auto found = accounts_.find(aOp.budget_);
+  if (found == accounts_.end()) {
+    return GrantResult{ .budgetExists_ = false };
+  }
+  Account& account = found->second;
+  const Tokens available = account.Available();
+  const Tokens minimum = std::clamp(aOp.minimum_, Tokens{ 1 }, model::kMaxTokens);
+  GrantResult result{ .available_ = available,
+                      .elsewhere_ = account.granted_ + account.held_ };
+  if (const Tokens* share = FindShare(aOp.budget_, aRouter)) {
+    result.elsewhere_ -= *share;
+  }
+  if (available < minimum) {
+    return result;
+  }
+  const Tokens generous = std::min(aOp.want_, available / kGrantShareDivisor);
+  result.granted_ = std::max(minimum, generous);
+  result.available_ -= result.granted_;
+  account.granted_ += result.granted_;
+  AddToShare(aOp.budget_, aRouter, result.granted_);
+  return result;
+}
+
+OpResult
+Ledger::OnOp(Incarnation aRouter, const ReturnGrant& aOp)
+{
+  Tokens* share = FindShare(aOp.budget_, aRouter);
+  if (share == nullptr) {
+    return Done{};
+  }
+  const Tokens amount = std::clamp(aOp.amount_, Tokens{ 0 }, *share);
+  *share -= amount;
+  accounts_[aOp.budget_].granted_ -= amount;
+  DropEmptyShare(aOp.budget_, aRouter);
+  return Done{};
+}
+
+OpResult
+Ledger::OnOp(Incarnation, const Settle& aOp)
+{
+  const KeyHash key = HashKey(
+    model::WorkspaceOfBudget(aOp.budget_), aOp.key_, aOp.fingerprint_);
+  const auto earlier = settled_.Find(key);
+  const bool resent = earlier && earlier->holder_ == aOp.holder_ &&
+                      earlier->number_ == aOp.number_;
+  if (resent) {
+    return SettleResult{ SettleState::kBilled, earlier->amount_ };
+  }
+  const Tokens before = earlier ? earlier->amount_ : 0;
+  const Tokens charge = std::max(aOp.amount_ - before, Tokens{ 0 });
+  const bool tooOld =
+    !earlier && aOp.startedMs_ <= settled_.ForgottenThrough();
+  if (charge > 0 &&
+      !TakeFromShare(aOp.budget_, aOp.holder_, charge, tooOld)) {
+    return SettleResult{ SettleState::kUnaccounted };
+  }
+  if (tooOld) {
+    return SettleResult{ SettleState::kHeld, charge };
+  }
+  if (earlier) {
+    settled_.SetAmount(key, before + charge);
+    return SettleResult{ SettleState::kDuplicate, charge };
+  }
+  settled_.Add({ key, counters_.timeMs_ },
+               { aOp.holder_, aOp.number_, charge });
+  return SettleResult{ SettleState::kBilled, charge };
+}
+
+bool
+Ledger::TakeFromShare(const std::string& aBudget,
+                      Incarnation aHolder,
+                      Tokens aAmount,
+                      bool aHold)
+{
+  Tokens* share = FindShare(aBudget, aHolder);
+  if (share == nullptr || *share < aAmount) {
+    return false;
+  }
+  *share -= aAmount;
+  Account& account = accounts_[aBudget];
+  account.granted_ -= aAmount;
+  (aHold ? account.held_ : account.billed_) += aAmount;
+  DropEmptyShare(aBudget, aHolder);
+  return true;
+}
+
+OpResult
+Ledger::OnOp(Incarnation aRouter, const Claim& aOp)
+{
+  const std::string key = ClaimKey(aOp.workspace_, aOp.key_);
+  const auto found = claims_.find(key);
+  if (found != claims_.end()) {
+    const ClaimRecord& claim = found->second;
+    return ClaimResult{ .keyReused_ = claim.fingerprint_ != aOp.fingerprint_,
+                        .state_ = claim.state_,
+                        .httpStatus_ = claim.httpStatus_,
+                        .body_ = claim.body_ };
+  }
+  if (claims_.size() >= kMaxClaims) {
+    return ClaimResult{ .full_ = true };
+  }
+  claims_[key] = ClaimRecord{ .workspace_ = aOp.workspace_,
+                              .key_ = aOp.key_,
+                              .fingerprint_ = aOp.fingerprint_,
+                              .holder_ = aRouter,
+                              .atMs_ = counters_.timeMs_ };
+  claimOrder_.push_back(key);
+  return ClaimResult{ .granted_ = true };
+}
+
+OpResult
+Ledger::OnOp(Incarnation aRouter, const ResolveClaim& aOp)
+{
+  const auto found = claims_.find(ClaimKey(aOp.workspace_, aOp.key_));
+  if (found == claims_.end() || found->second.holder_ != aRouter) {
+    return Done{};
+  }
+  if (aOp.state_ == ClaimState::kNotRun) {
+    // Nothing was dispatched, so the next try under this key may run. The
+    // stale entry of claimOrder_ is dropped when its time comes.
+    claims_.erase(found);
+    return Done{};
+  }
+  ClaimRecord& claim = found->second;
+  claim.state_ = aOp.state_;
+  claim.httpStatus_ = aOp.httpStatus_;
+  if (aOp.body_.size() <= kMaxClaimBodyBytes) {
+    claim.body_ = aOp.body_;
+  }
+  return Done{};
+}
+
+const Account*
+Ledger::FindAccount(const std::string& aBudget) const
+{
+  const auto found = accounts_.find(aBudget);
+  return found == accounts_.end() ? nullptr : &found->second;
+}
+
+const std::vector<GrantShare>&
+Ledger::GrantsOf(const std::string& aBudget) const
+{
+  static const std::vector<GrantShare> kNone;
+  const auto found = grants_.find(aBudget);
+  return found == grants_.end() ? kNone : found->second;
+}
+
+std::vector<AccountRecord>
+Ledger::Accounts(std::string_view aPrefix, size_t aLimit) const
+{
+  std::vector<AccountRecord> records;
+  for (const auto& [budget, account] : accounts_) {
+    if (records.size() < aLimit && budget.starts_with(aPrefix)) {
+      records.push_back({ budget, account, GrantsOf(budget) });
+    }
+  }
+  std::sort(records.begin(), records.end(), [](const auto& a, const auto& b) {
+    return a.budget_ < b.budget_;
+  });
+  return records;
+}
+
+Tokens*
+Ledger::FindShare(const std::string& aBudget, Incarnation aHolder)
+{
+  const auto found = grants_.find(aBudget);
+  if (found == grants_.end()) {
+    return nullptr;
+  }
+  for (auto& share : found->second) {
+    if (share.holder_ == aHolder) {
+      return &share.amount_;
+    }
+  }
+  return nullptr;
+}
+
+void
+Ledger::AddToShare(const std::string& aBudget,
+                   Incarnation aHolder,
+                   Tokens aAmount)
+{
+  if (Tokens* share = FindShare(aBudget, aHolder)) {
+    *share += aAmount;
+    return;
+  }
+  grants_[aBudget].push_back({ aHolder, aAmount });
+}
+
+void
+Ledger::DropEmptyShare(const std::string& aBudget, Incarnation aHolder)
+{
+  const auto found = grants_.find(aBudget);
+  if (found == grants_.end()) {
+    return;
+  }
+  std::erase_if(found->second, [&](const GrantShare& aShare) {
+    return aShare.holder_ == aHolder && aShare.amount_ == 0;
+  });
+  if (found->second.empty()) {
+    grants_.erase(found);
+  }
+}
+
+absl::Status
+Ledger::CheckInvariants() const
+{
+  const auto breach = [](const std::string& aBudget, std::string_view aWhat) {
+    return model::MakeError(
+      model::ErrorKind::kCorruptStorage, aBudget, aWhat);
+  };
+  for (const auto& [budget, account] : accounts_) {
+    Tokens granted = 0;
+    for (const auto& share : GrantsOf(budget)) {
+      granted += share.amount_;
+      if (share.amount_ <= 0) {
+        return breach(budget, "a grant is not positive");
+      }
+      if (!routers_.contains(share.holder_)) {
+        return breach(budget, "a grant has no holder");
+      }
+    }
+    if (granted != account.granted_) {
+      return breach(budget, "grants do not add up");
+    }
+    if (account.Available() < 0 || account.billed_ < 0 || account.held_ < 0) {
+      return breach(budget, "overspent");
+    }
+  }
+  return absl::OkStatus();
+}
+
+} // namespace cactuswick::ledger
--- /dev/null
+++ b/packages/ledger/src/version/LedgerRouters.cpp
@@ -0,0 +1,215 @@
+// Router incarnations: their start, their end, and their grants afterwards.
+
+#include "cactuswick/ledger/version/Ledger.h"
+
+#include <algorithm>
+
+namespace cactuswick::ledger {
+
+namespace {
+
+constexpr size_t kMinNonceBytes = 8;
+
+} // namespace
+
+void
+Ledger::RoutersChanged()
+{
+  counters_.routersRevision_ = ++counters_.revision_;
+}
+
+Reply
+Ledger::On(const RegisterRouter& aCommand)
+{
+  if (aCommand.vm_.empty() || aCommand.nonce_.size() < kMinNonceBytes) {
+    return Rejected{ model::ErrorKind::kMalformed,
+                     aCommand.vm_.empty() ? "vm" : "nonce",
+                     "expected a value" };
+  }
+  std::vector<Incarnation> predecessors;
+  for (const auto& [incarnation, router] : routers_) {
+    if (router.vm_ != aCommand.vm_ || router.state_ == RouterState::kEnded) {
+      continue;
+    }
+    if (router.nonce_ == aCommand.nonce_) {
+      return Registered{ incarnation, counters_.revision_, counters_.timeMs_ };
+    }
+    predecessors.push_back(incarnation);
+  }
+  const Incarnation incarnation = ++counters_.lastIncarnation_;
+  // The predecessors end first: the new process holds no copies for them.
+  for (const Incarnation predecessor : predecessors) {
+    EndIncarnation(predecessor);
+  }
+  routers_[incarnation] =
+    RouterRecord{ .incarnation_ = incarnation,
+                  .vm_ = aCommand.vm_,
+                  .failureDomain_ = aCommand.failureDomain_,
+                  .region_ = aCommand.region_,
+                  .address_ = aCommand.address_,
+                  .peerAddress_ = aCommand.peerAddress_,
+                  .nonce_ = aCommand.nonce_,
+                  .settledBeforeMs_ = counters_.timeMs_,
+                  .lastSeenMs_ = counters_.timeMs_ };
+  RoutersChanged();
+  return Registered{ incarnation, counters_.revision_, counters_.timeMs_ };
+}
+
+Reply
+Ledger::On(const EndRouter& aCommand)
+{
+  if (const Reply* earlier = FindReply(aCommand.requestId_)) {
+    return *earlier;
+  }
+  const auto found = routers_.find(aCommand.incarnation_);
+  if (found == routers_.end() || found->second.state_ == RouterState::kEnded) {
+    return Rejected{ model::ErrorKind::kUnknownResource,
+                     "incarnation",
+                     "no such live router" };
+  }
+  EndIncarnation(aCommand.incarnation_);
+  return Remember(aCommand.requestId_,
+                  Accepted{ .revision_ = counters_.revision_ });
+}
+
+void
+Ledger::EndIncarnation(Incarnation aIncarnation)
+{
+  RouterRecord& dead = routers_[aIncarnation];
+  dead.state_ = RouterState::kEnded;
+  sessions_.erase(aIncarnation);
+  for (const auto& [incarnation, router] : routers_) {
+    if (router.state_ != RouterState::kEnded) {
+      dead.awaiting_.push_back(incarnation);
+    }
+  }
+  for (auto& [key, claim] : claims_) {
+    if (claim.holder_ == aIncarnation && claim.state_ == ClaimState::kRunning) {
+      claim.state_ = ClaimState::kUnknown;
+    }
+  }
+  // Copies that the dead router held for others are lost with it.
+  ConfirmEverywhere(aIncarnation, true);
+  RoutersChanged();
+  for (auto& [incarnation, router] : routers_) {
+    if (router.state_ != RouterState::kEnded) {
+      router.copiesLost_ = true;
+      router.copiesLostRevision_ = counters_.revision_;
+    }
+  }
+  if (dead.awaiting_.empty()) {
+    Reclaim(aIncarnation);
+  }
+}
+
+void
+Ledger::ConfirmEverywhere(Incarnation aWitness, bool aLost)
+{
+  std::vector<Incarnation> dead;
+  for (const auto& [incarnation, router] : routers_) {
+    if (router.state_ == RouterState::kEnded) {
+      dead.push_back(incarnation);
+    }
+  }
+  for (const Incarnation incarnation : dead) {
+    Confirm(incarnation, aWitness, aLost);
+  }
+}
+
+void
+Ledger::Confirm(Incarnation aDead, Incarnation aWitness, bool aLost)
+{
+  const auto found = routers_.find(aDead);
+  if (found == routers_.end()) {
+    return;
+  }
+  RouterRecord& dead = found->second;
+  const auto removed = std::erase(dead.awaiting_, aWitness);
+  if (removed == 0) {
+    return;
+  }
+  dead.copiesLost_ = dead.copiesLost_ || aLost;
+  if (dead.awaiting_.empty()) {
+    Reclaim(aDead);
+  }
+}
+
+void
+Ledger::Reclaim(Incarnation aDead)
+{
+  const bool held = routers_[aDead].copiesLost_;
+  std::vector<std::string> budgets;
+  for (const auto& [budget, shares] : grants_) {
+    const bool holds =
+      std::any_of(shares.begin(), shares.end(), [&](const GrantShare& aShare) {
+        return aShare.holder_ == aDead;
+      });
+    if (holds) {
+      budgets.push_back(budget);
+    }
+  }
+  for (const auto& budget : budgets) {
+    Tokens* share = FindShare(budget, aDead);
+    Account& account = accounts_[budget];
+    account.granted_ -= *share;
+    account.held_ += held ? *share : 0;
+    *share = 0;
+    DropEmptyShare(budget, aDead);
+  }
+  routers_.erase(aDead);
+  RoutersChanged();
+}
+
+OpResult
+Ledger::OnOp(Incarnation aRouter, const ConfirmNoCopies& aOp)
+{
+  Confirm(aOp.dead_, aRouter, false);
+  return Done{};
+}
+
+OpResult
+Ledger::OnOp(Incarnation aRouter, const SetDraining&)
+{
+  routers_[aRouter].state_ = RouterState::kDraining;
+  RoutersChanged();
+  return Done{};
+}
+
+OpResult
+Ledger::OnOp(Incarnation aRouter, const Goodbye&)
+{
+  ConfirmEverywhere(aRouter, false);
+  // Whatever it did not return is freed: it has nothing in flight or pending.
+  routers_[aRouter].copiesLost_ = false;
+  Reclaim(aRouter);
+  sessions_.erase(aRouter);
+  return Done{};
+}
+
+OpResult
+Ledger::OnOp(Incarnation aRouter, const Heartbeat& aOp)
+{
+  RouterRecord& router = routers_[aRouter];
+  router.appliedRevision_ =
+    std::max(router.appliedRevision_, aOp.appliedRevision_);
+  router.settledBeforeMs_ =
+    std::clamp(aOp.settledBeforeMs_, router.settledBeforeMs_, counters_.timeMs_);
+  const bool knows = aOp.appliedRevision_ >= router.copiesLostRevision_;
+  if (knows && !aOp.copiesOut_) {
+    router.copiesLost_ = false;
+  }
+  ForgetKeys();
+  return Done{};
+}
+
+void
+Ledger::ForgetKeys()
+{
+  LogTimeMs oldest = counters_.timeMs_;
+  for (const auto& [incarnation, router] : routers_) {
+    oldest = std::min(oldest, router.settledBeforeMs_);
+  }
+  settled_.ForgetBefore(oldest - kSettlementHorizonMs);
+}
+
+} // namespace cactuswick::ledger
--- /dev/null
+++ b/packages/ledger/src/version/LedgerSnapshot.cpp
@@ -0,0 +1,129 @@
+// The ledger as snapshot records, and as configuration for routers.
+
+#include "cactuswick/ledger/version/Ledger.h"
+
+#include "cactuswick/model/process/Text.h"
+
+namespace cactuswick::ledger {
+
+ConfigDelta
+Ledger::ConfigSince(int64_t aRevision) const
+{
+  ConfigDelta delta{ .revision_ = counters_.revision_,
+                     .timeMs_ = counters_.timeMs_ };
+  for (const auto& [key, resource] : resources_) {
+    if (resource.revision_ > aRevision) {
+      delta.resources_.push_back(resource);
+    }
+  }
+  delta.routersChanged_ = counters_.routersRevision_ > aRevision;
+  if (delta.routersChanged_) {
+    for (const auto& [incarnation, router] : routers_) {
+      delta.routers_.push_back(router);
+    }
+  }
+  return delta;
+}
+
+void
+Ledger::Save(const RecordSink& aSink) const
+{
+  CountersRecord counters = counters_;
+  counters.forgottenThroughMs_ = settled_.ForgottenThrough();
+  aSink(counters);
+  for (const auto& [budget, account] : accounts_) {
+    aSink(AccountRecord{ budget, account, GrantsOf(budget) });
+  }
+  for (const auto& [key, resource] : resources_) {
+    aSink(resource);
+  }
+  for (const auto& [incarnation, router] : routers_) {
+    aSink(router);
+  }
+  for (const auto& [incarnation, session] : sessions_) {
+    aSink(session);
+  }
+  for (const auto& item : settled_.Items()) {
+    const auto by = settled_.Find(item.key_).value_or(SettledBy{});
+    aSink(SettledRecord{ static_cast<int64_t>(item.key_.high_),
+                         static_cast<int64_t>(item.key_.low_),
+                         by.holder_,
+                         by.number_,
+                         by.amount_,
+                         item.atMs_ });
+  }
+  const auto saveInOrder = [&](const auto& aTable, const auto& aOrder) {
+    for (const auto& key : aOrder) {
+      if (const auto found = aTable.find(key); found != aTable.end()) {
+        aSink(found->second);
+      }
+    }
+  };
+  saveInOrder(claims_, claimOrder_);
+  saveInOrder(topUps_, topUpOrder_);
+  saveInOrder(operators_, operatorOrder_);
+}
+
+/// Takes each kind of record into its table.
+struct RecordLoader
+{
+  Ledger& ledger_;
+
+  void operator()(const CountersRecord& aRecord) const
+  {
+    ledger_.counters_ = aRecord;
+    ledger_.settled_.SetForgottenThrough(aRecord.forgottenThroughMs_);
+  }
+  void operator()(const AccountRecord& aRecord) const
+  {
+    ledger_.accounts_[aRecord.budget_] = aRecord.account_;
+    const std::string workspace(model::WorkspaceOfBudget(aRecord.budget_));
+    ++ledger_.budgetsOfWorkspace_[workspace];
+    if (!aRecord.grants_.empty()) {
+      ledger_.grants_[aRecord.budget_] = aRecord.grants_;
+    }
+  }
+  void operator()(const model::Resource& aRecord) const
+  {
+    ledger_.resources_[model::KeyOf(aRecord.spec_)] = aRecord;
+  }
+  void operator()(const RouterRecord& aRecord) const
+  {
+    ledger_.routers_[aRecord.incarnation_] = aRecord;
+  }
+  void operator()(const SessionRecord& aRecord) const
+  {
+    ledger_.sessions_[aRecord.incarnation_] = aRecord;
+  }
+  void operator()(const SettledRecord& aRecord) const
+  {
+    ledger_.settled_.Add({ { static_cast<uint64_t>(aRecord.high_),
+                             static_cast<uint64_t>(aRecord.low_) },
+                           aRecord.atMs_ },
+                         { aRecord.holder_, aRecord.number_, aRecord.amount_ });
+  }
+  void operator()(const ClaimRecord& aRecord) const
+  {
+    const auto key = model::Concat(aRecord.workspace_, "/", aRecord.key_);
+    ledger_.claims_[key] = aRecord;
+    ledger_.claimOrder_.push_back(key);
+  }
+  void operator()(const TopUpRecord& aRecord) const
+  {
+    ledger_.topUps_[aRecord.id_] = aRecord;
+    ledger_.topUpOrder_.push_back(aRecord.id_);
+  }
+  void operator()(const OperatorRecord& aRecord) const
+  {
+    ledger_.operators_[aRecord.requestId_] = aRecord;
+    ledger_.operatorOrder_.push_back(aRecord.requestId_);
+  }
+};
+
+void
+Ledger::Load(const SnapshotRecord& aRecord)
+{
+  std::visit(RecordLoader{ *this }, aRecord);
+}
+
+} // namespace cactuswick::ledger
--- /dev/null
+++ b/packages/ledger/src/version/ReplicaAppend.cpp
@@ -0,0 +1,391 @@
+// Replication of entries and snapshots, commitment and membership.
+
+#include "cactuswick/ledger/version/Replica.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cactuswick/model/process/Error.h"
+
+namespace cactuswick::ledger {
+
+namespace {
+
+/// A new replica votes once it is this close to the leader's log.
+constexpr Index kCaughtUpEntries = 64;
+
+} // namespace
+
+std::optional<Index>
+Replica::Propose(Command aCommand, SteadyMs aNowMs)
+{
+  nowMs_ = std::max(nowMs_, aNowMs);
+  if (role_ != ReplicaRole::kLeader) {
+    return std::nullopt;
+  }
+  AppendOwn(std::move(aCommand));
+  return log_.LastIndex();
+}
+
+absl::Status
+Replica::ProposeMembers(std::vector<Member> aMembers, SteadyMs aNowMs)
+{
+  if (!CanServe()) {
+    return model::MakeError(
+      model::ErrorKind::kNotLeader, "", "only the leader changes members");
+  }
+  if (membersIndex_ > commit_) {
+    return model::MakeError(
+      model::ErrorKind::kInProgress, "", "another change is not committed yet");
+  }
+  Propose(ChangeMembers{ std::move(aMembers) }, aNowMs);
+  return absl::OkStatus();
+}
+
+void
+Replica::AppendOwn(Command aCommand)
+{
+  const LogTimeMs time =
+    std::max(log_.LastTimeMs(), termStartTimeMs_ + (nowMs_ - termStartMs_));
+  Entry entry{ log_.LastIndex() + 1,
+               hardState_.term_,
+               time,
+               std::move(aCommand) };
+  effects_.persist_.push_back(entry);
+  const bool members = std::holds_alternative<ChangeMembers>(entry.command_);
+  log_.Append(std::move(entry));
+  if (members) {
+    UpdateMembers();
+    SyncPeers();
+  }
+  replicate_ = true;
+}
+
+void
+Replica::UpdateMembers()
+{
+  membersIndex_ = log_.LastIndex();
+  while (membersIndex_ > log_.BaseIndex() &&
+         !std::holds_alternative<ChangeMembers>(
+           log_.At(membersIndex_).command_)) {
+    --membersIndex_;
+  }
+  members_ = MembersThrough(membersIndex_);
+}
+
+std::vector<Member>
+Replica::MembersThrough(Index aIndex) const
+{
+  for (Index i = aIndex; i > log_.BaseIndex(); --i) {
+    if (const auto* change =
+          std::get_if<ChangeMembers>(&log_.At(i).command_)) {
+      return change->members_;
+    }
+  }
+  return startMembers_;
+}
+
+void
+Replica::Persisted(Index aIndex, Term aTerm)
+{
+  // The entries may have been replaced while they were being written.
+  if (log_.TermAt(aIndex) != aTerm) {
+    return;
+  }
+  persisted_ = std::max(persisted_, aIndex);
+  if (role_ == ReplicaRole::kLeader) {
+    AdvanceCommit();
+  }
+}
+
+void
+Replica::AdvanceCommit()
+{
+  std::vector<Index> matches;
+  for (const auto& member : members_) {
+    if (member.voter_) {
+      matches.push_back(member.id_ == options_.id_ ? persisted_
+                                                   : MatchOf(member.id_));
+    }
+  }
+  if (matches.empty()) {
+    return;
+  }
+  std::sort(matches.begin(), matches.end(), std::greater<>());
+  const Index agreed = matches[Quorum() - 1];
+  // Only entries of the own term commit by counting (Raft, section 5.4.2).
+  if (agreed > commit_ && log_.TermAt(agreed) == hardState_.term_) {
+    commit_ = agreed;
+    if (membersIndex_ <= commit_ && !IsVoter(options_.id_)) {
+      BecomeFollower(hardState_.term_, "");
+    }
+  }
+}
+
+void
+Replica::Replicate()
+{
+  if (heartbeat_) {
+    ++round_;
+    lastBroadcastMs_ = nowMs_;
+  }
+  for (auto& [id, peer] : peers_) {
+    SendAppend(id, peer, heartbeat_);
+  }
+}
+
+void
+Replica::SendAppend(const std::string& aTo, Peer& aPeer, bool aEvenIfEmpty)
+{
+  const bool stalled = aPeer.next_ > aPeer.match_ + 1 &&
+                       nowMs_ - aPeer.lastProgressMs_ > options_.electionMinMs_;
+  if (stalled) {
+    aPeer.next_ = aPeer.match_ + 1;
+    aPeer.lastProgressMs_ = nowMs_;
+  }
+  if (aPeer.next_ <= log_.BaseIndex()) {
+    SendSnapshot(aTo, aPeer);
+  }
+  const Index previous = std::max(aPeer.next_ - 1, log_.BaseIndex());
+  AppendRequest request{ .from_ = options_.id_,
+                         .term_ = hardState_.term_,
+                         .previousIndex_ = previous,
+                         .previousTerm_ = log_.TermAt(previous),
+                         .commit_ = commit_,
+                         .round_ = round_ };
+  if (aPeer.next_ > log_.BaseIndex()) {
+    request.entries_ = log_.Slice(aPeer.next_, options_.maxEntriesPerAppend_);
+  }
+  if (request.entries_.empty() && !aEvenIfEmpty) {
+    return;
+  }
+  aPeer.next_ += static_cast<Index>(request.entries_.size());
+  aPeer.lastSentMs_ = nowMs_;
+  effects_.sendNow_.push_back({ aTo, std::move(request) });
+}
+
+void
+Replica::On(const AppendRequest& aMessage)
+{
+  AppendReply reply{ .from_ = options_.id_,
+                     .term_ = hardState_.term_,
+                     .round_ = aMessage.round_ };
+  if (aMessage.term_ < hardState_.term_) {
+    effects_.sendNow_.push_back({ aMessage.from_, reply });
+    return;
+  }
+  BecomeFollower(aMessage.term_, aMessage.from_);
+  lastLeaderMs_ = nowMs_;
+  reply.term_ = hardState_.term_;
+  const Index previous = aMessage.previousIndex_;
+  const bool covered = previous < log_.BaseIndex();
+  if (!covered && log_.TermAt(previous) != aMessage.previousTerm_) {
+    // Skips back over the whole conflicting term at once.
+    Index retry = std::min(previous, log_.LastIndex() + 1);
+    const Term conflicting = log_.TermAt(retry);
+    while (retry > commit_ + 1 && log_.TermAt(retry - 1) == conflicting) {
+      --retry;
+    }
+    reply.index_ = std::max(retry, commit_ + 1);
+    effects_.sendNow_.push_back({ aMessage.from_, reply });
+    return;
+  }
+  AcceptEntries(aMessage);
+  const Index last = previous + static_cast<Index>(aMessage.entries_.size());
+  commit_ = std::max(commit_, std::min(aMessage.commit_, last));
+  reply.success_ = true;
+  reply.index_ = last;
+  effects_.sendAfterSync_.push_back({ aMessage.from_, reply });
+}
+
+void
+Replica::AcceptEntries(const AppendRequest& aMessage)
+{
+  bool membersTouched = false;
+  for (const auto& entry : aMessage.entries_) {
+    if (entry.index_ <= log_.BaseIndex() ||
+        (entry.index_ <= log_.LastIndex() &&
+         log_.TermAt(entry.index_) == entry.term_)) {
+      continue;
+    }
+    if (entry.index_ <= log_.LastIndex()) {
+      Truncate(entry.index_);
+      membersTouched = true;
+    }
+    membersTouched |= std::holds_alternative<ChangeMembers>(entry.command_);
+    effects_.persist_.push_back(entry);
+    log_.Append(entry);
+  }
+  if (membersTouched) {
+    UpdateMembers();
+  }
+}
+
+void
+Replica::Truncate(Index aFrom)
+{
+  log_.TruncateFrom(aFrom);
+  persisted_ = std::min(persisted_, aFrom - 1);
+  std::erase_if(effects_.persist_, [&](const Entry& aEntry) {
+    return aEntry.index_ >= aFrom;
+  });
+  effects_.truncateFrom_ =
+    std::min(effects_.truncateFrom_.value_or(aFrom), aFrom);
+}
+
+void
+Replica::On(const AppendReply& aMessage)
+{
+  if (aMessage.term_ > hardState_.term_) {
+    BecomeFollower(aMessage.term_, "");
+    return;
+  }
+  const auto found = peers_.find(aMessage.from_);
+  if (role_ != ReplicaRole::kLeader || aMessage.term_ < hardState_.term_ ||
+      found == peers_.end()) {
+    return;
+  }
+  Peer& peer = found->second;
+  peer.lastHeardMs_ = nowMs_;
+  peer.ackedRound_ = std::max(peer.ackedRound_, aMessage.round_);
+  if (!aMessage.success_) {
+    peer.next_ = std::max(peer.match_ + 1, std::min(peer.next_, aMessage.index_));
+    replicate_ = true;
+    return;
+  }
+  if (aMessage.index_ > peer.match_) {
+    peer.match_ = aMessage.index_;
+    peer.lastProgressMs_ = nowMs_;
+    peer.next_ = std::max(peer.next_, peer.match_ + 1);
+    AdvanceCommit();
+  }
+  replicate_ = replicate_ || peer.next_ <= log_.LastIndex();
+}
+
+void
+Replica::PromoteCaughtUp()
+{
+  if (!CanServe() || membersIndex_ > commit_) {
+    return;
+  }
+  for (size_t i = 0; i < members_.size(); ++i) {
+    const Member& member = members_[i];
+    const bool close =
+      MatchOf(member.id_) + kCaughtUpEntries >= log_.LastIndex();
+    if (!member.voter_ && MatchOf(member.id_) > 0 && close) {
+      std::vector<Member> promoted = members_;
+      promoted[i].voter_ = true;
+      AppendOwn(ChangeMembers{ std::move(promoted) });
+      return;
+    }
+  }
+}
+
+void
+Replica::SendSnapshot(const std::string& aTo, Peer& aPeer)
+{
+  const bool open = aPeer.snapshotOffset_ >= 0;
+  const bool waiting =
+    open && nowMs_ - aPeer.lastSentMs_ < options_.electionMaxMs_;
+  if (waiting || !options_.readSnapshot_) {
+    return;
+  }
+  aPeer.snapshotOffset_ = std::max(aPeer.snapshotOffset_, int64_t{ 0 });
+  SnapshotChunk chunk{ .from_ = options_.id_,
+                       .term_ = hardState_.term_,
+                       .lastIndex_ = snapshotIndex_,
+                       .lastTerm_ = snapshotTerm_,
+                       .offset_ = aPeer.snapshotOffset_ };
+  chunk.bytes_.bytes_ = options_.readSnapshot_(chunk.offset_,
+                                               options_.snapshotChunkBytes_);
+  chunk.done_ = static_cast<int64_t>(chunk.bytes_.bytes_.size()) <
+                options_.snapshotChunkBytes_;
+  aPeer.lastSentMs_ = nowMs_;
+  effects_.sendNow_.push_back({ aTo, std::move(chunk) });
+}
+
+void
+Replica::On(const SnapshotChunk& aMessage)
+{
+  if (aMessage.term_ < hardState_.term_) {
+    return;
+  }
+  BecomeFollower(aMessage.term_, aMessage.from_);
+  lastLeaderMs_ = nowMs_;
+  if (receiving_.lastIndex_ != aMessage.lastIndex_ || aMessage.offset_ == 0) {
+    receiving_ = { aMessage.lastIndex_, aMessage.lastTerm_, "" };
+  }
+  const auto have = static_cast<int64_t>(receiving_.bytes_.size());
+  SnapshotReply reply{ .from_ = options_.id_,
+                       .term_ = hardState_.term_,
+                       .lastIndex_ = aMessage.lastIndex_,
+                       .offset_ = have };
+  if (aMessage.offset_ == have) {
+    receiving_.bytes_ += aMessage.bytes_.bytes_;
+    reply.offset_ = static_cast<int64_t>(receiving_.bytes_.size());
+    if (aMessage.done_ && aMessage.lastIndex_ > commit_) {
+      effects_.install_ = std::exchange(receiving_, {});
+    }
+    reply.done_ = aMessage.done_;
+  }
+  effects_.sendAfterSync_.push_back({ aMessage.from_, reply });
+}
+
+void
+Replica::On(const SnapshotReply& aMessage)
+{
+  const auto found = peers_.find(aMessage.from_);
+  if (role_ != ReplicaRole::kLeader || aMessage.term_ != hardState_.term_ ||
+      found == peers_.end()) {
+    return;
+  }
+  Peer& peer = found->second;
+  peer.lastHeardMs_ = nowMs_;
+  peer.lastSentMs_ = nowMs_ - options_.electionMaxMs_;
+  peer.snapshotOffset_ =
+    aMessage.lastIndex_ == snapshotIndex_ ? aMessage.offset_ : 0;
+  if (aMessage.done_) {
+    peer.snapshotOffset_ = -1;
+    peer.match_ = std::max(peer.match_, aMessage.lastIndex_);
+    peer.next_ = peer.match_ + 1;
+  }
+  replicate_ = true;
+}
+
+void
+Replica::SnapshotWritten(Index aIndex, Index aCompactThrough)
+{
+  if (!log_.Has(aIndex) || aIndex <= snapshotIndex_) {
+    return;
+  }
+  snapshotIndex_ = aIndex;
+  snapshotTerm_ = log_.TermAt(aIndex);
+  // Transfers of the older file cannot go on from the new one.
+  for (auto& [id, peer] : peers_) {
+    peer.snapshotOffset_ = std::min(peer.snapshotOffset_, int64_t{ 0 });
+  }
+  if (aCompactThrough > log_.BaseIndex() && aCompactThrough <= aIndex) {
+    startMembers_ = MembersThrough(aCompactThrough);
+    log_.CompactThrough(aCompactThrough);
+  }
+}
+
+void
+Replica::SnapshotInstalled(const ReplicaStart& aSnapshot)
+{
+  snapshotIndex_ = aSnapshot.snapshotIndex_;
+  snapshotTerm_ = aSnapshot.snapshotTerm_;
+  startMembers_ = aSnapshot.members_;
+  // Entries behind a matching one were acknowledged and must stay.
+  if (log_.Has(snapshotIndex_) &&
+      log_.TermAt(snapshotIndex_) == snapshotTerm_) {
+    log_.CompactThrough(snapshotIndex_);
+  } else {
+    log_.Reset(snapshotIndex_, snapshotTerm_, aSnapshot.snapshotTimeMs_);
+    persisted_ = snapshotIndex_;
+  }
+  commit_ = std::max(commit_, snapshotIndex_);
+  UpdateMembers();
+}
+
+} // namespace cactuswick::ledger
--- /dev/null
+++ b/packages/router/src/process/Biller.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include <absl/status/status.h>
+
+#include "cactuswick/routing/process/GrantBook.h"
+#include "cactuswick/routing/process/SettlementBook.h"
+#include "cactuswick/telemetry/process/Metrics.h"
+#include "process/ControlClient.h"
+#include "process/RouterPeers.h"
+#include "version/ConfigView.h"
+
+namespace cactuswick::router {
+
+struct BillerOptions
+{
+  ControlClient& control_;
+  RouterPeers& peers_;
+  const ConfigView& config_;
+  telemetry::Metrics& metrics_;
+  /// Longest wait for a settlement to be committed or copied.
+  int64_t settleTimeoutMs_ = 10'000;
+};
+
+/// The money side of a router: reserves from its grants before a request
+/// runs, settles what the request used, and looks after other routers'
+/// copies.
+class Biller
+{
+public:
+  using ReserveHook = std::function<void(absl::Status)>;
+  /// OK once the settlement can no longer be lost with this router.
+  using SettleHook = std::function<void(absl::Status)>;
+
+  Biller(transport::EventLoop& aLoop, BillerOptions aOptions);
+
+  /// Reserves tokens; fails with the reason why they cannot be had.
+  /// @p aOwner names the request, for CancelReserve.
+  void Reserve(const std::string& aBudget,
+               ledger::Tokens aAmount,
+               int64_t aOwner,
+               ReserveHook aHook);
+  /// Forgets a reservation that waits; its hook is not called.
+  void CancelReserve(int64_t aOwner);
+  void Release(const std::string& aBudget, ledger::Tokens aAmount);
+
+  /// Settles @c amount_ out of a reservation of @p aReserved tokens.
+  void Settle(const ledger::Settle& aSettle,
+              ledger::Tokens aReserved,
+              SettleHook aHook);
+
+  void OnRecall(const std::string& aBudget);
+  void OnConfig();
+  void OnStored(const transport::CopiesStored& aStored);
+  void OnKeeperLost(ledger::Incarnation aKeeper);
+  std::vector<int64_t> OnCopies(const transport::CopySettlements& aCopies);
+  void OnDrop(const transport::DropCopies& aDrop);
+
+  /// Whether a request that finishes now could be settled.
+  bool HasSettlementPath() const;
+  /// Oldest start of what is not committed; for the heartbeat.
+  std::optional<ledger::LogTimeMs> OldestStart() const;
+  bool HasCopiesOut() const { return book_.HasCopiesOut(); }
+  size_t PendingCount() const { return book_.Pending().size(); }
+  /// Returns every free grant, before a goodbye.
+  void ReturnAll();
+
+private:
+  struct ReserveWaiter
+  {
+    int64_t owner_ = 0;
+    ledger::Tokens amount_ = 0;
+    int64_t sinceMs_ = 0;
+    int64_t tries_ = 0;
+    ReserveHook hook_;
+  };
+
+  struct BudgetQueue
+  {
+    std::deque<ReserveWaiter> waiters_;
+    bool asking_ = false;
+    int64_t askAgainMs_ = 0;
+  };
+
+  struct SettleWaiter
+  {
+    SettleHook hook_;
+    int64_t deadlineMs_ = 0;
+    int64_t startMs_ = 0;
+  };
+
+  void OnTick();
+  void AskNext(const std::string& aBudget);
+  void OnGrant(const std::string& aBudget, const ledger::GrantResult& aResult);
+  void ServeWaiters(const std::string& aBudget);
+  void FailFirst(const std::string& aBudget, const absl::Status& aStatus);
+  void ExpireReserves(int64_t aNowMs);
+  void OnSettled(int64_t aNumber, const ledger::SettleResult& aResult);
+  void CountSettled(const ledger::SettleResult& aResult);
+  void Finish(int64_t aNumber, const absl::Status& aStatus);
+  void CopyPending();
+  void ExpireSettles(int64_t aNowMs);
+
+  BillerOptions options_;
+  routing::GrantBook grants_;
+  routing::SettlementBook book_;
+  std::map<std::string, BudgetQueue> queues_;
+  std::map<int64_t, SettleWaiter> settling_;
+  std::set<ledger::Incarnation> confirmed_;
+  bool madeCopies_ = false;
+  int64_t droppedThrough_ = 0;
+  int64_t lastIdleMs_ = 0;
+  transport::Timer tick_;
+};
+
+} // namespace cactuswick::router
--- /dev/null
+++ b/packages/router/src/process/ControlClient.cpp
@@ -0,0 +1,422 @@
+#include "process/ControlClient.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cactuswick/model/process/Error.h"
+#include "cactuswick/telemetry/process/Log.h"
+
+namespace cactuswick::router {
+
+namespace {
+
+using telemetry::Level;
+using telemetry::Log;
+using telemetry::Part;
+using transport::CallId;
+using transport::EventLoop;
+
+constexpr int64_t kTickMs = 100;
+/// Without an answer for this long the next replica is tried.
+constexpr int64_t kAnswerTimeoutMs = 1'200;
+constexpr int64_t kMinSwitchMs = 100;
+constexpr size_t kMaxBatchOps = 512;
+
+/// An operator's question that has not been answered.
+struct OpenCall
+{
+  transport::PeerMessage message_;
+  int64_t deadlineMs_ = 0;
+  ControlClient::ReplyHook onReply_;
+  ControlClient::QueryHook onQuery_;
+};
+
+struct OpenOp
+{
+  ledger::RouterOp op_;
+  ControlClient::OpHook hook_;
+};
+
+} // namespace
+
+struct ControlClient::State
+{
+  State(EventLoop& aLoop, ControlClientOptions aOptions)
+    : loop_(aLoop)
+    , options_(std::move(aOptions))
+    , tick_(aLoop, [this] { OnTick(); })
+  {
+    DialNext();
+    tick_.StartRepeating(kTickMs);
+  }
+
+  void Dial(const transport::Address& aAddress)
+  {
+    lastSwitchMs_ = EventLoop::NowMs();
+    lastAnswerMs_ = lastSwitchMs_;
+    answered_ = false;
+    dialer_ = std::make_unique<transport::PeerDialer>(
+      loop_,
+      transport::PeerDialerOptions{
+        .address_ = aAddress,
+        .onUp_ = [this] { OnUp(); },
+        .onMessage_ =
+          [this](transport::PeerMessage aMessage) {
+            std::visit([this](const auto& aOne) { On(aOne); }, aMessage);
+          },
+        .onDown_ = [this] { ScheduleSwitch(""); } });
+  }
+
+  void DialNext()
+  {
+    next_ = (next_ + 1) % options_.replicas_.size();
+    Dial(options_.replicas_[next_]);
+  }
+
+  /// Leaves the current replica from the loop, never from inside its call.
+  void ScheduleSwitch(const std::string& aLeader)
+  {
+    if (std::exchange(switching_, true)) {
+      return;
+    }
+    answered_ = false;
+    const int64_t since = EventLoop::NowMs() - lastSwitchMs_;
+    switchTo_ = aLeader;
+    if (since >= kMinSwitchMs) {
+      loop_.Defer([this] { Switch(); });
+    }
+  }
+
+  void Switch()
+  {
+    if (!std::exchange(switching_, false)) {
+      return;
+    }
+    const auto leader = transport::ParseAddress("", switchTo_);
+    if (leader.ok() && *leader != dialer_->Target()) {
+      Dial(*leader);
+    } else {
+      DialNext();
+    }
+  }
+
+  void OnUp()
+  {
+    registering_ = 0;
+    if (incarnation_ == 0) {
+      Register();
+    } else {
+      SubscribeNow();
+      SendBatch();
+    }
+    for (const auto& [call, open] : calls_) {
+      dialer_->Send(open.message_);
+    }
+  }
+
+  void Register()
+  {
+    registering_ = ++lastCall_;
+    dialer_->Send(
+      transport::ProposeRequest{ registering_, options_.registration_ });
+  }
+
+  void SubscribeNow()
+  {
+    dialer_->Send(transport::Subscribe{ incarnation_, revision_ });
+  }
+
+  void OnTick()
+  {
+    const int64_t now = EventLoop::NowMs();
+    const bool waits = batch_ || incarnation_ == 0 || !calls_.empty();
+    if (switching_) {
+      Switch();
+    } else if (waits && now - lastAnswerMs_ > kAnswerTimeoutMs) {
+      ScheduleSwitch("");
+    }
+    ExpireCalls(now);
+  }
+
+  void ExpireCalls(int64_t aNowMs)
+  {
+    std::vector<CallId> expired;
+    for (const auto& [call, open] : calls_) {
+      if (aNowMs >= open.deadlineMs_) {
+        expired.push_back(call);
+      }
+    }
+    for (const CallId call : expired) {
+      const OpenCall open = std::move(calls_[call]);
+      calls_.erase(call);
+      const auto status =
+        model::MakeError(model::ErrorKind::kControlUnreachable,
+                         "",
+                         "the control leader did not answer in time");
+      if (open.onReply_) {
+        open.onReply_(status);
+      }
+      if (open.onQuery_) {
+        open.onQuery_(status);
+      }
+    }
+  }
+
+  void NoteAnswer()
+  {
+    lastAnswerMs_ = EventLoop::NowMs();
+    answered_ = true;
+  }
+
+  void On(const transport::ProposeReply& aMessage)
+  {
+    NoteAnswer();
+    if (aMessage.call_ == registering_) {
+      OnRegistered(aMessage.reply_);
+      return;
+    }
+    if (batch_ && aMessage.call_ == batchCall_) {
+      OnBatchReply(aMessage.reply_);
+      return;
+    }
+    const auto found = calls_.find(aMessage.call_);
+    if (found != calls_.end()) {
+      const OpenCall open = std::move(found->second);
+      calls_.erase(found);
+      open.onReply_(aMessage.reply_);
+    }
+  }
+
+  void OnRegistered(const ledger::Reply& aReply)
+  {
+    registering_ = 0;
+    const auto* registered = std::get_if<ledger::Registered>(&aReply);
+    if (registered == nullptr) {
+      Log(Part::kRouter, Level::kError, "control refused the registration");
+      return;
+    }
+    incarnation_ = registered->incarnation_;
+    logTimeMs_ = std::max(logTimeMs_, registered->timeMs_);
+    options_.onRegistered_(*registered);
+    SubscribeNow();
+    SendBatch();
+  }
+
+  void OnBatchReply(const ledger::Reply& aReply)
+  {
+    const auto* reply = std::get_if<ledger::BatchReply>(&aReply);
+    if (reply == nullptr) {
+      options_.onEnded_();
+      return;
+    }
+    if (reply->sequence_ != batch_->sequence_) {
+      return;
+    }
+    logTimeMs_ = std::max(logTimeMs_, reply->timeMs_);
+    batch_.reset();
+    const std::vector<OpHook> hooks = std::exchange(batchHooks_, {});
+    for (size_t i = 0; i < hooks.size() && i < reply->results_.size(); ++i) {
+      if (hooks[i]) {
+        hooks[i](reply->results_[i]);
+      }
+    }
+    ScheduleBatch();
+  }
+
+  void On(const transport::QueryReply& aMessage)
+  {
+    NoteAnswer();
+    const auto found = calls_.find(aMessage.call_);
+    if (found != calls_.end()) {
+      const OpenCall open = std::move(found->second);
+      calls_.erase(found);
+      open.onQuery_(aMessage);
+    }
+  }
+
+  void On(const transport::Redirect& aMessage)
+  {
+    ScheduleSwitch(aMessage.leader_);
+  }
+
+  void On(const transport::ConfigPush& aMessage)
+  {
+    logTimeMs_ = std::max(logTimeMs_, aMessage.delta_.timeMs_);
+    options_.onConfig_(aMessage.delta_);
+  }
+
+  void On(const transport::RecallGrant& aMessage)
+  {
+    options_.onRecall_(aMessage.budget_);
+  }
+
+  template<class Other>
+  void On(const Other&)
+  {
+  }
+
+  /// Operations of one turn of the loop share a batch.
+  void ScheduleBatch()
+  {
+    if (queue_.empty() || std::exchange(batchScheduled_, true)) {
+      return;
+    }
+    loop_.Defer([this] {
+      batchScheduled_ = false;
+      SendBatch();
+    });
+  }
+
+  void SendBatch()
+  {
+    if (incarnation_ == 0) {
+      return;
+    }
+    if (!batch_) {
+      if (queue_.empty()) {
+        return;
+      }
+      TakeBatch();
+    }
+    batchCall_ = ++lastCall_;
+    dialer_->Send(transport::ProposeRequest{ batchCall_, *batch_ });
+  }
+
+  void TakeBatch()
+  {
+    if (answered_) {
+      lastAnswerMs_ = EventLoop::NowMs();
+    }
+    batch_ = ledger::RouterBatch{ .incarnation_ = incarnation_,
+                                  .sequence_ = ++lastSequence_ };
+    while (!queue_.empty() && batch_->ops_.size() < kMaxBatchOps) {
+      batch_->ops_.push_back(std::move(queue_.front().op_));
+      batchHooks_.push_back(std::move(queue_.front().hook_));
+      queue_.pop_front();
+    }
+  }
+
+  void Open(OpenCall aCall)
+  {
+    const CallId call = ++lastCall_;
+    aCall.deadlineMs_ = EventLoop::NowMs() + options_.callTimeoutMs_;
+    if (calls_.empty() && !batch_ && answered_) {
+      lastAnswerMs_ = EventLoop::NowMs();
+    }
+    std::visit(
+      [call](auto& aMessage) {
+        if constexpr (requires { aMessage.call_; }) {
+          aMessage.call_ = call;
+        }
+      },
+      aCall.message_);
+    dialer_->Send(aCall.message_);
+    calls_[call] = std::move(aCall);
+  }
+
+  EventLoop& loop_;
+  ControlClientOptions options_;
+  transport::Timer tick_;
+  std::unique_ptr<transport::PeerDialer> dialer_;
+  size_t next_ = 0;
+  bool switching_ = false;
+  std::string switchTo_;
+  int64_t lastSwitchMs_ = 0;
+  int64_t lastAnswerMs_ = 0;
+  /// The current replica has answered as a leader.
+  bool answered_ = false;
+
+  ledger::Incarnation incarnation_ = 0;
+  ledger::LogTimeMs logTimeMs_ = 0;
+  int64_t revision_ = 0;
+  CallId lastCall_ = 0;
+  CallId registering_ = 0;
+  std::map<CallId, OpenCall> calls_;
+
+  std::deque<OpenOp> queue_;
+  std::optional<ledger::RouterBatch> batch_;
+  std::vector<OpHook> batchHooks_;
+  CallId batchCall_ = 0;
+  int64_t lastSequence_ = 0;
+  bool batchScheduled_ = false;
+};
+
+ControlClient::ControlClient(EventLoop& aLoop, ControlClientOptions aOptions)
+  : state_(std::make_unique<State>(aLoop, std::move(aOptions)))
+{
+}
+
+ControlClient::~ControlClient() = default;
+
+void
+ControlClient::Submit(ledger::RouterOp aOp, OpHook aHook)
+{
+  state_->queue_.push_back({ std::move(aOp), std::move(aHook) });
+  if (!state_->batch_) {
+    state_->ScheduleBatch();
+  }
+}
+
+void
+ControlClient::Propose(ledger::Command aCommand, ReplyHook aHook)
+{
+  state_->Open(
+    { .message_ = transport::ProposeRequest{ 0, std::move(aCommand) },
+      .onReply_ = std::move(aHook) });
+}
+
+void
+ControlClient::ChangeMembers(const transport::MembersRequest& aRequest,
+                             ReplyHook aHook)
+{
+  state_->Open({ .message_ = aRequest, .onReply_ = std::move(aHook) });
+}
+
+void
+ControlClient::Query(transport::QueryType aType,
+                     std::string aKey,
+                     QueryHook aHook)
+{
+  state_->Open(
+    { .message_ = transport::QueryRequest{ 0, aType, std::move(aKey) },
+      .onQuery_ = std::move(aHook) });
+}
+
+void
+ControlClient::SetRevision(int64_t aRevision)
+{
+  state_->revision_ = aRevision;
+}
+
+bool
+ControlClient::IsReachable() const
+{
+  const int64_t silence = EventLoop::NowMs() - state_->lastAnswerMs_;
+  return state_->answered_ && silence <= state_->options_.reachableMs_;
+}
+
+bool
+ControlClient::IsRegistered() const
+{
+  return state_->incarnation_ != 0;
+}
+
+ledger::Incarnation
+ControlClient::Incarnation() const
+{
+  return state_->incarnation_;
+}
+
+ledger::LogTimeMs
+ControlClient::LogTime() const
+{
+  return state_->logTimeMs_;
+}
+
+size_t
+ControlClient::Unanswered() const
+{
+  return state_->queue_.size() + state_->batchHooks_.size();
+}
+
+} // namespace cactuswick::router
--- /dev/null
+++ b/packages/router/src/process/RouterTask.cpp
@@ -0,0 +1,436 @@
+#include "cactuswick/router/process/RouterTask.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "cactuswick/control/process/MetricsServer.h"
+#include "cactuswick/model/process/Error.h"
+#include "cactuswick/model/process/Hash.h"
+#include "cactuswick/telemetry/process/Log.h"
+#include "connection/CallerApi.h"
+#include "connection/EndpointApi.h"
+#include "connection/OperatorApi.h"
+
+namespace cactuswick::router {
+
+namespace {
+
+using model::Concat;
+using telemetry::Gauge;
+using telemetry::Level;
+using telemetry::Log;
+using telemetry::Part;
+using transport::EventLoop;
+
+constexpr int64_t kTickMs = 50;
+constexpr int64_t kHeartbeatMs = 500;
+/// Longest wait for the goodbye to be committed.
+constexpr int64_t kGoodbyeMs = 3'000;
+
+enum class Phase
+{
+  kServing,
+  /// Off the entry list; callers may still hold an old one.
+  kLeaving,
+  /// New requests are refused; those in flight go on.
+  kDraining,
+  kGoodbye,
+  kStopped,
+};
+
+RouterLimits
+LimitsOf(const settings::Settings& aSettings)
+{
+  return {
+    .queueLimit_ = aSettings.Get(settings::kQueueLimit),
+    .maxInFlight_ = aSettings.Get(settings::kMaxConnections),
+    .maxAnswerBytes_ = aSettings.Get(settings::kMaxAnswerBytes),
+    .connectTimeoutMs_ = aSettings.Get(settings::kConnectTimeoutMs),
+    .firstByteTimeoutMs_ = aSettings.Get(settings::kFirstByteTimeoutMs),
+    .progressTimeoutMs_ = aSettings.Get(settings::kProgressTimeoutMs),
+    .settleTimeoutMs_ = aSettings.Get(settings::kSettleTimeoutMs)
+  };
+}
+
+} // namespace
+
+struct RouterTask::State
+{
+  State(EventLoop& aLoop,
+        const settings::Settings& aSettings,
+        std::function<void(absl::Status)> aOnStopped)
+    : loop_(aLoop)
+    , settings_(aSettings)
+    , onStopped_(std::move(aOnStopped))
+    , dispatcher_(
+        aLoop,
+        { .failureDomain_ = aSettings.Get(settings::kFailureDomain) })
+    , endpointApi_([this](const model::Announcement& aAnnouncement) {
+      OnAnnounced(aAnnouncement);
+    })
+    , metricsServer_(aLoop, [this] { return ExposeMetrics(); })
+    , tick_(aLoop, [this] { OnTick(); })
+  {
+    server_ = std::make_unique<transport::HttpServer>(
+      aLoop,
+      transport::HttpServerOptions{
+        .maxBodyBytes_ =
+          static_cast<size_t>(aSettings.Get(settings::kMaxBodyBytes)),
+        .onRequest_ =
+          [this](std::unique_ptr<transport::HttpExchange> aExchange) {
+            OnRequest(std::move(aExchange));
+          } });
+    MakePeers();
+  }
+
+  void MakePeers()
+  {
+    peers_ = std::make_unique<RouterPeers>(
+      loop_,
+      RouterPeersOptions{
+        .vm_ = settings_.Get(settings::kVm),
+        .failureDomain_ = settings_.Get(settings::kFailureDomain),
+        .onEndpoint_ =
+          [this](const transport::EndpointNews& aNews) {
+            dispatcher_.Hear(aNews.announcement_, aNews.ageMs_);
+          },
+        .onCopies_ =
+          [this](const transport::CopySettlements& aCopies) {
+            return biller_ ? biller_->OnCopies(aCopies)
+                           : std::vector<int64_t>();
+          },
+        .onStored_ =
+          [this](const transport::CopiesStored& aStored) {
+            biller_->OnStored(aStored);
+          },
+        .onDrop_ =
+          [this](const transport::DropCopies& aDrop) {
+            if (biller_) {
+              biller_->OnDrop(aDrop);
+            }
+          },
+        .onKeeperLost_ =
+          [this](ledger::Incarnation aKeeper) {
+            biller_->OnKeeperLost(aKeeper);
+          },
+        .endpoints_ = [this] { return HeardHere(); },
+        .load_ = [this] { return callers_ ? callers_->InFlight() : 0; } });
+  }
+
+  absl::Status Start()
+  {
+    absl::Status status =
+      server_->Listen(settings_.GetAddress(settings::kRouterListen));
+    status.Update(
+      peers_->Listen(settings_.GetAddress(settings::kRouterPeerListen)));
+    if (!settings_.Get(settings::kRouterMetricsListen).empty()) {
+      status.Update(metricsServer_.Listen(
+        settings_.GetAddress(settings::kRouterMetricsListen)));
+    }
+    if (!status.ok()) {
+      return status;
+    }
+    MakeControl();
+    MakeApis();
+    tick_.StartRepeating(kTickMs);
+    Log(Part::kRouter,
+        Level::kInfo,
+        Concat("listens on ", settings_.Get(settings::kRouterListen)));
+    return absl::OkStatus();
+  }
+
+  void MakeControl()
+  {
+    control_ = std::make_unique<ControlClient>(
+      loop_,
+      ControlClientOptions{
+        .replicas_ = settings_.GetAddresses(settings::kRouterControl),
+        .registration_ = { .nonce_ = model::RandomHex(),
+                           .vm_ = settings_.Get(settings::kVm),
+                           .failureDomain_ =
+                             settings_.Get(settings::kFailureDomain),
+                           .region_ = settings_.Get(settings::kRegion),
+                           .address_ = settings_.Get(settings::kRouterListen),
+                           .peerAddress_ = PeerAddress() },
+        .onRegistered_ =
+          [this](const ledger::Registered& aRegistered) {
+            neededRevision_ = aRegistered.revision_;
+            Log(Part::kRouter,
+                Level::kInfo,
+                Concat("registered as incarnation ", aRegistered.incarnation_));
+          },
+        .onConfig_ = [this](const ledger::ConfigDelta& aDelta) {
+          OnConfig(aDelta);
+        },
+        .onRecall_ =
+          [this](const std::string& aBudget) { biller_->OnRecall(aBudget); },
+        .onEnded_ =
+          [this] {
+            Stop(model::MakeError(
+              model::ErrorKind::kForbidden,
+              "incarnation",
+              "control knows this router as ended; start it again"));
+          } });
+    biller_ = std::make_unique<Biller>(
+      loop_,
+      BillerOptions{ .control_ = *control_,
+                     .peers_ = *peers_,
+                     .config_ = config_,
+                     .metrics_ = metrics_,
+                     .settleTimeoutMs_ =
+                       settings_.Get(settings::kSettleTimeoutMs) });
+  }
+
+  std::string PeerAddress() const
+  {
+    const std::string advertised =
+      settings_.Get(settings::kRouterPeerAdvertise);
+    return advertised.empty() ? settings_.Get(settings::kRouterPeerListen)
+                              : advertised;
+  }
+
+  void MakeApis()
+  {
+    services_.emplace(RouterServices{ .loop_ = loop_,
+                                      .config_ = config_,
+                                      .control_ = *control_,
+                                      .biller_ = *biller_,
+                                      .dispatcher_ = dispatcher_,
+                                      .metrics_ = metrics_,
+                                      .burn_ = burn_,
+                                      .limits_ = LimitsOf(settings_) });
+    callers_ = std::make_unique<CallerApi>(CallerApiOptions{
+      .services_ = *services_,
+      .address_ = settings_.Get(settings::kRouterListen),
+      .entryTtlMs_ = settings_.Get(settings::kEntryTtlMs),
+      .isReady_ = [this] { return IsReady(); },
+      .refusesNew_ = [this] { return phase_ >= Phase::kDraining; },
+      .loadOf_ =
+        [this](ledger::Incarnation aRouter) {
+          return peers_->LoadOf(aRouter);
+        } });
+    operators_ = std::make_unique<OperatorApi>(OperatorApiOptions{
+      .loop_ = loop_,
+      .control_ = *control_,
+      .config_ = config_,
+      .burn_ = burn_,
+      .keySha256_ = settings_.Get(settings::kOperatorKeySha256),
+      .onDrain_ = [this] { Drain(); } });
+  }
+
+  /// A router serves only with configuration at least as new as any that an
+  /// earlier life of it can have served with.
+  bool IsReady() const
+  {
+    return control_->IsRegistered() && config_.Revision() >= neededRevision_;
+  }
+
+  void OnRequest(std::unique_ptr<transport::HttpExchange> aExchange)
+  {
+    if (!callers_) {
+      ReplyError(
+        *aExchange,
+        model::MakeError(model::ErrorKind::kStarting, "", "starting"));
+      return;
+    }
+    auto rest = callers_->Handle(std::move(aExchange));
+    rest = rest ? endpointApi_.Handle(std::move(rest)) : nullptr;
+    rest = rest ? operators_->Handle(std::move(rest)) : nullptr;
+    if (!rest) {
+      return;
+    }
+    if (rest->Path() == "/healthz") {
+      ReplyJson(*rest, IsReady() ? "{\"ready\":true}" : "{\"ready\":false}");
+      return;
+    }
+    ReplyError(*rest,
+               model::MakeError(
+                 model::ErrorKind::kUnknownResource, "path", "no such path"));
+  }
+
+  void OnAnnounced(const model::Announcement& aAnnouncement)
+  {
+    const int64_t now = EventLoop::NowMs();
+    heardHere_[aAnnouncement.endpoint_] = now;
+    if (dispatcher_.Hear(aAnnouncement, 0)) {
+      Log(Part::kEndpoint,
+          Level::kInfo,
+          Concat(aAnnouncement.endpoint_,
+                 aAnnouncement.leaving_ ? " leaves" : " announced itself"));
+      peers_->Spread({ aAnnouncement, 0 });
+    }
+  }
+
+  /// Endpoints that announce themselves to this router: it vouches for them.
+  std::vector<transport::EndpointNews> HeardHere()
+  {
+    const int64_t now = EventLoop::NowMs();
+    std::vector<transport::EndpointNews> news;
+    std::erase_if(heardHere_, [&](const auto& aPair) {
+      const auto* known = dispatcher_.Endpoints().Find(aPair.first);
+      if (known != nullptr) {
+        news.push_back({ *known, now - aPair.second });
+      }
+      return known == nullptr || now - aPair.second > known->leaseMs_;
+    });
+    return news;
+  }
+
+  void OnConfig(const ledger::ConfigDelta& aDelta)
+  {
+    const int64_t before = config_.Revision();
+    config_.Apply(aDelta);
+    if (config_.Revision() == before) {
+      return;
+    }
+    metrics_.Count(telemetry::Counter::kConfigChanges);
+    control_->SetRevision(config_.Revision());
+    peers_->SetRouters(control_->Incarnation(), config_.Routers());
+    biller_->OnConfig();
+    operators_->OnConfig();
+  }
+
+  void OnTick()
+  {
+    const int64_t now = EventLoop::NowMs();
+    if (now - lastHeartbeatMs_ >= kHeartbeatMs && !heartbeatOpen_ &&
+        control_->IsRegistered() && phase_ < Phase::kGoodbye) {
+      lastHeartbeatMs_ = now;
+      SendHeartbeat();
+    }
+    if (phase_ == Phase::kLeaving && now >= refuseFromMs_) {
+      phase_ = Phase::kDraining;
+      Log(Part::kRouter, Level::kInfo, "refuses new requests");
+    }
+    if (phase_ == Phase::kDraining) {
+      CheckDrained(now);
+    }
+    if (phase_ == Phase::kGoodbye && now >= giveUpMs_) {
+      Stop(absl::OkStatus());
+    }
+  }
+
+  void SendHeartbeat()
+  {
+    ledger::LogTimeMs settledBefore = control_->LogTime();
+    settledBefore =
+      std::min(settledBefore, callers_->OldestStart().value_or(settledBefore));
+    settledBefore =
+      std::min(settledBefore, biller_->OldestStart().value_or(settledBefore));
+    heartbeatOpen_ = true;
+    control_->Submit(ledger::Heartbeat{ .appliedRevision_ = config_.Revision(),
+                                        .settledBeforeMs_ = settledBefore,
+                                        .copiesOut_ = biller_->HasCopiesOut() },
+                     [this](const ledger::OpResult&) {
+                       heartbeatOpen_ = false;
+                     });
+  }
+
+  void Drain()
+  {
+    if (phase_ != Phase::kServing) {
+      return;
+    }
+    phase_ = Phase::kLeaving;
+    const int64_t now = EventLoop::NowMs();
+    const bool everServed = control_->IsRegistered();
+    refuseFromMs_ = now + (everServed ? settings_.Get(settings::kEntryTtlMs) : 0);
+    const int64_t longest = settings_.Get(settings::kDrainMs);
+    drainByMs_ = longest == 0 ? INT64_MAX : refuseFromMs_ + longest;
+    if (everServed) {
+      control_->Submit(ledger::SetDraining{});
+    }
+    Log(Part::kRouter, Level::kInfo, "leaves the entry list");
+  }
+
+  void CheckDrained(int64_t aNowMs)
+  {
+    const bool idle =
+      callers_->InFlight() == 0 && biller_->PendingCount() == 0;
+    if (!idle && aNowMs < drainByMs_) {
+      return;
+    }
+    phase_ = Phase::kGoodbye;
+    giveUpMs_ = aNowMs + kGoodbyeMs;
+    if (!idle || !control_->IsRegistered()) {
+      Stop(absl::OkStatus());
+      return;
+    }
+    biller_->ReturnAll();
+    control_->Submit(ledger::Goodbye{}, [this](const ledger::OpResult&) {
+      Stop(absl::OkStatus());
+    });
+  }
+
+  void Stop(absl::Status aStatus)
+  {
+    if (std::exchange(phase_, Phase::kStopped) != Phase::kStopped) {
+      Log(Part::kRouter, Level::kInfo, "stopped");
+      onStopped_(std::move(aStatus));
+    }
+  }
+
+  std::string ExposeMetrics()
+  {
+    metrics_.Set(Gauge::kInFlight, callers_ ? callers_->InFlight() : 0);
+    metrics_.Set(Gauge::kQueued, static_cast<int64_t>(dispatcher_.Queued()));
+    metrics_.Set(Gauge::kEndpoints,
+                 static_cast<int64_t>(dispatcher_.Endpoints().Size()));
+    metrics_.Set(Gauge::kPendingSettlements,
+                 biller_ ? static_cast<int64_t>(biller_->PendingCount()) : 0);
+    metrics_.Set(Gauge::kConfigRevision, config_.Revision());
+    return metrics_.Expose();
+  }
+
+  EventLoop& loop_;
+  const settings::Settings& settings_;
+  std::function<void(absl::Status)> onStopped_;
+  telemetry::Metrics metrics_;
+  telemetry::BurnTable burn_;
+  ConfigView config_;
+  Dispatcher dispatcher_;
+  std::unique_ptr<transport::HttpServer> server_;
+  std::unique_ptr<RouterPeers> peers_;
+  std::unique_ptr<ControlClient> control_;
+  std::unique_ptr<Biller> biller_;
+  std::optional<RouterServices> services_;
+  std::unique_ptr<CallerApi> callers_;
+  EndpointApi endpointApi_;
+  std::unique_ptr<OperatorApi> operators_;
+  control::MetricsServer metricsServer_;
+  transport::Timer tick_;
+
+  /// When endpoints were last heard by this router itself.
+  std::map<std::string, int64_t> heardHere_;
+  int64_t neededRevision_ = 0;
+  int64_t lastHeartbeatMs_ = 0;
+  bool heartbeatOpen_ = false;
+  Phase phase_ = Phase::kServing;
+  int64_t refuseFromMs_ = 0;
+  int64_t drainByMs_ = 0;
+  int64_t giveUpMs_ = 0;
+};
+
+RouterTask::RouterTask(EventLoop& aLoop,
+                       const settings::Settings& aSettings,
+                       std::function<void(absl::Status)> aOnStopped)
+  : state_(std::make_unique<State>(aLoop, aSettings, std::move(aOnStopped)))
+{
+}
+
+RouterTask::~RouterTask() = default;
+
+absl::Status
+RouterTask::Start()
+{
+  return state_->Start();
+}
+
+void
+RouterTask::Drain()
+{
+  state_->Drain();
+}
+
+} // namespace cactuswick::router
--- /dev/null
+++ b/packages/router/src/request/ModelExchange.cpp
@@ -0,0 +1,337 @@
+#include "request/ModelExchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cactuswick/model/process/Error.h"
+#include "cactuswick/model/process/Text.h"
+
+namespace cactuswick::router {
+
+namespace {
+
+using model::ErrorKind;
+using model::MakeError;
+using routing::AttemptOutcome;
+using telemetry::Counter;
+using transport::EventLoop;
+
+constexpr size_t kMaxAttempts = 3;
+constexpr int kHttpTooManyRequests = 429;
+constexpr int kHttpUnavailable = 503;
+constexpr int kHttpServerError = 500;
+/// A caller that leaves this much untaken is cut off.
+constexpr size_t kMaxPendingBytes = size_t{ 4 } << 20;
+constexpr std::string_view kClosingEvent = "data: [DONE]\n\n";
+
+/// The engine says itself that it did not run the request.
+bool
+IsEngineRefusal(int aStatus)
+{
+  return aStatus == kHttpTooManyRequests || aStatus == kHttpUnavailable;
+}
+
+} // namespace
+
+ModelExchange::ModelExchange(RouterServices& aServices,
+                             std::unique_ptr<transport::HttpExchange> aExchange,
+                             RequestInfo aInfo,
+                             ChatRequest aRequest,
+                             std::function<void()> aOnEnd)
+  : services_(aServices)
+  , exchange_(std::move(aExchange))
+  , record_(aServices, std::move(aInfo))
+  , request_(std::move(aRequest))
+  , onEnd_(std::move(aOnEnd))
+{
+  reserved_ = request_.promptBound_ + request_.maxTokens_;
+}
+
+void
+ModelExchange::Start()
+{
+  exchange_->SetClosedHook([this] { OnCallerGone(); });
+  services_.biller_.Reserve(
+    Info().budget_, reserved_, Info().id_, [this](const absl::Status& aStatus) {
+      OnReserved(aStatus);
+    });
+}
+
+void
+ModelExchange::OnReserved(const absl::Status& aStatus)
+{
+  if (!aStatus.ok()) {
+    reserved_ = 0;
+    Refuse(aStatus);
+    return;
+  }
+  Enqueue();
+}
+
+void
+ModelExchange::Enqueue()
+{
+  services_.dispatcher_.Enqueue(
+    { .queued_ = record_.Queued(reserved_),
+      .serves_ = request_.model_,
+      .prefixHash_ = request_.prefixHash_,
+      .excluded_ = failedEndpoints_,
+      .onPlaced_ =
+        [this](const model::Announcement& aEndpoint) { OnPlaced(aEndpoint); },
+      .onExpired_ =
+        [this] {
+          const auto status =
+            MakeError(ErrorKind::kDeadlineUnreachable,
+                      "",
+                      "the deadline passed before an endpoint was free");
+          mayHaveRun_ ? FailUnknown(status) : Refuse(status);
+        } });
+}
+
+void
+ModelExchange::OnPlaced(const model::Announcement& aEndpoint)
+{
+  record_.OnPlaced();
+  endpoint_ = aEndpoint.endpoint_;
+  placedMs_ = EventLoop::NowMs();
+  meter_ = {};
+  body_.clear();
+  httpStatus_ = 0;
+  const auto& limits = services_.limits_;
+  const auto address = transport::ParseAddress("address", aEndpoint.address_);
+  call_ = std::make_unique<transport::HttpCall>(
+    services_.loop_,
+    transport::HttpCallOptions{
+      .address_ = address.value_or(transport::Address{}),
+      .path_ = "/v1/chat/completions",
+      .headers_ = { { "Content-Type", kJsonType },
+                    { "X-Request-Id", Info().key_ } },
+      .body_ = EngineBody(
+        exchange_->Body(), request_.maxTokens_, Info().rank_.priority_),
+      .connectTimeoutMs_ = limits.connectTimeoutMs_,
+      .firstByteTimeoutMs_ = limits.firstByteTimeoutMs_,
+      .progressTimeoutMs_ = limits.progressTimeoutMs_,
+      .maxBodyBytes_ = static_cast<size_t>(limits.maxAnswerBytes_),
+      .onHeaders_ = [this](int aStatus,
+                           const transport::Headers&) { OnHeaders(aStatus); },
+      .onData_ = [this](std::string_view aData) { OnData(aData); },
+      .onDone_ = [this](const absl::Status& aStatus) { OnDone(aStatus); } });
+}
+
+void
+ModelExchange::OnHeaders(int aStatus)
+{
+  httpStatus_ = aStatus;
+}
+
+void
+ModelExchange::OnData(std::string_view aData)
+{
+  if (ended_) {
+    return;
+  }
+  if (httpStatus_ == kHttpOk && request_.stream_) {
+    Forward(meter_.Feed(aData));
+    return;
+  }
+  if (body_.size() + aData.size() <=
+      static_cast<size_t>(services_.limits_.maxAnswerBytes_)) {
+    body_.append(aData);
+  }
+}
+
+void
+ModelExchange::Forward(const std::string& aEvents)
+{
+  if (aEvents.empty()) {
+    return;
+  }
+  if (!streamStarted_) {
+    streamStarted_ = true;
+    record_.OnFirstToken();
+    services_.dispatcher_.OnFirstToken(endpoint_,
+                                       EventLoop::NowMs() - placedMs_);
+    exchange_->StartStream(kHttpOk,
+                           { { "Content-Type", "text/event-stream" },
+                             { "Cache-Control", "no-cache" } });
+  }
+  exchange_->SendChunk(aEvents);
+  if (exchange_->PendingBytes() > kMaxPendingBytes) {
+    exchange_->Abort();
+    OnCallerGone();
+  }
+}
+
+void
+ModelExchange::OnDone(const absl::Status& aStatus)
+{
+  const bool whole =
+    aStatus.ok() && (!request_.stream_ || meter_.IsWhole());
+  if (whole && httpStatus_ == kHttpOk) {
+    OnWhole();
+    return;
+  }
+  if (aStatus.ok() && IsEngineRefusal(httpStatus_)) {
+    OnAttemptFailed(MakeError(
+      ErrorKind::kUpstreamFailed, "", "the engine refused the request"));
+    return;
+  }
+  if (aStatus.ok() && httpStatus_ != kHttpOk &&
+      httpStatus_ < kHttpServerError) {
+    LeaveEndpoint(AttemptOutcome::kNeutral);
+    Refuse(MakeError(
+      ErrorKind::kMalformed, "", "the engine rejected the request"));
+    return;
+  }
+  mayHaveRun_ = mayHaveRun_ || call_->WasDispatched();
+  OnAttemptFailed(aStatus.ok() ? MakeError(ErrorKind::kUpstreamFailed,
+                                           "",
+                                           "the engine's answer is not whole")
+                               : aStatus);
+}
+
+void
+ModelExchange::OnAttemptFailed(const absl::Status& aStatus)
+{
+  failedEndpoints_.push_back(endpoint_);
+  LeaveEndpoint(AttemptOutcome::kFailed);
+  const bool inTime = EventLoop::NowMs() < Info().deadlineMs_;
+  if (!streamStarted_ && failedEndpoints_.size() < kMaxAttempts && inTime &&
+      services_.dispatcher_.Retries().TryTake()) {
+    services_.metrics_.Count(Counter::kRetries);
+    Enqueue();
+    return;
+  }
+  mayHaveRun_ ? FailUnknown(aStatus) : Refuse(aStatus);
+}
+
+void
+ModelExchange::LeaveEndpoint(AttemptOutcome aOutcome)
+{
+  if (endpoint_.empty()) {
+    return;
+  }
+  call_.reset();
+  services_.dispatcher_.Release(
+    request_.model_, std::exchange(endpoint_, {}), aOutcome);
+}
+
+ledger::Tokens
+ModelExchange::Used() const
+{
+  const auto reported = request_.stream_ ? meter_.Usage() : UsageOf(body_);
+  const ledger::Tokens estimate =
+    request_.stream_ ? meter_.ContentEvents() : reserved_;
+  return std::min(reserved_, reported.value_or(estimate));
+}
+
+void
+ModelExchange::OnWhole()
+{
+  LeaveEndpoint(AttemptOutcome::kServed);
+  const ledger::Tokens used = Used();
+  services_.metrics_.Count(Counter::kTokensStreamed, meter_.ContentEvents());
+  services_.dispatcher_.OnFinished(
+    request_.model_, record_.Queued(reserved_), used);
+  Settle(used, [this](const absl::Status& aStatus) { OnSettled(aStatus); });
+}
+
+void
+ModelExchange::Settle(ledger::Tokens aUsed, Biller::SettleHook aHook)
+{
+  settling_ = true;
+  const ledger::Tokens reserved = std::exchange(reserved_, 0);
+  services_.biller_.Settle(
+    record_.SettleOf(aUsed), reserved, std::move(aHook));
+}
+
+void
+ModelExchange::OnSettled(const absl::Status& aStatus)
+{
+  settling_ = false;
+  if (exchange_->IsClosed()) {
+    record_.EndAbandoned();
+    End();
+    return;
+  }
+  if (!aStatus.ok()) {
+    FailUnknown(aStatus);
+    return;
+  }
+  if (request_.stream_) {
+    exchange_->SendChunk(kClosingEvent);
+    exchange_->EndStream();
+  } else {
+    exchange_->Reply(kHttpOk,
+                     { { "Content-Type", kJsonType },
+                       { kOutcomeHeader,
+                         std::string(NameOf(Outcome::kWhole)) } },
+                     body_);
+  }
+  record_.EndWhole();
+  End();
+}
+
+void
+ModelExchange::OnCallerGone()
+{
+  if (ended_ || settling_) {
+    return;
+  }
+  services_.biller_.CancelReserve(Info().id_);
+  services_.dispatcher_.Cancel(Info().id_);
+  const bool running = !endpoint_.empty();
+  const ledger::Tokens used = running ? Used() : 0;
+  LeaveEndpoint(AttemptOutcome::kNeutral);
+  record_.EndAbandoned();
+  if (!streamStarted_ || used == 0) {
+    services_.biller_.Release(Info().budget_, reserved_);
+    End();
+    return;
+  }
+  // The part that the caller has got is billed; a retry under the same key
+  // costs only what it gets beyond that.
+  Settle(used, [this](const absl::Status&) { End(); });
+}
+
+void
+ModelExchange::Refuse(const absl::Status& aStatus)
+{
+  if (streamStarted_) {
+    FailUnknown(aStatus);
+    return;
+  }
+  services_.biller_.Release(Info().budget_, reserved_);
+  ReplyError(*exchange_, aStatus, Outcome::kRefused);
+  record_.EndRefused(aStatus, services_.dispatcher_.Serves(request_.model_));
+  End();
+}
+
+void
+ModelExchange::FailUnknown(const absl::Status& aStatus)
+{
+  const auto unknown = MakeError(
+    ErrorKind::kOutcomeUnknown,
+    model::FieldOf(aStatus),
+    std::string(aStatus.message()));
+  services_.biller_.Release(Info().budget_, reserved_);
+  if (streamStarted_) {
+    // Never a clean end: an error event, then a cut connection.
+    exchange_->AbortAfter(model::Concat(
+      "event: error\ndata: ", ErrorBody(unknown, Outcome::kUnknown), "\n\n"));
+  } else {
+    ReplyError(*exchange_, unknown, Outcome::kUnknown);
+  }
+  record_.EndUnknown(aStatus);
+  End();
+}
+
+void
+ModelExchange::End()
+{
+  if (!std::exchange(ended_, true)) {
+    onEnd_();
+  }
+}
+
+} // namespace cactuswick::router
--- /dev/null
+++ b/packages/router/src/request/ModelExchange.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cactuswick/transport/connection/HttpCall.h"
+#include "cactuswick/transport/connection/HttpExchange.h"
+#include "request/AnswerMeter.h"
+#include "request/ChatRequest.h"
+#include "request/RequestRecord.h"
+
+namespace cactuswick::router {
+
+/// One model request from admission to its last byte.
+///
+/// The order that keeps the promises: reserve an upper bound, wait in turn,
+/// dispatch, stream all but the closing event, settle the actual amount, and
+/// only then close the answer.
+class ModelExchange
+{
+public:
+  /// @p aOnEnd is called once, when the exchange may be destroyed.
+  ModelExchange(RouterServices& aServices,
+                std::unique_ptr<transport::HttpExchange> aExchange,
+                RequestInfo aInfo,
+                ChatRequest aRequest,
+                std::function<void()> aOnEnd);
+  ModelExchange(const ModelExchange&) = delete;
+  ModelExchange& operator=(const ModelExchange&) = delete;
+  ~ModelExchange() = default;
+
+  void Start();
+  const RequestInfo& Info() const { return record_.Info(); }
+
+private:
+  void OnReserved(const absl::Status& aStatus);
+  void Enqueue();
+  void OnPlaced(const model::Announcement& aEndpoint);
+  void OnHeaders(int aStatus);
+  void OnData(std::string_view aData);
+  void Forward(const std::string& aEvents);
+  void OnDone(const absl::Status& aStatus);
+  void OnAttemptFailed(const absl::Status& aStatus);
+  void OnWhole();
+  void Settle(ledger::Tokens aUsed, Biller::SettleHook aHook);
+  void OnSettled(const absl::Status& aStatus);
+  void OnCallerGone();
+
+  void Refuse(const absl::Status& aStatus);
+  void FailUnknown(const absl::Status& aStatus);
+  void LeaveEndpoint(routing::AttemptOutcome aOutcome);
+  ledger::Tokens Used() const;
+  void End();
+
+  RouterServices& services_;
+  std::unique_ptr<transport::HttpExchange> exchange_;
+  RequestRecord record_;
+  ChatRequest request_;
+  std::function<void()> onEnd_;
+
+  ledger::Tokens reserved_ = 0;
+  std::unique_ptr<transport::HttpCall> call_;
+  std::string endpoint_;
+  std::vector<std::string> failedEndpoints_;
+  int64_t placedMs_ = 0;
+  int httpStatus_ = 0;
+  AnswerMeter meter_;
+  std::string body_;
+  bool streamStarted_ = false;
+  /// Some attempt may have run.
+  bool mayHaveRun_ = false;
+  bool settling_ = false;
+  bool ended_ = false;
+};
+
+} // namespace cactuswick::router
--- /dev/null
+++ b/packages/router/src/request/ServiceExchange.cpp
@@ -0,0 +1,343 @@
+#include "request/ServiceExchange.h"
+
+#include <utility>
+
+#include "cactuswick/ledger/version/Ledger.h"
+#include "cactuswick/model/process/Error.h"
+
+namespace cactuswick::router {
+
+namespace {
+
+using model::ErrorKind;
+using model::MakeError;
+using routing::AttemptOutcome;
+using telemetry::Counter;
+using transport::EventLoop;
+
+constexpr size_t kMaxAttempts = 3;
+/// Longest wait for the ledger's word on a claim.
+constexpr int64_t kClaimTimeoutMs = 3'000;
+constexpr const char* kReplayedHeader = "X-Cactuswick-Replayed";
+
+} // namespace
+
+ServiceExchange::ServiceExchange(
+  RouterServices& aServices,
+  std::unique_ptr<transport::HttpExchange> aExchange,
+  RequestInfo aInfo,
+  ServiceCall aCall,
+  std::function<void()> aOnEnd)
+  : services_(aServices)
+  , exchange_(std::move(aExchange))
+  , record_(aServices, std::move(aInfo))
+  , serviceCall_(std::move(aCall))
+  , onEnd_(std::move(aOnEnd))
+  , timer_(aServices.loop_, [this] { OnClaimTimeout(); })
+{
+}
+
+void
+ServiceExchange::Start()
+{
+  exchange_->SetClosedHook([this] { OnCallerGone(); });
+  if (serviceCall_.price_ == 0) {
+    Enqueue();
+    return;
+  }
+  reserved_ = serviceCall_.price_;
+  services_.biller_.Reserve(
+    Info().budget_, reserved_, Info().id_, [this](const absl::Status& aStatus) {
+      if (!aStatus.ok()) {
+        reserved_ = 0;
+        Refuse(aStatus);
+        return;
+      }
+      Enqueue();
+    });
+}
+
+void
+ServiceExchange::Enqueue()
+{
+  services_.dispatcher_.Enqueue(
+    { .queued_ = record_.Queued(1),
+      .serves_ = serviceCall_.service_,
+      .excluded_ = failedEndpoints_,
+      .onPlaced_ =
+        [this](const model::Announcement& aEndpoint) { OnPlaced(aEndpoint); },
+      .onExpired_ =
+        [this] {
+          const auto status =
+            MakeError(ErrorKind::kDeadlineUnreachable,
+                      "",
+                      "the deadline passed before an endpoint was free");
+          mayHaveRun_ ? FailUnknown(status) : Refuse(status);
+        } });
+}
+
+void
+ServiceExchange::OnPlaced(const model::Announcement& aEndpoint)
+{
+  record_.OnPlaced();
+  endpoint_ = aEndpoint;
+  atEndpoint_ = true;
+  if (serviceCall_.idempotent_ || claimed_) {
+    Call();
+  } else {
+    ClaimRun();
+  }
+}
+
+void
+ServiceExchange::ClaimRun()
+{
+  claiming_ = true;
+  timer_.StartOnce(kClaimTimeoutMs);
+  const std::weak_ptr<bool> alive = alive_;
+  ControlClient& control = services_.control_;
+  const ledger::Claim claim{ Info().workspace_.name_,
+                             Info().key_,
+                             Info().fingerprint_ };
+  control.Submit(
+    claim, [this, alive, claim, &control](const ledger::OpResult& aResult) {
+      const auto* result = std::get_if<ledger::ClaimResult>(&aResult);
+      if (result == nullptr) {
+        return;
+      }
+      if (!alive.expired() && claiming_) {
+        OnClaimed(*result);
+      } else if (result->granted_) {
+        // Too late: the caller was told that nothing ran, and nothing will.
+        control.Submit(
+          ledger::ResolveClaim{ .workspace_ = claim.workspace_,
+                                .key_ = claim.key_,
+                                .state_ = ledger::ClaimState::kNotRun });
+      }
+    });
+}
+
+void
+ServiceExchange::OnClaimTimeout()
+{
+  if (std::exchange(claiming_, false)) {
+    Refuse(MakeError(ErrorKind::kControlUnreachable,
+                     "",
+                     "no quorum to claim the only run of this call"));
+  }
+}
+
+void
+ServiceExchange::OnClaimed(const ledger::ClaimResult& aResult)
+{
+  claiming_ = false;
+  timer_.Stop();
+  if (aResult.granted_) {
+    claimed_ = true;
+    Call();
+    return;
+  }
+  LeaveEndpoint(AttemptOutcome::kNeutral);
+  if (aResult.keyReused_) {
+    Refuse(MakeError(ErrorKind::kKeyReused,
+                     "Idempotency-Key",
+                     "this key named a call with another body"));
+  } else if (aResult.full_) {
+    Refuse(MakeError(
+      ErrorKind::kQueueFull, "", "too many calls are remembered already"));
+  } else {
+    Replay(aResult);
+  }
+}
+
+void
+ServiceExchange::Replay(const ledger::ClaimResult& aResult)
+{
+  services_.biller_.Release(Info().budget_, std::exchange(reserved_, 0));
+  if (aResult.state_ == ledger::ClaimState::kDone) {
+    exchange_->Reply(static_cast<int>(aResult.httpStatus_),
+                     { { kOutcomeHeader, "whole" },
+                       { kReplayedHeader, "true" } },
+                     aResult.body_);
+    record_.EndWhole();
+    End();
+    return;
+  }
+  const bool running = aResult.state_ == ledger::ClaimState::kRunning;
+  FailUnknown(
+    running
+      ? MakeError(ErrorKind::kInProgress, "", "the first call still runs")
+      : MakeError(ErrorKind::kOutcomeUnknown, "", "the first call was lost"));
+}
+
+void
+ServiceExchange::Call()
+{
+  httpStatus_ = 0;
+  body_.clear();
+  const auto& limits = services_.limits_;
+  const auto address = transport::ParseAddress("address", endpoint_.address_);
+  call_ = std::make_unique<transport::HttpCall>(
+    services_.loop_,
+    transport::HttpCallOptions{
+      .address_ = address.value_or(transport::Address{}),
+      .method_ = exchange_->Method(),
+      .path_ = serviceCall_.path_,
+      .headers_ = { { "Content-Type", exchange_->HeaderValue("Content-Type") },
+                    { "Idempotency-Key", Info().key_ } },
+      .body_ = exchange_->Body(),
+      .connectTimeoutMs_ = limits.connectTimeoutMs_,
+      .firstByteTimeoutMs_ = limits.firstByteTimeoutMs_,
+      .progressTimeoutMs_ = limits.progressTimeoutMs_,
+      .maxBodyBytes_ = static_cast<size_t>(limits.maxAnswerBytes_),
+      .onHeaders_ =
+        [this](int aStatus, const transport::Headers& aHeaders) {
+          httpStatus_ = aStatus;
+          for (const auto& header : aHeaders) {
+            if (header.name_ == "Content-Type") {
+              contentType_ = header.value_;
+            }
+          }
+        },
+      .onData_ = [this](std::string_view aData) { body_.append(aData); },
+      .onDone_ = [this](const absl::Status& aStatus) { OnDone(aStatus); } });
+}
+
+void
+ServiceExchange::OnDone(const absl::Status& aStatus)
+{
+  if (aStatus.ok()) {
+    OnWhole();
+    return;
+  }
+  mayHaveRun_ = mayHaveRun_ || call_->WasDispatched();
+  OnAttemptFailed(aStatus);
+}
+
+void
+ServiceExchange::OnAttemptFailed(const absl::Status& aStatus)
+{
+  failedEndpoints_.push_back(endpoint_.endpoint_);
+  LeaveEndpoint(AttemptOutcome::kFailed);
+  const bool safe = serviceCall_.idempotent_ || !mayHaveRun_;
+  const bool inTime = EventLoop::NowMs() < Info().deadlineMs_;
+  if (safe && inTime && failedEndpoints_.size() < kMaxAttempts &&
+      services_.dispatcher_.Retries().TryTake()) {
+    services_.metrics_.Count(Counter::kRetries);
+    Enqueue();
+    return;
+  }
+  mayHaveRun_ ? FailUnknown(aStatus) : Refuse(aStatus);
+}
+
+void
+ServiceExchange::OnWhole()
+{
+  LeaveEndpoint(AttemptOutcome::kServed);
+  services_.dispatcher_.OnFinished(serviceCall_.service_, record_.Queued(1), 1);
+  Resolve(ledger::ClaimState::kDone);
+  Settle();
+}
+
+void
+ServiceExchange::Resolve(ledger::ClaimState aState)
+{
+  if (!std::exchange(claimed_, false)) {
+    return;
+  }
+  ledger::ResolveClaim resolve{ .workspace_ = Info().workspace_.name_,
+                                .key_ = Info().key_,
+                                .state_ = aState,
+                                .httpStatus_ = httpStatus_ };
+  if (body_.size() <= ledger::kMaxClaimBodyBytes) {
+    resolve.body_ = body_;
+  }
+  // Committed before a settlement that follows: operations keep their order.
+  services_.control_.Submit(resolve);
+}
+
+void
+ServiceExchange::Settle()
+{
+  if (serviceCall_.price_ == 0) {
+    OnSettled(absl::OkStatus());
+    return;
+  }
+  services_.biller_.Settle(
+    record_.SettleOf(serviceCall_.price_),
+    std::exchange(reserved_, 0),
+    [this](const absl::Status& aStatus) { OnSettled(aStatus); });
+}
+
+void
+ServiceExchange::OnSettled(const absl::Status& aStatus)
+{
+  if (!aStatus.ok()) {
+    FailUnknown(aStatus);
+    return;
+  }
+  exchange_->Reply(httpStatus_,
+                   { { "Content-Type", contentType_ },
+                     { kOutcomeHeader, "whole" } },
+                   body_);
+  record_.EndWhole();
+  End();
+}
+
+void
+ServiceExchange::OnCallerGone()
+{
+  // What may run already runs to its end, so that a retry gets its outcome.
+  if (ended_ || call_ || claiming_ || claimed_ || atEndpoint_) {
+    return;
+  }
+  services_.biller_.CancelReserve(Info().id_);
+  services_.dispatcher_.Cancel(Info().id_);
+  services_.biller_.Release(Info().budget_, std::exchange(reserved_, 0));
+  record_.EndAbandoned();
+  End();
+}
+
+void
+ServiceExchange::LeaveEndpoint(AttemptOutcome aOutcome)
+{
+  if (!std::exchange(atEndpoint_, false)) {
+    return;
+  }
+  call_.reset();
+  services_.dispatcher_.Release(
+    serviceCall_.service_, endpoint_.endpoint_, aOutcome);
+}
+
+void
+ServiceExchange::Refuse(const absl::Status& aStatus)
+{
+  Resolve(ledger::ClaimState::kNotRun);
+  LeaveEndpoint(AttemptOutcome::kNeutral);
+  services_.biller_.Release(Info().budget_, std::exchange(reserved_, 0));
+  ReplyError(*exchange_, aStatus, Outcome::kRefused);
+  record_.EndRefused(aStatus,
+                     services_.dispatcher_.Serves(serviceCall_.service_));
+  End();
+}
+
+void
+ServiceExchange::FailUnknown(const absl::Status& aStatus)
+{
+  Resolve(ledger::ClaimState::kUnknown);
+  services_.biller_.Release(Info().budget_, std::exchange(reserved_, 0));
+  ReplyError(*exchange_, aStatus, Outcome::kUnknown);
+  record_.EndUnknown(aStatus);
+  End();
+}
+
+void
+ServiceExchange::End()
+{
+  if (!std::exchange(ended_, true)) {
+    timer_.Stop();
+    onEnd_();
+  }
+}
+
+} // namespace cactuswick::router
--- /dev/null
+++ b/packages/router/src/request/ServiceExchange.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cactuswick/transport/connection/HttpCall.h"
+#include "cactuswick/transport/connection/HttpExchange.h"
+#include "request/RequestRecord.h"
+
+namespace cactuswick::router {
+
+/// A checked call of a plain service.
+struct ServiceCall
+{
+  std::string service_;
+  /// Path at the service, with its leading slash.
+  std::string path_;
+  /// A call that is not idempotent runs at most once.
+  bool idempotent_ = false;
+  ledger::Tokens price_ = 0;
+};
+
+/// One call of a plain service from admission to its answer.
+class ServiceExchange
+{
+public:
+  ServiceExchange(RouterServices& aServices,
+                  std::unique_ptr<transport::HttpExchange> aExchange,
+                  RequestInfo aInfo,
+                  ServiceCall aCall,
+                  std::function<void()> aOnEnd);
+  ServiceExchange(const ServiceExchange&) = delete;
+  ServiceExchange& operator=(const ServiceExchange&) = delete;
+  ~ServiceExchange() = default;
+
+  void Start();
+  const RequestInfo& Info() const { return record_.Info(); }
+
+private:
+  void Enqueue();
+  void OnPlaced(const model::Announcement& aEndpoint);
+  void ClaimRun();
+  void OnClaimed(const ledger::ClaimResult& aResult);
+  void OnClaimTimeout();
+  void Replay(const ledger::ClaimResult& aResult);
+  void Call();
+  void OnDone(const absl::Status& aStatus);
+  void OnAttemptFailed(const absl::Status& aStatus);
+  void OnWhole();
+  /// Records how the claimed run ended, if there is one.
+  void Resolve(ledger::ClaimState aState);
+  void Settle();
+  void OnSettled(const absl::Status& aStatus);
+  void OnCallerGone();
+  void Refuse(const absl::Status& aStatus);
+  void FailUnknown(const absl::Status& aStatus);
+  void LeaveEndpoint(routing::AttemptOutcome aOutcome);
+  void End();
+
+  RouterServices& services_;
+  std::unique_ptr<transport::HttpExchange> exchange_;
+  RequestRecord record_;
+  ServiceCall serviceCall_;
+  std::function<void()> onEnd_;
+
+  ledger::Tokens reserved_ = 0;
+  model::Announcement endpoint_;
+  bool atEndpoint_ = false;
+  std::unique_ptr<transport::HttpCall> call_;
+  std::vector<std::string> failedEndpoints_;
+  int httpStatus_ = 0;
+  std::string contentType_;
+  std::string body_;
+  transport::Timer timer_;
+  bool claiming_ = false;
+  bool claimed_ = false;
+  bool mayHaveRun_ = false;
+  bool ended_ = false;
+  /// Tells late answers of the ledger whether this exchange still exists.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace cactuswick::router
--- /dev/null
+++ b/packages/router/src/version/ConfigView.cpp
@@ -0,0 +1,56 @@
+#include "version/ConfigView.h"
+
+namespace cactuswick::router {
+
+void
+ConfigView::Apply(const ledger::ConfigDelta& aDelta)
+{
+  if (aDelta.revision_ <= revision_) {
+    return;
+  }
+  revision_ = aDelta.revision_;
+  for (const auto& resource : aDelta.resources_) {
+    const std::string key = model::KeyOf(resource.spec_);
+    if (resource.deleted_) {
+      resources_.erase(key);
+    } else {
+      resources_[key] = resource;
+    }
+  }
+  if (aDelta.routersChanged_) {
+    routers_ = aDelta.routers_;
+  }
+  workspaceOfKey_.clear();
+  for (const auto& [key, resource] : resources_) {
+    if (const auto* apiKey = std::get_if<model::ApiKey>(&resource.spec_)) {
+      workspaceOfKey_[apiKey->sha256_] = apiKey->workspace_;
+    }
+  }
+}
+
+const model::Workspace*
+ConfigView::FindByKey(const std::string& aSha256) const
+{
+  const auto found = workspaceOfKey_.find(aSha256);
+  return found == workspaceOfKey_.end() ? nullptr
+                                        : Find<model::Workspace>(found->second);
+}
+
+const model::Rank*
+ConfigView::FindRank(const std::string& aName) const
+{
+  if (!aName.empty()) {
+    return Find<model::Rank>(aName);
+  }
+  const model::Rank* last = nullptr;
+  for (const auto& [key, resource] : resources_) {
+    const auto* rank = std::get_if<model::Rank>(&resource.spec_);
+    if (rank != nullptr &&
+        (last == nullptr || rank->priority_ > last->priority_)) {
+      last = rank;
+    }
+  }
+  return last;
+}
+
+} // namespace cactuswick::router
--- /dev/null
+++ b/packages/routing/include/cactuswick/routing/process/EndpointTable.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cactuswick/model/version/Announcement.h"
+
+namespace cactuswick::routing {
+
+struct EndpointTableOptions
+{
+  /// Failure domain of this router; near endpoints win ties.
+  std::string failureDomain_;
+  /// First-token time above which an endpoint's window shrinks.
+  int64_t firstTokenTargetMs_ = 920;
+  /// First ejection after a failure; doubles with each further one.
+  int64_t minEjectionMs_ = 500;
+  int64_t maxEjectionMs_ = 30'000;
+};
+
+/// How one attempt at an endpoint ended.
+enum class AttemptOutcome
+{
+  kServed,
+  /// The endpoint failed; it is ejected for a while.
+  kFailed,
+  /// The caller gave up or the endpoint refused; says nothing of its health.
+  kNeutral,
+};
+
+/// The endpoints that one router knows, their load, limits and health.
+class EndpointTable
+{
+public:
+  explicit EndpointTable(EndpointTableOptions aOptions);
+
+  /// Takes an announcement that is @p aAgeMs old. Returns true when it is
+  /// news that others should hear: not for mere renewals.
+  bool Hear(const model::Announcement& aAnnouncement,
+            int64_t aAgeMs,
+            int64_t aNowMs);
+
+  /// Forgets endpoints whose lease ran out; returns their names.
+  std::vector<std::string> Expire(int64_t aNowMs);
+
+  /// Chooses an endpoint for a model or service and takes a slot of its
+  /// window; nullopt when none has room. @p aExcluded were tried before.
+  std::optional<std::string> Acquire(const std::string& aServes,
+                                     uint64_t aPrefixHash,
+                                     const std::vector<std::string>& aExcluded,
+                                     int64_t aNowMs);
+
+  /// Whether Acquire without exclusions would find an endpoint.
+  bool HasRoom(const std::string& aServes, int64_t aNowMs) const;
+
+  /// Gives the slot back.
+  void Release(const std::string& aEndpoint,
+               AttemptOutcome aOutcome,
+               int64_t aNowMs);
+
+  /// Feeds the adaptive window.
+  void OnFirstToken(const std::string& aEndpoint, int64_t aElapsedMs);
+
+  /// Whether any endpoint could take such work, now or when a slot is free.
+  bool Serves(const std::string& aServes, int64_t aNowMs) const;
+
+  const model::Announcement* Find(const std::string& aEndpoint) const;
+  /// Everything known, with its age, for a router that has just connected.
+  struct Known
+  {
+    model::Announcement announcement_;
+    int64_t ageMs_ = 0;
+  };
+  std::vector<Known> All(int64_t aNowMs) const;
+  size_t Size() const { return endpoints_.size(); }
+
+private:
+  struct Endpoint
+  {
+    model::Announcement announcement_;
+    int64_t heardMs_ = 0;
+    int64_t inFlight_ = 0;
+    double window_ = 1;
+    int64_t failures_ = 0;
+    int64_t ejectedUntilMs_ = 0;
+  };
+
+  bool IsUsable(const Endpoint& aEndpoint,
+                const std::string& aServes,
+                int64_t aNowMs) const;
+  static bool HasSlot(const Endpoint& aEndpoint);
+  static double LoadOf(const Endpoint& aEndpoint);
+
+  EndpointTableOptions options_;
+  std::map<std::string, Endpoint> endpoints_;
+};
+
+} // namespace cactuswick::routing
--- /dev/null
+++ b/packages/routing/include/cactuswick/routing/process/GrantBook.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cactuswick/ledger/request/RouterOp.h"
+
+/// Decisions of one router; no input or output.
+namespace cactuswick::routing {
+
+using ledger::Tokens;
+
+struct GrantBookOptions
+{
+  /// A grant covers the use of this long, seen recently.
+  int64_t horizonMs_ = 10'000;
+  /// A grant unused for this long is returned.
+  int64_t idleMs_ = 15'000;
+  /// After a recall, grants are asked for in exact sizes for this long.
+  int64_t recallMs_ = 3'000;
+};
+
+/// What a router may spend: its grants, and what is reserved of them.
+///
+/// granted >= reserved >= 0 holds for each budget, so that the sum of all
+/// reservations under way never passes what the ledger has granted.
+class GrantBook
+{
+public:
+  explicit GrantBook(GrantBookOptions aOptions = {});
+
+  /// Reserves an upper bound for a request; false when it does not fit.
+  bool Reserve(const std::string& aBudget, Tokens aAmount, int64_t aNowMs);
+  /// Frees a reservation, or a part of one.
+  void Release(const std::string& aBudget, Tokens aAmount);
+  /// Takes billed tokens out of the grant and its reservation.
+  void Spend(const std::string& aBudget, Tokens aAmount);
+
+  void OnGranted(const std::string& aBudget, Tokens aAmount);
+
+  /// The next grant to ask for, so that @p aMinimum fits.
+  ledger::AcquireGrant Ask(const std::string& aBudget,
+                           Tokens aMinimum,
+                           int64_t aNowMs) const;
+
+  /// Gives up what is free of a budget that others need.
+  std::optional<ledger::ReturnGrant> Recall(const std::string& aBudget,
+                                            int64_t aNowMs);
+  /// Gives up what is free of budgets that were not used for long.
+  std::vector<ledger::ReturnGrant> CollectIdle(int64_t aNowMs);
+  /// Gives up everything that is free.
+  std::vector<ledger::ReturnGrant> ReturnAll();
+
+  Tokens Free(const std::string& aBudget) const;
+  Tokens Granted(const std::string& aBudget) const;
+  size_t Size() const { return lines_.size(); }
+
+private:
+  struct Line
+  {
+    Tokens granted_ = 0;
+    Tokens reserved_ = 0;
+    Tokens spentInWindow_ = 0;
+    int64_t windowStartMs_ = 0;
+    Tokens spentBefore_ = 0;
+    int64_t lastUseMs_ = 0;
+    int64_t recalledUntilMs_ = 0;
+  };
+
+  static ledger::ReturnGrant GiveUp(const std::string& aBudget, Line& aLine);
+
+  GrantBookOptions options_;
+  std::map<std::string, Line> lines_;
+};
+
+} // namespace cactuswick::routing
--- /dev/null
+++ b/packages/routing/src/process/EndpointTable.cpp
@@ -0,0 +1,254 @@
+#include "cactuswick/routing/process/EndpointTable.h"
+
+#include <algorithm>
+
+#include "cactuswick/model/process/Hash.h"
+
+namespace cactuswick::routing {
+
+namespace {
+
+/// An endpoint may be this much fuller than the emptiest and still win by its
+/// prefix cache.
+constexpr double kAffinitySlack = 1.25;
+constexpr double kAffinityExtra = 1.0;
+/// Multiplicative decrease of the window on a slow first token.
+constexpr double kDecrease = 0.7;
+/// The window never passes this multiple of the announced slots.
+constexpr double kMaxWindowPerSlot = 2.0;
+constexpr int64_t kMaxFailures = 16;
+/// A tie goes to the router's own failure domain.
+constexpr double kNearBonus = 0.25;
+
+bool
+IsNewer(const model::Announcement& aNew, const model::Announcement& aOld)
+{
+  if (aNew.incarnation_ != aOld.incarnation_) {
+    return aNew.incarnation_ > aOld.incarnation_;
+  }
+  return aNew.sequence_ > aOld.sequence_;
+}
+
+/// Same in all that placement looks at, except load.
+bool
+IsRenewal(const model::Announcement& aNew, model::Announcement aOld)
+{
+  aOld.sequence_ = aNew.sequence_;
+  aOld.inFlight_ = aNew.inFlight_;
+  return aNew == aOld;
+}
+
+} // namespace
+
+EndpointTable::EndpointTable(EndpointTableOptions aOptions)
+  : options_(std::move(aOptions))
+{
+}
+
+bool
+EndpointTable::Hear(const model::Announcement& aAnnouncement,
+                    int64_t aAgeMs,
+                    int64_t aNowMs)
+{
+  const auto found = endpoints_.find(aAnnouncement.endpoint_);
+  if (found == endpoints_.end()) {
+    endpoints_[aAnnouncement.endpoint_] =
+      Endpoint{ .announcement_ = aAnnouncement,
+                .heardMs_ = aNowMs - aAgeMs,
+                .window_ = static_cast<double>(aAnnouncement.slots_) };
+    return true;
+  }
+  Endpoint& endpoint = found->second;
+  if (!IsNewer(aAnnouncement, endpoint.announcement_)) {
+    return false;
+  }
+  const bool renewal = IsRenewal(aAnnouncement, endpoint.announcement_);
+  if (aAnnouncement.incarnation_ != endpoint.announcement_.incarnation_) {
+    endpoint.failures_ = 0;
+    endpoint.ejectedUntilMs_ = 0;
+    endpoint.window_ = static_cast<double>(aAnnouncement.slots_);
+  }
+  endpoint.announcement_ = aAnnouncement;
+  endpoint.heardMs_ = std::max(endpoint.heardMs_, aNowMs - aAgeMs);
+  return !renewal;
+}
+
+std::vector<std::string>
+EndpointTable::Expire(int64_t aNowMs)
+{
+  std::vector<std::string> expired;
+  for (const auto& [name, endpoint] : endpoints_) {
+    const int64_t lease = endpoint.announcement_.leaseMs_;
+    // A leaving one is remembered for a while, so that late messages of its
+    // life do not bring it back.
+    const int64_t keep = endpoint.announcement_.leaving_ ? 20 * lease : lease;
+    if (aNowMs - endpoint.heardMs_ > keep && endpoint.inFlight_ == 0) {
+      expired.push_back(name);
+    }
+  }
+  for (const auto& name : expired) {
+    endpoints_.erase(name);
+  }
+  return expired;
+}
+
+bool
+EndpointTable::IsUsable(const Endpoint& aEndpoint,
+                        const std::string& aServes,
+                        int64_t aNowMs) const
+{
+  const auto& announcement = aEndpoint.announcement_;
+  const auto& serves = announcement.serves_;
+  return !announcement.leaving_ &&
+         aNowMs - aEndpoint.heardMs_ <= announcement.leaseMs_ &&
+         std::find(serves.begin(), serves.end(), aServes) != serves.end();
+}
+
+bool
+EndpointTable::HasSlot(const Endpoint& aEndpoint)
+{
+  return static_cast<double>(aEndpoint.inFlight_ + 1) <= aEndpoint.window_;
+}
+
+bool
+EndpointTable::HasRoom(const std::string& aServes, int64_t aNowMs) const
+{
+  return std::any_of(
+    endpoints_.begin(), endpoints_.end(), [&](const auto& aPair) {
+      return IsUsable(aPair.second, aServes, aNowMs) && HasSlot(aPair.second);
+    });
+}
+
+double
+EndpointTable::LoadOf(const Endpoint& aEndpoint)
+{
+  // Reports lag, so one's own requests count in full beside them.
+  const auto& announcement = aEndpoint.announcement_;
+  const int64_t load = std::max(aEndpoint.inFlight_, announcement.inFlight_);
+  return static_cast<double>(load) / static_cast<double>(announcement.slots_);
+}
+
+std::optional<std::string>
+EndpointTable::Acquire(const std::string& aServes,
+                       uint64_t aPrefixHash,
+                       const std::vector<std::string>& aExcluded,
+                       int64_t aNowMs)
+{
+  std::vector<Endpoint*> usable;
+  std::vector<Endpoint*> healthy;
+  for (auto& [name, endpoint] : endpoints_) {
+    const bool excluded =
+      std::find(aExcluded.begin(), aExcluded.end(), name) != aExcluded.end();
+    if (excluded || !IsUsable(endpoint, aServes, aNowMs) ||
+        !HasSlot(endpoint)) {
+      continue;
+    }
+    usable.push_back(&endpoint);
+    if (aNowMs >= endpoint.ejectedUntilMs_) {
+      healthy.push_back(&endpoint);
+    }
+  }
+  // When every endpoint is ejected, ejection says nothing: all are tried.
+  const auto& candidates = healthy.empty() ? usable : healthy;
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  const auto emptiest = std::min_element(
+    candidates.begin(), candidates.end(), [](const auto* a, const auto* b) {
+      return LoadOf(*a) < LoadOf(*b);
+    });
+  const double limit =
+    LoadOf(**emptiest) * kAffinitySlack +
+    kAffinityExtra /
+      static_cast<double>((*emptiest)->announcement_.slots_);
+  Endpoint* best = nullptr;
+  double bestScore = 0;
+  for (Endpoint* endpoint : candidates) {
+    if (LoadOf(*endpoint) > limit) {
+      continue;
+    }
+    // Rendezvous hashing keeps a prefix at its endpoint as others come and go.
+    const uint64_t hash =
+      model::Hash64(endpoint->announcement_.endpoint_, aPrefixHash);
+    double score = static_cast<double>(hash >> 11) * 0x1.0p-53;
+    const bool near =
+      endpoint->announcement_.failureDomain_ == options_.failureDomain_;
+    score += near && aPrefixHash == 0 ? kNearBonus : 0;
+    if (best == nullptr || score > bestScore) {
+      best = endpoint;
+      bestScore = score;
+    }
+  }
+  ++best->inFlight_;
+  return best->announcement_.endpoint_;
+}
+
+void
+EndpointTable::Release(const std::string& aEndpoint,
+                       AttemptOutcome aOutcome,
+                       int64_t aNowMs)
+{
+  const auto found = endpoints_.find(aEndpoint);
+  if (found == endpoints_.end()) {
+    return;
+  }
+  Endpoint& endpoint = found->second;
+  endpoint.inFlight_ = std::max(int64_t{ 0 }, endpoint.inFlight_ - 1);
+  if (aOutcome == AttemptOutcome::kServed) {
+    endpoint.failures_ = 0;
+    endpoint.ejectedUntilMs_ = 0;
+  }
+  if (aOutcome == AttemptOutcome::kFailed) {
+    endpoint.failures_ = std::min(kMaxFailures, endpoint.failures_ + 1);
+    const int64_t ejection = options_.minEjectionMs_
+                             << (endpoint.failures_ - 1);
+    endpoint.ejectedUntilMs_ =
+      aNowMs + std::min(options_.maxEjectionMs_, ejection);
+  }
+}
+
+void
+EndpointTable::OnFirstToken(const std::string& aEndpoint, int64_t aElapsedMs)
+{
+  const auto found = endpoints_.find(aEndpoint);
+  if (found == endpoints_.end()) {
+    return;
+  }
+  Endpoint& endpoint = found->second;
+  const double most =
+    kMaxWindowPerSlot * static_cast<double>(endpoint.announcement_.slots_);
+  if (aElapsedMs > options_.firstTokenTargetMs_) {
+    endpoint.window_ = std::max(1.0, endpoint.window_ * kDecrease);
+  } else {
+    endpoint.window_ =
+      std::min(most, endpoint.window_ + 1 / endpoint.window_);
+  }
+}
+
+bool
+EndpointTable::Serves(const std::string& aServes, int64_t aNowMs) const
+{
+  return std::any_of(
+    endpoints_.begin(), endpoints_.end(), [&](const auto& aPair) {
+      return IsUsable(aPair.second, aServes, aNowMs);
+    });
+}
+
+const model::Announcement*
+EndpointTable::Find(const std::string& aEndpoint) const
+{
+  const auto found = endpoints_.find(aEndpoint);
+  return found == endpoints_.end() ? nullptr : &found->second.announcement_;
+}
+
+std::vector<EndpointTable::Known>
+EndpointTable::All(int64_t aNowMs) const
+{
+  std::vector<Known> all;
+  for (const auto& [name, endpoint] : endpoints_) {
+    all.push_back({ endpoint.announcement_, aNowMs - endpoint.heardMs_ });
+  }
+  return all;
+}
+
+} // namespace cactuswick::routing
--- /dev/null
+++ b/packages/routing/src/process/GrantBook.cpp
@@ -0,0 +1,148 @@
+#include "cactuswick/routing/process/GrantBook.h"
+
+#include <algorithm>
+
+namespace cactuswick::routing {
+
+GrantBook::GrantBook(GrantBookOptions aOptions)
+  : options_(aOptions)
+{
+}
+
+bool
+GrantBook::Reserve(const std::string& aBudget, Tokens aAmount, int64_t aNowMs)
+{
+  const auto found = lines_.find(aBudget);
+  if (found == lines_.end()) {
+    return aAmount == 0;
+  }
+  Line& line = found->second;
+  line.lastUseMs_ = aNowMs;
+  if (aAmount > line.granted_ - line.reserved_) {
+    return false;
+  }
+  line.reserved_ += aAmount;
+  if (aNowMs - line.windowStartMs_ > options_.horizonMs_) {
+    const bool adjacent =
+      aNowMs - line.windowStartMs_ <= 2 * options_.horizonMs_;
+    line.spentBefore_ = adjacent ? line.spentInWindow_ : 0;
+    line.spentInWindow_ = 0;
+    line.windowStartMs_ = aNowMs;
+  }
+  line.spentInWindow_ += aAmount;
+  return true;
+}
+
+void
+GrantBook::Release(const std::string& aBudget, Tokens aAmount)
+{
+  const auto found = lines_.find(aBudget);
+  if (found != lines_.end()) {
+    found->second.reserved_ =
+      std::max(Tokens{ 0 }, found->second.reserved_ - aAmount);
+  }
+}
+
+void
+GrantBook::Spend(const std::string& aBudget, Tokens aAmount)
+{
+  const auto found = lines_.find(aBudget);
+  if (found != lines_.end()) {
+    Release(aBudget, aAmount);
+    found->second.granted_ -= aAmount;
+  }
+}
+
+void
+GrantBook::OnGranted(const std::string& aBudget, Tokens aAmount)
+{
+  lines_[aBudget].granted_ += aAmount;
+}
+
+ledger::AcquireGrant
+GrantBook::Ask(const std::string& aBudget,
+               Tokens aMinimum,
+               int64_t aNowMs) const
+{
+  ledger::AcquireGrant ask{ aBudget, aMinimum, aMinimum };
+  const auto found = lines_.find(aBudget);
+  if (found == lines_.end()) {
+    return ask;
+  }
+  const Line& line = found->second;
+  ask.minimum_ =
+    std::max(Tokens{ 1 }, aMinimum - (line.granted_ - line.reserved_));
+  const Tokens recent = std::max(line.spentInWindow_, line.spentBefore_);
+  const bool exact = aNowMs < line.recalledUntilMs_;
+  ask.want_ = exact ? ask.minimum_ : std::max(ask.minimum_, recent);
+  return ask;
+}
+
+ledger::ReturnGrant
+GrantBook::GiveUp(const std::string& aBudget, Line& aLine)
+{
+  const Tokens free = aLine.granted_ - aLine.reserved_;
+  aLine.granted_ -= free;
+  return { aBudget, free };
+}
+
+std::optional<ledger::ReturnGrant>
+GrantBook::Recall(const std::string& aBudget, int64_t aNowMs)
+{
+  const auto found = lines_.find(aBudget);
+  if (found == lines_.end()) {
+    return std::nullopt;
+  }
+  found->second.recalledUntilMs_ = aNowMs + options_.recallMs_;
+  const auto given = GiveUp(aBudget, found->second);
+  return given.amount_ > 0 ? std::optional(given) : std::nullopt;
+}
+
+std::vector<ledger::ReturnGrant>
+GrantBook::CollectIdle(int64_t aNowMs)
+{
+  std::vector<ledger::ReturnGrant> given;
+  for (auto line = lines_.begin(); line != lines_.end();) {
+    if (aNowMs - line->second.lastUseMs_ <= options_.idleMs_) {
+      ++line;
+      continue;
+    }
+    const auto one = GiveUp(line->first, line->second);
+    if (one.amount_ > 0) {
+      given.push_back(one);
+    }
+    line = line->second.granted_ == 0 ? lines_.erase(line) : std::next(line);
+  }
+  return given;
+}
+
+std::vector<ledger::ReturnGrant>
+GrantBook::ReturnAll()
+{
+  std::vector<ledger::ReturnGrant> given;
+  for (auto& [budget, line] : lines_) {
+    const auto one = GiveUp(budget, line);
+    if (one.amount_ > 0) {
+      given.push_back(one);
+    }
+  }
+  return given;
+}
+
+Tokens
+GrantBook::Free(const std::string& aBudget) const
+{
+  const auto found = lines_.find(aBudget);
+  return found == lines_.end()
+           ? 0
+           : found->second.granted_ - found->second.reserved_;
+}
+
+Tokens
+GrantBook::Granted(const std::string& aBudget) const
+{
+  const auto found = lines_.find(aBudget);
+  return found == lines_.end() ? 0 : found->second.granted_;
+}
+
+} // namespace cactuswick::routing
--- /dev/null
+++ b/packages/routing/src/process/SettlementBook.cpp
@@ -0,0 +1,121 @@
+#include "cactuswick/routing/process/SettlementBook.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cactuswick::routing {
+
+int64_t
+SettlementBook::Add(ledger::Settle aSettle)
+{
+  aSettle.number_ = ++lastNumber_;
+  pending_[lastNumber_] = std::move(aSettle);
+  return lastNumber_;
+}
+
+std::optional<ledger::Settle>
+SettlementBook::Committed(int64_t aNumber)
+{
+  const auto found = pending_.find(aNumber);
+  if (found == pending_.end()) {
+    return std::nullopt;
+  }
+  ledger::Settle settle = std::move(found->second);
+  pending_.erase(found);
+  keepers_.erase(aNumber);
+  return settle;
+}
+
+bool
+SettlementBook::Copied(int64_t aNumber, ledger::Incarnation aKeeper)
+{
+  if (!pending_.contains(aNumber)) {
+    return false;
+  }
+  keepers_[aNumber] = aKeeper;
+  return true;
+}
+
+void
+SettlementBook::KeeperLost(ledger::Incarnation aKeeper)
+{
+  std::erase_if(keepers_, [&](const auto& aPair) {
+    return aPair.second == aKeeper;
+  });
+}
+
+std::vector<ledger::Settle>
+SettlementBook::Uncopied() const
+{
+  std::vector<ledger::Settle> uncopied;
+  for (const auto& [number, settle] : pending_) {
+    if (!keepers_.contains(number)) {
+      uncopied.push_back(settle);
+    }
+  }
+  return uncopied;
+}
+
+int64_t
+SettlementBook::CommittedThrough() const
+{
+  return pending_.empty() ? lastNumber_ : pending_.begin()->first - 1;
+}
+
+std::optional<ledger::LogTimeMs>
+SettlementBook::OldestStart() const
+{
+  std::optional<ledger::LogTimeMs> oldest;
+  for (const auto& [number, settle] : pending_) {
+    oldest = std::min(oldest.value_or(settle.startedMs_), settle.startedMs_);
+  }
+  return oldest;
+}
+
+std::vector<int64_t>
+SettlementBook::Keep(ledger::Incarnation aHolder,
+                     const std::vector<ledger::Settle>& aSettlements)
+{
+  std::vector<int64_t> numbers;
+  for (const auto& settle : aSettlements) {
+    kept_[aHolder][settle.number_] = settle;
+    numbers.push_back(settle.number_);
+  }
+  return numbers;
+}
+
+void
+SettlementBook::Drop(ledger::Incarnation aHolder, int64_t aThrough)
+{
+  const auto found = kept_.find(aHolder);
+  if (found == kept_.end()) {
+    return;
+  }
+  auto& kept = found->second;
+  kept.erase(kept.begin(), kept.upper_bound(aThrough));
+  if (kept.empty()) {
+    kept_.erase(found);
+  }
+}
+
+std::vector<ledger::Settle>
+SettlementBook::KeptFor(ledger::Incarnation aHolder) const
+{
+  std::vector<ledger::Settle> settlements;
+  const auto found = kept_.find(aHolder);
+  if (found == kept_.end()) {
+    return settlements;
+  }
+  for (const auto& [number, settle] : found->second) {
+    settlements.push_back(settle);
+  }
+  return settlements;
+}
+
+void
+SettlementBook::ForgetHolder(ledger::Incarnation aHolder)
+{
+  kept_.erase(aHolder);
+}
+
+} // namespace cactuswick::routing
--- /dev/null
+++ b/packages/settings/include/cactuswick/settings/process/SettingList.h
@@ -0,0 +1,240 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+/// Every setting of the daemon, declared once.
+namespace cactuswick::settings {
+
+/// What the text of a setting must look like.
+enum class Shape
+{
+  kInteger,
+  /// Lower-case letters, digits, '-', '_', '.'.
+  kName,
+  /// "IPv4:port".
+  kAddress,
+  /// Addresses separated by commas.
+  kAddressList,
+  /// "vm@IPv4:port@failure-domain", separated by commas.
+  kReplicaList,
+  /// Roles separated by commas: router, control.
+  kRoleList,
+  kSha256,
+  kPath,
+  /// One of the words in the unit.
+  kChoice,
+};
+
+/// One setting: where it stands, what it means and what it may be.
+template<class T>
+struct Setting
+{
+  std::string_view section_;
+  std::string_view key_;
+  T default_;
+  Shape shape_;
+  /// Unit of a number, or the words of a choice.
+  std::string_view unit_;
+  std::string_view help_;
+  int64_t low_ = 0;
+  int64_t high_ = 0;
+};
+
+using TextSetting = Setting<std::string_view>;
+using IntegerSetting = Setting<int64_t>;
+
+inline constexpr TextSetting kVm{
+  "process", "vm", "", Shape::kName, "", "Name of this VM; required."
+};
+inline constexpr TextSetting kFailureDomain{
+  "process", "failure_domain", "", Shape::kName,
+  "",        "Failure domain of this VM; required."
+};
+inline constexpr TextSetting kRegion{
+  "process", "region", "default", Shape::kName, "", "Region of this VM."
+};
+inline constexpr TextSetting kRoles{
+  "process",
+  "roles",
+  "router",
+  Shape::kRoleList,
+  "",
+  "Roles of this process: router, control, or both."
+};
+
+inline constexpr TextSetting kControlListen{
+  "control",        "listen", "", Shape::kAddress, "",
+  "Where the other control replicas and the routers connect."
+};
+inline constexpr TextSetting kControlDataDir{
+  "control", "data_dir", "", Shape::kPath, "",
+  "Data folder; must be on a disk that keeps synced files."
+};
+inline constexpr TextSetting kControlReplicas{
+  "control",
+  "replicas",
+  "",
+  Shape::kReplicaList,
+  "",
+  "Control replicas: all of them at bootstrap, any live ones when joining."
+};
+inline constexpr TextSetting kControlMetricsListen{
+  "control", "metrics_listen", "", Shape::kAddress, "",
+  "Scrape address of the control role; empty for none."
+};
+inline constexpr IntegerSetting kHeartbeatMs{
+  "control", "heartbeat_ms", 100, Shape::kInteger, "ms",
+  "Interval between a leader's heartbeats.",
+  10,        10'000
+};
+inline constexpr IntegerSetting kElectionMs{
+  "control",
+  "election_ms",
+  600,
+  Shape::kInteger,
+  "ms",
+  "Shortest silence after which a replica campaigns; the longest is double.",
+  50,
+  60'000
+};
+inline constexpr IntegerSetting kSnapshotEntries{
+  "control", "snapshot_entries", 20'000, Shape::kInteger, "entries",
+  "Log entries between snapshots.",
+  10,        10'000'000
+};
+
+inline constexpr TextSetting kRouterListen{
+  "router", "listen", "", Shape::kAddress, "",
+  "Where callers, endpoints and operators connect."
+};
+inline constexpr TextSetting kRouterPeerListen{
+  "router", "peer_listen", "", Shape::kAddress, "",
+  "Where other routers connect."
+};
+inline constexpr TextSetting kRouterPeerAdvertise{
+  "router", "peer_advertise", "", Shape::kAddress, "",
+  "Address at which other routers reach peer_listen, where it differs."
+};
+inline constexpr TextSetting kRouterControl{
+  "router", "control", "", Shape::kAddressList, "",
+  "Addresses of the control replicas."
+};
+inline constexpr TextSetting kRouterMetricsListen{
+  "router", "metrics_listen", "", Shape::kAddress, "",
+  "Scrape address of the router role; empty for none."
+};
+inline constexpr IntegerSetting kEntryTtlMs{
+  "router",
+  "entry_ttl_ms",
+  10'000,
+  Shape::kInteger,
+  "ms",
+  "How long callers may keep an answer to /v1/entry.",
+  100,
+  3'600'000
+};
+inline constexpr IntegerSetting kDrainMs{
+  "router",
+  "drain_ms",
+  120'000,
+  Shape::kInteger,
+  "ms",
+  "Longest wait for streams in flight when stopping; 0 waits forever.",
+  0,
+  86'400'000
+};
+inline constexpr IntegerSetting kQueueLimit{
+  "router", "queue_limit", 2'000, Shape::kInteger, "requests",
+  "Most requests queued for one model or service.",
+  1,        1'000'000
+};
+inline constexpr IntegerSetting kMaxBodyBytes{
+  "router", "max_body_bytes", 1'048'576, Shape::kInteger, "bytes",
+  "Largest request body.",
+  1'024,    67'108'864
+};
+inline constexpr IntegerSetting kMaxAnswerBytes{
+  "router", "max_answer_bytes", 16'777'216, Shape::kInteger, "bytes",
+  "Largest answer that is held as a whole.",
+  1'024,    268'435'456
+};
+inline constexpr IntegerSetting kMaxConnections{
+  "router", "max_connections", 4'096, Shape::kInteger, "connections",
+  "Most requests in flight or queued at once.",
+  1,        1'000'000
+};
+inline constexpr IntegerSetting kConnectTimeoutMs{
+  "router", "connect_timeout_ms", 1'000, Shape::kInteger, "ms",
+  "Longest wait for a connection to an endpoint.",
+  10,       60'000
+};
+inline constexpr IntegerSetting kFirstByteTimeoutMs{
+  "router",
+  "first_byte_timeout_ms",
+  30'000,
+  Shape::kInteger,
+  "ms",
+  "Longest wait for an endpoint's first byte.",
+  100,
+  3'600'000
+};
+inline constexpr IntegerSetting kProgressTimeoutMs{
+  "router",
+  "progress_timeout_ms",
+  5'000,
+  Shape::kInteger,
+  "ms",
+  "Longest silence inside an endpoint's answer.",
+  100,
+  3'600'000
+};
+inline constexpr IntegerSetting kSettleTimeoutMs{
+  "router",
+  "settle_timeout_ms",
+  10'000,
+  Shape::kInteger,
+  "ms",
+  "Longest wait for a settlement to be committed or copied before the caller "
+  "is told that the outcome is unknown.",
+  100,
+  600'000
+};
+
+inline constexpr TextSetting kOperatorKeySha256{
+  "operator", "key_sha256", "", Shape::kSha256, "",
+  "SHA-256 of the operators' key; empty turns the operators' API off."
+};
+
+inline constexpr TextSetting kLogLevel{
+  "log",
+  "level",
+  "info",
+  Shape::kChoice,
+  "debug info warning error",
+  "Lowest level that is logged."
+};
+inline constexpr TextSetting kLogFormat{
+  "log", "format", "text", Shape::kChoice, "text json", "Form of a log line."
+};
+
+/// A setting without its type, for checking and printing.
+struct AnySetting
+{
+  std::string_view section_;
+  std::string_view key_;
+  std::string_view textDefault_;
+  int64_t integerDefault_ = 0;
+  Shape shape_ = Shape::kInteger;
+  std::string_view unit_;
+  std::string_view help_;
+  int64_t low_ = 0;
+  int64_t high_ = 0;
+};
+
+/// All settings, in the order of the sample file.
+const std::vector<AnySetting>&
+AllSettings();
+
+} // namespace cactuswick::settings
--- /dev/null
+++ b/packages/settings/include/cactuswick/settings/process/Settings.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <absl/status/statusor.h>
+
+#include "cactuswick/settings/process/SettingList.h"
+#include "cactuswick/transport/process/Address.h"
+
+namespace cactuswick::settings {
+
+/// A control replica as named in the settings.
+struct ReplicaAddress
+{
+  std::string vm_;
+  transport::Address address_;
+  std::string failureDomain_;
+
+  bool operator==(const ReplicaAddress&) const = default;
+};
+
+/// The checked values of one settings file.
+class Settings
+{
+public:
+  /// Parses and checks INI text. An error's field is "file:line: [section] key"
+  /// and its message says what was expected.
+  static absl::StatusOr<Settings> Parse(std::string_view aFileName,
+                                        std::string_view aText);
+
+  /// Reads a file and parses it; kIo when it cannot be read.
+  static absl::StatusOr<Settings> Load(const std::string& aPath);
+
+  std::string Get(const TextSetting& aSetting) const;
+  int64_t Get(const IntegerSetting& aSetting) const;
+
+  bool HasRole(std::string_view aRole) const;
+  /// The address of a setting that is set.
+  transport::Address GetAddress(const TextSetting& aSetting) const;
+  std::vector<transport::Address> GetAddresses(
+    const TextSetting& aSetting) const;
+  std::vector<ReplicaAddress> GetReplicas() const;
+
+private:
+  struct Value
+  {
+    std::string text_;
+    int line_ = 0;
+  };
+
+  friend class Parser;
+
+  absl::Status CheckRequired(std::string_view aFileName) const;
+
+  /// By "section/key".
+  std::map<std::string, Value> values_;
+};
+
+/// A sample file that documents every setting with its default.
+std::string
+SampleFile();
+
+} // namespace cactuswick::settings
--- /dev/null
+++ b/packages/settings/src/process/SettingList.cpp
@@ -0,0 +1,75 @@
+#include "cactuswick/settings/process/SettingList.h"
+
+namespace cactuswick::settings {
+
+namespace {
+
+AnySetting
+Untyped(const TextSetting& aSetting)
+{
+  return { .section_ = aSetting.section_,
+           .key_ = aSetting.key_,
+           .textDefault_ = aSetting.default_,
+           .shape_ = aSetting.shape_,
+           .unit_ = aSetting.unit_,
+           .help_ = aSetting.help_ };
+}
+
+AnySetting
+Untyped(const IntegerSetting& aSetting)
+{
+  return { .section_ = aSetting.section_,
+           .key_ = aSetting.key_,
+           .integerDefault_ = aSetting.default_,
+           .shape_ = aSetting.shape_,
+           .unit_ = aSetting.unit_,
+           .help_ = aSetting.help_,
+           .low_ = aSetting.low_,
+           .high_ = aSetting.high_ };
+}
+
+template<class... Settings>
+std::vector<AnySetting>
+List(const Settings&... aSettings)
+{
+  return { Untyped(aSettings)... };
+}
+
+} // namespace
+
+const std::vector<AnySetting>&
+AllSettings()
+{
+  static const auto kAll = List(kVm,
+                                kFailureDomain,
+                                kRegion,
+                                kRoles,
+                                kControlListen,
+                                kControlDataDir,
+                                kControlReplicas,
+                                kControlMetricsListen,
+                                kHeartbeatMs,
+                                kElectionMs,
+                                kSnapshotEntries,
+                                kRouterListen,
+                                kRouterPeerListen,
+                                kRouterPeerAdvertise,
+                                kRouterControl,
+                                kRouterMetricsListen,
+                                kEntryTtlMs,
+                                kDrainMs,
+                                kQueueLimit,
+                                kMaxBodyBytes,
+                                kMaxAnswerBytes,
+                                kMaxConnections,
+                                kConnectTimeoutMs,
+                                kFirstByteTimeoutMs,
+                                kProgressTimeoutMs,
+                                kSettleTimeoutMs,
+                                kOperatorKeySha256,
+                                kLogLevel,
+                                kLogFormat);
+  return kAll;
+}
+
+} // namespace cactuswick::settings
--- /dev/null
+++ b/packages/standin/src/process/Announcer.cpp
@@ -0,0 +1,65 @@
+#include "process/Announcer.h"
+
+#include <utility>
+
+#include "cactuswick/model/process/Codec.h"
+
+namespace cactuswick::standin {
+
+namespace {
+
+/// Announcements within one lease.
+constexpr int64_t kPerLease = 4;
+constexpr int64_t kTimeoutMs = 500;
+
+} // namespace
+
+Announcer::Announcer(transport::EventLoop& aLoop, AnnouncerOptions aOptions)
+  : loop_(aLoop)
+  , options_(std::move(aOptions))
+  , timer_(aLoop, [this] { Announce(); })
+{
+  timer_.StartRepeating(options_.announcement_.leaseMs_ / kPerLease);
+  Announce();
+}
+
+void
+Announcer::Announce()
+{
+  model::Announcement& announcement = options_.announcement_;
+  ++announcement.sequence_;
+  announcement.inFlight_ = options_.inFlight_();
+  call_ = std::make_unique<transport::HttpCall>(
+    loop_,
+    transport::HttpCallOptions{
+      .address_ = options_.routers_[router_],
+      .path_ = "/v1/endpoints",
+      .body_ = model::EncodeJson(announcement),
+      .connectTimeoutMs_ = kTimeoutMs,
+      .firstByteTimeoutMs_ = kTimeoutMs,
+      .onDone_ = [this](const absl::Status& aStatus) {
+        if (!aStatus.ok()) {
+          router_ = (router_ + 1) % options_.routers_.size();
+          loop_.Defer([this] { Announce(); });
+        } else if (const auto said = std::exchange(onSaid_, nullptr)) {
+          said();
+        }
+      } });
+}
+
+void
+Announcer::Leave(std::function<void()> aOnSaid)
+{
+  options_.announcement_.leaving_ = true;
+  onSaid_ = std::move(aOnSaid);
+  Announce();
+}
+
+void
+Announcer::GoSilent()
+{
+  timer_.Stop();
+  call_.reset();
+}
+
+} // namespace cactuswick::standin
--- /dev/null
+++ b/packages/telemetry/include/cactuswick/telemetry/process/Metrics.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace cactuswick::telemetry {
+
+/// Events that are counted exactly.
+enum class Counter
+{
+  kRequests,
+  kAnsweredWhole,
+  kRefused,
+  kOutcomeUnknown,
+  kRetries,
+  kTokensBilled,
+  kTokensStreamed,
+  kSettlementsCommitted,
+  kSettlementsDuplicate,
+  kSettlementsHeld,
+  kSettlementsCopied,
+  kGrantsAcquired,
+  kGrantsDenied,
+  kGrantsRecalled,
+  kConfigChanges,
+  kLogEntriesCommitted,
+  kLogSyncs,
+  kElections,
+  kSnapshots,
+  kPeerBytesSent,
+};
+
+/// Quantities whose distribution is estimated (P-square, Jain and Chlamtac);
+/// p95 and p99 are estimates, count and sum are exact.
+enum class Summary
+{
+  kFirstTokenMs,
+  kTotalMs,
+  kQueueMs,
+  kSettleMs,
+  kCommitMs,
+  kSyncMs,
+  kEntriesPerSync,
+};
+
+/// Values that go up and down.
+enum class Gauge
+{
+  kInFlight,
+  kQueued,
+  kEndpoints,
+  kPendingSettlements,
+  kTokensGranted,
+  kConfigRevision,
+  kLeader,
+  kTerm,
+  kCommitIndex,
+  kSettledKeys,
+};
+
+/// The numbers of one task; owned and read on that task's loop.
+class Metrics
+{
+public:
+  Metrics();
+  Metrics(const Metrics&) = delete;
+  Metrics& operator=(const Metrics&) = delete;
+  ~Metrics();
+
+  /// Counts an event; @p aLabel is a rank, a reason or empty.
+  void Count(Counter aCounter, int64_t aBy = 1, std::string_view aLabel = {});
+  void Observe(Summary aSummary, double aValue, std::string_view aLabel = {});
+  void Set(Gauge aGauge, int64_t aValue);
+
+  int64_t Value(Counter aCounter, std::string_view aLabel = {}) const;
+
+  /// Text exposition format, version 0.0.4.
+  std::string Expose() const;
+
+private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+} // namespace cactuswick::telemetry
--- /dev/null
+++ b/packages/transport/include/cactuswick/transport/connection/HttpCall.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <absl/status/status.h>
+
+#include "cactuswick/transport/connection/Headers.h"
+#include "cactuswick/transport/process/Address.h"
+#include "cactuswick/transport/process/EventLoop.h"
+
+namespace cactuswick::transport {
+
+struct HttpCallOptions
+{
+  Address address_;
+  std::string method_ = "POST";
+  std::string path_;
+  Headers headers_;
+  std::string body_;
+  int64_t connectTimeoutMs_ = 1'000;
+  /// Longest wait for the first byte of the answer.
+  int64_t firstByteTimeoutMs_ = 30'000;
+  /// Longest silence inside the answer.
+  int64_t progressTimeoutMs_ = 10'000;
+  size_t maxBodyBytes_ = size_t{ 64 } << 20;
+
+  std::function<void(int aStatus, const Headers& aHeaders)> onHeaders_;
+  std::function<void(std::string_view aData)> onData_;
+  /// Called once. OK only when the framing says that the answer is whole.
+  std::function<void(absl::Status aStatus)> onDone_;
+};
+
+/// One HTTP request on a connection of its own.
+///
+/// Destroying it cancels the request and closes the connection; no hook is
+/// called afterwards.
+class HttpCall
+{
+public:
+  HttpCall(EventLoop& aLoop, HttpCallOptions aOptions);
+  HttpCall(const HttpCall&) = delete;
+  HttpCall& operator=(const HttpCall&) = delete;
+  ~HttpCall();
+
+  /// False while not one byte can have reached the endpoint.
+  bool WasDispatched() const;
+
+private:
+  struct State;
+  State* state_;
+};
+
+} // namespace cactuswick::transport
--- /dev/null
+++ b/packages/transport/include/cactuswick/transport/connection/HttpServer.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+#include <absl/status/status.h>
+
+#include "cactuswick/transport/connection/HttpExchange.h"
+#include "cactuswick/transport/process/Address.h"
+
+struct evhttp;
+
+namespace cactuswick::transport {
+
+struct HttpServerOptions
+{
+  size_t maxHeaderBytes_ = size_t{ 16 } << 10;
+  size_t maxBodyBytes_ = size_t{ 1 } << 20;
+  /// Silence after which an idle connection is closed.
+  int64_t idleTimeoutMs_ = 60'000;
+  /// Connections beyond this are closed at once.
+  int maxConnections_ = 4'096;
+  std::function<void(std::unique_ptr<HttpExchange>)> onRequest_;
+};
+
+/// Accepts HTTP requests at one address.
+class HttpServer
+{
+public:
+  HttpServer(EventLoop& aLoop, HttpServerOptions aOptions);
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+  ~HttpServer();
+
+  /// Binds exclusively; kIo when another process has the address.
+  absl::Status Listen(const Address& aAddress);
+  /// Accepts no further connections; open ones go on.
+  void StopListening();
+
+private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+} // namespace cactuswick::transport
--- /dev/null
+++ b/packages/transport/include/cactuswick/transport/connection/PeerDialer.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "cactuswick/transport/connection/PeerLink.h"
+
+namespace cactuswick::transport {
+
+struct PeerDialerOptions
+{
+  Address address_;
+  PeerLinkLimits limits_;
+  /// First and longest wait before connecting again.
+  int64_t minBackoffMs_ = 50;
+  int64_t maxBackoffMs_ = 1'000;
+  std::function<void()> onUp_;
+  std::function<void(PeerMessage)> onMessage_;
+  std::function<void()> onDown_;
+};
+
+/// Keeps a link to one address, connecting again whenever it fails.
+class PeerDialer
+{
+public:
+  PeerDialer(EventLoop& aLoop, PeerDialerOptions aOptions);
+  PeerDialer(const PeerDialer&) = delete;
+  PeerDialer& operator=(const PeerDialer&) = delete;
+  ~PeerDialer();
+
+  /// Sends on the open link; lost while there is none.
+  void Send(const PeerMessage& aMessage);
+  bool IsUp() const;
+  const Address& Target() const;
+
+private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+} // namespace cactuswick::transport
--- /dev/null
+++ b/packages/transport/include/cactuswick/transport/connection/PeerLink.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include "cactuswick/transport/connection/PeerMessage.h"
+#include "cactuswick/transport/process/Address.h"
+#include "cactuswick/transport/process/EventLoop.h"
+
+namespace cactuswick::transport {
+
+/// Limits of a link between processes.
+struct PeerLinkLimits
+{
+  /// Something is sent at least this often.
+  int64_t keepAliveMs_ = 400;
+  /// A link that stays silent for longer is closed.
+  int64_t silenceMs_ = 1'500;
+  /// A link whose other end takes nothing is closed beyond this.
+  size_t maxPendingBytes_ = size_t{ 64 } << 20;
+};
+
+struct PeerLinkHooks
+{
+  std::function<void()> onOpen_;
+  std::function<void(PeerMessage)> onMessage_;
+  /// Called once; the owner destroys the link, at the latest by then.
+  std::function<void()> onClosed_;
+};
+
+/// One connection between two of the system's processes.
+///
+/// Messages are typed, in order and at most once; those under way when a link
+/// fails are lost, and the layers above send them again. Silence is a failure.
+class PeerLink
+{
+public:
+  /// Connects to @p aAddress.
+  PeerLink(EventLoop& aLoop,
+           const Address& aAddress,
+           PeerLinkLimits aLimits,
+           PeerLinkHooks aHooks);
+  /// Takes over an accepted socket.
+  PeerLink(EventLoop& aLoop,
+           int aSocket,
+           PeerLinkLimits aLimits,
+           PeerLinkHooks aHooks);
+  PeerLink(const PeerLink&) = delete;
+  PeerLink& operator=(const PeerLink&) = delete;
+  ~PeerLink();
+
+  /// Queues a message; lost when the link is not open.
+  void Send(const PeerMessage& aMessage);
+  bool IsOpen() const;
+  uint64_t BytesSent() const;
+
+private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+} // namespace cactuswick::transport
--- /dev/null
+++ b/packages/transport/include/cactuswick/transport/process/EventLoop.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+struct event;
+struct event_base;
+
+/// Event loops, timers and mailboxes over libevent.
+namespace cactuswick::transport {
+
+struct EventDeleter
+{
+  void operator()(event* aEvent) const;
+};
+struct EventBaseDeleter
+{
+  void operator()(event_base* aBase) const;
+};
+
+/// One libevent loop, run by the thread of the task that owns it.
+class EventLoop
+{
+public:
+  EventLoop();
+
+  /// Runs until Stop.
+  void Run();
+  /// Ends Run; call it on the loop's own thread.
+  void Stop();
+  /// Runs @p aCallback once from the loop, after the current callbacks.
+  void Defer(std::function<void()> aCallback);
+
+  event_base* Base() const { return base_.get(); }
+
+  /// Milliseconds of the steady clock.
+  static int64_t NowMs();
+
+private:
+  std::unique_ptr<event_base, EventBaseDeleter> base_;
+};
+
+/// A repeating or one-shot timer of a loop.
+class Timer
+{
+public:
+  Timer(EventLoop& aLoop, std::function<void()> aCallback);
+  Timer(const Timer&) = delete;
+  Timer& operator=(const Timer&) = delete;
+  ~Timer();
+
+  /// Fires once after @p aDelayMs; replaces an earlier start.
+  void StartOnce(int64_t aDelayMs);
+  /// Fires every @p aIntervalMs.
+  void StartRepeating(int64_t aIntervalMs);
+  void Stop();
+
+private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+/// Calls a hook when the process gets a signal.
+class SignalWatch
+{
+public:
+  SignalWatch(EventLoop& aLoop, int aSignal, std::function<void()> aCallback);
+  SignalWatch(const SignalWatch&) = delete;
+  SignalWatch& operator=(const SignalWatch&) = delete;
+  ~SignalWatch();
+
+private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+/// Wakes a loop from any thread; the untyped half of Mailbox.
+class Waker
+{
+public:
+  Waker(EventLoop& aLoop, std::function<void()> aCallback);
+  Waker(const Waker&) = delete;
+  Waker& operator=(const Waker&) = delete;
+  ~Waker();
+
+  void Wake();
+
+private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+/// Messages from other tasks, delivered on the owner's loop in order.
+template<class Message>
+class Mailbox
+{
+public:
+  Mailbox(EventLoop& aLoop, std::function<void(Message)> aHandler)
+    : handler_(std::move(aHandler))
+    , waker_(aLoop, [this] { Deliver(); })
+  {
+  }
+
+  /// Callable from any thread.
+  void Send(Message aMessage)
+  {
+    {
+      const std::scoped_lock lock(mutex_);
+      messages_.push_back(std::move(aMessage));
+    }
+    waker_.Wake();
+  }
+
+private:
+  void Deliver()
+  {
+    std::vector<Message> batch;
+    {
+      const std::scoped_lock lock(mutex_);
+      batch.swap(messages_);
+    }
+    for (auto& message : batch) {
+      handler_(std::move(message));
+    }
+  }
+
+  std::function<void(Message)> handler_;
+  std::mutex mutex_;
+  std::vector<Message> messages_;
+  Waker waker_;
+};
+
+} // namespace cactuswick::transport
--- /dev/null
+++ b/packages/transport/src/connection/HttpServer.cpp
@@ -0,0 +1,77 @@
+#include "cactuswick/transport/connection/HttpServer.h"
+
+#include <event2/http.h>
+
+#include "cactuswick/model/process/Error.h"
+
+namespace cactuswick::transport {
+
+namespace {
+
+constexpr int64_t kMsPerSecond = 1'000;
+
+struct HttpDeleter
+{
+  void operator()(evhttp* aServer) const { evhttp_free(aServer); }
+};
+
+} // namespace
+
+struct HttpServer::State
+{
+  EventLoop& loop_;
+  HttpServerOptions options_;
+  std::unique_ptr<evhttp, HttpDeleter> server_;
+  evhttp_bound_socket* socket_ = nullptr;
+
+  static void OnRequest(evhttp_request* aRequest, void* aSelf)
+  {
+    auto* self = static_cast<State*>(aSelf);
+    self->options_.onRequest_(
+      std::make_unique<HttpExchange>(self->loop_, aRequest));
+  }
+};
+
+HttpServer::HttpServer(EventLoop& aLoop, HttpServerOptions aOptions)
+  : state_(std::make_unique<State>(
+      State{ aLoop, std::move(aOptions), nullptr, nullptr }))
+{
+  evhttp* server = evhttp_new(aLoop.Base());
+  state_->server_.reset(server);
+  const auto& options = state_->options_;
+  evhttp_set_max_headers_size(server,
+                              static_cast<ev_ssize_t>(options.maxHeaderBytes_));
+  evhttp_set_max_body_size(server,
+                           static_cast<ev_ssize_t>(options.maxBodyBytes_));
+  evhttp_set_timeout(server,
+                     static_cast<int>(options.idleTimeoutMs_ / kMsPerSecond));
+  evhttp_set_allowed_methods(server,
+                             EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
+                               EVHTTP_REQ_DELETE);
+  evhttp_set_gencb(server, &State::OnRequest, state_.get());
+}
+
+HttpServer::~HttpServer() = default;
+
+absl::Status
+HttpServer::Listen(const Address& aAddress)
+{
+  state_->socket_ = evhttp_bind_socket_with_handle(
+    state_->server_.get(), aAddress.host_.c_str(), aAddress.port_);
+  if (state_->socket_ == nullptr) {
+    return model::MakeError(
+      model::ErrorKind::kIo, aAddress.ToString(), "cannot bind the address");
+  }
+  return absl::OkStatus();
+}
+
+void
+HttpServer::StopListening()
+{
+  if (state_->socket_ != nullptr) {
+    evhttp_del_accept_socket(state_->server_.get(), state_->socket_);
+    state_->socket_ = nullptr;
+  }
+}
+
+} // namespace cactuswick::transport
--- /dev/null
+++ b/packages/transport/src/connection/PeerLink.cpp
@@ -0,0 +1,231 @@
+#include "cactuswick/transport/connection/PeerLink.h"
+
+#include <utility>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include "cactuswick/model/process/Codec.h"
+#include "connection/WebSocketSession.h"
+
+namespace cactuswick::transport {
+
+namespace {
+
+struct StreamDeleter
+{
+  void operator()(bufferevent* aStream) const { bufferevent_free(aStream); }
+};
+
+sockaddr_in
+ToSocketAddress(const Address& aAddress)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aAddress.port_);
+  inet_pton(AF_INET, aAddress.host_.c_str(), &address.sin_addr);
+  return address;
+}
+
+void
+SendAtOnce(int aSocket)
+{
+  const int on = 1;
+  setsockopt(aSocket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+} // namespace
+
+struct PeerLink::State
+{
+  State(EventLoop& aLoop,
+        int aSocket,
+        bool aIsClient,
+        PeerLinkLimits aLimits,
+        PeerLinkHooks aHooks)
+    : loop_(aLoop)
+    , limits_(aLimits)
+    , hooks_(std::move(aHooks))
+    , stream_(
+        bufferevent_socket_new(aLoop.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE))
+    , session_({ .isClient_ = aIsClient,
+                 .write_ =
+                   [this](const char* aData, size_t aSize) {
+                     Write(aData, aSize);
+                   },
+                 .onOpen_ = [this] { OnOpen(); },
+                 .onMessage_ =
+                   [this](const std::string& aBytes) { OnMessage(aBytes); },
+                 .onClosed_ = [this] { Close(); } })
+    , timer_(aLoop, [this] { OnTimer(); })
+    , lastHeardMs_(EventLoop::NowMs())
+  {
+    bufferevent_setcb(stream_.get(), &OnRead, nullptr, &OnEvent, this);
+    bufferevent_enable(stream_.get(), EV_READ | EV_WRITE);
+    timer_.StartRepeating(limits_.keepAliveMs_);
+  }
+
+  void Write(const char* aData, size_t aSize)
+  {
+    evbuffer* output = bufferevent_get_output(stream_.get());
+    bytesSent_ += aSize;
+    bufferevent_write(stream_.get(), aData, aSize);
+    if (evbuffer_get_length(output) > limits_.maxPendingBytes_) {
+      Close();
+    }
+  }
+
+  void OnOpen()
+  {
+    open_ = true;
+    if (hooks_.onOpen_) {
+      hooks_.onOpen_();
+    }
+  }
+
+  void OnMessage(const std::string& aBytes)
+  {
+    auto message = model::DecodeCbor<PeerMessage>(aBytes);
+    if (!message.ok()) {
+      Close();
+      return;
+    }
+    if (!closed_ && !std::holds_alternative<KeepAlive>(*message)) {
+      hooks_.onMessage_(*std::move(message));
+    }
+  }
+
+  void OnTimer()
+  {
+    if (EventLoop::NowMs() - lastHeardMs_ > limits_.silenceMs_) {
+      Close();
+      return;
+    }
+    if (open_ && !sentSinceTimer_) {
+      Send(KeepAlive{});
+    }
+    sentSinceTimer_ = false;
+  }
+
+  void Send(const PeerMessage& aMessage)
+  {
+    if (open_ && !closed_) {
+      sentSinceTimer_ = true;
+      session_.Send(model::EncodeCbor(aMessage));
+    }
+  }
+
+  /// The owner hears of it from the loop, never from inside its own call.
+  void Close()
+  {
+    if (closed_) {
+      return;
+    }
+    closed_ = true;
+    open_ = false;
+    timer_.Stop();
+    bufferevent_disable(stream_.get(), EV_READ | EV_WRITE);
+    const std::weak_ptr<bool> alive = alive_;
+    loop_.Defer([this, alive] {
+      if (!alive.expired() && hooks_.onClosed_) {
+        // Moved out, since the hook destroys this link.
+        const auto hook = std::move(hooks_.onClosed_);
+        hook();
+      }
+    });
+  }
+
+  static void OnRead(bufferevent* aStream, void* aSelf)
+  {
+    auto* self = static_cast<State*>(aSelf);
+    self->lastHeardMs_ = EventLoop::NowMs();
+    evbuffer* input = bufferevent_get_input(aStream);
+    std::string bytes(evbuffer_get_length(input), '\0');
+    evbuffer_remove(input, bytes.data(), bytes.size());
+    self->session_.Feed(bytes.data(), bytes.size());
+  }
+
+  static void OnEvent(bufferevent* aStream, short aWhat, void* aSelf)
+  {
+    auto* self = static_cast<State*>(aSelf);
+    if ((aWhat & BEV_EVENT_CONNECTED) != 0) {
+      SendAtOnce(bufferevent_getfd(aStream));
+      self->session_.Start();
+    } else if ((aWhat & (BEV_EVENT_ERROR | BEV_EVENT_EOF)) != 0) {
+      self->Close();
+    }
+  }
+
+  EventLoop& loop_;
+  PeerLinkLimits limits_;
+  PeerLinkHooks hooks_;
+  std::unique_ptr<bufferevent, StreamDeleter> stream_;
+  WebSocketSession session_;
+  Timer timer_;
+  int64_t lastHeardMs_;
+  uint64_t bytesSent_ = 0;
+  bool open_ = false;
+  bool closed_ = false;
+  bool sentSinceTimer_ = false;
+  /// Tells deferred calls whether this link still exists.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+PeerLink::PeerLink(EventLoop& aLoop,
+                   const Address& aAddress,
+                   PeerLinkLimits aLimits,
+                   PeerLinkHooks aHooks)
+  : state_(
+      std::make_unique<State>(aLoop, -1, true, aLimits, std::move(aHooks)))
+{
+  sockaddr_in address = ToSocketAddress(aAddress);
+  const int result =
+    bufferevent_socket_connect(state_->stream_.get(),
+                               reinterpret_cast<sockaddr*>(&address),
+                               sizeof(address));
+  if (result != 0) {
+    state_->Close();
+  }
+}
+
+PeerLink::PeerLink(EventLoop& aLoop,
+                   int aSocket,
+                   PeerLinkLimits aLimits,
+                   PeerLinkHooks aHooks)
+  : state_(std::make_unique<State>(aLoop,
+                                   aSocket,
+                                   false,
+                                   aLimits,
+                                   std::move(aHooks)))
+{
+  SendAtOnce(aSocket);
+  state_->session_.Start();
+}
+
+PeerLink::~PeerLink() = default;
+
+void
+PeerLink::Send(const PeerMessage& aMessage)
+{
+  state_->Send(aMessage);
+}
+
+bool
+PeerLink::IsOpen() const
+{
+  return state_->open_;
+}
+
+uint64_t
+PeerLink::BytesSent() const
+{
+  return state_->bytesSent_;
+}
+
+} // namespace cactuswick::transport
