--- /dev/null
+++ b/packages/transport/src/connection/PeerListener.cpp
@@ -0,0 +1,106 @@
+#include "cactuswick/transport/connection/PeerListener.h"
+
+#include <map>
+#include <utility>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+
+#include <event2/listener.h>
+
+#include "cactuswick/model/process/Error.h"
+
+namespace cactuswick::transport {
+
+namespace {
+
+constexpr int kBacklog = 256;
+
+struct ListenerDeleter
+{
+  void operator()(evconnlistener* aListener) const
+  {
+    evconnlistener_free(aListener);
+  }
+};
+
+} // namespace
+
+struct PeerListener::State
+{
+  EventLoop& loop_;
+  PeerListenerOptions options_;
+  std::unique_ptr<evconnlistener, ListenerDeleter> listener_;
+  LinkId lastLink_ = 0;
+  std::map<LinkId, std::unique_ptr<PeerLink>> links_;
+
+  void Accept(int aSocket)
+  {
+    const LinkId id = ++lastLink_;
+    links_[id] = std::make_unique<PeerLink>(
+      loop_,
+      aSocket,
+      options_.limits_,
+      PeerLinkHooks{ .onMessage_ =
+                       [this, id](PeerMessage aMessage) {
+                         options_.onMessage_(id, std::move(aMessage));
+                       },
+                     .onClosed_ = [this, id] { OnClosed(id); } });
+  }
+
+  void OnClosed(LinkId aLink)
+  {
+    links_.erase(aLink);
+    if (options_.onDown_) {
+      options_.onDown_(aLink);
+    }
+  }
+};
+
+PeerListener::PeerListener(EventLoop& aLoop, PeerListenerOptions aOptions)
+  : state_(std::make_unique<State>(
+      State{ aLoop, std::move(aOptions), nullptr, 0, {} }))
+{
+}
+
+PeerListener::~PeerListener() = default;
+
+absl::Status
+PeerListener::Listen(const Address& aAddress)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aAddress.port_);
+  inet_pton(AF_INET, aAddress.host_.c_str(), &address.sin_addr);
+  const auto accept = [](evconnlistener*,
+                         evutil_socket_t aSocket,
+                         sockaddr*,
+                         int,
+                         void* aSelf) {
+    static_cast<State*>(aSelf)->Accept(aSocket);
+  };
+  state_->listener_.reset(
+    evconnlistener_new_bind(state_->loop_.Base(),
+                            accept,
+                            state_.get(),
+                            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+                            kBacklog,
+                            reinterpret_cast<sockaddr*>(&address),
+                            sizeof(address)));
+  if (!state_->listener_) {
+    return model::MakeError(
+      model::ErrorKind::kIo, aAddress.ToString(), "cannot bind the address");
+  }
+  return absl::OkStatus();
+}
+
+void
+PeerListener::Send(LinkId aLink, const PeerMessage& aMessage)
+{
+  const auto found = state_->links_.find(aLink);
+  if (found != state_->links_.end()) {
+    found->second->Send(aMessage);
+  }
+}
+
+} // namespace cactuswick::transport
