--- a/packages/client/src/process/ApiClient.cpp
+++ b/packages/client/src/process/ApiClient.cpp
@@ -40,16 +40,14 @@
 
 } // namespace
 
-ApiClient::ApiClient(std::vector<transport::Address> aRouters,
-                     std::string aKey)
+ApiClient::ApiClient(std::vector<transport::Address> aRouters, std::string aKey)
   : routers_(std::move(aRouters))
   , key_(std::move(aKey))
 {
 }
 
 absl::StatusOr<ApiAnswer>
-ApiClient::SendTo(const transport::Address& aRouter,
-                  const ApiRequest& aRequest)
+ApiClient::SendTo(const transport::Address& aRouter, const ApiRequest& aRequest)
 {
   transport::EventLoop loop;
   ApiAnswer answer;
--- /dev/null
+++ b/packages/client/src/process/CommandTable.cpp
@@ -0,0 +1,175 @@
+#include "process/CommandTable.h"
+
+#include <absl/strings/numbers.h>
+
+#include "cactuswick/model/process/Error.h"
+
+namespace cactuswick::client {
+
+namespace {
+
+using Context = CommandContext;
+
+absl::StatusOr<int64_t>
+ToAmount(const std::string& aText)
+{
+  int64_t amount = 0;
+  if (!absl::SimpleAtoi(aText, &amount) || amount < 1) {
+    return model::MakeError(
+      model::ErrorKind::kOutOfRange, "amount", "expected a positive integer");
+  }
+  return amount;
+}
+
+/// A command of a name and an amount.
+using AmountCommand = absl::Status (*)(const Context&,
+                                       const std::string&,
+                                       int64_t);
+
+auto
+WithAmount(AmountCommand aCommand)
+{
+  return [aCommand](const Context& aContext, const Words& aWords) {
+    const auto amount = ToAmount(aWords[1]);
+    return amount.ok() ? aCommand(aContext, aWords[0], *amount)
+                       : amount.status();
+  };
+}
+
+/// A command of one name.
+using NameCommand = absl::Status (*)(const Context&, const std::string&);
+
+auto
+WithName(NameCommand aCommand)
+{
+  return [aCommand](const Context& aContext, const Words& aWords) {
+    return aCommand(aContext, aWords[0]);
+  };
+}
+
+absl::Status
+RunWatch(const Context& aContext, const Words& aWords)
+{
+  if (aWords.empty()) {
+    return Watch(aContext, 0);
+  }
+  const auto changes = ToAmount(aWords[0]);
+  return changes.ok() ? Watch(aContext, static_cast<int>(*changes))
+                      : changes.status();
+}
+
+absl::Status
+RunEndRouter(const Context& aContext, const Words& aWords)
+{
+  const auto incarnation = ToAmount(aWords[0]);
+  return incarnation.ok() ? EndRouter(aContext, *incarnation)
+                          : incarnation.status();
+}
+
+absl::Status
+RunReport(const Context& aContext, const Words& aWords)
+{
+  return ReportBurn(aContext, aWords.size() > 1 ? aWords[1] : "table");
+}
+
+std::vector<CommandEntry>
+ResourceCommands()
+{
+  return {
+    { "apply", "-f FILE", "create or change the resources of a JSON file" },
+    { "get", "TYPE[/NAME]", "show resources or budgets", 1, 1, WithName(Get) },
+    { "describe",
+      "TYPE/NAME",
+      "show one, and the routers that have it in force",
+      1,
+      1,
+      WithName(Describe) },
+    { "watch",
+      "[CHANGES]",
+      "print revisions as they come into force",
+      0,
+      1,
+      RunWatch },
+    { "delete",
+      "TYPE/NAME",
+      "delete a resource or a used-up budget",
+      1,
+      1,
+      WithName(Delete) },
+    { "topup",
+      "WORKSPACE/BUDGET TOKENS",
+      "add prepaid tokens",
+      2,
+      2,
+      WithAmount(TopUp) },
+    { "release",
+      "WORKSPACE/BUDGET TOKENS",
+      "free held tokens",
+      2,
+      2,
+      WithAmount(Release) },
+    { "key",
+      "WORKSPACE NAME",
+      "make an API key; it is printed once",
+      2,
+      2,
+      [](const Context& aContext, const Words& aWords) {
+        return CreateKey(aContext, aWords[0], aWords[1]);
+      } },
+  };
+}
+
+std::vector<CommandEntry>
+DeploymentCommands()
+{
+  return {
+    { "status",
+      "",
+      "show control replicas and routers",
+      0,
+      0,
+      [](const Context& aContext, const Words&) { return Status(aContext); } },
+    { "drain",
+      "ROUTER",
+      "make a router (address:port) drain and stop",
+      1,
+      1,
+      WithName(Drain) },
+    { "end-router",
+      "INCARNATION",
+      "state that a router is dead for good",
+      1,
+      1,
+      RunEndRouter },
+    { "replica",
+      "add|remove ID",
+      "change the control replicas",
+      2,
+      2,
+      [](const Context& aContext, const Words& aWords) {
+        return ChangeReplica(aContext, aWords[0], aWords[1]);
+      } },
+    { "report",
+      "burn [table|json|html]",
+      "service-level burn",
+      1,
+      2,
+      RunReport },
+  };
+}
+
+} // namespace
+
+const std::vector<CommandEntry>&
+AllCommands()
+{
+  static const auto kAll = [] {
+    auto all = ResourceCommands();
+    const auto rest = DeploymentCommands();
+    all.insert(all.end(), rest.begin(), rest.end());
+    return all;
+  }();
+  return kAll;
+}
+
+} // namespace cactuswick::client
--- a/packages/client/src/process/Commands.cpp
+++ b/packages/client/src/process/Commands.cpp
@@ -39,8 +39,7 @@
   if (!answer.ok()) {
     return answer.status();
   }
-  const auto message =
-    model::DecodeJson<transport::PeerMessage>(answer->body_);
+  const auto message = model::DecodeJson<transport::PeerMessage>(answer->body_);
   if (!message.ok()) {
     return message.status();
   }
@@ -54,8 +53,7 @@
 absl::StatusOr<transport::ControlStatus>
 QueryStatus(const CommandContext& aContext)
 {
-  const auto answer =
-    aContext.api_.Send({ .path_ = Concat(kRoot, "status") });
+  const auto answer = aContext.api_.Send({ .path_ = Concat(kRoot, "status") });
   if (!answer.ok()) {
     return answer.status();
   }
@@ -163,8 +161,7 @@
   const std::string requestId = RequestIdOf(aContext);
   int64_t number = 0;
   for (const auto& one : list) {
-    const auto status =
-      ApplyOne(aContext, one, Concat(requestId, "-", ++number));
+    auto status = ApplyOne(aContext, one, Concat(requestId, "-", ++number));
     if (!status.ok()) {
       return status;
     }
@@ -207,8 +204,8 @@
   int64_t revision = -1;
   int seen = 0;
   while (aChanges == 0 || seen < aChanges) {
-    const auto answer = aContext.api_.Send(
-      { .path_ = Concat(kRoot, "watch?since=", revision) });
+    const auto answer =
+      aContext.api_.Send({ .path_ = Concat(kRoot, "watch?since=", revision) });
     if (!answer.ok()) {
       return answer.status();
     }
@@ -248,11 +245,10 @@
       int64_t aAmount)
 {
   const std::string id = RequestIdOf(aContext);
-  return Post(
-    aContext,
-    "topups",
-    { { "id", id }, { "budget", aBudget }, { "amount", aAmount } },
-    Concat(aBudget, " topped up by ", aAmount, " (id ", id, ")"));
+  return Post(aContext,
+              "topups",
+              { { "id", id }, { "budget", aBudget }, { "amount", aAmount } },
+              Concat(aBudget, " topped up by ", aAmount, " (id ", id, ")"));
 }
 
 absl::Status
@@ -311,12 +307,11 @@
               const std::string& aId)
 {
   if (aAction != "add" && aAction != "remove") {
-    return MakeError(
-      ErrorKind::kMalformed, "action", "expected add or remove");
+    return MakeError(ErrorKind::kMalformed, "action", "expected add or remove");
   }
-  const auto answer = aContext.api_.Send(
-    { .method_ = aAction == "remove" ? "DELETE" : "POST",
-      .path_ = Concat(kRoot, "replicas/", aId) });
+  const auto answer =
+    aContext.api_.Send({ .method_ = aAction == "remove" ? "DELETE" : "POST",
+                         .path_ = Concat(kRoot, "replicas/", aId) });
   if (answer.ok()) {
     std::cout << aId << ": " << aAction << " committed\n";
   }
@@ -328,14 +323,13 @@
           const std::string& aWorkspace,
           const std::string& aName)
 {
-  const std::string key =
-    Concat("cw-", model::RandomHex(), model::RandomHex());
-  const auto status = ApplyOne(aContext,
-                               { { "type", "apikey" },
-                                 { "name", aName },
-                                 { "workspace", aWorkspace },
-                                 { "sha256", model::Sha256Hex(key) } },
-                               RequestIdOf(aContext));
+  const std::string key = Concat("cw-", model::RandomHex(), model::RandomHex());
+  auto status = ApplyOne(aContext,
+                         { { "type", "apikey" },
+                           { "name", aName },
+                           { "workspace", aWorkspace },
+                           { "sha256", model::Sha256Hex(key) } },
+                         RequestIdOf(aContext));
   if (status.ok()) {
     std::cout << "key: " << key << "\n";
   }
--- a/packages/client/src/process/Output.cpp
+++ b/packages/client/src/process/Output.cpp
@@ -35,15 +35,14 @@
   }
   for (const auto& one : aReply.accounts_) {
     const auto& account = one.account_;
-    absl::StrAppendFormat(
-      &text,
-      "%-40s %14d %14d %14d %14d %14d\n",
-      one.budget_,
-      account.toppedUp_,
-      account.billed_,
-      account.granted_,
-      account.held_,
-      account.toppedUp_ - account.billed_ - account.held_);
+    absl::StrAppendFormat(&text,
+                          "%-40s %14d %14d %14d %14d %14d\n",
+                          one.budget_,
+                          account.toppedUp_,
+                          account.billed_,
+                          account.granted_,
+                          account.held_,
+                          account.toppedUp_ - account.billed_ - account.held_);
   }
   if (!aReply.resources_.empty()) {
     absl::StrAppendFormat(
@@ -133,13 +132,12 @@
   }
   for (const auto& resource : aReply.resources_) {
     for (const auto& router : aStatus.routers_) {
-      absl::StrAppendFormat(&text,
-                            "router %d (%s): %s\n",
-                            router.incarnation_,
-                            router.vm_,
-                            router.appliedRevision_ >= resource.revision_
-                              ? "in force"
-                              : "behind");
+      absl::StrAppendFormat(
+        &text,
+        "router %d (%s): %s\n",
+        router.incarnation_,
+        router.vm_,
+        router.appliedRevision_ >= resource.revision_ ? "in force" : "behind");
     }
   }
   return text;
--- a/packages/control/src/connection/ControlService.cpp
+++ b/packages/control/src/connection/ControlService.cpp
@@ -51,13 +51,12 @@
 void
 ControlService::Reject(LinkId aLink, CallId aCall, const absl::Status& aStatus)
 {
-  options_.send_(
-    aLink,
-    transport::ProposeReply{ aCall,
-                             ledger::Rejected{
-                               model::KindOf(aStatus),
-                               model::FieldOf(aStatus),
-                               std::string(aStatus.message()) } });
+  options_.send_(aLink,
+                 transport::ProposeReply{
+                   aCall,
+                   ledger::Rejected{ model::KindOf(aStatus),
+                                     model::FieldOf(aStatus),
+                                     std::string(aStatus.message()) } });
 }
 
 void
@@ -302,11 +301,12 @@
       { member,
         self ? replica.Log().LastIndex() : replica.MatchOf(member.id_) });
   }
-  for (const auto& [id, member] : waiting_) {
+  for (const auto& waiting : waiting_) {
+    const ledger::Member& member = waiting.second;
     const auto& members = replica.Members();
     const bool added =
       std::any_of(members.begin(), members.end(), [&](const auto& aMember) {
-        return aMember.id_ == id;
+        return aMember.id_ == member.id_;
       });
     if (!added) {
       status.waiting_.push_back(member);
--- a/packages/control/src/process/ControlTask.cpp
+++ b/packages/control/src/process/ControlTask.cpp
@@ -68,10 +68,12 @@
     , directory_(aSettings.Get(settings::kControlDataDir))
     , onFatal_(std::move(aOnFatal))
     , tick_(aLoop, [this] { OnTick(); })
-    , synced_(aLoop, [this](StorageSynced aSynced) { OnSynced(aSynced); })
-    , snapshotWritten_(
-        aLoop,
-        [this](SnapshotWritten aWritten) { OnSnapshotWritten(aWritten); })
+    , synced_(aLoop,
+              [this](const StorageSynced& aSynced) { OnSynced(aSynced); })
+    , snapshotWritten_(aLoop,
+                       [this](const SnapshotWritten& aWritten) {
+                         OnSnapshotWritten(aWritten);
+                       })
     , metricsServer_(aLoop, [this] { return ExposeMetrics(); })
   {
   }
@@ -135,13 +137,13 @@
           [this](int64_t aOffset, int64_t aBytes) {
             return ReadSnapshotBytes(directory_, aOffset, aBytes);
           } },
-      ledger::ReplicaStart{
-        .hardState_ = aRecovered.hardState_,
-        .snapshotIndex_ = aHeader.lastIndex_,
-        .snapshotTerm_ = aHeader.lastTerm_,
-        .snapshotTimeMs_ = aHeader.lastTimeMs_,
-        .members_ = fresh ? aRecovered.identity_.members_ : aHeader.members_,
-        .entries_ = aRecovered.entries_ });
+      ledger::ReplicaStart{ .hardState_ = aRecovered.hardState_,
+                            .snapshotIndex_ = aHeader.lastIndex_,
+                            .snapshotTerm_ = aHeader.lastTerm_,
+                            .snapshotTimeMs_ = aHeader.lastTimeMs_,
+                            .members_ = fresh ? aRecovered.identity_.members_
+                                              : aHeader.members_,
+                            .entries_ = aRecovered.entries_ });
     replica_->Tick(EventLoop::NowMs());
   }
 
@@ -291,9 +293,8 @@
       syncs_.pop_front();
       replica_->Persisted(done.lastIndex_, done.lastTerm_);
       SendAll(done.messages_);
-      metrics_.Observe(
-        Summary::kCommitMs,
-        static_cast<double>(EventLoop::NowMs() - done.sentMs_));
+      metrics_.Observe(Summary::kCommitMs,
+                       static_cast<double>(EventLoop::NowMs() - done.sentMs_));
     }
     ScheduleFlush();
   }
@@ -303,8 +304,7 @@
     std::vector<ledger::Entry> entries;
     while (applied_ < replica_->CommitIndex()) {
       const ledger::Entry& entry = replica_->Log().At(++applied_);
-      const ledger::Reply reply =
-        ledger_.Apply(entry.command_, entry.timeMs_);
+      const ledger::Reply reply = ledger_.Apply(entry.command_, entry.timeMs_);
       service_->OnApplied(entry, reply);
       entries.push_back(entry);
     }
@@ -331,8 +331,7 @@
                " written: ",
                aWritten.bytes_,
                " bytes"));
-    replica_->SnapshotWritten(aWritten.index_,
-                              aWritten.index_ - kKeptEntries);
+    replica_->SnapshotWritten(aWritten.index_, aWritten.index_ - kKeptEntries);
     RewriteLog();
   }
 
@@ -344,12 +343,11 @@
                          .lastIndex_ = log.LastIndex(),
                          .lastTerm_ = log.LastTerm(),
                          .sentMs_ = EventLoop::NowMs() };
-    storage_->Write(
-      { .frame_ = { replica_->Hard(),
-                    std::nullopt,
-                    log.Slice(log.BaseIndex() + 1, count) },
-        .rewrite_ = true,
-        .token_ = lastToken_ });
+    storage_->Write({ .frame_ = { replica_->Hard(),
+                                  std::nullopt,
+                                  log.Slice(log.BaseIndex() + 1, count) },
+                      .rewrite_ = true,
+                      .token_ = lastToken_ });
     syncs_.push_back(std::move(pending));
   }
 
@@ -412,10 +410,9 @@
         loop_,
         transport::PeerDialerOptions{
           .address_ = *address,
-          .onMessage_ =
-            [this](const transport::PeerMessage& aMessage) {
-              OnMessage(0, aMessage);
-            } });
+          .onMessage_ = [this](const transport::PeerMessage& aMessage) {
+            OnMessage(0, aMessage);
+          } });
     }
   }
 
--- a/packages/control/src/process/DataFolder.cpp
+++ b/packages/control/src/process/DataFolder.cpp
@@ -40,8 +40,8 @@
                             "[control] replicas",
                             "expected this VM among the replicas");
   }
-  return ledger::LogStore::Format(
-    aSettings.Get(settings::kControlDataDir), identity);
+  return ledger::LogStore::Format(aSettings.Get(settings::kControlDataDir),
+                                  identity);
 }
 
 absl::Status
@@ -49,8 +49,8 @@
 {
   const std::string vm = aSettings.Get(settings::kVm);
   const ledger::Identity identity{ .id_ = IdOf(vm, model::RandomHex()) };
-  return ledger::LogStore::Format(
-    aSettings.Get(settings::kControlDataDir), identity);
+  return ledger::LogStore::Format(aSettings.Get(settings::kControlDataDir),
+                                  identity);
 }
 
 } // namespace cactuswick::control
--- a/packages/control/src/process/SnapshotTask.cpp
+++ b/packages/control/src/process/SnapshotTask.cpp
@@ -63,10 +63,8 @@
     const std::chrono::duration<double, std::milli> elapsed =
       std::chrono::steady_clock::now() - start;
     lastSnapshot_ = options_.header_.lastIndex_;
-    options_.onWritten_({ lastSnapshot_,
-                          bytes.value_or(0),
-                          elapsed.count(),
-                          bytes.status() });
+    options_.onWritten_(
+      { lastSnapshot_, bytes.value_or(0), elapsed.count(), bytes.status() });
   }
 
   SnapshotTaskOptions options_;
--- a/packages/daemon/src/process/Daemon.cpp
+++ b/packages/daemon/src/process/Daemon.cpp
@@ -37,10 +37,7 @@
 class RoleThread
 {
 public:
-  using Start = std::function<absl::Status(EventLoop&)>;
-  using OnOrder = std::function<void(Order)>;
-
-  RoleThread(std::function<absl::Status(EventLoop&)> aStart,
+  RoleThread(const std::function<absl::Status(EventLoop&)>& aStart,
              std::function<void()> aDrain,
              std::function<void()> aDestroy)
     : drain_(std::move(aDrain))
--- a/packages/daemon/src/process/Main.cpp
+++ b/packages/daemon/src/process/Main.cpp
@@ -71,8 +71,8 @@
     return kExitOk;
   }
   std::cerr << "cactuswickd: " << model::FieldOf(aStatus) << ": "
-            << aStatus.message() << " (" << model::NameOf(model::KindOf(aStatus))
-            << ")\n";
+            << aStatus.message() << " ("
+            << model::NameOf(model::KindOf(aStatus)) << ")\n";
   return kExitFailed;
 }
 
--- a/packages/ledger/include/cactuswick/ledger/request/RouterOp.h
+++ b/packages/ledger/include/cactuswick/ledger/request/RouterOp.h
@@ -285,14 +285,13 @@
 constexpr auto
 FieldsOf(const Settle*)
 {
-  return model::MakeFields(
-    model::Field{ "holder", &Settle::holder_ },
-    model::Field{ "number", &Settle::number_ },
-    model::Field{ "budget", &Settle::budget_ },
-    model::Field{ "key", &Settle::key_ },
-    model::Field{ "fingerprint", &Settle::fingerprint_ },
-    model::Field{ "amount", &Settle::amount_ },
-    model::Field{ "started_ms", &Settle::startedMs_ });
+  return model::MakeFields(model::Field{ "holder", &Settle::holder_ },
+                           model::Field{ "number", &Settle::number_ },
+                           model::Field{ "budget", &Settle::budget_ },
+                           model::Field{ "key", &Settle::key_ },
+                           model::Field{ "fingerprint", &Settle::fingerprint_ },
+                           model::Field{ "amount", &Settle::amount_ },
+                           model::Field{ "started_ms", &Settle::startedMs_ });
 }
 constexpr auto
 FieldsOf(const Claim*)
@@ -351,9 +350,8 @@
 constexpr auto
 FieldsOf(const SettleResult*)
 {
-  return model::MakeFields(
-    model::Field{ "state", &SettleResult::state_ },
-    model::Field{ "charged", &SettleResult::charged_ });
+  return model::MakeFields(model::Field{ "state", &SettleResult::state_ },
+                           model::Field{ "charged", &SettleResult::charged_ });
 }
 constexpr auto
 FieldsOf(const ClaimResult*)
--- a/packages/ledger/include/cactuswick/ledger/version/Ledger.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Ledger.h
@@ -16,13 +16,13 @@
 namespace cactuswick::ledger {
 
 /// How long callers may retry under one key after their first try.
-inline constexpr LogTimeMs kSettlementHorizonMs = 10 * 60 * 1'000;
+inline constexpr LogTimeMs kSettlementHorizonMs = 10LL * 60 * 1'000;
 
 /// How long the claim of a non-idempotent call is remembered.
 inline constexpr LogTimeMs kClaimHorizonMs = 24LL * 3'600 * 1'000;
 
 /// How long an operator's resend gets its first answer.
-inline constexpr LogTimeMs kOperatorHorizonMs = 3'600 * 1'000;
+inline constexpr LogTimeMs kOperatorHorizonMs = 3'600LL * 1'000;
 
 /// How long a top-up's id is recognised.
 inline constexpr LogTimeMs kTopUpHorizonMs = 30LL * 24 * 3'600 * 1'000;
--- a/packages/ledger/include/cactuswick/ledger/version/Replica.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Replica.h
@@ -26,7 +26,7 @@
   SteadyMs electionMinMs_ = 500;
   SteadyMs electionMaxMs_ = 1'000;
   size_t maxEntriesPerAppend_ = 512;
-  int64_t snapshotChunkBytes_ = 256 * 1'024;
+  int64_t snapshotChunkBytes_ = int64_t{ 256 } * 1'024;
   uint64_t seed_ = 1;
   /// Reads bytes of the snapshot file from an offset.
   std::function<std::string(int64_t aOffset, int64_t aBytes)> readSnapshot_;
--- a/packages/ledger/src/process/FrameFile.cpp
+++ b/packages/ledger/src/process/FrameFile.cpp
@@ -179,7 +179,8 @@
 absl::Status
 SyncDirectory(const std::string& aPath)
 {
-  const int descriptor = open(aPath.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  const int descriptor =
+    open(aPath.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
   if (descriptor < 0) {
     return IoError(aPath, "open");
   }
--- a/packages/ledger/src/process/LogStore.cpp
+++ b/packages/ledger/src/process/LogStore.cpp
@@ -48,8 +48,7 @@
          entries.back().index_ >= *aFrame.truncateFrom_) {
     entries.pop_back();
   }
-  entries.insert(
-    entries.end(), aFrame.entries_.begin(), aFrame.entries_.end());
+  entries.insert(entries.end(), aFrame.entries_.begin(), aFrame.entries_.end());
 }
 
 } // namespace
@@ -65,12 +64,10 @@
   std::error_code error;
   std::filesystem::create_directories(aDirectory, error);
   if (error) {
-    return model::MakeError(
-      model::ErrorKind::kIo, aDirectory, error.message());
+    return model::MakeError(model::ErrorKind::kIo, aDirectory, error.message());
   }
-  return WriteWhole(aDirectory,
-                    aDirectory + kIdentityName,
-                    model::EncodeCbor(aIdentity))
+  return WriteWhole(
+           aDirectory, aDirectory + kIdentityName, model::EncodeCbor(aIdentity))
     .status();
 }
 
@@ -84,12 +81,12 @@
 LogStore::Open(const std::string& aDirectory, Recovered& aRecovered)
 {
   bool identified = false;
-  const auto identity = ReadFrames(
-    aDirectory + kIdentityName, [&](std::string_view aPayload) {
+  const auto identity =
+    ReadFrames(aDirectory + kIdentityName, [&](std::string_view aPayload) {
       auto decoded = model::DecodeCbor<Identity>(aPayload);
       identified = decoded.ok();
       if (identified) {
-        aRecovered.identity_ = *std::move(decoded);
+        aRecovered.identity_ = *decoded;
       }
       return decoded.status();
     });
@@ -137,8 +134,8 @@
 absl::Status
 LogStore::Rewrite(const LogFrame& aFrame)
 {
-  auto file = WriteWhole(
-    directory_, directory_ + kLogName, model::EncodeCbor(aFrame));
+  auto file =
+    WriteWhole(directory_, directory_ + kLogName, model::EncodeCbor(aFrame));
   if (!file.ok()) {
     return file.status();
   }
--- a/packages/ledger/src/process/SnapshotFile.cpp
+++ b/packages/ledger/src/process/SnapshotFile.cpp
@@ -56,9 +56,8 @@
 absl::Status
 Incomplete(const std::string& aPath)
 {
-  return model::MakeError(model::ErrorKind::kCorruptStorage,
-                          aPath,
-                          "the snapshot is incomplete");
+  return model::MakeError(
+    model::ErrorKind::kCorruptStorage, aPath, "the snapshot is incomplete");
 }
 
 } // namespace
@@ -106,7 +105,7 @@
     if (frames++ == 0) {
       auto decoded = model::DecodeCbor<SnapshotHeader>(aPayload);
       if (decoded.ok()) {
-        header = *std::move(decoded);
+        header = *decoded;
       }
       return decoded.status();
     }
--- a/packages/ledger/src/version/Ledger.cpp
+++ b/packages/ledger/src/version/Ledger.cpp
@@ -111,7 +111,8 @@
   }
   Account& account = found->second;
   const Tokens available = account.Available();
-  const Tokens minimum = std::clamp(aOp.minimum_, Tokens{ 1 }, model::kMaxTokens);
+  const Tokens minimum =
+    std::clamp(aOp.minimum_, Tokens{ 1 }, model::kMaxTokens);
   GrantResult result{ .available_ = available,
                       .elsewhere_ = account.granted_ + account.held_ };
   if (const Tokens* share = FindShare(aOp.budget_, aRouter)) {
@@ -145,8 +146,8 @@
 OpResult
 Ledger::OnOp(Incarnation, const Settle& aOp)
 {
-  const KeyHash key = HashKey(
-    model::WorkspaceOfBudget(aOp.budget_), aOp.key_, aOp.fingerprint_);
+  const KeyHash key =
+    HashKey(model::WorkspaceOfBudget(aOp.budget_), aOp.key_, aOp.fingerprint_);
   const auto earlier = settled_.Find(key);
   const bool resent = earlier && earlier->holder_ == aOp.holder_ &&
                       earlier->number_ == aOp.number_;
@@ -155,10 +156,8 @@
   }
   const Tokens before = earlier ? earlier->amount_ : 0;
   const Tokens charge = std::max(aOp.amount_ - before, Tokens{ 0 });
-  const bool tooOld =
-    !earlier && aOp.startedMs_ <= settled_.ForgottenThrough();
-  if (charge > 0 &&
-      !TakeFromShare(aOp.budget_, aOp.holder_, charge, tooOld)) {
+  const bool tooOld = !earlier && aOp.startedMs_ <= settled_.ForgottenThrough();
+  if (charge > 0 && !TakeFromShare(aOp.budget_, aOp.holder_, charge, tooOld)) {
     return SettleResult{ SettleState::kUnaccounted };
   }
   if (tooOld) {
@@ -313,8 +312,7 @@
 Ledger::CheckInvariants() const
 {
   const auto breach = [](const std::string& aBudget, std::string_view aWhat) {
-    return model::MakeError(
-      model::ErrorKind::kCorruptStorage, aBudget, aWhat);
+    return model::MakeError(model::ErrorKind::kCorruptStorage, aBudget, aWhat);
   };
   for (const auto& [budget, account] : accounts_) {
     Tokens granted = 0;
--- a/packages/ledger/src/version/LedgerResources.cpp
+++ b/packages/ledger/src/version/LedgerResources.cpp
@@ -110,7 +110,8 @@
   // one: versions only rise.
   const int64_t version = current == nullptr ? 1 : current->version_ + 1;
   resources_[key] = { aCommand.spec_, version, ++counters_.revision_, false };
-  return Remember(aCommand.requestId_, Accepted{ version, counters_.revision_ });
+  return Remember(aCommand.requestId_,
+                  Accepted{ version, counters_.revision_ });
 }
 
 Reply
--- a/packages/ledger/src/version/LedgerRouters.cpp
+++ b/packages/ledger/src/version/LedgerRouters.cpp
@@ -192,8 +192,8 @@
   RouterRecord& router = routers_[aRouter];
   router.appliedRevision_ =
     std::max(router.appliedRevision_, aOp.appliedRevision_);
-  router.settledBeforeMs_ =
-    std::clamp(aOp.settledBeforeMs_, router.settledBeforeMs_, counters_.timeMs_);
+  router.settledBeforeMs_ = std::clamp(
+    aOp.settledBeforeMs_, router.settledBeforeMs_, counters_.timeMs_);
   const bool knows = aOp.appliedRevision_ >= router.copiesLostRevision_;
   if (knows && !aOp.copiesOut_) {
     router.copiesLost_ = false;
--- a/packages/ledger/src/version/Replica.cpp
+++ b/packages/ledger/src/version/Replica.cpp
@@ -219,10 +219,10 @@
     return;
   }
   const bool awaited =
-    aMessage.preVote_ ? role_ == ReplicaRole::kPreCandidate &&
-                          aMessage.term_ == hardState_.term_ + 1
-                      : role_ == ReplicaRole::kCandidate &&
-                          aMessage.term_ == hardState_.term_;
+    aMessage.preVote_
+      ? role_ == ReplicaRole::kPreCandidate &&
+          aMessage.term_ == hardState_.term_ + 1
+      : role_ == ReplicaRole::kCandidate && aMessage.term_ == hardState_.term_;
   if (awaited) {
     CountVote(aMessage.from_);
   }
@@ -271,8 +271,8 @@
   });
   for (const auto& member : members_) {
     if (member.id_ != options_.id_ && !peers_.contains(member.id_)) {
-      peers_[member.id_] = Peer{ .next_ = log_.LastIndex() + 1,
-                                 .lastHeardMs_ = nowMs_ };
+      peers_[member.id_] =
+        Peer{ .next_ = log_.LastIndex() + 1, .lastHeardMs_ = nowMs_ };
     }
   }
 }
--- a/packages/ledger/src/version/ReplicaAppend.cpp
+++ b/packages/ledger/src/version/ReplicaAppend.cpp
@@ -47,10 +47,9 @@
 {
   const LogTimeMs time =
     std::max(log_.LastTimeMs(), termStartTimeMs_ + (nowMs_ - termStartMs_));
-  Entry entry{ log_.LastIndex() + 1,
-               hardState_.term_,
-               time,
-               std::move(aCommand) };
+  Entry entry{
+    log_.LastIndex() + 1, hardState_.term_, time, std::move(aCommand)
+  };
   effects_.persist_.push_back(entry);
   const bool members = std::holds_alternative<ChangeMembers>(entry.command_);
   log_.Append(std::move(entry));
@@ -65,9 +64,9 @@
 Replica::UpdateMembers()
 {
   membersIndex_ = log_.LastIndex();
-  while (membersIndex_ > log_.BaseIndex() &&
-         !std::holds_alternative<ChangeMembers>(
-           log_.At(membersIndex_).command_)) {
+  while (
+    membersIndex_ > log_.BaseIndex() &&
+    !std::holds_alternative<ChangeMembers>(log_.At(membersIndex_).command_)) {
     --membersIndex_;
   }
   members_ = MembersThrough(membersIndex_);
@@ -77,8 +76,7 @@
 Replica::MembersThrough(Index aIndex) const
 {
   for (Index i = aIndex; i > log_.BaseIndex(); --i) {
-    if (const auto* change =
-          std::get_if<ChangeMembers>(&log_.At(i).command_)) {
+    if (const auto* change = std::get_if<ChangeMembers>(&log_.At(i).command_)) {
       return change->members_;
     }
   }
@@ -226,9 +224,8 @@
 {
   log_.TruncateFrom(aFrom);
   persisted_ = std::min(persisted_, aFrom - 1);
-  std::erase_if(effects_.persist_, [&](const Entry& aEntry) {
-    return aEntry.index_ >= aFrom;
-  });
+  std::erase_if(effects_.persist_,
+                [&](const Entry& aEntry) { return aEntry.index_ >= aFrom; });
   effects_.truncateFrom_ =
     std::min(effects_.truncateFrom_.value_or(aFrom), aFrom);
 }
@@ -249,7 +246,8 @@
   peer.lastHeardMs_ = nowMs_;
   peer.ackedRound_ = std::max(peer.ackedRound_, aMessage.round_);
   if (!aMessage.success_) {
-    peer.next_ = std::max(peer.match_ + 1, std::min(peer.next_, aMessage.index_));
+    peer.next_ =
+      std::max(peer.match_ + 1, std::min(peer.next_, aMessage.index_));
     replicate_ = true;
     return;
   }
@@ -296,8 +294,8 @@
                        .lastIndex_ = snapshotIndex_,
                        .lastTerm_ = snapshotTerm_,
                        .offset_ = aPeer.snapshotOffset_ };
-  chunk.bytes_.bytes_ = options_.readSnapshot_(chunk.offset_,
-                                               options_.snapshotChunkBytes_);
+  chunk.bytes_.bytes_ =
+    options_.readSnapshot_(chunk.offset_, options_.snapshotChunkBytes_);
   chunk.done_ = static_cast<int64_t>(chunk.bytes_.bytes_.size()) <
                 options_.snapshotChunkBytes_;
   aPeer.lastSentMs_ = nowMs_;
--- a/packages/model/include/cactuswick/model/process/CodecImpl.h
+++ b/packages/model/include/cactuswick/model/process/CodecImpl.h
@@ -24,12 +24,17 @@
 using nlohmann::json;
 
 template<class T>
-concept Described = requires(const T* aValue) { FieldsOf(aValue); };
+concept Described = requires(const T* aValue)
+{
+  FieldsOf(aValue);
+};
 
 /// An enum whose names are given by `EnumNames(const T*)`, in order.
 template<class T>
-concept NamedEnum =
-  std::is_enum_v<T> && requires(const T* aValue) { EnumNames(aValue); };
+concept NamedEnum = std::is_enum_v<T> && requires(const T* aValue)
+{
+  EnumNames(aValue);
+};
 
 enum class Unknown
 {
@@ -39,22 +44,28 @@
 
 template<class T>
 struct IsVector : std::false_type
-{};
+{
+};
 template<class T>
 struct IsVector<std::vector<T>> : std::true_type
-{};
+{
+};
 template<class T>
 struct IsOptional : std::false_type
-{};
+{
+};
 template<class T>
 struct IsOptional<std::optional<T>> : std::true_type
-{};
+{
+};
 template<class T>
 struct IsVariant : std::false_type
-{};
+{
+};
 template<class... T>
 struct IsVariant<std::variant<T...>> : std::true_type
-{};
+{
+};
 
 template<class T>
 json
@@ -118,9 +129,9 @@
   }
   const bool positive = aDocument.is_number_unsigned();
   const auto wide = aDocument.get<int64_t>();
-  const bool overflow = positive && aDocument.get<uint64_t>() >
-                                      static_cast<uint64_t>(
-                                        std::numeric_limits<int64_t>::max());
+  const bool overflow =
+    positive && aDocument.get<uint64_t>() >
+                  static_cast<uint64_t>(std::numeric_limits<int64_t>::max());
   if (overflow || wide < std::numeric_limits<T>::min() ||
       wide > std::numeric_limits<T>::max()) {
     return MakeError(ErrorKind::kOutOfRange, aPath, "integer overflows");
@@ -161,8 +172,8 @@
   aValue.reserve(aDocument.size());
   for (const auto& item : aDocument) {
     T element{};
-    auto status = FromJson(
-      item, Concat(aPath, "[", aValue.size(), "]"), aUnknown, element);
+    auto status =
+      FromJson(item, Concat(aPath, "[", aValue.size(), "]"), aUnknown, element);
     if (!status.ok()) {
       return status;
     }
@@ -178,10 +189,9 @@
                 Unknown aUnknown,
                 std::variant<T...>& aValue)
 {
-  const auto type = aDocument.is_object() ? aDocument.find("type")
-                                          : aDocument.end();
-  if (!aDocument.is_object() || type == aDocument.end() ||
-      !type->is_string()) {
+  const auto type =
+    aDocument.is_object() ? aDocument.find("type") : aDocument.end();
+  if (!aDocument.is_object() || type == aDocument.end() || !type->is_string()) {
     return Wrong(aPath, "an object with a type");
   }
   const auto& name = type->template get_ref<const std::string&>();
@@ -218,16 +228,12 @@
       return true;
     }
     known += aField.name_ == "type" ? 0 : 1;
-    status = FromJson(*found,
-                      Concat(prefix, aField.name_),
-                      aUnknown,
-                      aValue.*(aField.member_));
+    status = FromJson(
+      *found, Concat(prefix, aField.name_), aUnknown, aValue.*(aField.member_));
     return status.ok();
   };
   std::apply(
-    [&](const auto&... aField) {
-      static_cast<void>((readOne(aField) && ...));
-    },
+    [&](const auto&... aField) { static_cast<void>((readOne(aField) && ...)); },
     FieldsOf(&aValue));
   if (status.ok() && aUnknown == Unknown::kReject &&
       known != aDocument.size()) {
--- a/packages/model/src/process/Error.cpp
+++ b/packages/model/src/process/Error.cpp
@@ -72,6 +72,7 @@
 {
   static const auto kNames = [] {
     std::vector<std::string_view> names;
+    names.reserve(kTraits.size());
     for (const auto& traits : kTraits) {
       names.push_back(traits.name_);
     }
--- a/packages/model/src/process/Json.cpp
+++ b/packages/model/src/process/Json.cpp
@@ -82,8 +82,7 @@
 std::string
 PrintJson(const json& aDocument, int aIndent)
 {
-  return aDocument.dump(
-    aIndent, ' ', false, json::error_handler_t::replace);
+  return aDocument.dump(aIndent, ' ', false, json::error_handler_t::replace);
 }
 
 } // namespace cactuswick::model
--- a/packages/model/src/version/Resource.cpp
+++ b/packages/model/src/version/Resource.cpp
@@ -31,9 +31,8 @@
   if (aValue >= aLow && aValue <= aHigh) {
     return absl::OkStatus();
   }
-  return MakeError(ErrorKind::kOutOfRange,
-                   aField,
-                   Concat("expected ", aLow, " to ", aHigh));
+  return MakeError(
+    ErrorKind::kOutOfRange, aField, Concat("expected ", aLow, " to ", aHigh));
 }
 
 absl::Status
@@ -75,21 +74,18 @@
     { ValidateName("name", aSpec.name_),
       CheckRange("priority", aSpec.priority_, 0, kMaxPriority),
       CheckRange("floor_percent", aSpec.floorPercent_, 0, 90),
-      CheckRange("first_token_target_ms",
-                 aSpec.firstTokenTargetMs_,
-                 1,
-                 kMaxDurationMs),
+      CheckRange(
+        "first_token_target_ms", aSpec.firstTokenTargetMs_, 1, kMaxDurationMs),
       CheckRange("deadline_ms", aSpec.deadlineMs_, 1, kMaxDurationMs) });
 }
 
 absl::Status
 Check(const Model& aSpec)
 {
-  return First({ ValidateName("name", aSpec.name_),
-                 CheckRange("max_output_tokens",
-                            aSpec.maxOutputTokens_,
-                            1,
-                            kMaxOutputTokens) });
+  return First(
+    { ValidateName("name", aSpec.name_),
+      CheckRange(
+        "max_output_tokens", aSpec.maxOutputTokens_, 1, kMaxOutputTokens) });
 }
 
 absl::Status
@@ -103,9 +99,9 @@
 absl::Status
 Check(const ApiKey& aSpec)
 {
-  const bool hex = aSpec.sha256_.size() == kSha256HexBytes &&
-                   aSpec.sha256_.find_first_not_of("0123456789abcdef") ==
-                     std::string::npos;
+  const bool hex =
+    aSpec.sha256_.size() == kSha256HexBytes &&
+    aSpec.sha256_.find_first_not_of("0123456789abcdef") == std::string::npos;
   if (!hex) {
     return MakeError(
       ErrorKind::kMalformed, "sha256", "expected 64 hexadecimal digits");
--- a/packages/router/src/connection/CallerApi.cpp
+++ b/packages/router/src/connection/CallerApi.cpp
@@ -138,9 +138,9 @@
 {
   const std::string token = BearerToken(aExchange);
   const auto* workspace =
-    token.empty() ? nullptr
-                  : options_.services_.config_.FindByKey(
-                      model::Sha256Hex(token));
+    token.empty()
+      ? nullptr
+      : options_.services_.config_.FindByKey(model::Sha256Hex(token));
   if (workspace == nullptr) {
     return MakeError(ErrorKind::kUnauthorized,
                      "Authorization",
@@ -203,7 +203,7 @@
   const std::string budget = aExchange.HeaderValue("X-Cactuswick-Budget");
   const std::string name = budget.empty() ? kDefaultBudget : budget;
   // Always inside the caller's own workspace.
-  const auto valid = model::ValidateName("X-Cactuswick-Budget", name);
+  auto valid = model::ValidateName("X-Cactuswick-Budget", name);
   if (!valid.ok()) {
     return valid;
   }
@@ -215,10 +215,8 @@
                      "expected at most 128 printable characters");
   }
   if (aInfo.key_.empty()) {
-    aInfo.key_ = Concat("router-",
-                        options_.services_.control_.Incarnation(),
-                        "-",
-                        aInfo.id_);
+    aInfo.key_ = Concat(
+      "router-", options_.services_.control_.Incarnation(), "-", aInfo.id_);
   }
   aInfo.fingerprint_ = static_cast<int64_t>(model::Hash64(aExchange.Body()));
   return absl::OkStatus();
@@ -276,8 +274,7 @@
   const auto* declared =
     request.ok() ? config.Find<model::Model>(request->model_) : nullptr;
   if (status.ok() && options_.isReady_() && declared == nullptr) {
-    status =
-      MakeError(ErrorKind::kUnknownResource, "model", "no such model");
+    status = MakeError(ErrorKind::kUnknownResource, "model", "no such model");
   }
   status.Update(info.status());
   if (!status.ok()) {
@@ -373,14 +370,14 @@
       }
       auto list = nlohmann::json::array();
       for (const auto& account : aReply->accounts_) {
-        list.push_back({ { "budget", account.budget_ },
-                         { "topped_up", account.account_.toppedUp_ },
-                         { "billed", account.account_.billed_ },
-                         { "held", account.account_.held_ },
-                         { "remaining",
-                           account.account_.toppedUp_ -
-                             account.account_.billed_ -
-                             account.account_.held_ } });
+        list.push_back(
+          { { "budget", account.budget_ },
+            { "topped_up", account.account_.toppedUp_ },
+            { "billed", account.account_.billed_ },
+            { "held", account.account_.held_ },
+            { "remaining",
+              account.account_.toppedUp_ - account.account_.billed_ -
+                account.account_.held_ } });
       }
       ReplyJson(*exchange, model::PrintJson(list));
     });
--- a/packages/router/src/connection/EndpointApi.cpp
+++ b/packages/router/src/connection/EndpointApi.cpp
@@ -25,7 +25,8 @@
 absl::Status
 ValidateAnnouncement(const model::Announcement& aAnnouncement)
 {
-  absl::Status status = model::ValidateName("endpoint", aAnnouncement.endpoint_);
+  absl::Status status =
+    model::ValidateName("endpoint", aAnnouncement.endpoint_);
   status.Update(
     model::ValidateName("failure_domain", aAnnouncement.failureDomain_));
   status.Update(
--- a/packages/router/src/connection/OperatorApi.cpp
+++ b/packages/router/src/connection/OperatorApi.cpp
@@ -51,9 +51,8 @@
     return;
   }
   if (const auto* rejected = std::get_if<ledger::Rejected>(&*aReply)) {
-    ReplyError(
-      aExchange,
-      MakeError(rejected->kind_, rejected->field_, rejected->detail_));
+    ReplyError(aExchange,
+               MakeError(rejected->kind_, rejected->field_, rejected->detail_));
     return;
   }
   ReplyJson(aExchange, model::EncodeJson(*aReply));
@@ -127,9 +126,8 @@
   } else if (aPath == "status") {
     HandleStatus(aExchange);
   } else if (aPath == "burn") {
-    ReplyJson(
-      *aExchange,
-      model::EncodeJson(options_.burn_.Rows(EventLoop::NowMs())));
+    ReplyJson(*aExchange,
+              model::EncodeJson(options_.burn_.Rows(EventLoop::NowMs())));
   } else if (aPath == "watch") {
     HandleWatch(aExchange);
   } else if (aPath == "drain" && post) {
@@ -171,11 +169,10 @@
   }
   HandleCommand(
     aExchange,
-    ledger::ApplyResource{
-      .requestId_ = RequestIdOf(*aExchange),
-      .baseVersion_ =
-        ToInteger(aExchange->HeaderValue("X-Cactuswick-Base-Version")),
-      .spec_ = *spec });
+    ledger::ApplyResource{ .requestId_ = RequestIdOf(*aExchange),
+                           .baseVersion_ = ToInteger(aExchange->HeaderValue(
+                             "X-Cactuswick-Base-Version")),
+                           .spec_ = *spec });
 }
 
 void
@@ -183,11 +180,10 @@
 {
   HandleCommand(
     aExchange,
-    ledger::DeleteResource{
-      .requestId_ = RequestIdOf(*aExchange),
-      .baseVersion_ =
-        ToInteger(aExchange->HeaderValue("X-Cactuswick-Base-Version")),
-      .key_ = std::string(aKey) });
+    ledger::DeleteResource{ .requestId_ = RequestIdOf(*aExchange),
+                            .baseVersion_ = ToInteger(aExchange->HeaderValue(
+                              "X-Cactuswick-Base-Version")),
+                            .key_ = std::string(aKey) });
 }
 
 void
@@ -203,8 +199,7 @@
         ReplyError(*aExchange, aReply.status());
         return;
       }
-      ReplyJson(*aExchange,
-                model::EncodeJson(transport::PeerMessage(*aReply)));
+      ReplyJson(*aExchange, model::EncodeJson(transport::PeerMessage(*aReply)));
     });
 }
 
--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -42,8 +42,7 @@
 {
   const int64_t now = EventLoop::NowMs();
   for (auto& [budget, queue] : queues_) {
-    if (!queue.waiters_.empty() && !queue.asking_ &&
-        now >= queue.askAgainMs_) {
+    if (!queue.waiters_.empty() && !queue.asking_ && now >= queue.askAgainMs_) {
       AskNext(budget);
     }
   }
@@ -98,8 +97,8 @@
 {
   BudgetQueue& queue = queues_[aBudget];
   queue.asking_ = true;
-  const auto ask = grants_.Ask(
-    aBudget, queue.waiters_.front().amount_, EventLoop::NowMs());
+  const auto ask =
+    grants_.Ask(aBudget, queue.waiters_.front().amount_, EventLoop::NowMs());
   options_.control_.Submit(
     ask, [this, aBudget](const ledger::OpResult& aResult) {
       if (const auto* grant = std::get_if<ledger::GrantResult>(&aResult)) {
@@ -149,9 +148,9 @@
 Biller::ServeWaiters(const std::string& aBudget)
 {
   auto& waiters = queues_[aBudget].waiters_;
-  while (!waiters.empty() &&
-         grants_.Reserve(
-           aBudget, waiters.front().amount_, EventLoop::NowMs())) {
+  while (
+    !waiters.empty() &&
+    grants_.Reserve(aBudget, waiters.front().amount_, EventLoop::NowMs())) {
     const ReserveHook hook = std::move(waiters.front().hook_);
     waiters.pop_front();
     hook(absl::OkStatus());
--- a/packages/router/src/process/Dispatcher.cpp
+++ b/packages/router/src/process/Dispatcher.cpp
@@ -86,8 +86,8 @@
   const auto found = requests_.find(next->id_);
   const DispatchRequest request = std::move(found->second);
   requests_.erase(found);
-  auto endpoint = endpoints_.Acquire(
-    aServes, request.prefixHash_, request.excluded_, now);
+  auto endpoint =
+    endpoints_.Acquire(aServes, request.prefixHash_, request.excluded_, now);
   if (!endpoint) {
     // Only endpoints that failed it before have room: better than none.
     endpoint = endpoints_.Acquire(aServes, request.prefixHash_, {}, now);
@@ -125,8 +125,7 @@
 bool
 Dispatcher::Hear(const model::Announcement& aAnnouncement, int64_t aAgeMs)
 {
-  const bool news =
-    endpoints_.Hear(aAnnouncement, aAgeMs, EventLoop::NowMs());
+  const bool news = endpoints_.Hear(aAnnouncement, aAgeMs, EventLoop::NowMs());
   if (news) {
     for (const auto& serves : aAnnouncement.serves_) {
       SchedulePump(serves);
--- a/packages/router/src/process/RouterPeers.cpp
+++ b/packages/router/src/process/RouterPeers.cpp
@@ -40,9 +40,8 @@
   {
     if (const auto* copies =
           std::get_if<transport::CopySettlements>(&aMessage)) {
-      listener_.Send(aLink,
-                     transport::CopiesStored{ self_,
-                                              options_.onCopies_(*copies) });
+      listener_.Send(
+        aLink, transport::CopiesStored{ self_, options_.onCopies_(*copies) });
     } else if (const auto* drop =
                  std::get_if<transport::DropCopies>(&aMessage)) {
       options_.onDrop_(*drop);
@@ -92,7 +91,8 @@
                 options_.onStored_(*stored);
               }
             },
-          .onDown_ = [this, incarnation] { options_.onKeeperLost_(incarnation); } })
+          .onDown_ = [this,
+                      incarnation] { options_.onKeeperLost_(incarnation); } })
     };
   }
 
--- a/packages/router/src/process/RouterTask.cpp
+++ b/packages/router/src/process/RouterTask.cpp
@@ -42,15 +42,13 @@
 RouterLimits
 LimitsOf(const settings::Settings& aSettings)
 {
-  return {
-    .queueLimit_ = aSettings.Get(settings::kQueueLimit),
-    .maxInFlight_ = aSettings.Get(settings::kMaxConnections),
-    .maxAnswerBytes_ = aSettings.Get(settings::kMaxAnswerBytes),
-    .connectTimeoutMs_ = aSettings.Get(settings::kConnectTimeoutMs),
-    .firstByteTimeoutMs_ = aSettings.Get(settings::kFirstByteTimeoutMs),
-    .progressTimeoutMs_ = aSettings.Get(settings::kProgressTimeoutMs),
-    .settleTimeoutMs_ = aSettings.Get(settings::kSettleTimeoutMs)
-  };
+  return { .queueLimit_ = aSettings.Get(settings::kQueueLimit),
+           .maxInFlight_ = aSettings.Get(settings::kMaxConnections),
+           .maxAnswerBytes_ = aSettings.Get(settings::kMaxAnswerBytes),
+           .connectTimeoutMs_ = aSettings.Get(settings::kConnectTimeoutMs),
+           .firstByteTimeoutMs_ = aSettings.Get(settings::kFirstByteTimeoutMs),
+           .progressTimeoutMs_ = aSettings.Get(settings::kProgressTimeoutMs),
+           .settleTimeoutMs_ = aSettings.Get(settings::kSettleTimeoutMs) };
 }
 
 } // namespace
@@ -63,9 +61,8 @@
     : loop_(aLoop)
     , settings_(aSettings)
     , onStopped_(std::move(aOnStopped))
-    , dispatcher_(
-        aLoop,
-        { .failureDomain_ = aSettings.Get(settings::kFailureDomain) })
+    , dispatcher_(aLoop,
+                  { .failureDomain_ = aSettings.Get(settings::kFailureDomain) })
     , endpointApi_([this](const model::Announcement& aAnnouncement) {
       OnAnnounced(aAnnouncement);
     })
@@ -160,9 +157,8 @@
                 Level::kInfo,
                 Concat("registered as incarnation ", aRegistered.incarnation_));
           },
-        .onConfig_ = [this](const ledger::ConfigDelta& aDelta) {
-          OnConfig(aDelta);
-        },
+        .onConfig_ =
+          [this](const ledger::ConfigDelta& aDelta) { OnConfig(aDelta); },
         .onRecall_ =
           [this](const std::string& aBudget) { biller_->OnRecall(aBudget); },
         .onEnded_ =
@@ -172,14 +168,14 @@
               "incarnation",
               "control knows this router as ended; start it again"));
           } });
-    biller_ = std::make_unique<Biller>(
-      loop_,
-      BillerOptions{ .control_ = *control_,
-                     .peers_ = *peers_,
-                     .config_ = config_,
-                     .metrics_ = metrics_,
-                     .settleTimeoutMs_ =
-                       settings_.Get(settings::kSettleTimeoutMs) });
+    biller_ =
+      std::make_unique<Biller>(loop_,
+                               BillerOptions{ .control_ = *control_,
+                                              .peers_ = *peers_,
+                                              .config_ = config_,
+                                              .metrics_ = metrics_,
+                                              .settleTimeoutMs_ = settings_.Get(
+                                                settings::kSettleTimeoutMs) });
   }
 
   std::string PeerAddress() const
@@ -229,9 +225,8 @@
   void OnRequest(std::unique_ptr<transport::HttpExchange> aExchange)
   {
     if (!callers_) {
-      ReplyError(
-        *aExchange,
-        model::MakeError(model::ErrorKind::kStarting, "", "starting"));
+      ReplyError(*aExchange,
+                 model::MakeError(model::ErrorKind::kStarting, "", "starting"));
       return;
     }
     auto rest = callers_->Handle(std::move(aExchange));
@@ -319,12 +314,11 @@
     settledBefore =
       std::min(settledBefore, biller_->OldestStart().value_or(settledBefore));
     heartbeatOpen_ = true;
-    control_->Submit(ledger::Heartbeat{ .appliedRevision_ = config_.Revision(),
-                                        .settledBeforeMs_ = settledBefore,
-                                        .copiesOut_ = biller_->HasCopiesOut() },
-                     [this](const ledger::OpResult&) {
-                       heartbeatOpen_ = false;
-                     });
+    control_->Submit(
+      ledger::Heartbeat{ .appliedRevision_ = config_.Revision(),
+                         .settledBeforeMs_ = settledBefore,
+                         .copiesOut_ = biller_->HasCopiesOut() },
+      [this](const ledger::OpResult&) { heartbeatOpen_ = false; });
   }
 
   void Drain()
@@ -335,7 +329,8 @@
     phase_ = Phase::kLeaving;
     const int64_t now = EventLoop::NowMs();
     const bool everServed = control_->IsRegistered();
-    refuseFromMs_ = now + (everServed ? settings_.Get(settings::kEntryTtlMs) : 0);
+    refuseFromMs_ =
+      now + (everServed ? settings_.Get(settings::kEntryTtlMs) : 0);
     const int64_t longest = settings_.Get(settings::kDrainMs);
     drainByMs_ = longest == 0 ? INT64_MAX : refuseFromMs_ + longest;
     if (everServed) {
@@ -346,8 +341,7 @@
 
   void CheckDrained(int64_t aNowMs)
   {
-    const bool idle =
-      callers_->InFlight() == 0 && biller_->PendingCount() == 0;
+    const bool idle = callers_->InFlight() == 0 && biller_->PendingCount() == 0;
     if (!idle && aNowMs < drainByMs_) {
       return;
     }
--- a/packages/router/src/request/ModelExchange.cpp
+++ b/packages/router/src/request/ModelExchange.cpp
@@ -165,8 +165,7 @@
 void
 ModelExchange::OnDone(const absl::Status& aStatus)
 {
-  const bool whole =
-    aStatus.ok() && (!request_.stream_ || meter_.IsWhole());
+  const bool whole = aStatus.ok() && (!request_.stream_ || meter_.IsWhole());
   if (whole && httpStatus_ == kHttpOk) {
     OnWhole();
     return;
@@ -179,8 +178,8 @@
   if (aStatus.ok() && httpStatus_ != kHttpOk &&
       httpStatus_ < kHttpServerError) {
     LeaveEndpoint(AttemptOutcome::kNeutral);
-    Refuse(MakeError(
-      ErrorKind::kMalformed, "", "the engine rejected the request"));
+    Refuse(
+      MakeError(ErrorKind::kMalformed, "", "the engine rejected the request"));
     return;
   }
   mayHaveRun_ = mayHaveRun_ || call_->WasDispatched();
@@ -241,8 +240,7 @@
 {
   settling_ = true;
   const ledger::Tokens reserved = std::exchange(reserved_, 0);
-  services_.biller_.Settle(
-    record_.SettleOf(aUsed), reserved, std::move(aHook));
+  services_.biller_.Settle(record_.SettleOf(aUsed), reserved, std::move(aHook));
 }
 
 void
@@ -262,11 +260,11 @@
     exchange_->SendChunk(kClosingEvent);
     exchange_->EndStream();
   } else {
-    exchange_->Reply(kHttpOk,
-                     { { "Content-Type", kJsonType },
-                       { kOutcomeHeader,
-                         std::string(NameOf(Outcome::kWhole)) } },
-                     body_);
+    exchange_->Reply(
+      kHttpOk,
+      { { "Content-Type", kJsonType },
+        { kOutcomeHeader, std::string(NameOf(Outcome::kWhole)) } },
+      body_);
   }
   record_.EndWhole();
   End();
@@ -310,10 +308,9 @@
 void
 ModelExchange::FailUnknown(const absl::Status& aStatus)
 {
-  const auto unknown = MakeError(
-    ErrorKind::kOutcomeUnknown,
-    model::FieldOf(aStatus),
-    std::string(aStatus.message()));
+  const auto unknown = MakeError(ErrorKind::kOutcomeUnknown,
+                                 model::FieldOf(aStatus),
+                                 std::string(aStatus.message()));
   services_.biller_.Release(Info().budget_, reserved_);
   if (streamStarted_) {
     // Never a clean end: an error event, then a cut connection.
--- a/packages/router/src/request/RequestRecord.cpp
+++ b/packages/router/src/request/RequestRecord.cpp
@@ -116,11 +116,11 @@
 {
   services_.metrics_.Count(Counter::kOutcomeUnknown, 1, info_.rank_.name_);
   CountDeadline(false);
-  LogRequest(Part::kCaller,
-             Level::kWarning,
-             model::Concat("r", info_.id_),
-             model::Concat("outcome unknown: ",
-                           model::NameOf(model::KindOf(aStatus))));
+  LogRequest(
+    Part::kCaller,
+    Level::kWarning,
+    model::Concat("r", info_.id_),
+    model::Concat("outcome unknown: ", model::NameOf(model::KindOf(aStatus))));
 }
 
 void
--- a/packages/router/src/request/ServiceExchange.cpp
+++ b/packages/router/src/request/ServiceExchange.cpp
@@ -155,10 +155,10 @@
 {
   services_.biller_.Release(Info().budget_, std::exchange(reserved_, 0));
   if (aResult.state_ == ledger::ClaimState::kDone) {
-    exchange_->Reply(static_cast<int>(aResult.httpStatus_),
-                     { { kOutcomeHeader, "whole" },
-                       { kReplayedHeader, "true" } },
-                     aResult.body_);
+    exchange_->Reply(
+      static_cast<int>(aResult.httpStatus_),
+      { { kOutcomeHeader, "whole" }, { kReplayedHeader, "true" } },
+      aResult.body_);
     record_.EndWhole();
     End();
     return;
@@ -276,10 +276,10 @@
     FailUnknown(aStatus);
     return;
   }
-  exchange_->Reply(httpStatus_,
-                   { { "Content-Type", contentType_ },
-                     { kOutcomeHeader, "whole" } },
-                   body_);
+  exchange_->Reply(
+    httpStatus_,
+    { { "Content-Type", contentType_ }, { kOutcomeHeader, "whole" } },
+    body_);
   record_.EndWhole();
   End();
 }
--- a/packages/routing/src/process/EndpointTable.cpp
+++ b/packages/routing/src/process/EndpointTable.cpp
@@ -159,8 +159,7 @@
     });
   const double limit =
     LoadOf(**emptiest) * kAffinitySlack +
-    kAffinityExtra /
-      static_cast<double>((*emptiest)->announcement_.slots_);
+    kAffinityExtra / static_cast<double>((*emptiest)->announcement_.slots_);
   Endpoint* best = nullptr;
   double bestScore = 0;
   for (Endpoint* endpoint : candidates) {
@@ -220,8 +219,7 @@
   if (aElapsedMs > options_.firstTokenTargetMs_) {
     endpoint.window_ = std::max(1.0, endpoint.window_ * kDecrease);
   } else {
-    endpoint.window_ =
-      std::min(most, endpoint.window_ + 1 / endpoint.window_);
+    endpoint.window_ = std::min(most, endpoint.window_ + 1 / endpoint.window_);
   }
 }
 
--- a/packages/routing/src/process/SettlementBook.cpp
+++ b/packages/routing/src/process/SettlementBook.cpp
@@ -39,9 +39,8 @@
 void
 SettlementBook::KeeperLost(ledger::Incarnation aKeeper)
 {
-  std::erase_if(keepers_, [&](const auto& aPair) {
-    return aPair.second == aKeeper;
-  });
+  std::erase_if(keepers_,
+                [&](const auto& aPair) { return aPair.second == aKeeper; });
 }
 
 std::vector<ledger::Settle>
--- a/packages/routing/src/request/FairQueue.cpp
+++ b/packages/routing/src/request/FairQueue.cpp
@@ -73,11 +73,14 @@
       next = &flow;
     }
   }
+  if (next == nullptr) {
+    return std::nullopt;
+  }
   const QueuedRequest request = next->requests_.begin()->second;
   next->requests_.erase(next->requests_.begin());
   rank->virtualTime_ = std::max(rank->virtualTime_, next->start_);
-  next->start_ += static_cast<double>(request.cost_) /
-                  static_cast<double>(request.weight_);
+  next->start_ +=
+    static_cast<double>(request.cost_) / static_cast<double>(request.weight_);
   Account(*rank, static_cast<double>(request.cost_));
   Forget(request);
   return request;
@@ -148,8 +151,7 @@
   Account(found->second, difference);
   const auto flow = found->second.flows_.find(aRequest.workspace_);
   if (flow != found->second.flows_.end()) {
-    flow->second.start_ +=
-      difference / static_cast<double>(aRequest.weight_);
+    flow->second.start_ += difference / static_cast<double>(aRequest.weight_);
   }
 }
 
--- a/packages/settings/include/cactuswick/settings/process/SettingList.h
+++ b/packages/settings/include/cactuswick/settings/process/SettingList.h
@@ -45,32 +45,31 @@
 using TextSetting = Setting<std::string_view>;
 using IntegerSetting = Setting<int64_t>;
 
-inline constexpr TextSetting kVm{
-  "process", "vm", "", Shape::kName, "", "Name of this VM; required."
-};
+inline constexpr TextSetting kVm{ "process", "vm",
+                                  "",        Shape::kName,
+                                  "",        "Name of this VM; required." };
 inline constexpr TextSetting kFailureDomain{
-  "process", "failure_domain", "", Shape::kName,
+  "process", "failure_domain",
+  "",        Shape::kName,
   "",        "Failure domain of this VM; required."
 };
-inline constexpr TextSetting kRegion{
-  "process", "region", "default", Shape::kName, "", "Region of this VM."
-};
+inline constexpr TextSetting kRegion{ "process", "region",
+                                      "default", Shape::kName,
+                                      "",        "Region of this VM." };
 inline constexpr TextSetting kRoles{
-  "process",
-  "roles",
-  "router",
-  Shape::kRoleList,
-  "",
-  "Roles of this process: router, control, or both."
+  "process",        "roles", "router",
+  Shape::kRoleList, "",      "Roles of this process: router, control, or both."
 };
 
 inline constexpr TextSetting kControlListen{
-  "control",        "listen", "", Shape::kAddress, "",
-  "Where the other control replicas and the routers connect."
+  "control", "listen",
+  "",        Shape::kAddress,
+  "",        "Where the other control replicas and the routers connect."
 };
 inline constexpr TextSetting kControlDataDir{
-  "control", "data_dir", "", Shape::kPath, "",
-  "Data folder; must be on a disk that keeps synced files."
+  "control", "data_dir",
+  "",        Shape::kPath,
+  "",        "Data folder; must be on a disk that keeps synced files."
 };
 inline constexpr TextSetting kControlReplicas{
   "control",
@@ -81,12 +80,14 @@
   "Control replicas: all of them at bootstrap, any live ones when joining."
 };
 inline constexpr TextSetting kControlMetricsListen{
-  "control", "metrics_listen", "", Shape::kAddress, "",
-  "Scrape address of the control role; empty for none."
+  "control", "metrics_listen",
+  "",        Shape::kAddress,
+  "",        "Scrape address of the control role; empty for none."
 };
 inline constexpr IntegerSetting kHeartbeatMs{
-  "control", "heartbeat_ms", 100, Shape::kInteger, "ms",
-  "Interval between a leader's heartbeats.",
+  "control", "heartbeat_ms",
+  100,       Shape::kInteger,
+  "ms",      "Interval between a leader's heartbeats.",
   10,        10'000
 };
 inline constexpr IntegerSetting kElectionMs{
@@ -100,40 +101,44 @@
   60'000
 };
 inline constexpr IntegerSetting kSnapshotEntries{
-  "control", "snapshot_entries", 20'000, Shape::kInteger, "entries",
-  "Log entries between snapshots.",
+  "control", "snapshot_entries",
+  20'000,    Shape::kInteger,
+  "entries", "Log entries between snapshots.",
   10,        10'000'000
 };
 
 inline constexpr TextSetting kRouterListen{
-  "router", "listen", "", Shape::kAddress, "",
-  "Where callers, endpoints and operators connect."
+  "router",        "listen", "",
+  Shape::kAddress, "",       "Where callers, endpoints and operators connect."
 };
 inline constexpr TextSetting kRouterPeerListen{
-  "router", "peer_listen", "", Shape::kAddress, "",
-  "Where other routers connect."
+  "router", "peer_listen",
+  "",       Shape::kAddress,
+  "",       "Where other routers connect."
 };
 inline constexpr TextSetting kRouterPeerAdvertise{
-  "router", "peer_advertise", "", Shape::kAddress, "",
+  "router",
+  "peer_advertise",
+  "",
+  Shape::kAddress,
+  "",
   "Address at which other routers reach peer_listen, where it differs."
 };
 inline constexpr TextSetting kRouterControl{
-  "router", "control", "", Shape::kAddressList, "",
-  "Addresses of the control replicas."
+  "router", "control",
+  "",       Shape::kAddressList,
+  "",       "Addresses of the control replicas."
 };
 inline constexpr TextSetting kRouterMetricsListen{
-  "router", "metrics_listen", "", Shape::kAddress, "",
-  "Scrape address of the router role; empty for none."
+  "router", "metrics_listen",
+  "",       Shape::kAddress,
+  "",       "Scrape address of the router role; empty for none."
 };
 inline constexpr IntegerSetting kEntryTtlMs{
-  "router",
-  "entry_ttl_ms",
-  10'000,
-  Shape::kInteger,
-  "ms",
-  "How long callers may keep an answer to /v1/entry.",
-  100,
-  3'600'000
+  "router", "entry_ttl_ms",
+  10'000,   Shape::kInteger,
+  "ms",     "How long callers may keep an answer to /v1/entry.",
+  100,      3'600'000
 };
 inline constexpr IntegerSetting kDrainMs{
   "router",
@@ -146,49 +151,48 @@
   86'400'000
 };
 inline constexpr IntegerSetting kQueueLimit{
-  "router", "queue_limit", 2'000, Shape::kInteger, "requests",
-  "Most requests queued for one model or service.",
-  1,        1'000'000
+  "router",   "queue_limit",
+  2'000,      Shape::kInteger,
+  "requests", "Most requests queued for one model or service.",
+  1,          1'000'000
 };
 inline constexpr IntegerSetting kMaxBodyBytes{
-  "router", "max_body_bytes", 1'048'576, Shape::kInteger, "bytes",
-  "Largest request body.",
-  1'024,    67'108'864
+  "router", "max_body_bytes",        1'048'576, Shape::kInteger,
+  "bytes",  "Largest request body.", 1'024,     67'108'864
 };
 inline constexpr IntegerSetting kMaxAnswerBytes{
-  "router", "max_answer_bytes", 16'777'216, Shape::kInteger, "bytes",
-  "Largest answer that is held as a whole.",
-  1'024,    268'435'456
+  "router",   "max_answer_bytes",
+  16'777'216, Shape::kInteger,
+  "bytes",    "Largest answer that is held as a whole.",
+  1'024,      268'435'456
 };
 inline constexpr IntegerSetting kMaxConnections{
-  "router", "max_connections", 4'096, Shape::kInteger, "connections",
+  "router",
+  "max_connections",
+  4'096,
+  Shape::kInteger,
+  "connections",
   "Most requests in flight or queued at once.",
-  1,        1'000'000
+  1,
+  1'000'000
 };
 inline constexpr IntegerSetting kConnectTimeoutMs{
-  "router", "connect_timeout_ms", 1'000, Shape::kInteger, "ms",
-  "Longest wait for a connection to an endpoint.",
+  "router", "connect_timeout_ms",
+  1'000,    Shape::kInteger,
+  "ms",     "Longest wait for a connection to an endpoint.",
   10,       60'000
 };
 inline constexpr IntegerSetting kFirstByteTimeoutMs{
-  "router",
-  "first_byte_timeout_ms",
-  30'000,
-  Shape::kInteger,
-  "ms",
-  "Longest wait for an endpoint's first byte.",
-  100,
-  3'600'000
+  "router", "first_byte_timeout_ms",
+  30'000,   Shape::kInteger,
+  "ms",     "Longest wait for an endpoint's first byte.",
+  100,      3'600'000
 };
 inline constexpr IntegerSetting kProgressTimeoutMs{
-  "router",
-  "progress_timeout_ms",
-  5'000,
-  Shape::kInteger,
-  "ms",
-  "Longest silence inside an endpoint's answer.",
-  100,
-  3'600'000
+  "router", "progress_timeout_ms",
+  5'000,    Shape::kInteger,
+  "ms",     "Longest silence inside an endpoint's answer.",
+  100,      3'600'000
 };
 inline constexpr IntegerSetting kSettleTimeoutMs{
   "router",
@@ -203,21 +207,23 @@
 };
 
 inline constexpr TextSetting kOperatorKeySha256{
-  "operator", "key_sha256", "", Shape::kSha256, "",
+  "operator",
+  "key_sha256",
+  "",
+  Shape::kSha256,
+  "",
   "SHA-256 of the operators' key; empty turns the operators' API off."
 };
 
-inline constexpr TextSetting kLogLevel{
-  "log",
-  "level",
-  "info",
-  Shape::kChoice,
-  "debug info warning error",
-  "Lowest level that is logged."
-};
-inline constexpr TextSetting kLogFormat{
-  "log", "format", "text", Shape::kChoice, "text json", "Form of a log line."
-};
+inline constexpr TextSetting kLogLevel{ "log",
+                                        "level",
+                                        "info",
+                                        Shape::kChoice,
+                                        "debug info warning error",
+                                        "Lowest level that is logged." };
+inline constexpr TextSetting kLogFormat{ "log",       "format",
+                                         "text",      Shape::kChoice,
+                                         "text json", "Form of a log line." };
 
 /// A setting without its type, for checking and printing.
 struct AnySetting
--- a/packages/settings/src/process/Settings.cpp
+++ b/packages/settings/src/process/Settings.cpp
@@ -243,14 +243,13 @@
       return;
     }
     if (!Matches(*setting, aValue)) {
-      Fail(ErrorKind::kOutOfRange,
-           place,
-           Concat("expected ", Expectation(*setting), ", found \"", aValue,
-                  "\""));
+      Fail(
+        ErrorKind::kOutOfRange,
+        place,
+        Concat("expected ", Expectation(*setting), ", found \"", aValue, "\""));
       return;
     }
-    auto [at, fresh] =
-      settings_.values_.try_emplace(PathOf(aSection, aKey));
+    auto [at, fresh] = settings_.values_.try_emplace(PathOf(aSection, aKey));
     if (!fresh) {
       Fail(ErrorKind::kMalformed,
            place,
@@ -380,8 +379,8 @@
       section = setting.section_;
       model::AppendTo(text, "\n[", section, "]\n");
     }
-    model::AppendTo(text, "; ", setting.help_, "\n; Expected: ",
-                    Expectation(setting), ".\n");
+    model::AppendTo(
+      text, "; ", setting.help_, "\n; Expected: ", Expectation(setting), ".\n");
     const bool integer = setting.shape_ == Shape::kInteger;
     const std::string value = integer ? Concat(setting.integerDefault_)
                                       : std::string(setting.textDefault_);
--- a/packages/standin/src/process/Announcer.cpp
+++ b/packages/standin/src/process/Announcer.cpp
@@ -11,6 +11,7 @@
 /// Announcements within one lease.
 constexpr int64_t kPerLease = 4;
 constexpr int64_t kTimeoutMs = 500;
+constexpr int64_t kRetryMs = 50;
 
 } // namespace
 
@@ -19,7 +20,6 @@
   , options_(std::move(aOptions))
   , timer_(aLoop, [this] { Announce(); })
 {
-  timer_.StartRepeating(options_.announcement_.leaseMs_ / kPerLease);
   Announce();
 }
 
@@ -27,6 +27,7 @@
 Announcer::Announce()
 {
   model::Announcement& announcement = options_.announcement_;
+  timer_.StartOnce(announcement.leaseMs_ / kPerLease);
   ++announcement.sequence_;
   announcement.inFlight_ = options_.inFlight_();
   call_ = std::make_unique<transport::HttpCall>(
@@ -40,7 +41,7 @@
       .onDone_ = [this](const absl::Status& aStatus) {
         if (!aStatus.ok()) {
           router_ = (router_ + 1) % options_.routers_.size();
-          loop_.Defer([this] { Announce(); });
+          timer_.StartOnce(kRetryMs);
         } else if (const auto said = std::exchange(onSaid_, nullptr)) {
           said();
         }
--- a/packages/standin/src/process/EngineStandin.cpp
+++ b/packages/standin/src/process/EngineStandin.cpp
@@ -116,9 +116,9 @@
   run->priority_ = document->value("priority", int64_t{ 0 });
   run->promptTokens_ =
     static_cast<int64_t>(aExchange->Body().size()) / kBytesPerToken;
-  run->answerTokens_ = std::min(
-    document->value("max_tokens", options_.answerTokens_),
-    options_.answerTokens_);
+  run->answerTokens_ =
+    std::min(document->value("max_tokens", options_.answerTokens_),
+             options_.answerTokens_);
   run->stream_ = document->value("stream", false);
   run->exchange_ = std::move(aExchange);
   run->exchange_->SetClosedHook(
@@ -136,8 +136,7 @@
   while (active_ < options_.slots_) {
     Run* next = nullptr;
     for (auto& [id, run] : runs_) {
-      const bool better =
-        next == nullptr || run->priority_ < next->priority_;
+      const bool better = next == nullptr || run->priority_ < next->priority_;
       if (!run->active_ && better) {
         next = run.get();
       }
@@ -176,11 +175,9 @@
       run.exchange_->StartStream(kOk,
                                  { { "Content-Type", "text/event-stream" } });
     }
-    const json event{
-      { "choices", { { { "delta", { { "content", word } } } } } }
-    };
-    run.exchange_->SendChunk(
-      Concat("data: ", model::PrintJson(event), "\n\n"));
+    const json event{ { "choices",
+                        { { { "delta", { { "content", word } } } } } } };
+    run.exchange_->SendChunk(Concat("data: ", model::PrintJson(event), "\n\n"));
   }
   run.timer_->StartOnce(options_.tokenMs_);
 }
@@ -195,8 +192,8 @@
                     { "total_tokens", run.promptTokens_ + run.sent_ } };
   if (run.stream_) {
     const json event{ { "choices", json::array() }, { "usage", usage } };
-    run.exchange_->SendChunk(Concat(
-      "data: ", model::PrintJson(event), "\n\ndata: [DONE]\n\n"));
+    run.exchange_->SendChunk(
+      Concat("data: ", model::PrintJson(event), "\n\ndata: [DONE]\n\n"));
     run.exchange_->EndStream();
   } else {
     ReplyJson(
--- a/packages/standin/src/process/LoadMain.cpp
+++ b/packages/standin/src/process/LoadMain.cpp
@@ -57,8 +57,7 @@
                        .maxTokens_ = tokens.getValue(),
                        .promptBytes_ = prompt.getValue(),
                        .stream_ = stream.getValue() };
-  const std::vector<std::string> parts =
-    absl::StrSplit(target.getValue(), ',');
+  const std::vector<std::string> parts = absl::StrSplit(target.getValue(), ',');
   for (const auto& part : parts) {
     arguments.targets_.push_back(
       transport::ParseAddress("target", part).value());
@@ -152,8 +151,7 @@
     request.call_ = std::make_unique<transport::HttpCall>(
       loop_,
       transport::HttpCallOptions{
-        .address_ =
-          arguments_.targets_[static_cast<size_t>(number % targets)],
+        .address_ = arguments_.targets_[static_cast<size_t>(number % targets)],
         .path_ = "/v1/chat/completions",
         .headers_ = { { "Authorization", "Bearer " + arguments_.key_ },
                       { "Content-Type", "application/json" },
@@ -165,8 +163,8 @@
           [this, number](int aStatus, const transport::Headers&) {
             open_[number].status_ = aStatus;
           },
-        .onData_ =
-          [this, number](std::string_view aData) { OnData(number, aData); },
+        .onData_ = [this,
+                    number](std::string_view aData) { OnData(number, aData); },
         .onDone_ =
           [this, number](const absl::Status& aStatus) {
             OnDone(number, aStatus);
@@ -189,8 +187,8 @@
   void OnDone(int64_t aNumber, const absl::Status& aStatus)
   {
     const Request& request = open_[aNumber];
-    const bool closed = !arguments_.stream_ ||
-                        request.tail_.find("[DONE]") != std::string::npos;
+    const bool closed =
+      !arguments_.stream_ || request.tail_.find("[DONE]") != std::string::npos;
     if (aStatus.ok() && request.status_ == 200 && closed) {
       ++outcomes_["whole"];
       totalMs_.push_back(MsSince(request.start_));
--- a/packages/standin/src/process/ServiceStandin.cpp
+++ b/packages/standin/src/process/ServiceStandin.cpp
@@ -16,9 +16,8 @@
 void
 ReplyJson(HttpExchange& aExchange, const nlohmann::json& aBody)
 {
-  aExchange.Reply(kOk,
-                  { { "Content-Type", "application/json" } },
-                  model::PrintJson(aBody));
+  aExchange.Reply(
+    kOk, { { "Content-Type", "application/json" } }, model::PrintJson(aBody));
 }
 
 } // namespace
--- a/packages/standin/src/process/StandinMain.cpp
+++ b/packages/standin/src/process/StandinMain.cpp
@@ -50,12 +50,10 @@
   arguments.listen_ = listen.getValue();
   arguments.routers_ = routers.getValue();
   arguments.announcement_ = { .endpoint_ = name.getValue(),
-                              .endpointType_ =
-                                arguments.kind_ == "service"
-                                  ? model::EndpointType::kService
-                                  : model::EndpointType::kEngine,
-                              .serves_ =
-                                absl::StrSplit(serves.getValue(), ','),
+                              .endpointType_ = arguments.kind_ == "service"
+                                                 ? model::EndpointType::kService
+                                                 : model::EndpointType::kEngine,
+                              .serves_ = absl::StrSplit(serves.getValue(), ','),
                               .address_ = listen.getValue(),
                               .failureDomain_ = domain.getValue(),
                               .slots_ = slots.getValue(),
@@ -75,6 +73,7 @@
 {
   std::vector<transport::Address> addresses;
   const std::vector<std::string> parts = absl::StrSplit(aText, ',');
+  addresses.reserve(parts.size());
   for (const auto& part : parts) {
     addresses.push_back(transport::ParseAddress("routers", part).value());
   }
@@ -116,9 +115,13 @@
       loop.Stop();
     }
   });
+  transport::Timer giveUp(loop, [&] { loop.Stop(); });
   constexpr int64_t kDrainCheckMs = 50;
+  constexpr int64_t kLeaveMs = 5'000;
   const transport::SignalWatch leave(loop, SIGTERM, [&] {
     announcer.Leave([&] { drained.StartRepeating(kDrainCheckMs); });
+    // Without a router to tell, it stops all the same.
+    giveUp.StartOnce(kLeaveMs);
   });
   const transport::SignalWatch silent(
     loop, SIGUSR1, [&] { announcer.GoSilent(); });
--- a/packages/telemetry/include/cactuswick/telemetry/process/BurnTable.h
+++ b/packages/telemetry/include/cactuswick/telemetry/process/BurnTable.h
@@ -61,8 +61,8 @@
 };
 
 /// Span of the short and the long window, in milliseconds.
-inline constexpr int64_t kShortWindowMs = 5 * 60 * 1'000;
-inline constexpr int64_t kLongWindowMs = 60 * 60 * 1'000;
+inline constexpr int64_t kShortWindowMs = 5LL * 60 * 1'000;
+inline constexpr int64_t kLongWindowMs = 60LL * 60 * 1'000;
 
 /// Counts kept and broken objectives in buckets of time.
 class BurnTable
@@ -106,16 +106,15 @@
 constexpr auto
 FieldsOf(const BurnRow*)
 {
-  return model::MakeFields(
-    model::Field{ "objective", &BurnRow::objective_ },
-    model::Field{ "rank", &BurnRow::rank_ },
-    model::Field{ "workspace", &BurnRow::workspace_ },
-    model::Field{ "total", &BurnRow::total_ },
-    model::Field{ "bad", &BurnRow::bad_ },
-    model::Field{ "short_total", &BurnRow::shortTotal_ },
-    model::Field{ "short_bad", &BurnRow::shortBad_ },
-    model::Field{ "long_total", &BurnRow::longTotal_ },
-    model::Field{ "long_bad", &BurnRow::longBad_ });
+  return model::MakeFields(model::Field{ "objective", &BurnRow::objective_ },
+                           model::Field{ "rank", &BurnRow::rank_ },
+                           model::Field{ "workspace", &BurnRow::workspace_ },
+                           model::Field{ "total", &BurnRow::total_ },
+                           model::Field{ "bad", &BurnRow::bad_ },
+                           model::Field{ "short_total", &BurnRow::shortTotal_ },
+                           model::Field{ "short_bad", &BurnRow::shortBad_ },
+                           model::Field{ "long_total", &BurnRow::longTotal_ },
+                           model::Field{ "long_bad", &BurnRow::longBad_ });
 }
 constexpr auto
 FieldsOf(const BurnRows*)
--- a/packages/telemetry/src/process/BurnReport.cpp
+++ b/packages/telemetry/src/process/BurnReport.cpp
@@ -28,8 +28,7 @@
     return 0;
   }
   const double allowed = 1 - TargetOf(aObjective);
-  const double share =
-    static_cast<double>(aBad) / static_cast<double>(aTotal);
+  const double share = static_cast<double>(aBad) / static_cast<double>(aTotal);
   return allowed <= 0 ? kInfiniteBurn : share / allowed;
 }
 
@@ -54,8 +53,7 @@
 std::string
 NameOf(Objective aObjective)
 {
-  return std::string(
-    EnumNames(&aObjective)[static_cast<size_t>(aObjective)]);
+  return std::string(EnumNames(&aObjective)[static_cast<size_t>(aObjective)]);
 }
 
 std::string
@@ -70,8 +68,7 @@
 std::string
 HtmlRow(const BurnLine& aLine)
 {
-  const double width =
-    std::min(kMaxBarWidth, aLine.longBurn_ * kBarScale) + 1;
+  const double width = std::min(kMaxBarWidth, aLine.longBurn_ * kBarScale) + 1;
   return absl::StrFormat(
     "<tr><td>%s</td><td>%s</td><td>%s</td><td>%d</td><td>%d</td>"
     "<td>%.2f</td><td>%.2f</td><td>%.2f</td><td><svg width=\"410\" "
@@ -114,8 +111,7 @@
   for (auto& line : lines) {
     const BurnRow& row = line.row_;
     line.budgetUsed_ = BurnRate(row.objective_, row.total_, row.bad_);
-    line.shortBurn_ =
-      BurnRate(row.objective_, row.shortTotal_, row.shortBad_);
+    line.shortBurn_ = BurnRate(row.objective_, row.shortTotal_, row.shortBad_);
     line.longBurn_ = BurnRate(row.objective_, row.longTotal_, row.longBad_);
   }
   return lines;
--- a/packages/telemetry/src/process/Metrics.cpp
+++ b/packages/telemetry/src/process/Metrics.cpp
@@ -15,11 +15,9 @@
 namespace {
 
 namespace acc = boost::accumulators;
-using Accumulator =
-  acc::accumulator_set<double,
-                       acc::stats<acc::tag::count,
-                                  acc::tag::sum,
-                                  acc::tag::extended_p_square>>;
+using Accumulator = acc::accumulator_set<
+  double,
+  acc::stats<acc::tag::count, acc::tag::sum, acc::tag::extended_p_square>>;
 
 constexpr std::array<double, 3> kQuantiles = { 0.5, 0.95, 0.99 };
 
@@ -54,9 +52,12 @@
   Name{ "peer_bytes_sent_total" },
 };
 constexpr std::array kSummaryNames = {
-  Name{ "first_token_ms", "rank" }, Name{ "total_ms", "rank" },
-  Name{ "queue_ms", "rank" },       Name{ "settle_ms" },
-  Name{ "commit_ms" },              Name{ "sync_ms" },
+  Name{ "first_token_ms", "rank" },
+  Name{ "total_ms", "rank" },
+  Name{ "queue_ms", "rank" },
+  Name{ "settle_ms" },
+  Name{ "commit_ms" },
+  Name{ "sync_ms" },
   Name{ "entries_per_sync" },
 };
 constexpr std::array kGaugeNames = {
@@ -104,8 +105,7 @@
 void
 ExposeType(std::string& aText, const Name& aName, std::string_view aType)
 {
-  model::AppendTo(
-    aText, "# TYPE ", kPrefix, aName.name_, " ", aType, "\n");
+  model::AppendTo(aText, "# TYPE ", kPrefix, aName.name_, " ", aType, "\n");
 }
 
 void
@@ -173,9 +173,8 @@
   const Series<Summary> series{ aSummary, std::string(aLabel) };
   const auto found =
     state_->summaries_
-      .try_emplace(series,
-                   Accumulator(acc::extended_p_square_probabilities =
-                                 kQuantiles))
+      .try_emplace(
+        series, Accumulator(acc::extended_p_square_probabilities = kQuantiles))
       .first;
   found->second(aValue);
 }
@@ -189,8 +188,7 @@
 int64_t
 Metrics::Value(Counter aCounter, std::string_view aLabel) const
 {
-  const auto found =
-    state_->counters_.find({ aCounter, std::string(aLabel) });
+  const auto found = state_->counters_.find({ aCounter, std::string(aLabel) });
   return found == state_->counters_.end() ? 0 : found->second;
 }
 
--- a/packages/transport/include/cactuswick/transport/connection/PeerMessageFields.h
+++ b/packages/transport/include/cactuswick/transport/connection/PeerMessageFields.h
@@ -34,7 +34,8 @@
 constexpr auto
 FieldsOf(const RaftEnvelope*)
 {
-  return model::MakeFields(model::Field{ "to", &RaftEnvelope::to_ }, model::Field{ "message", &RaftEnvelope::message_ });
+  return model::MakeFields(model::Field{ "to", &RaftEnvelope::to_ },
+                           model::Field{ "message", &RaftEnvelope::message_ });
 }
 
 constexpr std::string_view
@@ -46,7 +47,9 @@
 constexpr auto
 FieldsOf(const ProposeRequest*)
 {
-  return model::MakeFields(model::Field{ "call", &ProposeRequest::call_ }, model::Field{ "command", &ProposeRequest::command_ });
+  return model::MakeFields(
+    model::Field{ "call", &ProposeRequest::call_ },
+    model::Field{ "command", &ProposeRequest::command_ });
 }
 
 constexpr std::string_view
@@ -58,7 +61,8 @@
 constexpr auto
 FieldsOf(const ProposeReply*)
 {
-  return model::MakeFields(model::Field{ "call", &ProposeReply::call_ }, model::Field{ "reply", &ProposeReply::reply_ });
+  return model::MakeFields(model::Field{ "call", &ProposeReply::call_ },
+                           model::Field{ "reply", &ProposeReply::reply_ });
 }
 
 constexpr std::string_view
@@ -70,7 +74,8 @@
 constexpr auto
 FieldsOf(const Redirect*)
 {
-  return model::MakeFields(model::Field{ "call", &Redirect::call_ }, model::Field{ "leader", &Redirect::leader_ });
+  return model::MakeFields(model::Field{ "call", &Redirect::call_ },
+                           model::Field{ "leader", &Redirect::leader_ });
 }
 
 constexpr std::string_view
@@ -82,7 +87,9 @@
 constexpr auto
 FieldsOf(const MembersRequest*)
 {
-  return model::MakeFields(model::Field{ "call", &MembersRequest::call_ }, model::Field{ "remove", &MembersRequest::remove_ }, model::Field{ "member", &MembersRequest::member_ });
+  return model::MakeFields(model::Field{ "call", &MembersRequest::call_ },
+                           model::Field{ "remove", &MembersRequest::remove_ },
+                           model::Field{ "member", &MembersRequest::member_ });
 }
 
 constexpr std::string_view
@@ -94,7 +101,9 @@
 constexpr auto
 FieldsOf(const QueryRequest*)
 {
-  return model::MakeFields(model::Field{ "call", &QueryRequest::call_ }, model::Field{ "query", &QueryRequest::query_ }, model::Field{ "key", &QueryRequest::key_ });
+  return model::MakeFields(model::Field{ "call", &QueryRequest::call_ },
+                           model::Field{ "query", &QueryRequest::query_ },
+                           model::Field{ "key", &QueryRequest::key_ });
 }
 
 constexpr std::string_view
@@ -106,7 +115,11 @@
 constexpr auto
 FieldsOf(const QueryReply*)
 {
-  return model::MakeFields(model::Field{ "call", &QueryReply::call_ }, model::Field{ "revision", &QueryReply::revision_ }, model::Field{ "resources", &QueryReply::resources_ }, model::Field{ "accounts", &QueryReply::accounts_ }, model::Field{ "status", &QueryReply::status_ });
+  return model::MakeFields(model::Field{ "call", &QueryReply::call_ },
+                           model::Field{ "revision", &QueryReply::revision_ },
+                           model::Field{ "resources", &QueryReply::resources_ },
+                           model::Field{ "accounts", &QueryReply::accounts_ },
+                           model::Field{ "status", &QueryReply::status_ });
 }
 
 constexpr std::string_view
@@ -118,7 +131,9 @@
 constexpr auto
 FieldsOf(const Subscribe*)
 {
-  return model::MakeFields(model::Field{ "incarnation", &Subscribe::incarnation_ }, model::Field{ "revision", &Subscribe::revision_ });
+  return model::MakeFields(
+    model::Field{ "incarnation", &Subscribe::incarnation_ },
+    model::Field{ "revision", &Subscribe::revision_ });
 }
 
 constexpr std::string_view
@@ -166,7 +181,10 @@
 constexpr auto
 FieldsOf(const RouterHello*)
 {
-  return model::MakeFields(model::Field{ "incarnation", &RouterHello::incarnation_ }, model::Field{ "vm", &RouterHello::vm_ }, model::Field{ "failure_domain", &RouterHello::failureDomain_ });
+  return model::MakeFields(
+    model::Field{ "incarnation", &RouterHello::incarnation_ },
+    model::Field{ "vm", &RouterHello::vm_ },
+    model::Field{ "failure_domain", &RouterHello::failureDomain_ });
 }
 
 constexpr std::string_view
@@ -178,7 +196,9 @@
 constexpr auto
 FieldsOf(const CopySettlements*)
 {
-  return model::MakeFields(model::Field{ "holder", &CopySettlements::holder_ }, model::Field{ "settlements", &CopySettlements::settlements_ });
+  return model::MakeFields(
+    model::Field{ "holder", &CopySettlements::holder_ },
+    model::Field{ "settlements", &CopySettlements::settlements_ });
 }
 
 constexpr std::string_view
@@ -190,7 +210,8 @@
 constexpr auto
 FieldsOf(const CopiesStored*)
 {
-  return model::MakeFields(model::Field{ "keeper", &CopiesStored::keeper_ }, model::Field{ "numbers", &CopiesStored::numbers_ });
+  return model::MakeFields(model::Field{ "keeper", &CopiesStored::keeper_ },
+                           model::Field{ "numbers", &CopiesStored::numbers_ });
 }
 
 constexpr std::string_view
@@ -202,7 +223,8 @@
 constexpr auto
 FieldsOf(const DropCopies*)
 {
-  return model::MakeFields(model::Field{ "holder", &DropCopies::holder_ }, model::Field{ "through", &DropCopies::through_ });
+  return model::MakeFields(model::Field{ "holder", &DropCopies::holder_ },
+                           model::Field{ "through", &DropCopies::through_ });
 }
 
 constexpr std::string_view
@@ -214,25 +236,41 @@
 constexpr auto
 FieldsOf(const Gossip*)
 {
-  return model::MakeFields(model::Field{ "from", &Gossip::from_ }, model::Field{ "load", &Gossip::load_ }, model::Field{ "endpoints", &Gossip::endpoints_ });
+  return model::MakeFields(model::Field{ "from", &Gossip::from_ },
+                           model::Field{ "load", &Gossip::load_ },
+                           model::Field{ "endpoints", &Gossip::endpoints_ });
 }
 
 constexpr auto
 FieldsOf(const MemberStatus*)
 {
-  return model::MakeFields(model::Field{ "member", &MemberStatus::member_ }, model::Field{ "match", &MemberStatus::match_ });
+  return model::MakeFields(model::Field{ "member", &MemberStatus::member_ },
+                           model::Field{ "match", &MemberStatus::match_ });
 }
 
 constexpr auto
 FieldsOf(const ControlStatus*)
 {
-  return model::MakeFields(model::Field{ "leader", &ControlStatus::leader_ }, model::Field{ "term", &ControlStatus::term_ }, model::Field{ "commit", &ControlStatus::commit_ }, model::Field{ "log_base", &ControlStatus::logBase_ }, model::Field{ "revision", &ControlStatus::revision_ }, model::Field{ "budgets", &ControlStatus::budgets_ }, model::Field{ "settled_keys", &ControlStatus::settledKeys_ }, model::Field{ "claims", &ControlStatus::claims_ }, model::Field{ "members", &ControlStatus::members_ }, model::Field{ "waiting", &ControlStatus::waiting_ }, model::Field{ "routers", &ControlStatus::routers_ });
+  return model::MakeFields(
+    model::Field{ "leader", &ControlStatus::leader_ },
+    model::Field{ "term", &ControlStatus::term_ },
+    model::Field{ "commit", &ControlStatus::commit_ },
+    model::Field{ "log_base", &ControlStatus::logBase_ },
+    model::Field{ "revision", &ControlStatus::revision_ },
+    model::Field{ "budgets", &ControlStatus::budgets_ },
+    model::Field{ "settled_keys", &ControlStatus::settledKeys_ },
+    model::Field{ "claims", &ControlStatus::claims_ },
+    model::Field{ "members", &ControlStatus::members_ },
+    model::Field{ "waiting", &ControlStatus::waiting_ },
+    model::Field{ "routers", &ControlStatus::routers_ });
 }
 
 constexpr auto
 FieldsOf(const EndpointNews*)
 {
-  return model::MakeFields(model::Field{ "announcement", &EndpointNews::announcement_ }, model::Field{ "age_ms", &EndpointNews::ageMs_ });
+  return model::MakeFields(
+    model::Field{ "announcement", &EndpointNews::announcement_ },
+    model::Field{ "age_ms", &EndpointNews::ageMs_ });
 }
 
 } // namespace cactuswick::transport
--- a/packages/transport/src/connection/HttpCall.cpp
+++ b/packages/transport/src/connection/HttpCall.cpp
@@ -164,8 +164,8 @@
   {
     auto* self = static_cast<State*>(aSelf);
     self->request_ = nullptr;
-    const bool whole = aRequest != nullptr &&
-                       evhttp_request_get_response_code(aRequest) != 0;
+    const bool whole =
+      aRequest != nullptr && evhttp_request_get_response_code(aRequest) != 0;
     if (whole && !self->endless_) {
       self->Finish(absl::OkStatus());
     } else if (self->tooLong_) {
--- a/packages/transport/src/connection/HttpExchange.cpp
+++ b/packages/transport/src/connection/HttpExchange.cpp
@@ -81,9 +81,7 @@
   }
   evhttp_connection* connection = evhttp_request_get_connection(aRequest);
   evhttp_connection_set_closecb(
-    connection,
-    [](evhttp_connection*, void* aSelf) { OnClosed(aSelf); },
-    this);
+    connection, [](evhttp_connection*, void* aSelf) { OnClosed(aSelf); }, this);
 }
 
 HttpExchange::~HttpExchange()
@@ -187,8 +185,8 @@
   if (request_ == nullptr) {
     return 0;
   }
-  bufferevent* stream = evhttp_connection_get_bufferevent(
-    evhttp_request_get_connection(request_));
+  bufferevent* stream =
+    evhttp_connection_get_bufferevent(evhttp_request_get_connection(request_));
   return evbuffer_get_length(bufferevent_get_output(stream));
 }
 
@@ -215,8 +213,7 @@
     static_cast<EventLoop*>(aLoop)->Defer(
       [aConnection] { evhttp_connection_free(aConnection); });
   };
-  evhttp_send_reply_chunk_with_cb(
-    request, ToBuffer(aData).get(), cut, &loop_);
+  evhttp_send_reply_chunk_with_cb(request, ToBuffer(aData).get(), cut, &loop_);
 }
 
 void
--- a/packages/transport/src/connection/PeerLink.cpp
+++ b/packages/transport/src/connection/PeerLink.cpp
@@ -55,10 +55,8 @@
     , stream_(
         bufferevent_socket_new(aLoop.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE))
     , session_({ .isClient_ = aIsClient,
-                 .write_ =
-                   [this](const char* aData, size_t aSize) {
-                     Write(aData, aSize);
-                   },
+                 .write_ = [this](const char* aData,
+                                  size_t aSize) { Write(aData, aSize); },
                  .onOpen_ = [this] { OnOpen(); },
                  .onMessage_ =
                    [this](const std::string& aBytes) { OnMessage(aBytes); },
@@ -181,8 +179,7 @@
                    const Address& aAddress,
                    PeerLinkLimits aLimits,
                    PeerLinkHooks aHooks)
-  : state_(
-      std::make_unique<State>(aLoop, -1, true, aLimits, std::move(aHooks)))
+  : state_(std::make_unique<State>(aLoop, -1, true, aLimits, std::move(aHooks)))
 {
   sockaddr_in address = ToSocketAddress(aAddress);
   const int result =
--- a/packages/transport/src/connection/PeerListener.cpp
+++ b/packages/transport/src/connection/PeerListener.cpp
@@ -72,13 +72,10 @@
   address.sin_family = AF_INET;
   address.sin_port = htons(aAddress.port_);
   inet_pton(AF_INET, aAddress.host_.c_str(), &address.sin_addr);
-  const auto accept = [](evconnlistener*,
-                         evutil_socket_t aSocket,
-                         sockaddr*,
-                         int,
-                         void* aSelf) {
-    static_cast<State*>(aSelf)->Accept(aSocket);
-  };
+  const auto accept =
+    [](evconnlistener*, evutil_socket_t aSocket, sockaddr*, int, void* aSelf) {
+      static_cast<State*>(aSelf)->Accept(aSocket);
+    };
   state_->listener_.reset(
     evconnlistener_new_bind(state_->loop_.Base(),
                             accept,
--- a/packages/transport/src/connection/WebSocketSession.cpp
+++ b/packages/transport/src/connection/WebSocketSession.cpp
@@ -43,8 +43,7 @@
   {
     size_t taken = 0;
     while (connection_ && taken < aSize) {
-      const size_t count =
-        connection_->read_some(aData + taken, aSize - taken);
+      const size_t count = connection_->read_some(aData + taken, aSize - taken);
       if (count == 0) {
         return;
       }
@@ -54,9 +53,10 @@
 
   bool Send(std::string_view aMessage) override
   {
-    return connection_ && !connection_->send(aMessage.data(),
-                                             aMessage.size(),
-                                             websocketpp::frame::opcode::binary);
+    return connection_ &&
+           !connection_->send(aMessage.data(),
+                              aMessage.size(),
+                              websocketpp::frame::opcode::binary);
   }
 
   /// Calls no hook from now on.
--- /dev/null
+++ b/scripts/install-dependencies.sh
@@ -0,0 +1,17 @@
+#!/usr/bin/env bash
+# Installs what cactuswick needs to be built, checked and tested on Debian 12.
+set -euo pipefail
+export DEBIAN_FRONTEND=noninteractive
+run_as_root=()
+if [ "$(id -u)" -ne 0 ]; then
+  run_as_root=(sudo)
+fi
+"${run_as_root[@]}" apt-get update -qq
+"${run_as_root[@]}" apt-get install -y -qq \
+  g++ cmake ninja-build ccache mold pkg-config \
+  clang-format clang-tidy \
+  libevent-dev libwebsocketpp-dev nlohmann-json3-dev libabsl-dev \
+  libboost-dev libboost-log-dev libboost-thread-dev libboost-filesystem-dev \
+  libtclap-dev libinih-dev libxxhash-dev libssl-dev \
+  libgtest-dev librapidcheck-dev \
+  python3 python3-pytest >/dev/null
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -225,17 +225,18 @@
         themselves before."""
         ended = [name for name, process in self.processes.items()
                  if process.poll() is not None]
-        order = sorted(self.processes, key=lambda name: name[0] == "c")
-        for name in order:
-            process = self.processes[name]
-            if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
-                process.send_signal(signal.SIGTERM)
-            if name.startswith("c"):
-                continue
-            self.reap(process, 10)
-        for name in order:
-            self.reap(self.processes[name], 10)
+        # Endpoints leave first, then routers drain, then control stops.
+        roles = {"r": 1, "c": 2}
+        for turn in range(3):
+            group = [process for name, process in self.processes.items()
+                     if turn == (roles.get(name[0], 0) if name[1:].isdigit()
+                                 else 0)]
+            for process in group:
+                if process.poll() is None:
+                    process.send_signal(signal.SIGCONT)
+                    process.send_signal(signal.SIGTERM)
+            for process in group:
+                self.reap(process, 10)
         self.processes.clear()
         self.log.close()
         if self.temporary:
