Tests of the ledger, the log, routing decisions, decoders and settings

Outgoing links come from the process's own IP number now, so that cuts between two named processes can be tried.

--- a/packages/control/src/process/ControlTask.cpp
+++ b/packages/control/src/process/ControlTask.cpp
@@ -410,6 +410,7 @@
         loop_,
         transport::PeerDialerOptions{
           .address_ = *address,
+          .from_ = settings_.GetAddress(settings::kControlListen).host_,
           .onMessage_ = [this](const transport::PeerMessage& aMessage) {
             OnMessage(0, aMessage);
           } });
@@ -428,10 +429,9 @@
       return;
     }
     lastJoinMs_ = now;
-    const ledger::Member self{ id_,
-                               settings_.Get(settings::kControlListen),
-                               settings_.Get(settings::kFailureDomain),
-                               false };
+    const ledger::Member self{
+      id_, OwnAddress(), settings_.Get(settings::kFailureDomain), false
+    };
     for (const auto& replica : settings_.GetReplicas()) {
       if (replica.vm_ != settings_.Get(settings::kVm)) {
         const std::string address = replica.address_.ToString();
@@ -441,6 +441,17 @@
     }
   }
 
+  /// Where others reach this replica: as the replicas list says, if it does.
+  std::string OwnAddress() const
+  {
+    for (const auto& replica : settings_.GetReplicas()) {
+      if (replica.vm_ == settings_.Get(settings::kVm)) {
+        return replica.address_.ToString();
+      }
+    }
+    return settings_.Get(settings::kControlListen);
+  }
+
   std::string ExposeMetrics()
   {
     metrics_.Set(Gauge::kLeader, wasLeader_ ? 1 : 0);
--- a/packages/router/src/process/ControlClient.cpp
+++ b/packages/router/src/process/ControlClient.cpp
@@ -59,6 +59,7 @@
       loop_,
       transport::PeerDialerOptions{
         .address_ = aAddress,
+        .from_ = options_.from_,
         .onUp_ = [this] { OnUp(); },
         .onMessage_ =
           [this](transport::PeerMessage aMessage) {
--- a/packages/router/src/process/ControlClient.h
+++ b/packages/router/src/process/ControlClient.h
@@ -18,6 +18,8 @@
 struct ControlClientOptions
 {
   std::vector<transport::Address> replicas_;
+  /// Own IP number to connect from.
+  std::string from_;
   ledger::RegisterRouter registration_;
   /// Longest wait for an answer to an operator's proposal or query.
   int64_t callTimeoutMs_ = 5'000;
--- a/packages/router/src/process/RouterPeers.cpp
+++ b/packages/router/src/process/RouterPeers.cpp
@@ -83,6 +83,7 @@
         loop_,
         transport::PeerDialerOptions{
           .address_ = *address,
+          .from_ = options_.from_,
           .onUp_ = [this] { SendGossip(); },
           .onMessage_ =
             [this](const transport::PeerMessage& aMessage) {
--- a/packages/router/src/process/RouterPeers.h
+++ b/packages/router/src/process/RouterPeers.h
@@ -15,7 +15,8 @@
 
 struct RouterPeersOptions
 {
-  std::string vm_;
+  /// Own IP number to connect from.
+  std::string from_;
   std::string failureDomain_;
   std::function<void(const transport::EndpointNews&)> onEndpoint_;
   /// Keeps copies for another router; returns the numbers that it kept.
--- a/packages/router/src/process/RouterTask.cpp
+++ b/packages/router/src/process/RouterTask.cpp
@@ -86,7 +86,7 @@
     peers_ = std::make_unique<RouterPeers>(
       loop_,
       RouterPeersOptions{
-        .vm_ = settings_.Get(settings::kVm),
+        .from_ = settings_.GetAddress(settings::kRouterPeerListen).host_,
         .failureDomain_ = settings_.Get(settings::kFailureDomain),
         .onEndpoint_ =
           [this](const transport::EndpointNews& aNews) {
@@ -143,6 +143,7 @@
       loop_,
       ControlClientOptions{
         .replicas_ = settings_.GetAddresses(settings::kRouterControl),
+        .from_ = settings_.GetAddress(settings::kRouterPeerListen).host_,
         .registration_ = { .nonce_ = model::RandomHex(),
                            .vm_ = settings_.Get(settings::kVm),
                            .failureDomain_ =
--- a/packages/transport/include/cactuswick/transport/connection/PeerDialer.h
+++ b/packages/transport/include/cactuswick/transport/connection/PeerDialer.h
@@ -10,6 +10,8 @@
 struct PeerDialerOptions
 {
   Address address_;
+  /// Own IP number to connect from; empty lets the system choose.
+  std::string from_;
   PeerLinkLimits limits_;
   /// First and longest wait before connecting again.
   int64_t minBackoffMs_ = 50;
--- a/packages/transport/include/cactuswick/transport/connection/PeerLink.h
+++ b/packages/transport/include/cactuswick/transport/connection/PeerLink.h
@@ -36,9 +36,10 @@
 class PeerLink
 {
 public:
-  /// Connects to @p aAddress.
+  /// Connects to @p aAddress, from the IP number @p aFrom unless empty.
   PeerLink(EventLoop& aLoop,
            const Address& aAddress,
+           const std::string& aFrom,
            PeerLinkLimits aLimits,
            PeerLinkHooks aHooks);
   /// Takes over an accepted socket.
--- a/packages/transport/src/connection/PeerDialer.cpp
+++ b/packages/transport/src/connection/PeerDialer.cpp
@@ -21,6 +21,7 @@
     link_ = std::make_unique<PeerLink>(
       loop_,
       options_.address_,
+      options_.from_,
       options_.limits_,
       PeerLinkHooks{ .onOpen_ = [this] { OnOpen(); },
                      .onMessage_ = options_.onMessage_,
--- a/packages/transport/src/connection/PeerLink.cpp
+++ b/packages/transport/src/connection/PeerLink.cpp
@@ -33,6 +33,23 @@
   return address;
 }
 
+/// A socket for an outgoing link, bound to an own IP number; -1 lets the
+/// system choose.
+int
+BoundSocket(const std::string& aFrom)
+{
+  if (aFrom.empty()) {
+    return -1;
+  }
+  const int handle = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  evutil_make_socket_nonblocking(handle);
+  const sockaddr_in from = ToSocketAddress({ aFrom, 0 });
+  // A number that is not this VM's shows when the connection fails.
+  static_cast<void>(
+    bind(handle, reinterpret_cast<const sockaddr*>(&from), sizeof(from)));
+  return handle;
+}
+
 void
 SendAtOnce(int aSocket)
 {
@@ -177,9 +194,14 @@
 
 PeerLink::PeerLink(EventLoop& aLoop,
                    const Address& aAddress,
+                   const std::string& aFrom,
                    PeerLinkLimits aLimits,
                    PeerLinkHooks aHooks)
-  : state_(std::make_unique<State>(aLoop, -1, true, aLimits, std::move(aHooks)))
+  : state_(std::make_unique<State>(aLoop,
+                                   BoundSocket(aFrom),
+                                   true,
+                                   aLimits,
+                                   std::move(aHooks)))
 {
   sockaddr_in address = ToSocketAddress(aAddress);
   const int result =
--- /dev/null
+++ b/tests/ledger/process/LogStoreTest.cpp
@@ -0,0 +1,168 @@
+#include <gtest/gtest.h>
+
+#include "cactuswick/ledger/process/LogStore.h"
+
+#include <filesystem>
+#include <fstream>
+
+#include <unistd.h>
+
+#include "cactuswick/ledger/process/SnapshotFile.h"
+#include "cactuswick/model/process/Error.h"
+
+namespace cactuswick::ledger {
+namespace {
+
+/// A folder of its own for each test.
+class LogStoreTest : public testing::Test
+{
+protected:
+  void SetUp() override
+  {
+    directory_ = std::filesystem::temp_directory_path() /
+                 ("cactuswick-log-" + std::to_string(getpid()));
+    std::filesystem::remove_all(directory_);
+    ASSERT_TRUE(LogStore::Format(directory_, { .id_ = "vm/x" }).ok());
+  }
+
+  void TearDown() override { std::filesystem::remove_all(directory_); }
+
+  std::string LogPath() const { return directory_ / "log"; }
+
+  /// Writes one frame with one entry for each index.
+  void Write(std::initializer_list<Index> aIndexes)
+  {
+    Recovered recovered;
+    auto store = LogStore::Open(directory_, recovered);
+    ASSERT_TRUE(store.ok());
+    for (const Index index : aIndexes) {
+      ASSERT_TRUE(store->Append({ .entries_ = { Entry{ index, 1 } } }).ok());
+    }
+    ASSERT_TRUE(store->Sync().ok());
+  }
+
+  absl::StatusOr<std::vector<Index>> Read()
+  {
+    Recovered recovered;
+    const auto store = LogStore::Open(directory_, recovered);
+    if (!store.ok()) {
+      return store.status();
+    }
+    std::vector<Index> indexes;
+    for (const auto& entry : recovered.entries_) {
+      indexes.push_back(entry.index_);
+    }
+    return indexes;
+  }
+
+  void Damage(int64_t aOffset)
+  {
+    std::fstream file(LogPath(),
+                      std::ios::binary | std::ios::in | std::ios::out);
+    file.seekp(aOffset);
+    file.put('\x5a');
+  }
+
+  std::filesystem::path directory_;
+};
+
+using Indexes = std::vector<Index>;
+
+TEST_F(LogStoreTest, ReadsBackWhatWasWritten)
+{
+  Write({ 1, 2, 3 });
+  EXPECT_EQ(*Read(), (Indexes{ 1, 2, 3 }));
+}
+
+TEST_F(LogStoreTest, AppliesTruncationAndHardState)
+{
+  Recovered recovered;
+  auto store = LogStore::Open(directory_, recovered);
+  ASSERT_TRUE(store.ok());
+  ASSERT_TRUE(
+    store->Append({ .entries_ = { Entry{ 1, 1 }, Entry{ 2, 1 } } }).ok());
+  ASSERT_TRUE(store
+                ->Append({ .hardState_ = HardState{ 4, "vm/y" },
+                           .truncateFrom_ = 2,
+                           .entries_ = { Entry{ 2, 4 } } })
+                .ok());
+  Recovered again;
+  ASSERT_TRUE(LogStore::Open(directory_, again).ok());
+  EXPECT_EQ(again.hardState_, (HardState{ 4, "vm/y" }));
+  ASSERT_EQ(again.entries_.size(), 2U);
+  EXPECT_EQ(again.entries_[1].term_, 4);
+}
+
+TEST_F(LogStoreTest, CutsATornTailAtEveryLength)
+{
+  Write({ 1, 2 });
+  const auto kept = std::filesystem::file_size(LogPath());
+  Write({ 3 });
+  const auto whole = std::filesystem::file_size(LogPath());
+  for (auto size = kept; size < whole; ++size) {
+    std::filesystem::resize_file(LogPath(), size);
+    const auto indexes = Read();
+    ASSERT_TRUE(indexes.ok()) << size;
+    EXPECT_EQ(*indexes, (Indexes{ 1, 2 }));
+    Write({ 3 });
+  }
+}
+
+TEST_F(LogStoreTest, RefusesADamagedMiddleAtEveryByte)
+{
+  Write({ 1, 2 });
+  const auto middle =
+    static_cast<int64_t>(std::filesystem::file_size(LogPath()));
+  Write({ 3 });
+  std::filesystem::copy_file(LogPath(), directory_ / "copy");
+  for (int64_t at = 0; at < middle; ++at) {
+    std::filesystem::copy_file(
+      directory_ / "copy",
+      LogPath(),
+      std::filesystem::copy_options::overwrite_existing);
+    Damage(at);
+    const auto indexes = Read();
+    if (indexes.ok()) {
+      // The byte happened to hold that value already.
+      EXPECT_EQ(*indexes, (Indexes{ 1, 2, 3 }));
+      continue;
+    }
+    EXPECT_EQ(model::KindOf(indexes.status()),
+              model::ErrorKind::kCorruptStorage);
+  }
+}
+
+TEST_F(LogStoreTest, GoesOnAfterARepairedTail)
+{
+  Write({ 1, 2 });
+  std::filesystem::resize_file(LogPath(),
+                               std::filesystem::file_size(LogPath()) - 1);
+  Write({ 2, 3 });
+  EXPECT_EQ(*Read(), (Indexes{ 1, 2, 3 }));
+}
+
+TEST_F(LogStoreTest, AFolderIsNeverFormattedTwice)
+{
+  EXPECT_EQ(model::KindOf(LogStore::Format(directory_, { .id_ = "vm/y" })),
+            model::ErrorKind::kVersionConflict);
+}
+
+TEST_F(LogStoreTest, RefusesAnIncompleteSnapshot)
+{
+  Ledger ledger;
+  ledger.Apply(ApplyResource{ "q", 0, model::Workspace{ .name_ = "w" } }, 1);
+  ASSERT_TRUE(WriteSnapshot(directory_, { .lastIndex_ = 5 }, ledger).ok());
+  Ledger loaded;
+  const auto header = ReadSnapshot(directory_, loaded);
+  ASSERT_TRUE(header.ok());
+  EXPECT_EQ(header->lastIndex_, 5);
+  EXPECT_NE(loaded.FindResource("workspace/w"), nullptr);
+  const auto path = SnapshotPath(directory_);
+  std::filesystem::resize_file(path, std::filesystem::file_size(path) - 1);
+  Ledger other;
+  EXPECT_EQ(model::KindOf(ReadSnapshot(directory_, other).status()),
+            model::ErrorKind::kCorruptStorage);
+}
+
+} // namespace
+} // namespace cactuswick::ledger
--- /dev/null
+++ b/tests/ledger/version/LedgerTest.cpp
@@ -0,0 +1,326 @@
+#include <gtest/gtest.h>
+
+#include "cactuswick/ledger/version/Ledger.h"
+
+namespace cactuswick::ledger {
+namespace {
+
+constexpr const char* kBudget = "w/main";
+
+/// A ledger with a workspace, a budget of 1,000 tokens and two routers.
+class LedgerTest : public testing::Test
+{
+protected:
+  void SetUp() override
+  {
+    Run(ApplyResource{ "q1", 0, model::Workspace{ .name_ = "w" } });
+    Run(ApplyResource{ "q2", 0, model::Budget{ .name_ = kBudget } });
+    Run(TopUp{ "t1", kBudget, 1'000 });
+    first_ = Register("vm1", "nonce-one");
+    second_ = Register("vm2", "nonce-two");
+  }
+
+  void TearDown() override
+  {
+    EXPECT_TRUE(ledger_.CheckInvariants().ok())
+      << ledger_.CheckInvariants().ToString();
+  }
+
+  Reply Run(const Command& aCommand) { return ledger_.Apply(aCommand, time_); }
+
+  Incarnation Register(const std::string& aVm, const std::string& aNonce)
+  {
+    const auto reply = Run(RegisterRouter{ .nonce_ = aNonce, .vm_ = aVm });
+    return std::get<Registered>(reply).incarnation_;
+  }
+
+  OpResult Op(Incarnation aRouter, const RouterOp& aOp)
+  {
+    const auto reply = Run(RouterBatch{ aRouter, ++sequence_, { aOp } });
+    return std::get<BatchReply>(reply).results_.at(0);
+  }
+
+  Tokens Grant(Incarnation aRouter, Tokens aMinimum, Tokens aWant = 0)
+  {
+    return std::get<GrantResult>(
+             Op(aRouter, AcquireGrant{ kBudget, aWant, aMinimum }))
+      .granted_;
+  }
+
+  SettleResult SettleOne(Incarnation aRouter,
+                         Incarnation aHolder,
+                         int64_t aNumber,
+                         const std::string& aKey,
+                         Tokens aAmount)
+  {
+    return std::get<SettleResult>(Op(aRouter,
+                                     Settle{ .holder_ = aHolder,
+                                             .number_ = aNumber,
+                                             .budget_ = kBudget,
+                                             .key_ = aKey,
+                                             .amount_ = aAmount,
+                                             .startedMs_ = time_ }));
+  }
+
+  const Account& Budget() { return *ledger_.FindAccount(kBudget); }
+
+  static model::ErrorKind KindOf(const Reply& aReply)
+  {
+    return std::get<Rejected>(aReply).kind_;
+  }
+
+  Ledger ledger_;
+  LogTimeMs time_ = 0;
+  int64_t sequence_ = 0;
+  Incarnation first_ = 0;
+  Incarnation second_ = 0;
+};
+
+TEST_F(LedgerTest, NeverGrantsMoreThanIsThere)
+{
+  EXPECT_EQ(Grant(first_, 600), 600);
+  EXPECT_EQ(Grant(second_, 600), 0);
+  EXPECT_EQ(Grant(second_, 400), 400);
+  EXPECT_EQ(Grant(second_, 1), 0);
+  EXPECT_EQ(Budget().Available(), 0);
+}
+
+TEST_F(LedgerTest, LeavesAShareToOthersWhenARouterWantsAll)
+{
+  EXPECT_EQ(Grant(first_, 10, 1'000'000), 250);
+}
+
+TEST_F(LedgerTest, TopUpsCountOncePerId)
+{
+  Run(TopUp{ "t1", kBudget, 1'000 });
+  EXPECT_EQ(Budget().toppedUp_, 1'000);
+  EXPECT_EQ(KindOf(Run(TopUp{ "t1", kBudget, 2'000 })),
+            model::ErrorKind::kKeyReused);
+}
+
+TEST_F(LedgerTest, RefusesAmountsOutOfRange)
+{
+  EXPECT_EQ(KindOf(Run(TopUp{ "t2", kBudget, -1 })),
+            model::ErrorKind::kOutOfRange);
+  EXPECT_EQ(KindOf(Run(TopUp{ "t3", kBudget, model::kMaxTokens })),
+            model::ErrorKind::kOutOfRange);
+  EXPECT_EQ(KindOf(Run(TopUp{ "t4", "w/other", 1 })),
+            model::ErrorKind::kUnknownResource);
+  EXPECT_EQ(Budget().toppedUp_, 1'000);
+}
+
+TEST_F(LedgerTest, BillsAKeyOnceWhoeverSettlesIt)
+{
+  Grant(first_, 100);
+  Grant(second_, 100);
+  EXPECT_EQ(SettleOne(first_, first_, 1, "k", 40).state_, SettleState::kBilled);
+  const auto again = SettleOne(second_, second_, 1, "k", 40);
+  EXPECT_EQ(again.state_, SettleState::kDuplicate);
+  EXPECT_EQ(again.charged_, 0);
+  // The same settlement handed in again by another router changes nothing.
+  EXPECT_EQ(SettleOne(second_, first_, 1, "k", 40).charged_, 40);
+  EXPECT_EQ(Budget().billed_, 40);
+}
+
+TEST_F(LedgerTest, BillsTheLargestRunOfAKeyInAnyOrder)
+{
+  Grant(first_, 100);
+  Grant(second_, 100);
+  SettleOne(first_, first_, 1, "k", 5);
+  EXPECT_EQ(SettleOne(second_, second_, 1, "k", 60).charged_, 55);
+  EXPECT_EQ(SettleOne(first_, first_, 2, "k", 30).charged_, 0);
+  EXPECT_EQ(Budget().billed_, 60);
+}
+
+TEST_F(LedgerTest, AnswersAResentBatchFromMemory)
+{
+  const RouterBatch batch{ first_,
+                           ++sequence_,
+                           { AcquireGrant{ kBudget, 10, 10 } } };
+  const auto one = Run(batch);
+  EXPECT_EQ(Run(batch), one);
+  EXPECT_EQ(Budget().granted_, 10);
+}
+
+TEST_F(LedgerTest, AnEndedRouterChangesNothing)
+{
+  Grant(first_, 100);
+  Register("vm1", "nonce-new");
+  EXPECT_EQ(KindOf(Run(RouterBatch{ first_, 99, {} })),
+            model::ErrorKind::kForbidden);
+}
+
+TEST_F(LedgerTest, FreesADeadRoutersGrantOnceNobodyHoldsCopies)
+{
+  Grant(first_, 100);
+  Register("vm1", "nonce-new");
+  EXPECT_EQ(Budget().granted_, 100);
+  // The other router still has a copy of one settlement.
+  EXPECT_EQ(SettleOne(second_, first_, 7, "k", 30).state_,
+            SettleState::kBilled);
+  Op(second_, ConfirmNoCopies{ first_ });
+  EXPECT_EQ(Budget().granted_, 0);
+  EXPECT_EQ(Budget().billed_, 30);
+  EXPECT_EQ(Budget().Available(), 970);
+}
+
+TEST_F(LedgerTest, HoldsADeadRoutersGrantWhenCopiesMayBeLost)
+{
+  Grant(first_, 100);
+  Register("vm1", "nonce-new-1");
+  Register("vm2", "nonce-new-2");
+  EXPECT_EQ(Budget().held_, 100);
+  EXPECT_EQ(Budget().Available(), 900);
+  Run(ReleaseHeld{ "q9", kBudget, 100 });
+  EXPECT_EQ(Budget().Available(), 1'000);
+}
+
+TEST_F(LedgerTest, HoldsWhenAKeeperDiedBeforeTheHolder)
+{
+  // The second router may have kept copies for the first, which was cut off.
+  Grant(first_, 100);
+  Register("vm2", "nonce-new-2");
+  const auto third = Register("vm3", "nonce-three");
+  Register("vm1", "nonce-new-1");
+  for (const Incarnation witness : { third, Incarnation{ 3 } }) {
+    Op(witness, ConfirmNoCopies{ first_ });
+  }
+  EXPECT_EQ(Budget().held_, 100);
+}
+
+TEST_F(LedgerTest, TrustsARouterThatReportedAfterAKeepersDeath)
+{
+  Grant(first_, 100);
+  const auto fresh = Register("vm2", "nonce-new-2");
+  Op(first_, Heartbeat{ ledger_.Revision(), 0, false });
+  Register("vm1", "nonce-new-1");
+  Op(fresh, ConfirmNoCopies{ first_ });
+  EXPECT_EQ(Budget().held_, 0);
+  EXPECT_EQ(Budget().Available(), 1'000);
+}
+
+TEST_F(LedgerTest, AHeartbeatSentBeforeTheDeathIsNoProof)
+{
+  Grant(first_, 100);
+  const int64_t before = ledger_.Revision();
+  const auto fresh = Register("vm2", "nonce-new-2");
+  Op(first_, Heartbeat{ before, 0, false });
+  Register("vm1", "nonce-new-1");
+  Op(fresh, ConfirmNoCopies{ first_ });
+  EXPECT_EQ(Budget().held_, 100);
+}
+
+TEST_F(LedgerTest, HoldsASettlementOlderThanTheKeysKept)
+{
+  Grant(first_, 100);
+  SettleOne(second_, second_, 1, "other", 0);
+  time_ += 3 * kSettlementHorizonMs;
+  for (const Incarnation router : { first_, second_ }) {
+    Op(router, Heartbeat{ 0, time_, false });
+  }
+  EXPECT_EQ(ledger_.SettledKeyCount(), 0U);
+  const auto late = Op(first_,
+                       Settle{ .holder_ = first_,
+                               .number_ = 1,
+                               .budget_ = kBudget,
+                               .key_ = "k",
+                               .amount_ = 40,
+                               .startedMs_ = 0 });
+  EXPECT_EQ(std::get<SettleResult>(late).state_, SettleState::kHeld);
+  EXPECT_EQ(Budget().billed_, 0);
+  EXPECT_EQ(Budget().held_, 40);
+}
+
+TEST_F(LedgerTest, KeepsKeysWhileARouterHasNotReported)
+{
+  SettleOne(second_, second_, 1, "k", 0);
+  time_ += 3 * kSettlementHorizonMs;
+  Op(second_, Heartbeat{ 0, time_, false });
+  EXPECT_EQ(ledger_.SettledKeyCount(), 1U);
+}
+
+TEST_F(LedgerTest, AClaimIsGivenOnceAndReportsItsOutcome)
+{
+  const Claim claim{ "w", "k", 5 };
+  EXPECT_TRUE(std::get<ClaimResult>(Op(first_, claim)).granted_);
+  const auto running = std::get<ClaimResult>(Op(second_, claim));
+  EXPECT_FALSE(running.granted_);
+  EXPECT_EQ(running.state_, ClaimState::kRunning);
+  Op(first_, ResolveClaim{ "w", "k", ClaimState::kDone, 200, "body" });
+  const auto done = std::get<ClaimResult>(Op(second_, claim));
+  EXPECT_EQ(done.state_, ClaimState::kDone);
+  EXPECT_EQ(done.body_, "body");
+  EXPECT_TRUE(
+    std::get<ClaimResult>(Op(second_, Claim{ "w", "k", 6 })).keyReused_);
+}
+
+TEST_F(LedgerTest, AClaimOfADeadRouterIsUnknownForGood)
+{
+  const Claim claim{ "w", "k", 5 };
+  Op(first_, claim);
+  Register("vm1", "nonce-new");
+  EXPECT_EQ(std::get<ClaimResult>(Op(second_, claim)).state_,
+            ClaimState::kUnknown);
+}
+
+TEST_F(LedgerTest, AClaimThatDidNotRunMayBeClaimedAgain)
+{
+  const Claim claim{ "w", "k", 5 };
+  Op(first_, claim);
+  Op(first_, ResolveClaim{ "w", "k", ClaimState::kNotRun });
+  EXPECT_TRUE(std::get<ClaimResult>(Op(second_, claim)).granted_);
+}
+
+TEST_F(LedgerTest, OneOfTwoRacingOperatorsWins)
+{
+  const model::Rank urgent{ .name_ = "urgent" };
+  const model::Rank other{ .name_ = "urgent", .priority_ = 3 };
+  const auto won = Run(ApplyResource{ "a", 0, urgent });
+  EXPECT_EQ(std::get<Accepted>(won).version_, 1);
+  EXPECT_EQ(KindOf(Run(ApplyResource{ "b", 0, other })),
+            model::ErrorKind::kVersionConflict);
+  // A resend gets the first answer, even after later changes.
+  Run(ApplyResource{ "c", 1, other });
+  EXPECT_EQ(Run(ApplyResource{ "a", 0, urgent }), won);
+}
+
+TEST_F(LedgerTest, VersionsRiseThroughDeletionAndReturn)
+{
+  const model::Rank urgent{ .name_ = "urgent" };
+  Run(ApplyResource{ "a", 0, urgent });
+  Run(DeleteResource{ "b", 1, "rank/urgent" });
+  const auto again = Run(ApplyResource{ "c", 0, urgent });
+  EXPECT_EQ(std::get<Accepted>(again).version_, 3);
+}
+
+TEST_F(LedgerTest, KeepsWhatOthersDependOn)
+{
+  EXPECT_EQ(KindOf(Run(DeleteResource{ "a", 1, "workspace/w" })),
+            model::ErrorKind::kForbidden);
+  EXPECT_EQ(KindOf(Run(DeleteResource{ "b", 1, "budget/w/main" })),
+            model::ErrorKind::kForbidden);
+  EXPECT_EQ(
+    KindOf(Run(ApplyResource{ "c", 0, model::Budget{ .name_ = "x/main" } })),
+    model::ErrorKind::kUnknownResource);
+}
+
+TEST_F(LedgerTest, ADeltaHoldsOnlyWhatIsNewer)
+{
+  const int64_t before = ledger_.Revision();
+  Run(ApplyResource{ "a", 0, model::Rank{ .name_ = "urgent" } });
+  const auto delta = ledger_.ConfigSince(before);
+  ASSERT_EQ(delta.resources_.size(), 1U);
+  EXPECT_FALSE(delta.routersChanged_);
+  EXPECT_TRUE(ledger_.ConfigSince(ledger_.Revision()).resources_.empty());
+}
+
+TEST_F(LedgerTest, AGoodbyeFreesWhatIsLeft)
+{
+  Grant(first_, 100);
+  Op(first_, Goodbye{});
+  EXPECT_EQ(Budget().Available(), 1'000);
+  EXPECT_FALSE(ledger_.Routers().contains(first_));
+}
+
+} // namespace
+} // namespace cactuswick::ledger
--- /dev/null
+++ b/tests/ledger/version/ReplicaTest.cpp
@@ -0,0 +1,381 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include "cactuswick/ledger/version/Replica.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <random>
+
+#include "cactuswick/ledger/process/SnapshotFile.h"
+
+namespace cactuswick::ledger {
+namespace {
+
+constexpr SteadyMs kStepMs = 20;
+
+/// What one replica keeps on its disk: only synced frames survive a crash.
+struct Disk
+{
+  HardState hardState_;
+  std::vector<Entry> entries_;
+};
+
+/// Several replicas with messages and disks between them, in one thread.
+class Cluster
+{
+public:
+  explicit Cluster(int aSize, uint64_t aSeed = 1)
+    : random_(aSeed)
+  {
+    for (int i = 0; i < aSize; ++i) {
+      members_.push_back({ Id(i), "", "", true });
+    }
+    for (int i = 0; i < aSize; ++i) {
+      Start(i);
+    }
+  }
+
+  static std::string Id(int aNumber) { return "r" + std::to_string(aNumber); }
+
+  void Start(int aNumber)
+  {
+    const Disk& disk = disks_[aNumber];
+    replicas_[aNumber] = std::make_unique<Replica>(
+      ReplicaOptions{ .id_ = Id(aNumber),
+                      .seed_ = static_cast<uint64_t>(aNumber) + 1 },
+      ReplicaStart{ .hardState_ = disk.hardState_,
+                    .members_ = members_,
+                    .entries_ = disk.entries_ });
+    replicas_[aNumber]->Tick(now_);
+  }
+
+  void Crash(int aNumber)
+  {
+    replicas_.erase(aNumber);
+    unsynced_.erase(aNumber);
+    checked_.erase(aNumber);
+  }
+
+  bool IsUp(int aNumber) const { return replicas_.contains(aNumber); }
+  Replica& At(int aNumber) { return *replicas_.at(aNumber); }
+
+  /// Lets time pass once: ticks, syncs and deliveries.
+  void Step(double aLoss = 0, double aSyncDelay = 0)
+  {
+    now_ += kStepMs;
+    for (auto& [number, replica] : replicas_) {
+      replica->Tick(now_);
+      Carry(number);
+    }
+    for (auto& [number, replica] : replicas_) {
+      if (!Chance(aSyncDelay)) {
+        Sync(number);
+      }
+    }
+    auto messages = std::exchange(messages_, {});
+    std::shuffle(messages.begin(), messages.end(), random_);
+    for (const auto& envelope : messages) {
+      const int to = std::stoi(envelope.to_.substr(1));
+      if (IsUp(to) && !Chance(aLoss) && !IsCut(envelope)) {
+        At(to).Receive(envelope.message_, now_);
+        Carry(to);
+      }
+    }
+    CheckCommitted();
+  }
+
+  void Run(int aSteps)
+  {
+    for (int i = 0; i < aSteps; ++i) {
+      Step();
+    }
+  }
+
+  std::optional<int> Leader()
+  {
+    std::optional<int> leader;
+    for (auto& [number, replica] : replicas_) {
+      if (replica->CanServe() &&
+          (!leader || replica->CurrentTerm() > At(*leader).CurrentTerm())) {
+        leader = number;
+      }
+    }
+    return leader;
+  }
+
+  void Propose(int aNumber, const std::string& aId)
+  {
+    At(aNumber).Propose(TopUp{ .id_ = aId }, now_);
+    Carry(aNumber);
+  }
+
+  /// Cuts what @p aFrom sends to anyone, or what anyone sends to it.
+  void CutFrom(const std::string& aFrom) { cutFrom_.push_back(aFrom); }
+  void CutTo(const std::string& aTo) { cutTo_.push_back(aTo); }
+  void Heal()
+  {
+    cutFrom_.clear();
+    cutTo_.clear();
+  }
+
+  /// Committed commands in order; the same at every replica, for ever.
+  const std::map<Index, Entry>& Committed() const { return committed_; }
+  bool Diverged() const { return diverged_; }
+  SteadyMs Now() const { return now_; }
+
+  Effects LastEffects(int aNumber) { return std::exchange(seen_[aNumber], {}); }
+
+private:
+  bool Chance(double aShare)
+  {
+    return std::uniform_real_distribution<double>(0, 1)(random_) < aShare;
+  }
+
+  bool IsCut(const Envelope& aEnvelope) const
+  {
+    const auto& from = std::visit(
+      [](const auto& aOne) -> const std::string& { return aOne.from_; },
+      aEnvelope.message_);
+    return std::find(cutFrom_.begin(), cutFrom_.end(), from) !=
+             cutFrom_.end() ||
+           std::find(cutTo_.begin(), cutTo_.end(), aEnvelope.to_) !=
+             cutTo_.end();
+  }
+
+  /// Takes effects: frames wait for Sync, and so do messages after it.
+  void Carry(int aNumber)
+  {
+    Effects effects = At(aNumber).Take();
+    auto& seen = seen_[aNumber];
+    seen.readsReady_.insert(seen.readsReady_.end(),
+                            effects.readsReady_.begin(),
+                            effects.readsReady_.end());
+    messages_.insert(
+      messages_.end(), effects.sendNow_.begin(), effects.sendNow_.end());
+    unsynced_[aNumber].push_back({ std::move(effects),
+                                   At(aNumber).Log().LastIndex(),
+                                   At(aNumber).Log().LastTerm() });
+  }
+
+  void Sync(int aNumber)
+  {
+    for (auto& pending : std::exchange(unsynced_[aNumber], {})) {
+      Disk& disk = disks_[aNumber];
+      const Effects& effects = pending.effects_;
+      disk.hardState_ = effects.hardState_.value_or(disk.hardState_);
+      std::erase_if(disk.entries_, [&](const Entry& aEntry) {
+        return effects.truncateFrom_ && aEntry.index_ >= *effects.truncateFrom_;
+      });
+      disk.entries_.insert(
+        disk.entries_.end(), effects.persist_.begin(), effects.persist_.end());
+      messages_.insert(messages_.end(),
+                       effects.sendAfterSync_.begin(),
+                       effects.sendAfterSync_.end());
+      At(aNumber).Persisted(pending.lastIndex_, pending.lastTerm_);
+    }
+  }
+
+  void CheckCommitted()
+  {
+    for (auto& [number, replica] : replicas_) {
+      Index& checked = checked_[number];
+      for (; checked < replica->CommitIndex(); ++checked) {
+        const Entry& entry = replica->Log().At(checked + 1);
+        const auto [at, fresh] = committed_.try_emplace(entry.index_, entry);
+        diverged_ = diverged_ || at->second != entry;
+      }
+    }
+  }
+
+  struct Pending
+  {
+    Effects effects_;
+    Index lastIndex_;
+    Term lastTerm_;
+  };
+
+  SteadyMs now_ = 0;
+  std::mt19937_64 random_;
+  std::vector<Member> members_;
+  std::map<int, Disk> disks_;
+  std::map<int, std::unique_ptr<Replica>> replicas_;
+  std::map<int, std::vector<Pending>> unsynced_;
+  std::map<int, Effects> seen_;
+  std::vector<Envelope> messages_;
+  std::vector<std::string> cutFrom_;
+  std::vector<std::string> cutTo_;
+  std::map<Index, Entry> committed_;
+  std::map<int, Index> checked_;
+  bool diverged_ = false;
+};
+
+bool
+Holds(const Cluster& aCluster, const std::string& aId)
+{
+  return std::any_of(aCluster.Committed().begin(),
+                     aCluster.Committed().end(),
+                     [&](const auto& aPair) {
+                       const auto* topUp =
+                         std::get_if<TopUp>(&aPair.second.command_);
+                       return topUp != nullptr && topUp->id_ == aId;
+                     });
+}
+
+TEST(Replica, ElectsOneLeaderAndCommits)
+{
+  Cluster cluster(3);
+  cluster.Run(100);
+  const auto leader = cluster.Leader();
+  ASSERT_TRUE(leader);
+  cluster.Propose(*leader, "a");
+  cluster.Run(10);
+  EXPECT_TRUE(Holds(cluster, "a"));
+}
+
+TEST(Replica, ASingleReplicaLeadsItself)
+{
+  Cluster cluster(1);
+  cluster.Run(100);
+  ASSERT_TRUE(cluster.Leader());
+}
+
+TEST(Replica, AnIsolatedLeaderCommitsAndReadsNothing)
+{
+  Cluster cluster(3);
+  cluster.Run(100);
+  const int old = *cluster.Leader();
+  cluster.CutFrom(Cluster::Id(old));
+  cluster.CutTo(Cluster::Id(old));
+  cluster.LastEffects(old);
+  cluster.Propose(old, "lost");
+  cluster.At(old).RequestRead(7);
+  cluster.Run(150);
+  EXPECT_FALSE(Holds(cluster, "lost"));
+  EXPECT_TRUE(cluster.LastEffects(old).readsReady_.empty());
+  EXPECT_NE(cluster.At(old).Role(), ReplicaRole::kLeader);
+  const auto fresh = cluster.Leader();
+  ASSERT_TRUE(fresh);
+  cluster.Propose(*fresh, "kept");
+  cluster.Run(10);
+  cluster.Heal();
+  cluster.Run(100);
+  EXPECT_TRUE(Holds(cluster, "kept"));
+  EXPECT_FALSE(Holds(cluster, "lost"));
+  EXPECT_FALSE(cluster.Diverged());
+}
+
+TEST(Replica, ALeaderThatHearsNobodyStepsDown)
+{
+  Cluster cluster(3);
+  cluster.Run(100);
+  const int old = *cluster.Leader();
+  cluster.CutTo(Cluster::Id(old));
+  cluster.Run(150);
+  EXPECT_NE(cluster.At(old).Role(), ReplicaRole::kLeader);
+  EXPECT_TRUE(cluster.Leader());
+}
+
+TEST(Replica, AFollowerThatHearsNobodyDisturbsNobody)
+{
+  Cluster cluster(3);
+  cluster.Run(100);
+  const int leader = *cluster.Leader();
+  const Term term = cluster.At(leader).CurrentTerm();
+  cluster.CutTo(Cluster::Id((leader + 1) % 3));
+  cluster.Run(300);
+  EXPECT_EQ(cluster.Leader(), leader);
+  EXPECT_EQ(cluster.At(leader).CurrentTerm(), term);
+}
+
+TEST(Replica, ReadsWaitForAQuorum)
+{
+  Cluster cluster(3);
+  cluster.Run(100);
+  const int leader = *cluster.Leader();
+  cluster.LastEffects(leader);
+  ASSERT_TRUE(cluster.At(leader).RequestRead(5));
+  cluster.Run(5);
+  EXPECT_EQ(cluster.LastEffects(leader).readsReady_, std::vector<ReadId>{ 5 });
+}
+
+TEST(Replica, CommittedEntriesSurviveTheLossOfTheLeader)
+{
+  Cluster cluster(3);
+  cluster.Run(100);
+  const int leader = *cluster.Leader();
+  cluster.Propose(leader, "a");
+  cluster.Run(10);
+  ASSERT_TRUE(Holds(cluster, "a"));
+  cluster.Crash(leader);
+  cluster.Run(150);
+  const auto next = cluster.Leader();
+  ASSERT_TRUE(next);
+  bool found = false;
+  const auto& log = cluster.At(*next).Log();
+  for (const auto& entry : log.Slice(log.BaseIndex() + 1, 1'000)) {
+    const auto* topUp = std::get_if<TopUp>(&entry.command_);
+    found = found || (topUp != nullptr && topUp->id_ == "a");
+  }
+  EXPECT_TRUE(found);
+}
+
+RC_GTEST_PROP(ReplicaProperty,
+              NeverLosesACommittedEntryNorCommitsTwoInOnePlace,
+              ())
+{
+  const int size = *rc::gen::element(3, 5);
+  Cluster cluster(size, *rc::gen::inRange<uint64_t>(1, 1'000'000));
+  std::mt19937 random(*rc::gen::inRange<uint32_t>(1, 1'000'000));
+  int proposals = 0;
+  for (int step = 0; step < 600; ++step) {
+    const int number = static_cast<int>(random() % size);
+    switch (random() % 25) {
+      case 0:
+        if (cluster.IsUp(number)) {
+          cluster.Crash(number);
+        }
+        break;
+      case 1:
+      case 2:
+        if (!cluster.IsUp(number)) {
+          cluster.Start(number);
+        }
+        break;
+      case 3:
+        cluster.CutFrom(Cluster::Id(number));
+        break;
+      case 4:
+        cluster.CutTo(Cluster::Id(number));
+        break;
+      case 5:
+      case 6:
+        cluster.Heal();
+        break;
+      default:
+        if (cluster.IsUp(number)) {
+          cluster.Propose(number, std::to_string(++proposals));
+        }
+    }
+    cluster.Step(0.1, 0.3);
+    RC_ASSERT(!cluster.Diverged());
+  }
+  // Once all is well again, every committed entry is at the leader.
+  cluster.Heal();
+  for (int number = 0; number < size; ++number) {
+    if (!cluster.IsUp(number)) {
+      cluster.Start(number);
+    }
+  }
+  cluster.Run(300);
+  const auto leader = cluster.Leader();
+  RC_ASSERT(leader);
+  for (const auto& [index, entry] : cluster.Committed()) {
+    RC_ASSERT(cluster.At(*leader).Log().At(index) == entry);
+  }
+}
+
+} // namespace
+} // namespace cactuswick::ledger
--- /dev/null
+++ b/tests/router/request/AnswerMeterTest.cpp
@@ -0,0 +1,69 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include "request/AnswerMeter.h"
+
+namespace cactuswick::router {
+namespace {
+
+constexpr std::string_view kToken =
+  "data: {\"choices\":[{\"delta\":{\"content\":\"x\"}}]}\n\n";
+constexpr std::string_view kUsage =
+  "data: {\"choices\":[],\"usage\":{\"total_tokens\":12}}\n\n";
+constexpr std::string_view kClosing = "data: [DONE]\n\n";
+
+TEST(AnswerMeter, HoldsTheClosingEventBack)
+{
+  AnswerMeter meter;
+  EXPECT_EQ(meter.Feed(kToken), kToken);
+  EXPECT_EQ(meter.Feed(kUsage), kUsage);
+  EXPECT_FALSE(meter.IsWhole());
+  EXPECT_EQ(meter.Feed(kClosing), "");
+  EXPECT_TRUE(meter.IsWhole());
+  EXPECT_EQ(meter.Usage(), 12);
+  EXPECT_EQ(meter.ContentEvents(), 1);
+}
+
+TEST(AnswerMeter, AHalfEventIsNotWhole)
+{
+  AnswerMeter meter;
+  meter.Feed(kClosing);
+  EXPECT_TRUE(meter.IsWhole());
+  meter.Feed("data: {");
+  EXPECT_FALSE(meter.IsWhole());
+}
+
+RC_GTEST_PROP(AnswerMeterProperty, AnySplitGivesTheSameAnswer, ())
+{
+  std::string answer;
+  const int tokens = *rc::gen::inRange(0, 10);
+  for (int i = 0; i < tokens; ++i) {
+    answer += kToken;
+  }
+  answer += kUsage;
+  const std::string expected = answer;
+  answer += kClosing;
+  AnswerMeter meter;
+  std::string forwarded;
+  size_t at = 0;
+  while (at < answer.size()) {
+    const auto size = *rc::gen::inRange<size_t>(1, 40);
+    forwarded += meter.Feed(std::string_view(answer).substr(at, size));
+    at += size;
+  }
+  RC_ASSERT(forwarded == expected);
+  RC_ASSERT(meter.IsWhole());
+  RC_ASSERT(meter.ContentEvents() == tokens);
+}
+
+RC_GTEST_PROP(AnswerMeterProperty, TakesAnyBytes, (const std::string& aBytes))
+{
+  AnswerMeter meter;
+  meter.Feed(aBytes);
+  meter.Feed("\n\n");
+  RC_SUCCEED("took them");
+}
+
+} // namespace
+} // namespace cactuswick::router
--- /dev/null
+++ b/tests/routing/process/EndpointTableTest.cpp
@@ -0,0 +1,188 @@
+#include <gtest/gtest.h>
+
+#include "cactuswick/routing/process/EndpointTable.h"
+
+#include <map>
+
+namespace cactuswick::routing {
+namespace {
+
+constexpr const char* kModel = "m";
+
+model::Announcement
+Announce(const std::string& aName, int64_t aSequence = 1, int64_t aLife = 1)
+{
+  return { .endpoint_ = aName,
+           .serves_ = { kModel },
+           .address_ = "127.0.0.1:1",
+           .failureDomain_ = "a",
+           .slots_ = 4,
+           .incarnation_ = aLife,
+           .sequence_ = aSequence,
+           .leaseMs_ = 3'000 };
+}
+
+EndpointTable
+Table(int aEndpoints)
+{
+  EndpointTable table({ .failureDomain_ = "a" });
+  for (int i = 0; i < aEndpoints; ++i) {
+    table.Hear(Announce("e" + std::to_string(i)), 0, 0);
+  }
+  return table;
+}
+
+struct LeavingCase
+{
+  const char* what_;
+  model::Announcement last_;
+  int64_t nowMs_;
+  bool usable_;
+};
+
+class Leaving : public testing::TestWithParam<LeavingCase>
+{};
+
+TEST_P(Leaving, DecidesWhetherNewWorkGoesThere)
+{
+  auto table = Table(1);
+  table.Hear(GetParam().last_, 0, 1'000);
+  EXPECT_EQ(table.Serves(kModel, GetParam().nowMs_), GetParam().usable_)
+    << GetParam().what_;
+  EXPECT_EQ(table.Acquire(kModel, 0, {}, GetParam().nowMs_).has_value(),
+            GetParam().usable_)
+    << GetParam().what_;
+}
+
+model::Announcement
+With(model::Announcement aAnnouncement, bool aLeaving)
+{
+  aAnnouncement.leaving_ = aLeaving;
+  return aAnnouncement;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  Leaving,
+  testing::Values(
+    LeavingCase{ "renewed", Announce("e0", 2), 3'500, true },
+    LeavingCase{ "lease ran out", Announce("e0", 2), 4'001, false },
+    LeavingCase{ "announced", With(Announce("e0", 2), true), 1'001, false },
+    LeavingCase{ "a late message of the same life",
+                 Announce("e0", 0),
+                 3'500,
+                 false },
+    LeavingCase{ "a late message of an old life",
+                 Announce("e0", 9, 0),
+                 3'500,
+                 false },
+    LeavingCase{ "a new life", Announce("e0", 1, 2), 3'500, true }));
+
+TEST(EndpointTable, OnlyChangesAreNews)
+{
+  auto table = Table(1);
+  EXPECT_FALSE(table.Hear(Announce("e0", 2), 0, 10));
+  EXPECT_TRUE(table.Hear(With(Announce("e0", 3), true), 0, 20));
+  EXPECT_TRUE(table.Hear(Announce("e0", 1, 2), 0, 30));
+}
+
+TEST(EndpointTable, ALateMessageDoesNotBringALeaverBack)
+{
+  auto table = Table(1);
+  table.Hear(With(Announce("e0", 5), true), 0, 10);
+  table.Expire(4'000);
+  table.Hear(Announce("e0", 4), 0, 4'000);
+  EXPECT_FALSE(table.Serves(kModel, 4'000));
+}
+
+TEST(EndpointTable, KeepsToTheWindow)
+{
+  auto table = Table(1);
+  for (int i = 0; i < 4; ++i) {
+    EXPECT_TRUE(table.Acquire(kModel, 0, {}, 0));
+  }
+  EXPECT_FALSE(table.Acquire(kModel, 0, {}, 0));
+  table.Release("e0", AttemptOutcome::kServed, 0);
+  EXPECT_TRUE(table.Acquire(kModel, 0, {}, 0));
+}
+
+TEST(EndpointTable, SlowFirstTokensShrinkTheWindow)
+{
+  auto table = Table(1);
+  for (int i = 0; i < 10; ++i) {
+    table.OnFirstToken("e0", 5'000);
+  }
+  EXPECT_TRUE(table.Acquire(kModel, 0, {}, 0));
+  EXPECT_FALSE(table.Acquire(kModel, 0, {}, 0));
+  for (int i = 0; i < 100; ++i) {
+    table.OnFirstToken("e0", 10);
+  }
+  EXPECT_TRUE(table.Acquire(kModel, 0, {}, 0));
+}
+
+TEST(EndpointTable, SpreadsWorkThatHasNoPrefix)
+{
+  auto table = Table(4);
+  std::map<std::string, int> placed;
+  for (uint64_t i = 1; i <= 12; ++i) {
+    ++placed[*table.Acquire(kModel, i, {}, 0)];
+  }
+  for (const auto& [endpoint, count] : placed) {
+    EXPECT_LE(count, 4) << endpoint;
+  }
+  EXPECT_EQ(placed.size(), 4U);
+}
+
+TEST(EndpointTable, KeepsAPrefixAtItsEndpoint)
+{
+  auto table = Table(8);
+  const auto first = *table.Acquire(kModel, 42, {}, 0);
+  table.Release(first, AttemptOutcome::kServed, 0);
+  table.Hear(Announce("newcomer"), 0, 0);
+  int same = 0;
+  for (int i = 0; i < 10; ++i) {
+    const auto again = *table.Acquire(kModel, 42, {}, 0);
+    same += again == first ? 1 : 0;
+    table.Release(again, AttemptOutcome::kServed, 0);
+  }
+  EXPECT_TRUE(same == 10 || same == 0) << "moved only to the newcomer";
+}
+
+TEST(EndpointTable, EjectsAFailingEndpointForGrowingTimes)
+{
+  auto table = Table(2);
+  int64_t now = 0;
+  const auto fail = [&] {
+    table.Acquire(kModel, 0, { "e1" }, now);
+    table.Release("e0", AttemptOutcome::kFailed, now);
+  };
+  const auto placedAtFailing = [&] {
+    bool found = false;
+    for (uint64_t i = 1; i < 20 && !found; ++i) {
+      const auto endpoint = *table.Acquire(kModel, i, {}, now);
+      found = endpoint == "e0";
+      table.Release(endpoint, AttemptOutcome::kNeutral, now);
+    }
+    return found;
+  };
+  fail();
+  now = 499;
+  EXPECT_FALSE(placedAtFailing());
+  now = 501;
+  EXPECT_TRUE(placedAtFailing());
+  fail();
+  now += 999;
+  EXPECT_FALSE(placedAtFailing());
+}
+
+TEST(EndpointTable, NeverEjectsAllAtOnce)
+{
+  auto table = Table(2);
+  for (const char* name : { "e0", "e1" }) {
+    table.Release(name, AttemptOutcome::kFailed, 0);
+  }
+  EXPECT_TRUE(table.Acquire(kModel, 0, {}, 1));
+}
+
+} // namespace
+} // namespace cactuswick::routing
--- /dev/null
+++ b/tests/transport/connection/PeerMessageTest.cpp
@@ -0,0 +1,60 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include "cactuswick/transport/connection/PeerMessage.h"
+
+#include "cactuswick/model/process/Codec.h"
+
+namespace cactuswick::transport {
+namespace {
+
+std::vector<PeerMessage>
+Examples()
+{
+  return {
+    KeepAlive{},
+    RaftEnvelope{ "a",
+                  ledger::SnapshotChunk{
+                    .from_ = "b", .bytes_ = { std::string("\0\xff", 2) } } },
+    ProposeRequest{ 3, ledger::TopUp{ "t", "w/b", 5 } },
+    ProposeReply{ 3, ledger::Rejected{ model::ErrorKind::kForbidden, "f" } },
+    QueryReply{ .call_ = 4, .status_ = ControlStatus{ .leader_ = "x" } },
+    ConfigPush{},
+    CopySettlements{ 2, { { .key_ = "k" } } },
+    Gossip{ 1, 2, { { .ageMs_ = 3 } } }
+  };
+}
+
+TEST(PeerMessage, SurvivesTheWire)
+{
+  for (const auto& message : Examples()) {
+    const auto decoded =
+      model::DecodeCbor<PeerMessage>(model::EncodeCbor(message));
+    ASSERT_TRUE(decoded.ok()) << decoded.status().ToString();
+    EXPECT_EQ(*decoded, message);
+  }
+}
+
+RC_GTEST_PROP(PeerMessageProperty,
+              DamageIsNoticedOrHarmless,
+              (uint16_t aAt, char aByte))
+{
+  for (const auto& message : Examples()) {
+    std::string bytes = model::EncodeCbor(message);
+    bytes[aAt % bytes.size()] = aByte;
+    const auto decoded = model::DecodeCbor<PeerMessage>(bytes);
+    RC_ASSERT(decoded.ok() || !decoded.status().message().empty());
+  }
+}
+
+RC_GTEST_PROP(PeerMessageProperty,
+              AnyBytesAreDecodedOrRefused,
+              (const std::string& aBytes))
+{
+  const auto decoded = model::DecodeCbor<PeerMessage>(aBytes);
+  RC_ASSERT(decoded.ok() || !decoded.status().message().empty());
+}
+
+} // namespace
+} // namespace cactuswick::transport
