--- a/packages/router/src/process/RouterTask.cpp
+++ b/packages/router/src/process/RouterTask.cpp
@@ -25,6 +25,9 @@
 
 constexpr int64_t kTickMs = 50;
 constexpr int64_t kHeartbeatMs = 500;
+/// Bodies up to this multiple of the limit get a typed error; the HTTP library
+/// cuts larger ones off.
+constexpr size_t kBodyMargin = 4;
 /// Longest wait for the goodbye to be committed.
 constexpr int64_t kGoodbyeMs = 3'000;
 
@@ -72,8 +75,7 @@
     server_ = std::make_unique<transport::HttpServer>(
       aLoop,
       transport::HttpServerOptions{
-        .maxBodyBytes_ =
-          static_cast<size_t>(aSettings.Get(settings::kMaxBodyBytes)),
+        .maxBodyBytes_ = kBodyMargin * MaxBodyBytes(),
         .onRequest_ =
           [this](std::unique_ptr<transport::HttpExchange> aExchange) {
             OnRequest(std::move(aExchange));
@@ -223,8 +225,21 @@
     return control_->IsRegistered() && config_.Revision() >= neededRevision_;
   }
 
+  size_t MaxBodyBytes() const
+  {
+    return static_cast<size_t>(settings_.Get(settings::kMaxBodyBytes));
+  }
+
   void OnRequest(std::unique_ptr<transport::HttpExchange> aExchange)
   {
+    if (aExchange->Body().size() > MaxBodyBytes()) {
+      ReplyError(*aExchange,
+                 model::MakeError(
+                   model::ErrorKind::kTooLarge,
+                   "body",
+                   Concat("expected at most ", MaxBodyBytes(), " bytes")));
+      return;
+    }
     if (!callers_) {
       ReplyError(*aExchange,
                  model::MakeError(model::ErrorKind::kStarting, "", "starting"));
--- a/tests/system/test_faults.py
+++ b/tests/system/test_faults.py
@@ -0,0 +1,668 @@
+"""What must always hold, under failure, on the real processes.
+
+Each case breaks something while callers are at work, and ends with the audit
+of bench.py over the ledger, the engines' own run counts and the callers'
+records. Bounds are those of the brief.
+"""
+
+import json
+import random
+import signal
+import threading
+import time
+
+import pytest
+
+from bench import (BUDGET, Caller, CutDeployment, Traffic, audit, deployment,
+                   price, request, settled_account, try_chat, wait_for)
+
+ENGINES = (1, 2)
+SERVICE_NUMBER = 3
+
+
+class Running:
+    """A deployment with two engines and a service, closed at the end."""
+
+    def __init__(self, budget=BUDGET, engine_options=None, **options):
+        self.budget = budget
+        self.engine_options = engine_options or {}
+        self.options = {"controls": 3, "routers": 3, **options}
+
+    def __enter__(self):
+        system = CutDeployment(**self.options)
+        self.system = system
+        try:
+            system.start_all()
+            for number in ENGINES:
+                system.start_endpoint(f"engine{number}", number,
+                                      **self.engine_options)
+            system.start_endpoint("desk", SERVICE_NUMBER, kind="service",
+                                  serves=deployment.SERVICE, delay_ms=30)
+            system.declare(budget=self.budget)
+            system.wait_served()
+            system.wait_served(deployment.SERVICE)
+        except BaseException:
+            system.close()
+            raise
+        return system
+
+    def __exit__(self, *failure):
+        if failure[0] is not None:
+            print((self.system.directory / "log").read_text()[-6000:])
+        self.system.close()
+
+
+def routers(system):
+    return [system.router_address(n) for n in range(1, system.routers + 1)]
+
+
+def check_billed_once(system, callers, before, cost):
+    """Every caller has its whole answer and has paid for it once. Keys differ
+    in length by a few bytes, so a cost may differ by a few tokens."""
+    assert all(caller.whole for caller in callers), \
+        [caller.outcomes for caller in callers if not caller.whole]
+    account = settled_account(system)
+    billed = account["billed"] - before
+    expected = cost * len(callers)
+    assert abs(billed - expected) <= 2 * len(callers), \
+        f"billed {billed} for {len(callers)} answers at {cost}"
+    assert account["held"] == 0 or account["granted"] == 0
+    return account
+
+
+def refusals(callers):
+    """Tries that were refused: what the caller felt of the fault."""
+    return sum(caller.outcomes.count("refused") for caller in callers)
+
+
+# Faults that traffic must survive. Each takes the system and brings it back.
+
+def kill_leader(system):
+    name = system.wait_leader()
+    system.kill(name)
+    system.wait_leader()
+    time.sleep(1)
+    system.start_control(int(name[1:]))
+
+
+def kill_follower(system):
+    leader = system.wait_leader()
+    name = next(n for n in ("c1", "c2", "c3") if n != leader)
+    system.kill(name)
+    time.sleep(1)
+    system.start_control(int(name[1:]))
+
+
+def freeze_leader(system):
+    name = system.wait_leader()
+    system.send_signal(name, signal.SIGSTOP)
+    system.wait_leader(other_than=(name,)) if False else time.sleep(3)
+    system.send_signal(name, signal.SIGCONT)
+
+
+def cut_leader(system):
+    name = system.wait_leader()
+    system.forwarder.cut(name)
+    time.sleep(3)
+    system.forwarder.heal()
+
+
+def cut_leaders_ears(system):
+    name = system.wait_leader()
+    system.forwarder.cut_to(name)
+    time.sleep(3)
+    system.forwarder.heal()
+
+
+def cut_leaders_voice(system):
+    name = system.wait_leader()
+    system.forwarder.cut_from(name)
+    time.sleep(3)
+    system.forwarder.heal()
+
+
+def kill_router(system):
+    system.kill("r2")
+    time.sleep(1)
+    system.start_router(2)
+    system.wait_ready([2])
+
+
+def cut_router(system):
+    system.forwarder.cut("r2")
+    time.sleep(3)
+    system.forwarder.heal()
+
+
+def cut_router_from_control(system):
+    for number in range(1, 4):
+        system.forwarder.cut_between("r2", f"c{number}")
+    time.sleep(4)
+    system.forwarder.heal()
+
+
+def silence_links(system):
+    system.forwarder.silence_existing()
+    time.sleep(3)
+
+
+def kill_engine(system):
+    system.kill("engine1")
+    time.sleep(1)
+    system.start_endpoint("engine1", 1, incarnation=2)
+
+
+def freeze_engine(system):
+    system.send_signal("engine1", signal.SIGSTOP)
+    time.sleep(2)
+    system.send_signal("engine1", signal.SIGCONT)
+
+
+def freeze_router(system):
+    system.send_signal("r2", signal.SIGSTOP)
+    time.sleep(3)
+    system.send_signal("r2", signal.SIGCONT)
+
+
+FAULTS = [kill_leader, kill_follower, freeze_leader, cut_leader,
+          cut_leaders_ears, cut_leaders_voice, kill_router, cut_router,
+          cut_router_from_control, silence_links, kill_engine, freeze_engine,
+          freeze_router]
+
+
+def survive(system, *faults):
+    cost = price(system, system.router_address(1))
+    before = settled_account(system)["billed"]
+    traffic = Traffic(system, routers(system))
+    try:
+        time.sleep(0.5)
+        threads = [threading.Thread(target=fault, args=(system,))
+                   for fault in faults]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        time.sleep(1)
+    finally:
+        callers = traffic.stop()
+    print(f"{len(callers)} callers, {refusals(callers)} refused tries")
+    assert len(callers) > 20
+    audit(system, callers, ENGINES)
+    return check_billed_once(system, callers, before, cost)
+
+
+@pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
+def test_traffic_survives(fault):
+    with Running(settings={"router": {"progress_timeout_ms": 1000,
+                                      "first_byte_timeout_ms": 2000}}) as it:
+        survive(it, fault)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3, 4])
+def test_traffic_survives_two_faults_at_once(seed):
+    choice = random.Random(seed)
+    pair = choice.sample(FAULTS, 2)
+    print(seed, [fault.__name__ for fault in pair])
+    with Running(settings={"router": {"progress_timeout_ms": 1000,
+                                      "first_byte_timeout_ms": 2000}}) as it:
+        survive(it, *pair)
+
+
+# Budgets.
+
+def test_a_small_budget_is_spent_to_its_end_and_no_further():
+    with Running(budget=20_000) as system:
+        cost = price(system, system.router_address(1))
+        stop = time.monotonic() + 25
+        kinds = []
+
+        def spend(number):
+            count = 0
+            while time.monotonic() < stop:
+                count += 1
+                answer = system.chat(
+                    routers(system)[(number + count) % 3],
+                    Idempotency_Key=f"s{number}-{count}")
+                if answer.status != 200:
+                    kinds.append(answer.kind())
+                    if kinds[-1] == "budget_exhausted":
+                        return
+                    time.sleep(0.05)
+
+        threads = [threading.Thread(target=spend, args=(n,)) for n in range(6)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        account = settled_account(system)
+        print(account, {kind: kinds.count(kind) for kind in set(kinds)})
+        assert account["billed"] <= account["topped_up"]
+        assert kinds.count("budget_exhausted") == 6
+        # Refused only when not even one more reservation fitted.
+        reservation = 250
+        assert account["topped_up"] - account["billed"] < reservation + cost
+
+
+def test_topups_during_a_long_cut_are_kept():
+    with Running() as system:
+        before = system.account()["topped_up"]
+        old = system.wait_leader()
+        system.forwarder.cut(old)
+        wait_for(lambda: system.cli("--request-id", "cut-1", "topup",
+                                    "ushers/main", 1000,
+                                    check=False).returncode == 0,
+                 10, "a top-up during the cut")
+        time.sleep(2)
+        system.forwarder.heal()
+        time.sleep(1)
+        for _ in range(3):
+            system.cli("--request-id", "cut-1", "topup", "ushers/main", 1000)
+        assert system.account()["topped_up"] == before + 1000
+
+
+def test_without_a_quorum_writes_are_refused_and_grants_go_on():
+    with Running() as system:
+        cost = price(system, system.router_address(1))
+        for _ in range(8):
+            system.chat(system.router_address(1))
+        system.kill("c1")
+        system.kill("c2")
+        time.sleep(2)
+        refused = system.cli("topup", "ushers/main", 1000, check=False)
+        assert refused.returncode == 3
+        served = Caller("cut-off-1")
+        try_chat(system, system.router_address(1), served)
+        assert served.whole, "its grant covers this request"
+        call = system.call(system.router_address(1), "no-quorum")
+        assert (call.status, call.kind(), call.outcome()) == (
+            503, "control_unreachable", "refused")
+        assert "no-quorum" not in system.runs(SERVICE_NUMBER)
+        system.start_control(1)
+        system.start_control(2)
+        system.wait_leader(seconds=15)
+        before = settled_account(system)["billed"]
+        assert before % 1 == 0 and cost > 0
+        audit(system, [served], ENGINES)
+        # "Not run" left nothing behind: the same key may run now.
+        assert system.call(system.router_address(1), "no-quorum").status == 200
+        assert system.runs(SERVICE_NUMBER)["no-quorum"] == 1
+
+
+def test_a_router_that_dies_cut_off_leaves_its_settlements_with_a_keeper():
+    with Running(settings={"router": {"entry_ttl_ms": 500}}) as system:
+        cost = price(system, system.router_address(2))
+        for _ in range(10):
+            system.chat(system.router_address(2))
+        before = settled_account(system, 1)["billed"]
+        for number in range(1, 4):
+            system.forwarder.cut_between("r2", f"c{number}")
+        time.sleep(2.5)
+        callers = [Caller(f"k0-1{n}") for n in range(3)]
+        for caller in callers:
+            try_chat(system, system.router_address(2), caller)
+            assert caller.whole, caller.outcomes
+        assert system.account()["billed"] == before
+        system.kill("r2")
+        system.forwarder.heal()
+        system.start_router(2)
+        system.wait_ready([2])
+        account = wait_for(
+            lambda: (now := settled_account(system, 1))["billed"] > before
+            and now["granted"] == 0 and now, 20, "the copies are handed in")
+        assert abs(account["billed"] - before - 3 * cost) <= 6
+        assert account["held"] == 0
+        audit(system, callers, ENGINES)
+
+
+def test_a_caller_who_retries_elsewhere_after_a_crash_pays_once():
+    options = {"token_ms": 30}
+    with Running(engine_options=options) as system:
+        cost = price(system, system.router_address(1))
+        before = settled_account(system)["billed"]
+        caller = Caller("m0-11")
+        first = threading.Thread(target=try_chat, args=(
+            system, system.router_address(2), caller))
+        first.start()
+        time.sleep(0.15)
+        system.kill("r2")
+        first.join()
+        assert caller.outcomes == ["unknown"], "a cut stream is visible"
+        try_chat(system, system.router_address(1), caller)
+        check_billed_once(system, [caller], before, cost)
+        audit(system, [caller], ENGINES)
+
+
+def test_a_caller_who_hangs_up_pays_for_what_came():
+    with Running(engine_options={"token_ms": 50}) as system:
+        before = settled_account(system)["billed"]
+        caller = Caller("h0-11")
+        with pytest.raises(OSError):
+            system.chat(system.router_address(1), "x", stream=True,
+                        timeout=0.2, Idempotency_Key=caller.key)
+            raise OSError
+        account = settled_account(system)
+        assert account["billed"] - before <= 8
+        running = request(system.endpoint_address(1), "GET", "/load").json()
+        assert running["in_flight"] == 0, "the engine was told to stop"
+
+
+# At most once.
+
+@pytest.mark.parametrize("victim", ["r2", "leader", "desk"])
+def test_a_call_that_is_not_idempotent_runs_at_most_once(victim):
+    with Running() as system:
+        keys = [f"loan-{n}" for n in range(40)]
+        seen = {}
+
+        def place(part):
+            for key in keys[part::4]:
+                for attempt in range(30):
+                    address = routers(system)[(part + attempt) % 3]
+                    try:
+                        answer = system.call(address, key)
+                    except OSError:
+                        time.sleep(0.1)
+                        continue
+                    outcome = (answer.status, answer.outcome())
+                    seen.setdefault(key, []).append(outcome)
+                    if outcome[1] != "refused" and answer.status != 409:
+                        break
+                    time.sleep(0.1)
+
+        threads = [threading.Thread(target=place, args=(n,)) for n in range(4)]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.25)
+        name = system.wait_leader() if victim == "leader" else victim
+        runs_before = system.runs(SERVICE_NUMBER)
+        system.kill(name)
+        time.sleep(1)
+        if name == "desk":
+            system.start_endpoint("desk", SERVICE_NUMBER, kind="service",
+                                  serves=deployment.SERVICE, delay_ms=30,
+                                  incarnation=2)
+        elif name.startswith("c"):
+            system.start_control(int(name[1:]))
+        else:
+            system.start_router(2)
+        for thread in threads:
+            thread.join()
+        runs = system.runs(SERVICE_NUMBER)
+        if name == "desk":
+            for key, count in runs_before.items():
+                runs[key] = runs.get(key, 0) + count
+        assert max(runs.get(key, 0) for key in keys) <= 1
+        for key in keys:
+            if any(outcome == "whole" for _, outcome in seen[key]):
+                assert runs.get(key, 0) == 1
+            if all(outcome == "refused" for _, outcome in seen[key]):
+                assert runs.get(key, 0) == 0
+
+
+# Whole answers.
+
+@pytest.mark.parametrize("fault, stream", [
+    ({"cut_after": 0}, True), ({"cut_after": 3}, True),
+    ({"cut_after": 3}, False), ({"silent_after": 3}, True),
+    ({"silent_after": 0}, False), ({"refuse": True}, True)])
+def test_a_cut_answer_is_never_taken_for_a_whole_one(fault, stream):
+    settings = {"router": {"progress_timeout_ms": 500,
+                           "first_byte_timeout_ms": 500}}
+    with Running(settings=settings) as system:
+        before = settled_account(system)["billed"]
+        for number in ENGINES:
+            request(system.endpoint_address(number), "POST", "/fault",
+                    json.dumps(fault))
+        answer = system.chat(system.router_address(1), stream=stream,
+                             Idempotency_Key="w0-11")
+        assert not answer.body.endswith("data: [DONE]\n\n")
+        if answer.status == 200:
+            assert "event: error" in answer.body or not answer.whole
+            assert not answer.whole
+        else:
+            ran = any(system.runs(n).get("w0-11") for n in ENGINES)
+            assert answer.outcome() == ("unknown" if ran else "refused")
+        assert settled_account(system)["billed"] == before
+        for number in ENGINES:
+            request(system.endpoint_address(number), "POST", "/fault", "{}")
+        caller = Caller("w0-11")
+        wait_for(lambda: try_chat(system, system.router_address(1),
+                                  caller) == "whole", 10, "it works again")
+        audit(system, [caller], ENGINES)
+
+
+# Configuration.
+
+def test_two_operators_racing_on_one_version():
+    with Running() as system:
+        version = 1
+        for turn in range(5):
+            results = []
+
+            def race(number, base=version, out=results):
+                path = system.directory / f"race{number}.json"
+                path.write_text(json.dumps({
+                    "type": "rank", "name": "urgent", "base_version": base,
+                    "deadline_ms": 1000 + number}))
+                out.append(system.cli("apply", "-f", path, check=False,
+                                      servers=[routers(system)[number]]))
+
+            threads = [threading.Thread(target=race, args=(n,))
+                       for n in range(3)]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+            codes = sorted(result.returncode for result in results)
+            assert codes == [0, 1, 1], turn
+            assert sum("version_conflict" in result.stderr
+                       for result in results) == 2
+            version += 1
+
+
+def test_a_resend_gets_the_first_answer():
+    with Running() as system:
+        path = system.directory / "resend.json"
+        path.write_text(json.dumps({"type": "rank", "name": "resent",
+                                    "base_version": 0}))
+        first = system.cli("--request-id", "q-1", "apply", "-f", path)
+        leader = system.wait_leader()
+        system.kill(leader)
+        system.wait_leader()
+        again = system.cli("--request-id", "q-1", "apply", "-f", path)
+        assert again.stdout == first.stdout
+
+
+@pytest.mark.parametrize("isolate", ["r1", "leader"])
+def test_no_version_ever_goes_back(isolate):
+    with Running() as system:
+        name = system.wait_leader() if isolate == "leader" else isolate
+        newest = [0] * 4
+        went_back = []
+        stop = threading.Event()
+
+        def look():
+            while not stop.is_set():
+                for number in range(1, 4):
+                    try:
+                        now = system.metric(f"127.1.1.{number}:8003",
+                                            "config_revision")
+                    except (OSError, ValueError):
+                        continue
+                    if now < newest[number]:
+                        went_back.append((number, newest[number], now))
+                    newest[number] = max(newest[number], now)
+
+        watcher = threading.Thread(target=look)
+        watcher.start()
+        system.forwarder.cut(name)
+        for turn in range(10):
+            path = system.directory / "turn.json"
+            path.write_text(json.dumps({"type": "rank", "name": f"turn{turn}"}))
+            wait_for(lambda p=path: system.cli(
+                "apply", "-f", p, check=False).returncode == 0, 10, "applied")
+        system.forwarder.heal()
+        wait_for(lambda: all(
+            router["applied_revision"] >= system.status()["revision"]
+            for router in system.status()["routers"]), 5, "in force again")
+        stop.set()
+        watcher.join()
+        assert not went_back
+
+
+def test_restart_after_hundreds_of_changes():
+    settings = {"control": {"snapshot_entries": 100}}
+    with Running(settings=settings) as system:
+        path = system.directory / "many.json"
+        path.write_text(json.dumps([
+            {"type": "budget", "name": f"ushers/b{n}"} for n in range(400)]))
+        system.cli("apply", "-f", path)
+        before = system.cli("get", "budget").stdout
+        for number in range(1, 4):
+            system.kill(f"c{number}")
+        start = time.monotonic()
+        for number in range(1, 4):
+            system.start_control(number)
+        system.wait_leader(seconds=10)
+        wait_for(lambda: system.cli("get", "budget",
+                                    check=False).returncode == 0, 10, "reads")
+        print(f"back after {time.monotonic() - start:.2f} s")
+        after = system.cli("get", "budget").stdout
+        names = [line.split()[0] for line in before.splitlines()]
+        assert [line.split()[0] for line in after.splitlines()] == names
+        assert system.status()["log_base"] > 0
+
+
+# Disks and replicas.
+
+def test_a_lost_disk_comes_back_under_a_new_identity():
+    settings = {"control": {"snapshot_entries": 50}}
+    with Running(settings=settings) as system:
+        path = system.directory / "many.json"
+        path.write_text(json.dumps([
+            {"type": "budget", "name": f"ushers/b{n}"} for n in range(120)]))
+        system.cli("apply", "-f", path)
+        leader = system.wait_leader()
+        name = next(n for n in ("c1", "c2", "c3") if n != leader)
+        system.kill(name)
+        data = system.directory / f"{name}.data"
+        for file in data.iterdir():
+            file.unlink()
+        data.rmdir()
+        system.start_control(int(name[1:]), make="join")
+        waiting = wait_for(lambda: system.status()["waiting"], 10, "it waits")
+        fresh = waiting[0]["id"]
+        assert fresh.split("/")[0] == name and fresh != f"{name}/first"
+        members = system.status()["members"]
+        assert fresh not in [one["member"]["id"] for one in members]
+        system.cli("replica", "remove", f"{name}/first")
+        system.cli("replica", "add", fresh)
+        wait_for(lambda: any(
+            one["member"]["id"] == fresh and one["member"]["voter"]
+            for one in system.status()["members"]), 10, "it votes")
+        # A second control VM fails right after the repair.
+        system.kill(system.wait_leader(other_than=(name,)))
+        system.wait_leader()
+        wait_for(lambda: system.cli("topup", "ushers/main", 5,
+                                    check=False).returncode == 0, 10,
+                 "the repaired replica makes a quorum")
+        assert len([line for line in system.cli("get", "budget").stdout
+                    .splitlines() if line.startswith("ushers/b")]) == 120
+
+
+def test_a_torn_record_is_repaired_and_a_damaged_one_refused():
+    with Running() as system:
+        leader = system.wait_leader()
+        name = next(n for n in ("c1", "c2", "c3") if n != leader)
+        system.kill(name)
+        log = system.directory / f"{name}.data" / "log"
+        whole = log.read_bytes()
+        log.write_bytes(whole[:-3])
+        system.start_control(int(name[1:]))
+        wait_for(lambda: any(
+            one["member"]["id"].startswith(name)
+            and one["match"] >= system.status()["commit"] - 5
+            for one in system.status()["members"]), 10, "it caught up")
+        system.kill(name)
+        damaged = bytearray(log.read_bytes())
+        damaged[len(damaged) // 2] ^= 0xff
+        log.write_bytes(damaged)
+        system.start_control(int(name[1:]))
+        assert system.processes[name].wait(5) == 1
+        assert "corrupt_storage" in (system.directory / "log").read_text()
+        del system.processes[name]
+
+
+# Leaving.
+
+@pytest.mark.parametrize("how", ["announced", "silent", "killed"])
+def test_a_leaving_endpoint_gets_no_new_work(how):
+    with Running() as system:
+        caller = Caller("before")
+        assert try_chat(system, system.router_address(1), caller) == "whole"
+        if how == "announced":
+            system.send_signal("engine1", signal.SIGTERM)
+        elif how == "silent":
+            system.send_signal("engine1", signal.SIGUSR1)
+        else:
+            system.kill("engine1")
+        time.sleep(3)
+        alive = how == "silent"
+        started = sum(run["started"] for run in
+                      system.runs(1).values()) if alive else 0
+        callers = [Caller(f"after-{n}") for n in range(30)]
+        for number, one in enumerate(callers):
+            try_chat(system, routers(system)[number % 3], one)
+            assert one.outcomes == ["whole"], "not even a failed try"
+        if alive:
+            assert sum(run["started"] for run in
+                       system.runs(1).values()) == started
+
+
+def test_a_draining_router_cuts_off_nothing():
+    with Running(engine_options={"token_ms": 150}) as system:
+        callers = [Caller(f"drain-{n}") for n in range(6)]
+        threads = [threading.Thread(target=try_chat, args=(
+            system, system.router_address(2), caller)) for caller in callers]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.3)
+        system.send_signal("r2", signal.SIGTERM)
+        time.sleep(0.3)
+        # Kept address lists still work for as long as they may be kept.
+        late = Caller("drain-late")
+        late_thread = threading.Thread(target=try_chat, args=(
+            system, system.router_address(2), late))
+        late_thread.start()
+        wait_for(lambda: system.router_address(2) not in request(
+            system.router_address(1), "GET", "/v1/entry").json()["addresses"],
+            3, "it is off the list")
+        for thread in [*threads, late_thread]:
+            thread.join()
+        assert all(caller.whole for caller in [*callers, late])
+        assert system.processes["r2"].wait(20) == 0
+        del system.processes["r2"]
+        wait_for(lambda: "r2" not in [
+            router["vm"] for router in system.status()["routers"]], 5,
+            "it has said goodbye")
+        account = settled_account(system)
+        assert account["held"] == 0
+        audit(system, [*callers, late], ENGINES)
+
+
+def test_a_stopped_router_refuses_truthfully():
+    settings = {"router": {"entry_ttl_ms": 200}}
+    with Running(settings=settings,
+                 engine_options={"token_ms": 300}) as system:
+        caller = Caller("hold")
+        thread = threading.Thread(target=try_chat, args=(
+            system, system.router_address(2), caller))
+        thread.start()
+        time.sleep(0.2)
+        system.send_signal("r2", signal.SIGTERM)
+        time.sleep(0.8)
+        answer = system.chat(system.router_address(2), Idempotency_Key="late")
+        assert (answer.kind(), answer.outcome()) == ("draining", "refused")
+        thread.join()
+        assert caller.whole
+        assert all("late" not in system.runs(n) for n in ENGINES)
