Fault cases on the real processes; grants ahead of need, kept while cut off

Cause, for a cut-off router that refused requests: after 15 idle seconds it gave its grants back although nobody could take them; and its grants were only ever as large as the last request needed. Ruled out: the ledger, which had granted all that was asked for. Grants are asked for ahead of need now and kept while control cannot be reached.

--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -47,21 +47,27 @@
     }
   }
   ExpireReserves(now);
+  ExpireSettles(now);
   if (!options_.control_.IsReachable()) {
     CopyPending();
-  }
-  ExpireSettles(now);
-  if (now - lastIdleMs_ > kIdleCheckMs) {
+  } else if (now - lastIdleMs_ > kIdleCheckMs) {
     lastIdleMs_ = now;
-    for (const auto& idle : grants_.CollectIdle(now)) {
-      options_.control_.Submit(idle);
-    }
-    std::erase_if(queues_, [](const auto& aPair) {
-      return aPair.second.waiters_.empty() && !aPair.second.asking_;
-    });
+    ReturnIdle(now);
   }
 }
 
+void
+Biller::ReturnIdle(int64_t aNowMs)
+{
+  // Only while control is reachable: cut off, a grant is all there is.
+  for (const auto& idle : grants_.CollectIdle(aNowMs)) {
+    options_.control_.Submit(idle);
+  }
+  std::erase_if(queues_, [](const auto& aPair) {
+    return aPair.second.waiters_.empty() && !aPair.second.asking_;
+  });
+}
+
 void
 Biller::Reserve(const std::string& aBudget,
                 ledger::Tokens aAmount,
@@ -72,6 +78,7 @@
   const auto queue = queues_.find(aBudget);
   const bool others = queue != queues_.end() && !queue->second.waiters_.empty();
   if (!others && grants_.Reserve(aBudget, aAmount, now)) {
+    AskAhead(aBudget);
     aHook(absl::OkStatus());
     return;
   }
@@ -107,6 +114,26 @@
     });
 }
 
+void
+Biller::AskAhead(const std::string& aBudget)
+{
+  const auto ask = grants_.Refill(aBudget, EventLoop::NowMs());
+  BudgetQueue& queue = queues_[aBudget];
+  if (!ask || queue.asking_) {
+    return;
+  }
+  queue.asking_ = true;
+  options_.control_.Submit(
+    *ask, [this, aBudget](const ledger::OpResult& aResult) {
+      queues_[aBudget].asking_ = false;
+      const auto* grant = std::get_if<ledger::GrantResult>(&aResult);
+      if (grant != nullptr && grant->granted_ > 0) {
+        grants_.OnGranted(aBudget, grant->granted_);
+      }
+      ServeWaiters(aBudget);
+    });
+}
+
 void
 Biller::OnGrant(const std::string& aBudget, const ledger::GrantResult& aResult)
 {
--- a/packages/router/src/process/Biller.h
+++ b/packages/router/src/process/Biller.h
@@ -97,7 +97,9 @@
   };
 
   void OnTick();
+  void ReturnIdle(int64_t aNowMs);
   void AskNext(const std::string& aBudget);
+  void AskAhead(const std::string& aBudget);
   void OnGrant(const std::string& aBudget, const ledger::GrantResult& aResult);
   void ServeWaiters(const std::string& aBudget);
   void FailFirst(const std::string& aBudget, const absl::Status& aStatus);
--- a/packages/routing/include/cactuswick/routing/process/GrantBook.h
+++ b/packages/routing/include/cactuswick/routing/process/GrantBook.h
@@ -46,6 +46,11 @@
                            Tokens aMinimum,
                            int64_t aNowMs) const;
 
+  /// A grant to ask for ahead of need, when less than half of the recent use
+  /// is left: a router that is cut off then has something to spend.
+  std::optional<ledger::AcquireGrant> Refill(const std::string& aBudget,
+                                             int64_t aNowMs) const;
+
   /// Gives up what is free of a budget that others need.
   std::optional<ledger::ReturnGrant> Recall(const std::string& aBudget,
                                             int64_t aNowMs);
@@ -70,6 +75,7 @@
     int64_t recalledUntilMs_ = 0;
   };
 
+  static Tokens RecentUse(const Line& aLine);
   static ledger::ReturnGrant GiveUp(const std::string& aBudget, Line& aLine);
 
   GrantBookOptions options_;
--- a/packages/routing/src/process/GrantBook.cpp
+++ b/packages/routing/src/process/GrantBook.cpp
@@ -72,12 +72,32 @@
   const Line& line = found->second;
   ask.minimum_ =
     std::max(Tokens{ 1 }, aMinimum - (line.granted_ - line.reserved_));
-  const Tokens recent = std::max(line.spentInWindow_, line.spentBefore_);
   const bool exact = aNowMs < line.recalledUntilMs_;
-  ask.want_ = exact ? ask.minimum_ : std::max(ask.minimum_, recent);
+  ask.want_ = exact ? ask.minimum_ : std::max(ask.minimum_, RecentUse(line));
   return ask;
 }
 
+Tokens
+GrantBook::RecentUse(const Line& aLine)
+{
+  return std::max(aLine.spentInWindow_, aLine.spentBefore_);
+}
+
+std::optional<ledger::AcquireGrant>
+GrantBook::Refill(const std::string& aBudget, int64_t aNowMs) const
+{
+  const auto found = lines_.find(aBudget);
+  if (found == lines_.end() || aNowMs < found->second.recalledUntilMs_) {
+    return std::nullopt;
+  }
+  const Line& line = found->second;
+  const Tokens recent = RecentUse(line);
+  if (2 * (line.granted_ - line.reserved_) >= recent) {
+    return std::nullopt;
+  }
+  return ledger::AcquireGrant{ aBudget, recent, 1 };
+}
+
 ledger::ReturnGrant
 GrantBook::GiveUp(const std::string& aBudget, Line& aLine)
 {
--- a/scripts/install-dependencies.sh
+++ b/scripts/install-dependencies.sh
@@ -14,4 +14,4 @@
   libboost-dev libboost-log-dev libboost-thread-dev libboost-filesystem-dev \
   libtclap-dev libinih-dev libxxhash-dev libssl-dev \
   libgtest-dev librapidcheck-dev \
-  python3 python3-pytest >/dev/null
+  python3 python3-pytest python3-pytest-xdist python3-pytest-timeout >/dev/null
--- a/tests/system/forwarder.py
+++ b/tests/system/forwarder.py
@@ -133,4 +133,5 @@
     def close(self):
         self.closing = True
         for listener in self.listeners:
+            listener.shutdown(socket.SHUT_RDWR)
             listener.close()
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -81,6 +81,8 @@
     """Control replicas, routers, engines and a plain service."""
 
     def __init__(self, controls=3, routers=4, settings=None, directory=None):
+        # Deployments of processes that run together get different networks.
+        self.net = f"127.{20 + os.getpid() % 200}"
         self.temporary = None
         if directory is None:
             self.temporary = tempfile.TemporaryDirectory(prefix="cactuswick-")
@@ -97,23 +99,23 @@
     # forwarder instead: tests override these.
 
     def control_listen(self, number):
-        return f"127.1.0.{number}:7001"
+        return f"{self.net}.0.{number}:7001"
 
     def control_address(self, viewer, number):
         del viewer
         return self.control_listen(number)
 
     def router_address(self, number):
-        return f"127.1.1.{number}:8001"
+        return f"{self.net}.1.{number}:8001"
 
     def router_peer_listen(self, number):
-        return f"127.1.1.{number}:8002"
+        return f"{self.net}.1.{number}:8002"
 
     def router_peer_address(self, number):
         return self.router_peer_listen(number)
 
     def endpoint_address(self, number):
-        return f"127.1.2.{number}:9001"
+        return f"{self.net}.2.{number}:9001"
 
     def domain(self, number):
         return DOMAINS[(number - 1) % len(DOMAINS)]
@@ -139,7 +141,7 @@
             "process": {"vm": f"c{number}", "roles": "control",
                         "failure_domain": self.domain(number)},
             "control": {"listen": self.control_listen(number),
-                        "metrics_listen": f"127.1.0.{number}:7003",
+                        "metrics_listen": f"{self.net}.0.{number}:7003",
                         "data_dir": self.directory / f"c{number}.data",
                         "replicas": replicas},
             "log": {}})
@@ -151,7 +153,7 @@
             "router": {"listen": self.router_address(number),
                        "peer_listen": self.router_peer_listen(number),
                        "peer_advertise": self.router_peer_address(number),
-                       "metrics_listen": f"127.1.1.{number}:8003",
+                       "metrics_listen": f"{self.net}.1.{number}:8003",
                        "entry_ttl_ms": 1000,
                        "control": ", ".join(
                            self.control_address(f"r{number}", n)
