A caught-up replica gets its vote however often others read

Cause: promotion was looked at only when a heartbeat was due, and every read through a quorum is a heartbeat itself; an operator who watched the status kept the replica from its vote. Ruled out: the transfer, which was complete.

--- a/packages/ledger/src/version/Replica.cpp
+++ b/packages/ledger/src/version/Replica.cpp
@@ -94,8 +94,8 @@
   }
   if (nowMs_ - lastBroadcastMs_ >= options_.heartbeatMs_) {
     heartbeat_ = true;
-    PromoteCaughtUp();
   }
+  PromoteCaughtUp();
 }
 
 bool
--- a/tests/ledger/version/ReplicaTest.cpp
+++ b/tests/ledger/version/ReplicaTest.cpp
@@ -112,6 +112,17 @@
     Carry(aNumber);
   }
 
+  /// Starts an empty replica and adds it without a vote.
+  void AddLearner(int aNumber)
+  {
+    auto members = At(*Leader()).Members();
+    members.push_back({ Id(aNumber), "", "", false });
+    ASSERT_TRUE(At(*Leader()).ProposeMembers(members, now_).ok());
+    replicas_[aNumber] = std::make_unique<Replica>(
+      ReplicaOptions{ .id_ = Id(aNumber), .seed_ = 9 }, ReplicaStart{});
+    replicas_[aNumber]->Tick(now_);
+  }
+
   /// Cuts what @p aFrom sends to anyone, or what anyone sends to it.
   void CutFrom(const std::string& aFrom) { cutFrom_.push_back(aFrom); }
   void CutTo(const std::string& aTo) { cutTo_.push_back(aTo); }
@@ -301,6 +312,22 @@
   EXPECT_EQ(cluster.LastEffects(leader).readsReady_, std::vector<ReadId>{ 5 });
 }
 
+TEST(Replica, ANewcomerVotesOnceCaughtUpHoweverOftenOthersRead)
+{
+  Cluster cluster(3);
+  cluster.Run(100);
+  const int leader = *cluster.Leader();
+  cluster.AddLearner(3);
+  for (int step = 0; step < 100; ++step) {
+    // Each read is a heartbeat of its own.
+    cluster.At(leader).RequestRead(step);
+    cluster.Step();
+  }
+  const auto& members = cluster.At(leader).Members();
+  ASSERT_EQ(members.size(), 4U);
+  EXPECT_TRUE(members[3].voter_);
+}
+
 TEST(Replica, CommittedEntriesSurviveTheLossOfTheLeader)
 {
   Cluster cluster(3);
