One class for a request's attempts, one for replicas' links, one worker thread

Queueing, leaving and retrying stood twice, in model and service requests; two tasks ran the same thread loop; ControlTask also dialled.

--- /dev/null
+++ b/packages/control/src/connection/MemberLinks.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cactuswick/ledger/version/Replica.h"
+#include "cactuswick/transport/connection/PeerDialer.h"
+#include "cactuswick/transport/connection/PeerListener.h"
+
+namespace cactuswick::control {
+
+struct MemberLinksOptions
+{
+  /// Own IP number to connect from.
+  std::string from_;
+  std::function<void(const transport::PeerMessage&)> onMessage_;
+  /// Answers on a link that the other replica has made.
+  std::function<void(transport::LinkId, const transport::PeerMessage&)> answer_;
+};
+
+/// Links from one control replica to the others.
+class MemberLinks
+{
+public:
+  MemberLinks(transport::EventLoop& aLoop, MemberLinksOptions aOptions);
+
+  /// Connects to a replica, once.
+  void Dial(const std::string& aId, const std::string& aAddress);
+  /// Notes the link on which a replica's last message came.
+  void NoteSender(const ledger::RaftMessage& aMessage, transport::LinkId aLink);
+  /// Sends messages of the log; those for unknown replicas go back on the
+  /// links that they came by, or are lost.
+  void SendAll(const std::vector<ledger::Envelope>& aMessages);
+  /// Asks the replica at an address to be made a member.
+  void AskToJoin(const std::string& aAddress, const ledger::Member& aSelf);
+
+private:
+  transport::EventLoop& loop_;
+  MemberLinksOptions options_;
+  std::map<std::string, std::unique_ptr<transport::PeerDialer>> dialers_;
+  std::map<std::string, transport::LinkId> senders_;
+};
+
+} // namespace cactuswick::control
--- a/packages/control/src/process/ControlTask.cpp
+++ b/packages/control/src/process/ControlTask.cpp
@@ -2,7 +2,6 @@
 
 #include <deque>
 #include <fstream>
-#include <map>
 #include <utility>
 
 #include "cactuswick/control/process/MetricsServer.h"
@@ -11,8 +10,8 @@
 #include "cactuswick/model/process/Hash.h"
 #include "cactuswick/telemetry/process/Log.h"
 #include "cactuswick/telemetry/process/Metrics.h"
-#include "cactuswick/transport/connection/PeerDialer.h"
 #include "connection/ControlService.h"
+#include "connection/MemberLinks.h"
 
 namespace cactuswick::control {
 
@@ -157,6 +156,18 @@
             OnMessage(aLink, aMessage);
           },
         .onDown_ = [this](LinkId aLink) { service_->OnLinkDown(aLink); } });
+    links_ = std::make_unique<MemberLinks>(
+      loop_,
+      MemberLinksOptions{
+        .from_ = settings_.GetAddress(settings::kControlListen).host_,
+        .onMessage_ =
+          [this](const transport::PeerMessage& aMessage) {
+            OnMessage(0, aMessage);
+          },
+        .answer_ =
+          [this](LinkId aLink, const transport::PeerMessage& aMessage) {
+            listener_->Send(aLink, aMessage);
+          } });
     service_ = std::make_unique<ControlService>(ControlServiceOptions{
       .ledger_ = ledger_,
       .replica_ = *replica_,
@@ -193,10 +204,7 @@
     if (const auto* raft = std::get_if<transport::RaftEnvelope>(&aMessage)) {
       // A folder made anew at the same address is another replica.
       if (raft->to_ == id_) {
-        const auto& from = std::visit(
-          [](const auto& aOne) -> const std::string& { return aOne.from_; },
-          raft->message_);
-        senders_[from] = aLink;
+        links_->NoteSender(raft->message_, aLink);
         replica_->Receive(raft->message_, EventLoop::NowMs());
         ScheduleFlush();
       }
@@ -226,7 +234,7 @@
     const bool led = wasLeader_;
     ledger::Effects effects = replica_->Take();
     wasLeader_ = replica_->Role() == ledger::ReplicaRole::kLeader;
-    SendAll(effects.sendNow_);
+    links_->SendAll(effects.sendNow_);
     // The snapshot is durable before its receipt is acknowledged.
     if (effects.install_) {
       Install(*effects.install_);
@@ -271,7 +279,7 @@
                         .token_ = lastToken_ });
       syncs_.push_back(std::move(pending));
     } else if (syncs_.empty()) {
-      SendAll(aEffects.sendAfterSync_);
+      links_->SendAll(aEffects.sendAfterSync_);
     } else {
       auto& waiting = syncs_.back().messages_;
       waiting.insert(waiting.end(),
@@ -292,7 +300,7 @@
       const PendingSync done = std::move(syncs_.front());
       syncs_.pop_front();
       replica_->Persisted(done.lastIndex_, done.lastTerm_);
-      SendAll(done.messages_);
+      links_->SendAll(done.messages_);
       metrics_.Observe(Summary::kCommitMs,
                        static_cast<double>(EventLoop::NowMs() - done.sentMs_));
     }
@@ -376,47 +384,15 @@
         Concat("installed the leader's snapshot at entry ", applied_));
   }
 
-  void SendAll(const std::vector<ledger::Envelope>& aMessages)
-  {
-    for (const auto& envelope : aMessages) {
-      const auto found = dialers_.find(envelope.to_);
-      if (found != dialers_.end()) {
-        found->second->Send(
-          transport::RaftEnvelope{ envelope.to_, envelope.message_ });
-      } else if (const auto sender = senders_.find(envelope.to_);
-                 sender != senders_.end()) {
-        // A replica that does not know the members yet answers on the link.
-        listener_->Send(
-          sender->second,
-          transport::RaftEnvelope{ envelope.to_, envelope.message_ });
-      }
-    }
-  }
-
   void DialMembers()
   {
     for (const auto& member : replica_->Members()) {
       if (member.id_ != id_) {
-        Dial(member.id_, member.address_);
+        links_->Dial(member.id_, member.address_);
       }
     }
   }
 
-  void Dial(const std::string& aId, const std::string& aAddress)
-  {
-    const auto address = transport::ParseAddress("", aAddress);
-    if (!dialers_.contains(aId) && address.ok()) {
-      dialers_[aId] = std::make_unique<transport::PeerDialer>(
-        loop_,
-        transport::PeerDialerOptions{
-          .address_ = *address,
-          .from_ = settings_.GetAddress(settings::kControlListen).host_,
-          .onMessage_ = [this](const transport::PeerMessage& aMessage) {
-            OnMessage(0, aMessage);
-          } });
-    }
-  }
-
   /// A replica that is no member makes itself known to those it knows of.
   void AskToJoin()
   {
@@ -434,9 +410,7 @@
     };
     for (const auto& replica : settings_.GetReplicas()) {
       if (replica.vm_ != settings_.Get(settings::kVm)) {
-        const std::string address = replica.address_.ToString();
-        Dial(address, address);
-        dialers_[address]->Send(transport::JoinRequest{ self });
+        links_->AskToJoin(replica.address_.ToString(), self);
       }
     }
   }
@@ -485,9 +459,7 @@
   MetricsServer metricsServer_;
   std::unique_ptr<transport::PeerListener> listener_;
   std::unique_ptr<ControlService> service_;
-  std::map<std::string, std::unique_ptr<transport::PeerDialer>> dialers_;
-  /// Links on which other replicas' messages came last.
-  std::map<std::string, LinkId> senders_;
+  std::unique_ptr<MemberLinks> links_;
   /// Declared last: their threads end before the mailboxes they write to.
   std::unique_ptr<SnapshotTask> snapshots_;
   std::unique_ptr<StorageTask> storage_;
--- a/packages/control/src/process/SnapshotTask.cpp
+++ b/packages/control/src/process/SnapshotTask.cpp
@@ -1,46 +1,35 @@
 #include "cactuswick/control/process/SnapshotTask.h"
 
 #include <chrono>
-#include <thread>
 #include <utility>
 
-#include "cactuswick/transport/process/Channel.h"
+#include "cactuswick/transport/process/Worker.h"
 
 namespace cactuswick::control {
 
 struct SnapshotTask::State
 {
+  using Batch = std::vector<ledger::Entry>;
+
   explicit State(SnapshotTaskOptions aOptions)
     : options_(std::move(aOptions))
     , lastSnapshot_(options_.header_.lastIndex_)
-    , thread_([this] { Run(); })
-  {
-  }
-
-  ~State()
+    , worker_([this](const std::vector<Batch>& aBatches) { Take(aBatches); })
   {
-    channel_.Close();
-    thread_.join();
   }
 
-  void Run()
+  void Take(const std::vector<Batch>& aBatches)
   {
-    while (true) {
-      const auto batches = channel_.ReceiveAll();
-      if (batches.empty()) {
-        return;
-      }
-      for (const auto& batch : batches) {
-        ApplyBatch(batch);
-      }
-      const auto since = options_.header_.lastIndex_ - lastSnapshot_;
-      if (since >= options_.everyEntries_) {
-        Write();
-      }
+    for (const auto& batch : aBatches) {
+      ApplyBatch(batch);
+    }
+    const auto since = options_.header_.lastIndex_ - lastSnapshot_;
+    if (since >= options_.everyEntries_) {
+      Write();
     }
   }
 
-  void ApplyBatch(const std::vector<ledger::Entry>& aEntries)
+  void ApplyBatch(const Batch& aEntries)
   {
     auto& header = options_.header_;
     for (const auto& entry : aEntries) {
@@ -69,8 +58,8 @@
 
   SnapshotTaskOptions options_;
   ledger::Index lastSnapshot_;
-  transport::Channel<std::vector<ledger::Entry>> channel_;
-  std::thread thread_;
+  /// Declared last: its thread uses the rest.
+  transport::Worker<Batch> worker_;
 };
 
 SnapshotTask::SnapshotTask(SnapshotTaskOptions aOptions)
@@ -84,7 +73,7 @@
 SnapshotTask::Apply(std::vector<ledger::Entry> aEntries)
 {
   if (!aEntries.empty()) {
-    state_->channel_.Send(std::move(aEntries));
+    state_->worker_.Send(std::move(aEntries));
   }
 }
 
--- a/packages/control/src/process/StorageTask.cpp
+++ b/packages/control/src/process/StorageTask.cpp
@@ -1,10 +1,9 @@
 #include "cactuswick/control/process/StorageTask.h"
 
 #include <chrono>
-#include <thread>
 #include <utility>
 
-#include "cactuswick/transport/process/Channel.h"
+#include "cactuswick/transport/process/Worker.h"
 
 namespace cactuswick::control {
 
@@ -13,27 +12,12 @@
   State(ledger::LogStore aStore, std::function<void(StorageSynced)> aOnSynced)
     : store_(std::move(aStore))
     , onSynced_(std::move(aOnSynced))
-    , thread_([this] { Run(); })
+    , worker_([this](const std::vector<StorageWrite>& aWrites) {
+      onSynced_(WriteAll(aWrites));
+    })
   {
   }
 
-  ~State()
-  {
-    channel_.Close();
-    thread_.join();
-  }
-
-  void Run()
-  {
-    while (true) {
-      const auto writes = channel_.ReceiveAll();
-      if (writes.empty()) {
-        return;
-      }
-      onSynced_(WriteAll(writes));
-    }
-  }
-
   StorageSynced WriteAll(const std::vector<StorageWrite>& aWrites)
   {
     const auto start = std::chrono::steady_clock::now();
@@ -57,8 +41,8 @@
 
   ledger::LogStore store_;
   std::function<void(StorageSynced)> onSynced_;
-  transport::Channel<StorageWrite> channel_;
-  std::thread thread_;
+  /// Declared last: its thread uses the rest.
+  transport::Worker<StorageWrite> worker_;
 };
 
 StorageTask::StorageTask(ledger::LogStore aStore,
@@ -72,7 +56,7 @@
 void
 StorageTask::Write(StorageWrite aWrite)
 {
-  state_->channel_.Send(std::move(aWrite));
+  state_->worker_.Send(std::move(aWrite));
 }
 
 } // namespace cactuswick::control
--- a/packages/router/src/request/ModelExchange.cpp
+++ b/packages/router/src/request/ModelExchange.cpp
@@ -16,7 +16,6 @@
 using telemetry::Counter;
 using transport::EventLoop;
 
-constexpr size_t kMaxAttempts = 3;
 constexpr int kHttpTooManyRequests = 429;
 constexpr int kHttpUnavailable = 503;
 constexpr int kHttpServerError = 500;
@@ -41,6 +40,7 @@
   : services_(aServices)
   , exchange_(std::move(aExchange))
   , record_(aServices, std::move(aInfo))
+  , attempts_(aServices, record_)
   , request_(std::move(aRequest))
   , onEnd_(std::move(aOnEnd))
 {
@@ -71,28 +71,18 @@
 void
 ModelExchange::Enqueue()
 {
-  services_.dispatcher_.Enqueue(
-    { .queued_ = QueuedOf(Info(), reserved_),
-      .serves_ = request_.model_,
-      .prefixHash_ = request_.prefixHash_,
-      .excluded_ = failedEndpoints_,
-      .onPlaced_ =
+  attempts_.Enqueue(
+    request_.model_,
+    reserved_,
+    request_.prefixHash_,
+    { .onPlaced_ =
         [this](const model::Announcement& aEndpoint) { OnPlaced(aEndpoint); },
-      .onExpired_ =
-        [this] {
-          const auto status =
-            MakeError(ErrorKind::kDeadlineUnreachable,
-                      "",
-                      "the deadline passed before an endpoint was free");
-          mayHaveRun_ ? FailUnknown(status) : Refuse(status);
-        } });
+      .onExpired_ = [this] { FailByTruth(DeadlinePassed()); } });
 }
 
 void
 ModelExchange::OnPlaced(const model::Announcement& aEndpoint)
 {
-  record_.OnPlaced();
-  endpoint_ = aEndpoint.endpoint_;
   placedMs_ = EventLoop::NowMs();
   meter_ = {};
   body_.clear();
@@ -149,7 +139,7 @@
   if (!streamStarted_) {
     streamStarted_ = true;
     record_.OnFirstToken();
-    services_.dispatcher_.OnFirstToken(endpoint_,
+    services_.dispatcher_.OnFirstToken(attempts_.Endpoint().endpoint_,
                                        EventLoop::NowMs() - placedMs_);
     exchange_->StartStream(kHttpOk,
                            { { "Content-Type", "text/event-stream" },
@@ -182,7 +172,9 @@
       MakeError(ErrorKind::kMalformed, "", "the engine rejected the request"));
     return;
   }
-  mayHaveRun_ = mayHaveRun_ || call_->WasDispatched();
+  if (call_->WasDispatched()) {
+    attempts_.NoteMayHaveRun();
+  }
   OnAttemptFailed(aStatus.ok() ? MakeError(ErrorKind::kUpstreamFailed,
                                            "",
                                            "the engine's answer is not whole")
@@ -192,27 +184,26 @@
 void
 ModelExchange::OnAttemptFailed(const absl::Status& aStatus)
 {
-  failedEndpoints_.push_back(endpoint_);
-  LeaveEndpoint(AttemptOutcome::kFailed);
-  const bool inTime = EventLoop::NowMs() < Info().deadlineMs_;
-  if (!streamStarted_ && failedEndpoints_.size() < kMaxAttempts && inTime &&
-      services_.dispatcher_.Retries().TryTake()) {
-    services_.metrics_.Count(Counter::kRetries);
+  call_.reset();
+  // A model request may run again, but not once its answer has begun.
+  if (attempts_.Fail(!streamStarted_)) {
     Enqueue();
-    return;
+  } else {
+    FailByTruth(aStatus);
   }
-  mayHaveRun_ ? FailUnknown(aStatus) : Refuse(aStatus);
+}
+
+void
+ModelExchange::FailByTruth(const absl::Status& aStatus)
+{
+  attempts_.MayHaveRun() ? FailUnknown(aStatus) : Refuse(aStatus);
 }
 
 void
 ModelExchange::LeaveEndpoint(AttemptOutcome aOutcome)
 {
-  if (endpoint_.empty()) {
-    return;
-  }
   call_.reset();
-  services_.dispatcher_.Release(
-    request_.model_, std::exchange(endpoint_, {}), aOutcome);
+  attempts_.Leave(aOutcome);
 }
 
 ledger::Tokens
@@ -277,8 +268,8 @@
     return;
   }
   services_.biller_.CancelReserve(Info().id_);
-  services_.dispatcher_.Cancel(Info().id_);
-  const bool running = !endpoint_.empty();
+  attempts_.Cancel();
+  const bool running = attempts_.IsAtEndpoint();
   const ledger::Tokens used = running ? Used() : 0;
   LeaveEndpoint(AttemptOutcome::kNeutral);
   record_.EndAbandoned();
--- a/packages/router/src/request/ModelExchange.h
+++ b/packages/router/src/request/ModelExchange.h
@@ -3,11 +3,11 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <vector>
 
 #include "cactuswick/transport/connection/HttpCall.h"
 #include "cactuswick/transport/connection/HttpExchange.h"
 #include "request/AnswerMeter.h"
+#include "request/Attempts.h"
 #include "request/ChatRequest.h"
 #include "request/RequestRecord.h"
 
@@ -48,6 +48,8 @@
   void OnSettled(const absl::Status& aStatus);
   void OnCallerGone();
 
+  /// Refuses, or says that the outcome is unknown: whichever is true.
+  void FailByTruth(const absl::Status& aStatus);
   void Refuse(const absl::Status& aStatus);
   void FailUnknown(const absl::Status& aStatus);
   void LeaveEndpoint(routing::AttemptOutcome aOutcome);
@@ -57,20 +59,17 @@
   RouterServices& services_;
   std::unique_ptr<transport::HttpExchange> exchange_;
   RequestRecord record_;
+  Attempts attempts_;
   ChatRequest request_;
   std::function<void()> onEnd_;
 
   ledger::Tokens reserved_ = 0;
   std::unique_ptr<transport::HttpCall> call_;
-  std::string endpoint_;
-  std::vector<std::string> failedEndpoints_;
   int64_t placedMs_ = 0;
   int httpStatus_ = 0;
   AnswerMeter meter_;
   std::string body_;
   bool streamStarted_ = false;
-  /// Some attempt may have run.
-  bool mayHaveRun_ = false;
   bool settling_ = false;
   bool ended_ = false;
 };
--- a/packages/router/src/request/ServiceExchange.cpp
+++ b/packages/router/src/request/ServiceExchange.cpp
@@ -12,10 +12,7 @@
 using model::ErrorKind;
 using model::MakeError;
 using routing::AttemptOutcome;
-using telemetry::Counter;
-using transport::EventLoop;
 
-constexpr size_t kMaxAttempts = 3;
 /// Longest wait for the ledger's word on a claim.
 constexpr int64_t kClaimTimeoutMs = 3'000;
 constexpr const char* kReplayedHeader = "X-Cactuswick-Replayed";
@@ -31,6 +28,7 @@
   : services_(aServices)
   , exchange_(std::move(aExchange))
   , record_(aServices, std::move(aInfo))
+  , attempts_(aServices, record_)
   , serviceCall_(std::move(aCall))
   , onEnd_(std::move(aOnEnd))
   , timer_(aServices.loop_, [this] { OnClaimTimeout(); })
@@ -60,28 +58,17 @@
 void
 ServiceExchange::Enqueue()
 {
-  services_.dispatcher_.Enqueue(
-    { .queued_ = QueuedOf(Info(), 1),
-      .serves_ = serviceCall_.service_,
-      .excluded_ = failedEndpoints_,
-      .onPlaced_ =
-        [this](const model::Announcement& aEndpoint) { OnPlaced(aEndpoint); },
-      .onExpired_ =
-        [this] {
-          const auto status =
-            MakeError(ErrorKind::kDeadlineUnreachable,
-                      "",
-                      "the deadline passed before an endpoint was free");
-          mayHaveRun_ ? FailUnknown(status) : Refuse(status);
-        } });
+  attempts_.Enqueue(
+    serviceCall_.service_,
+    1,
+    0,
+    { .onPlaced_ = [this](const model::Announcement&) { OnPlaced(); },
+      .onExpired_ = [this] { FailByTruth(DeadlinePassed()); } });
 }
 
 void
-ServiceExchange::OnPlaced(const model::Announcement& aEndpoint)
+ServiceExchange::OnPlaced()
 {
-  record_.OnPlaced();
-  endpoint_ = aEndpoint;
-  atEndpoint_ = true;
   if (serviceCall_.idempotent_ || claimed_) {
     Call();
   } else {
@@ -176,7 +163,8 @@
   httpStatus_ = 0;
   body_.clear();
   const auto& limits = services_.limits_;
-  const auto address = transport::ParseAddress("address", endpoint_.address_);
+  const auto address =
+    transport::ParseAddress("address", attempts_.Endpoint().address_);
   call_ = std::make_unique<transport::HttpCall>(
     services_.loop_,
     transport::HttpCallOptions{
@@ -210,24 +198,27 @@
     OnWhole();
     return;
   }
-  mayHaveRun_ = mayHaveRun_ || call_->WasDispatched();
+  if (call_->WasDispatched()) {
+    attempts_.NoteMayHaveRun();
+  }
   OnAttemptFailed(aStatus);
 }
 
 void
 ServiceExchange::OnAttemptFailed(const absl::Status& aStatus)
 {
-  failedEndpoints_.push_back(endpoint_.endpoint_);
-  LeaveEndpoint(AttemptOutcome::kFailed);
-  const bool safe = serviceCall_.idempotent_ || !mayHaveRun_;
-  const bool inTime = EventLoop::NowMs() < Info().deadlineMs_;
-  if (safe && inTime && failedEndpoints_.size() < kMaxAttempts &&
-      services_.dispatcher_.Retries().TryTake()) {
-    services_.metrics_.Count(Counter::kRetries);
+  call_.reset();
+  if (attempts_.Fail(serviceCall_.idempotent_ || !attempts_.MayHaveRun())) {
     Enqueue();
-    return;
+  } else {
+    FailByTruth(aStatus);
   }
-  mayHaveRun_ ? FailUnknown(aStatus) : Refuse(aStatus);
+}
+
+void
+ServiceExchange::FailByTruth(const absl::Status& aStatus)
+{
+  attempts_.MayHaveRun() ? FailUnknown(aStatus) : Refuse(aStatus);
 }
 
 void
@@ -289,11 +280,11 @@
 ServiceExchange::OnCallerGone()
 {
   // What may run already runs to its end, so that a retry gets its outcome.
-  if (ended_ || call_ || claiming_ || claimed_ || atEndpoint_) {
+  if (ended_ || claimed_ || attempts_.IsAtEndpoint()) {
     return;
   }
   services_.biller_.CancelReserve(Info().id_);
-  services_.dispatcher_.Cancel(Info().id_);
+  attempts_.Cancel();
   services_.biller_.Release(Info().budget_, std::exchange(reserved_, 0));
   record_.EndAbandoned();
   End();
@@ -302,12 +293,8 @@
 void
 ServiceExchange::LeaveEndpoint(AttemptOutcome aOutcome)
 {
-  if (!std::exchange(atEndpoint_, false)) {
-    return;
-  }
   call_.reset();
-  services_.dispatcher_.Release(
-    serviceCall_.service_, endpoint_.endpoint_, aOutcome);
+  attempts_.Leave(aOutcome);
 }
 
 void
--- a/packages/router/src/request/ServiceExchange.h
+++ b/packages/router/src/request/ServiceExchange.h
@@ -3,11 +3,10 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <vector>
 
 #include "cactuswick/transport/connection/HttpCall.h"
 #include "cactuswick/transport/connection/HttpExchange.h"
-#include "request/RequestRecord.h"
+#include "request/Attempts.h"
 
 namespace cactuswick::router {
 
@@ -40,7 +39,7 @@
 
 private:
   void Enqueue();
-  void OnPlaced(const model::Announcement& aEndpoint);
+  void OnPlaced();
   void ClaimRun();
   void OnClaimed(const ledger::ClaimResult& aResult);
   void OnClaimTimeout();
@@ -54,6 +53,8 @@
   void Settle();
   void OnSettled(const absl::Status& aStatus);
   void OnCallerGone();
+  /// Refuses, or says that the outcome is unknown: whichever is true.
+  void FailByTruth(const absl::Status& aStatus);
   void Refuse(const absl::Status& aStatus);
   void FailUnknown(const absl::Status& aStatus);
   void LeaveEndpoint(routing::AttemptOutcome aOutcome);
@@ -62,21 +63,18 @@
   RouterServices& services_;
   std::unique_ptr<transport::HttpExchange> exchange_;
   RequestRecord record_;
+  Attempts attempts_;
   ServiceCall serviceCall_;
   std::function<void()> onEnd_;
 
   ledger::Tokens reserved_ = 0;
-  model::Announcement endpoint_;
-  bool atEndpoint_ = false;
   std::unique_ptr<transport::HttpCall> call_;
-  std::vector<std::string> failedEndpoints_;
   int httpStatus_ = 0;
   std::string contentType_;
   std::string body_;
   transport::Timer timer_;
   bool claiming_ = false;
   bool claimed_ = false;
-  bool mayHaveRun_ = false;
   bool ended_ = false;
   /// Tells late answers of the ledger whether this exchange still exists.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
