Orders to endpoints: one at a time, never backwards

Declared per endpoint; the committed revision is the fencing number. The ledger lets one router at a time begin an order and none after a newer one, so that endpoints that ignore fencing are safe too.

--- a/packages/client/src/process/Output.cpp
+++ b/packages/client/src/process/Output.cpp
@@ -116,6 +116,16 @@
                           router.appliedRevision_,
                           aStatus.revision_ - router.appliedRevision_);
   }
+  for (const auto& order : aStatus.orders_) {
+    constexpr std::array<std::string_view, 4> kOrderStates =
+      EnumNames(static_cast<const ledger::OrderState*>(nullptr));
+    absl::StrAppendFormat(
+      &text,
+      "order to %s with fencing number %d: %s\n",
+      order.endpoint_,
+      order.fence_,
+      std::string(kOrderStates[static_cast<size_t>(order.state_)]));
+  }
   return text;
 }
 
--- a/packages/control/src/connection/ControlService.cpp
+++ b/packages/control/src/connection/ControlService.cpp
@@ -315,6 +315,9 @@
   for (const auto& [incarnation, router] : ledger.Routers()) {
     status.routers_.push_back(router);
   }
+  for (const auto& [endpoint, order] : ledger.Orders()) {
+    status.orders_.push_back(order);
+  }
   return status;
 }
 
--- a/packages/ledger/include/cactuswick/ledger/request/RouterOp.h
+++ b/packages/ledger/include/cactuswick/ledger/request/RouterOp.h
@@ -92,6 +92,35 @@
   bool operator==(const ResolveClaim&) const = default;
 };
 
+/// Asks to give an order to its endpoint.
+struct BeginOrder
+{
+  std::string endpoint_;
+  /// Revision of the order: its fencing number.
+  int64_t fence_ = 0;
+
+  bool operator==(const BeginOrder&) const = default;
+};
+
+/// How an order to an endpoint ended.
+enum class OrderState
+{
+  kRunning,
+  kDone,
+  kRefused,
+  kUnknown,
+};
+
+/// Records how an order ended.
+struct EndOrder
+{
+  std::string endpoint_;
+  int64_t fence_ = 0;
+  OrderState state_ = OrderState::kUnknown;
+
+  bool operator==(const EndOrder&) const = default;
+};
+
 /// Says that the router holds no copies of a dead router's settlements.
 struct ConfirmNoCopies
 {
@@ -130,6 +159,8 @@
                               Settle,
                               Claim,
                               ResolveClaim,
+                              BeginOrder,
+                              EndOrder,
                               ConfirmNoCopies,
                               SetDraining,
                               Goodbye,
@@ -184,13 +215,25 @@
   bool operator==(const ClaimResult&) const = default;
 };
 
+/// Answer to BeginOrder.
+struct OrderResult
+{
+  /// The router alone may give this order now, within kOrderLeaseMs.
+  bool granted_ = false;
+  /// It has been given already, or a newer one has.
+  bool obsolete_ = false;
+
+  bool operator==(const OrderResult&) const = default;
+};
+
 /// Answer to the operations that have nothing to say.
 struct Done
 {
   bool operator==(const Done&) const = default;
 };
 
-using OpResult = std::variant<Done, GrantResult, SettleResult, ClaimResult>;
+using OpResult =
+  std::variant<Done, GrantResult, SettleResult, ClaimResult, OrderResult>;
 
 constexpr std::array<std::string_view, 4>
 EnumNames(const ClaimState*)
@@ -198,6 +241,11 @@
   return { "running", "done", "not_run", "unknown" };
 }
 constexpr std::array<std::string_view, 4>
+EnumNames(const OrderState*)
+{
+  return { "running", "done", "refused", "unknown" };
+}
+constexpr std::array<std::string_view, 4>
 EnumNames(const SettleState*)
 {
   return { "billed", "duplicate", "held", "unaccounted" };
@@ -229,6 +277,21 @@
   return "resolve";
 }
 constexpr std::string_view
+TypeNameOf(const BeginOrder*)
+{
+  return "begin_order";
+}
+constexpr std::string_view
+TypeNameOf(const EndOrder*)
+{
+  return "end_order";
+}
+constexpr std::string_view
+TypeNameOf(const OrderResult*)
+{
+  return "order";
+}
+constexpr std::string_view
 TypeNameOf(const ConfirmNoCopies*)
 {
   return "no_copies";
@@ -311,6 +374,25 @@
     model::Field{ "body", &ResolveClaim::body_ });
 }
 constexpr auto
+FieldsOf(const BeginOrder*)
+{
+  return model::MakeFields(model::Field{ "endpoint", &BeginOrder::endpoint_ },
+                           model::Field{ "fence", &BeginOrder::fence_ });
+}
+constexpr auto
+FieldsOf(const EndOrder*)
+{
+  return model::MakeFields(model::Field{ "endpoint", &EndOrder::endpoint_ },
+                           model::Field{ "fence", &EndOrder::fence_ },
+                           model::Field{ "state", &EndOrder::state_ });
+}
+constexpr auto
+FieldsOf(const OrderResult*)
+{
+  return model::MakeFields(model::Field{ "granted", &OrderResult::granted_ },
+                           model::Field{ "obsolete", &OrderResult::obsolete_ });
+}
+constexpr auto
 FieldsOf(const ConfirmNoCopies*)
 {
   return model::MakeFields(model::Field{ "dead", &ConfirmNoCopies::dead_ });
--- a/packages/ledger/include/cactuswick/ledger/version/Ledger.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Ledger.h
@@ -27,6 +27,10 @@
 /// How long a top-up's id is recognised.
 inline constexpr LogTimeMs kTopUpHorizonMs = 30LL * 24 * 3'600 * 1'000;
 
+/// How long a router may take to give an order to an endpoint. Endpoints that
+/// ignore fencing numbers get the next order only after it.
+inline constexpr LogTimeMs kOrderLeaseMs = 10'000;
+
 /// Most claims remembered; further ones are refused, never forgotten.
 inline constexpr size_t kMaxClaims = 1'000'000;
 
@@ -72,6 +76,7 @@
   }
   size_t SettledKeyCount() const { return settled_.Size(); }
   size_t ClaimCount() const { return claims_.size(); }
+  const std::map<std::string, OrderRecord>& Orders() const { return orders_; }
 
   /// Checks every account against its grants; kCorruptStorage on a breach.
   absl::Status CheckInvariants() const;
@@ -99,6 +104,8 @@
   OpResult OnOp(Incarnation aRouter, const Settle& aOp);
   OpResult OnOp(Incarnation aRouter, const Claim& aOp);
   OpResult OnOp(Incarnation aRouter, const ResolveClaim& aOp);
+  OpResult OnOp(Incarnation aRouter, const BeginOrder& aOp);
+  OpResult OnOp(Incarnation aRouter, const EndOrder& aOp);
   OpResult OnOp(Incarnation aRouter, const ConfirmNoCopies& aOp);
   OpResult OnOp(Incarnation aRouter, const SetDraining& aOp);
   OpResult OnOp(Incarnation aRouter, const Goodbye& aOp);
@@ -142,6 +149,7 @@
   KeyTable settled_;
   absl::flat_hash_map<std::string, ClaimRecord> claims_;
   std::deque<std::string> claimOrder_;
+  std::map<std::string, OrderRecord> orders_;
   absl::flat_hash_map<std::string, TopUpRecord> topUps_;
   std::deque<std::string> topUpOrder_;
   absl::flat_hash_map<std::string, OperatorRecord> operators_;
--- a/packages/ledger/include/cactuswick/ledger/version/Records.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Records.h
@@ -94,6 +94,18 @@
   bool operator==(const ClaimRecord&) const = default;
 };
 
+/// The newest order that was begun at an endpoint.
+struct OrderRecord
+{
+  std::string endpoint_;
+  int64_t fence_ = 0;
+  Incarnation holder_ = 0;
+  OrderState state_ = OrderState::kRunning;
+  LogTimeMs atMs_ = 0;
+
+  bool operator==(const OrderRecord&) const = default;
+};
+
 /// A top-up that was applied, kept to recognise its resends.
 struct TopUpRecord
 {
@@ -166,6 +178,7 @@
                                     SessionRecord,
                                     SettledRecord,
                                     ClaimRecord,
+                                    OrderRecord,
                                     TopUpRecord,
                                     OperatorRecord>;
 
@@ -206,6 +219,11 @@
   return "claim";
 }
 constexpr std::string_view
+TypeNameOf(const OrderRecord*)
+{
+  return "order";
+}
+constexpr std::string_view
 TypeNameOf(const TopUpRecord*)
 {
   return "topup";
@@ -274,6 +292,15 @@
     model::Field{ "at_ms", &ClaimRecord::atMs_ });
 }
 constexpr auto
+FieldsOf(const OrderRecord*)
+{
+  return model::MakeFields(model::Field{ "endpoint", &OrderRecord::endpoint_ },
+                           model::Field{ "fence", &OrderRecord::fence_ },
+                           model::Field{ "holder", &OrderRecord::holder_ },
+                           model::Field{ "state", &OrderRecord::state_ },
+                           model::Field{ "at_ms", &OrderRecord::atMs_ });
+}
+constexpr auto
 FieldsOf(const TopUpRecord*)
 {
   return model::MakeFields(model::Field{ "id", &TopUpRecord::id_ },
--- a/packages/ledger/src/version/LedgerRouters.cpp
+++ b/packages/ledger/src/version/LedgerRouters.cpp
@@ -160,6 +160,37 @@
   RoutersChanged();
 }
 
+OpResult
+Ledger::OnOp(Incarnation aRouter, const BeginOrder& aOp)
+{
+  OrderRecord& record = orders_[aOp.endpoint_];
+  if (aOp.fence_ <= record.fence_) {
+    return OrderResult{ .obsolete_ = true };
+  }
+  // One order at a time: whoever began the last one may still be giving it.
+  const bool busy = record.state_ == OrderState::kRunning &&
+                    record.fence_ > 0 &&
+                    counters_.timeMs_ - record.atMs_ < kOrderLeaseMs;
+  if (busy) {
+    return OrderResult{};
+  }
+  record = {
+    aOp.endpoint_, aOp.fence_, aRouter, OrderState::kRunning, counters_.timeMs_
+  };
+  return OrderResult{ .granted_ = true };
+}
+
+OpResult
+Ledger::OnOp(Incarnation aRouter, const EndOrder& aOp)
+{
+  const auto found = orders_.find(aOp.endpoint_);
+  if (found != orders_.end() && found->second.fence_ == aOp.fence_ &&
+      found->second.holder_ == aRouter) {
+    found->second.state_ = aOp.state_;
+  }
+  return Done{};
+}
+
 OpResult
 Ledger::OnOp(Incarnation aRouter, const ConfirmNoCopies& aOp)
 {
--- a/packages/ledger/src/version/LedgerSnapshot.cpp
+++ b/packages/ledger/src/version/LedgerSnapshot.cpp
@@ -52,6 +52,9 @@
                          by.amount_,
                          item.atMs_ });
   }
+  for (const auto& [endpoint, order] : orders_) {
+    aSink(order);
+  }
   const auto saveInOrder = [&](const auto& aTable, const auto& aOrder) {
     for (const auto& key : aOrder) {
       if (const auto found = aTable.find(key); found != aTable.end()) {
@@ -108,6 +111,10 @@
     ledger_.claims_[key] = aRecord;
     ledger_.claimOrder_.push_back(key);
   }
+  void operator()(const OrderRecord& aRecord) const
+  {
+    ledger_.orders_[aRecord.endpoint_] = aRecord;
+  }
   void operator()(const TopUpRecord& aRecord) const
   {
     ledger_.topUps_[aRecord.id_] = aRecord;
--- a/packages/model/include/cactuswick/model/version/Resource.h
+++ b/packages/model/include/cactuswick/model/version/Resource.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -83,7 +84,28 @@
   bool operator==(const ApiKey&) const = default;
 };
 
-using Spec = std::variant<Workspace, Budget, Rank, Model, Service, ApiKey>;
+/// What an endpoint can be told to do.
+enum class OrderAction
+{
+  kLoad,
+  kUnload,
+  kRole,
+};
+
+/// An order to one endpoint, whose name it has. The revision of each accepted
+/// change is its fencing number.
+struct Order
+{
+  std::string name_;
+  OrderAction action_ = OrderAction::kLoad;
+  /// Model to load or unload, or role to take.
+  std::string target_;
+
+  bool operator==(const Order&) const = default;
+};
+
+using Spec =
+  std::variant<Workspace, Budget, Rank, Model, Service, ApiKey, Order>;
 
 /// A declared resource as stored.
 struct Resource
@@ -153,6 +175,11 @@
   return "apikey";
 }
 
+constexpr std::string_view
+TypeNameOf(const Order*)
+{
+  return "order";
+}
 constexpr std::string_view
 TypeNameOf(const Resource*)
 {
@@ -201,6 +228,18 @@
                     Field{ "workspace", &ApiKey::workspace_ },
                     Field{ "sha256", &ApiKey::sha256_ });
 }
+constexpr std::array<std::string_view, 3>
+EnumNames(const OrderAction*)
+{
+  return { "load", "unload", "role" };
+}
+constexpr auto
+FieldsOf(const Order*)
+{
+  return MakeFields(Field{ "name", &Order::name_ },
+                    Field{ "action", &Order::action_ },
+                    Field{ "target", &Order::target_ });
+}
 constexpr auto
 FieldsOf(const Resource*)
 {
--- a/packages/model/src/version/Resource.cpp
+++ b/packages/model/src/version/Resource.cpp
@@ -111,6 +111,13 @@
                  ValidateName("workspace", aSpec.workspace_) });
 }
 
+absl::Status
+Check(const Order& aSpec)
+{
+  return First({ ValidateName("name", aSpec.name_),
+                 ValidateName("target", aSpec.target_) });
+}
+
 } // namespace
 
 const std::string&
--- a/packages/replay/src/process/Trace.cpp
+++ b/packages/replay/src/process/Trace.cpp
@@ -44,9 +44,12 @@
     std::exponential_distribution<double> gap(aPerSecond / 1'000);
     std::exponential_distribution<double> length(1.0 / 80);
     std::uniform_int_distribution<int> prefix(0, 9);
-    for (double at = static_cast<double>(aFromMs) + gap(random_);
-         at < static_cast<double>(aToMs);
-         at += gap(random_)) {
+    double at = static_cast<double>(aFromMs);
+    while (true) {
+      at += gap(random_);
+      if (at >= static_cast<double>(aToMs)) {
+        return;
+      }
       const auto answer = static_cast<int64_t>(length(random_));
       trace_.arrivals_.push_back(
         { .atMs_ = static_cast<int64_t>(at),
--- /dev/null
+++ b/packages/router/src/process/OrderRunner.cpp
@@ -0,0 +1,152 @@
+#include "process/OrderRunner.h"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "cactuswick/ledger/version/Ledger.h"
+#include "cactuswick/model/process/Json.h"
+#include "cactuswick/telemetry/process/Log.h"
+
+namespace cactuswick::router {
+
+namespace {
+
+using telemetry::Level;
+using telemetry::Log;
+using telemetry::Part;
+using transport::EventLoop;
+
+constexpr int64_t kTickMs = 250;
+/// Longest time from connecting to the endpoint's answer.
+constexpr int64_t kCallMs = 3'000;
+/// An order is sent only this soon after it was asked for, so that it ends
+/// within its lease however late the ledger's answer came.
+constexpr int64_t kSendWithinMs = ledger::kOrderLeaseMs - 2 * kCallMs;
+constexpr int kHttpOk = 200;
+
+} // namespace
+
+OrderRunner::OrderRunner(EventLoop& aLoop, OrderRunnerOptions aOptions)
+  : loop_(aLoop)
+  , options_(std::move(aOptions))
+  , tick_(aLoop, [this] { OnTick(); })
+{
+  tick_.StartRepeating(kTickMs);
+}
+
+void
+OrderRunner::OnTick()
+{
+  if (!options_.control_.IsReachable()) {
+    return;
+  }
+  for (const auto& endpoint : options_.endpoints_()) {
+    const auto* order =
+      options_.config_.FindResource("order/" + endpoint.endpoint_);
+    if (order != nullptr && !running_.contains(endpoint.endpoint_) &&
+        settled_[endpoint.endpoint_] < order->revision_) {
+      Begin(endpoint, order->revision_);
+    }
+  }
+}
+
+void
+OrderRunner::Begin(const model::Announcement& aEndpoint, int64_t aFence)
+{
+  running_[aEndpoint.endpoint_] = { .fence_ = aFence,
+                                    .askedMs_ = EventLoop::NowMs() };
+  options_.control_.Submit(ledger::BeginOrder{ aEndpoint.endpoint_, aFence },
+                           [this, aEndpoint](const ledger::OpResult& aResult) {
+                             if (const auto* result =
+                                   std::get_if<ledger::OrderResult>(&aResult)) {
+                               OnBegun(aEndpoint, *result);
+                             }
+                           });
+}
+
+void
+OrderRunner::OnBegun(const model::Announcement& aEndpoint,
+                     const ledger::OrderResult& aResult)
+{
+  const std::string& name = aEndpoint.endpoint_;
+  const Running& running = running_[name];
+  if (aResult.obsolete_) {
+    settled_[name] = running.fence_;
+  }
+  if (!aResult.granted_) {
+    running_.erase(name);
+    return;
+  }
+  if (EventLoop::NowMs() - running.askedMs_ > kSendWithinMs) {
+    End(name, ledger::OrderState::kUnknown);
+    return;
+  }
+  Give(aEndpoint);
+}
+
+void
+OrderRunner::Give(const model::Announcement& aEndpoint)
+{
+  const std::string name = aEndpoint.endpoint_;
+  Running& running = running_[name];
+  const auto* order = options_.config_.Find<model::Order>(name);
+  const auto address = transport::ParseAddress("address", aEndpoint.address_);
+  if (order == nullptr || !address.ok()) {
+    End(name, ledger::OrderState::kUnknown);
+    return;
+  }
+  const auto actions = EnumNames(&order->action_);
+  running.call_ = std::make_unique<transport::HttpCall>(
+    loop_,
+    transport::HttpCallOptions{
+      .address_ = *address,
+      .path_ = "/orders",
+      .headers_ = { { "Content-Type", "application/json" } },
+      .body_ = model::PrintJson(
+        { { "fence", running.fence_ },
+          { "action", actions[static_cast<size_t>(order->action_)] },
+          { "target", order->target_ } }),
+      .connectTimeoutMs_ = kCallMs,
+      .firstByteTimeoutMs_ = kCallMs,
+      .progressTimeoutMs_ = kCallMs,
+      .onHeaders_ =
+        [this, name](int aStatus, const transport::Headers&) {
+          running_[name].httpStatus_ = aStatus;
+        },
+      .onDone_ = [this, name](
+                   const absl::Status& aStatus) { OnGiven(name, aStatus); } });
+}
+
+void
+OrderRunner::OnGiven(const std::string& aEndpoint, const absl::Status& aStatus)
+{
+  const Running& running = running_[aEndpoint];
+  if (!aStatus.ok()) {
+    End(aEndpoint, ledger::OrderState::kUnknown);
+  } else {
+    End(aEndpoint,
+        running.httpStatus_ == kHttpOk ? ledger::OrderState::kDone
+                                       : ledger::OrderState::kRefused);
+  }
+}
+
+void
+OrderRunner::End(const std::string& aEndpoint, ledger::OrderState aState)
+{
+  const int64_t fence = running_[aEndpoint].fence_;
+  settled_[aEndpoint] = fence;
+  options_.control_.Submit(ledger::EndOrder{ aEndpoint, fence, aState });
+  const auto names = EnumNames(&aState);
+  Log(Part::kEndpoint,
+      Level::kInfo,
+      model::Concat("order ",
+                    fence,
+                    " to ",
+                    aEndpoint,
+                    " ",
+                    names[static_cast<size_t>(aState)]));
+  running_.erase(aEndpoint);
+}
+
+} // namespace cactuswick::router
--- a/packages/router/src/process/RouterTask.cpp
+++ b/packages/router/src/process/RouterTask.cpp
@@ -11,6 +11,7 @@
 #include "connection/CallerApi.h"
 #include "connection/EndpointApi.h"
 #include "connection/OperatorApi.h"
+#include "process/OrderRunner.h"
 
 namespace cactuswick::router {
 
@@ -212,6 +213,16 @@
         [this](ledger::Incarnation aRouter) {
           return peers_->LoadOf(aRouter);
         } });
+    orders_ = std::make_unique<OrderRunner>(
+      loop_,
+      OrderRunnerOptions{
+        .control_ = *control_, .config_ = config_, .endpoints_ = [this] {
+          std::vector<model::Announcement> endpoints;
+          for (const auto& news : HeardHere()) {
+            endpoints.push_back(news.announcement_);
+          }
+          return endpoints;
+        } });
     operators_ = std::make_unique<OperatorApi>(OperatorApiOptions{
       .loop_ = loop_,
       .control_ = *control_,
@@ -411,6 +422,7 @@
   std::unique_ptr<CallerApi> callers_;
   EndpointApi endpointApi_;
   std::unique_ptr<OperatorApi> operators_;
+  std::unique_ptr<OrderRunner> orders_;
   control::MetricsServer metricsServer_;
   transport::Timer tick_;
 
--- a/packages/router/src/version/ConfigView.cpp
+++ b/packages/router/src/version/ConfigView.cpp
@@ -28,6 +28,13 @@
   }
 }
 
+const model::Resource*
+ConfigView::FindResource(const std::string& aKey) const
+{
+  const auto found = resources_.find(aKey);
+  return found == resources_.end() ? nullptr : &found->second;
+}
+
 const model::Workspace*
 ConfigView::FindByKey(const std::string& aSha256) const
 {
--- a/packages/router/src/version/ConfigView.h
+++ b/packages/router/src/version/ConfigView.h
@@ -30,6 +30,9 @@
                                      : std::get_if<Spec>(&found->second.spec_);
   }
 
+  /// The live resource under "type/name" with its version, or null.
+  const model::Resource* FindResource(const std::string& aKey) const;
+
   /// The workspace that an API key with this SHA-256 belongs to, or null.
   const model::Workspace* FindByKey(const std::string& aSha256) const;
 
--- a/packages/standin/src/process/EngineStandin.cpp
+++ b/packages/standin/src/process/EngineStandin.cpp
@@ -16,6 +16,7 @@
 
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
+constexpr int kConflict = 409;
 constexpr int kUnavailable = 503;
 /// Bytes of prompt per token in this stand-in's counting.
 constexpr int64_t kBytesPerToken = 4;
@@ -68,6 +69,8 @@
     StartRun(std::move(aExchange));
   } else if (path == "/fault") {
     SetFault(*aExchange);
+  } else if (path == "/orders") {
+    TakeOrder(*aExchange);
   } else if (path == "/runs") {
     ReplyRuns(*aExchange);
   } else {
@@ -90,6 +93,24 @@
   ReplyJson(aExchange, kOk, json::object());
 }
 
+void
+EngineStandin::TakeOrder(HttpExchange& aExchange)
+{
+  const auto document = model::ParseJson(aExchange.Body());
+  if (!document.ok() || !document->contains("fence")) {
+    ReplyJson(aExchange, kOk, orders_);
+    return;
+  }
+  const int64_t fence = (*document)["fence"].get<int64_t>();
+  const bool old = !orders_.empty() && fence < orders_.back();
+  if (old && options_.checksFencing_) {
+    ReplyJson(aExchange, kConflict, { { "error", "old fencing number" } });
+    return;
+  }
+  orders_.push_back(fence);
+  ReplyJson(aExchange, kOk, json::object());
+}
+
 void
 EngineStandin::ReplyRuns(HttpExchange& aExchange)
 {
--- a/packages/standin/src/process/EngineStandin.h
+++ b/packages/standin/src/process/EngineStandin.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "cactuswick/transport/connection/HttpExchange.h"
 
@@ -28,6 +29,8 @@
   int64_t tokenMs_ = 5;
   /// Tokens of an answer when the request allows more.
   int64_t answerTokens_ = 16;
+  /// Refuses orders with an old fencing number.
+  bool checksFencing_ = false;
 };
 
 /// A model engine with continuous batching and priorities: a request waits
@@ -54,6 +57,7 @@
   void StartRun(std::unique_ptr<transport::HttpExchange> aExchange);
   void SetFault(transport::HttpExchange& aExchange);
   void ReplyRuns(transport::HttpExchange& aExchange);
+  void TakeOrder(transport::HttpExchange& aExchange);
   void Admit();
   void OnToken(int64_t aRun);
   void Finish(int64_t aRun);
@@ -67,6 +71,8 @@
   std::map<int64_t, std::unique_ptr<Run>> runs_;
   /// How often each request id was started and finished here.
   std::map<std::string, Runs> counts_;
+  /// Fencing numbers of the orders taken, in the order they came.
+  std::vector<int64_t> orders_;
 };
 
 } // namespace cactuswick::standin
--- a/packages/standin/src/process/StandinMain.cpp
+++ b/packages/standin/src/process/StandinMain.cpp
@@ -45,6 +45,7 @@
   Number delay("", "delay-ms", "Delay of a service.", false, 5, "MS", line);
   Number lease("", "lease-ms", "Lease.", false, 2'000, "MS", line);
   Number incarnation("", "incarnation", "Incarnation.", false, 1, "N", line);
+  TCLAP::SwitchArg fencing("", "checks-fencing", "Checks fencing.", line);
   line.parse(aCount, aValues);
   arguments.kind_ = kind.getValue();
   arguments.listen_ = listen.getValue();
@@ -58,12 +59,14 @@
                               .failureDomain_ = domain.getValue(),
                               .slots_ = slots.getValue(),
                               .incarnation_ = incarnation.getValue(),
-                              .leaseMs_ = lease.getValue() };
+                              .leaseMs_ = lease.getValue(),
+                              .checksFencing_ = fencing.getValue() };
   arguments.engine_ = { .name_ = name.getValue(),
                         .slots_ = slots.getValue(),
                         .firstTokenMs_ = first.getValue(),
                         .tokenMs_ = token.getValue(),
-                        .answerTokens_ = tokens.getValue() };
+                        .answerTokens_ = tokens.getValue(),
+                        .checksFencing_ = fencing.getValue() };
   arguments.delayMs_ = delay.getValue();
   return arguments;
 }
--- a/packages/transport/include/cactuswick/transport/connection/PeerMessage.h
+++ b/packages/transport/include/cactuswick/transport/connection/PeerMessage.h
@@ -115,6 +115,7 @@
   /// Replicas with a data folder that are no members.
   std::vector<ledger::Member> waiting_;
   std::vector<ledger::RouterRecord> routers_;
+  std::vector<ledger::OrderRecord> orders_;
 
   bool operator==(const ControlStatus&) const = default;
 };
--- a/packages/transport/include/cactuswick/transport/connection/PeerMessageFields.h
+++ b/packages/transport/include/cactuswick/transport/connection/PeerMessageFields.h
@@ -262,7 +262,8 @@
     model::Field{ "claims", &ControlStatus::claims_ },
     model::Field{ "members", &ControlStatus::members_ },
     model::Field{ "waiting", &ControlStatus::waiting_ },
-    model::Field{ "routers", &ControlStatus::routers_ });
+    model::Field{ "routers", &ControlStatus::routers_ },
+    model::Field{ "orders", &ControlStatus::orders_ });
 }
 
 constexpr auto
--- a/tests/ledger/version/LedgerTest.cpp
+++ b/tests/ledger/version/LedgerTest.cpp
@@ -271,6 +271,28 @@
   EXPECT_TRUE(std::get<ClaimResult>(Op(second_, claim)).granted_);
 }
 
+TEST_F(LedgerTest, OrdersAreGivenOneAtATimeAndNeverBackwards)
+{
+  const auto begin = [&](Incarnation aRouter, int64_t aFence) {
+    return std::get<OrderResult>(Op(aRouter, BeginOrder{ "e", aFence }));
+  };
+  EXPECT_TRUE(begin(first_, 5).granted_);
+  EXPECT_TRUE(begin(second_, 5).obsolete_);
+  // The first may still be giving it.
+  EXPECT_EQ(begin(second_, 6), OrderResult{});
+  Op(first_, EndOrder{ "e", 5, OrderState::kDone });
+  EXPECT_TRUE(begin(second_, 6).granted_);
+  EXPECT_TRUE(begin(first_, 5).obsolete_);
+  // A router that died while giving one holds the next up for the lease only.
+  time_ += kOrderLeaseMs - 1;
+  EXPECT_FALSE(begin(first_, 7).granted_);
+  time_ += 1;
+  EXPECT_TRUE(begin(first_, 7).granted_);
+  // The late end of an order that was overtaken changes nothing.
+  Op(second_, EndOrder{ "e", 6, OrderState::kDone });
+  EXPECT_EQ(ledger_.Orders().at("e").state_, OrderState::kRunning);
+}
+
 TEST_F(LedgerTest, OneOfTwoRacingOperatorsWins)
 {
   const model::Rank urgent{ .name_ = "urgent" };
--- a/tests/system/test_faults.py
+++ b/tests/system/test_faults.py
@@ -615,6 +615,44 @@
         del system.processes[name]
 
 
+# Orders.
+
+def order(system, target):
+    path = system.directory / "order.json"
+    path.write_text(json.dumps({"type": "order", "name": "engine1",
+                                "action": "load", "target": target}))
+    wait_for(lambda: system.cli("apply", "-f", path,
+                                check=False).returncode == 0, 15, "ordered")
+
+
+def orders_given(system):
+    return request(system.endpoint_address(1), "GET", "/orders").json()
+
+
+def order_state(system):
+    return {one["endpoint"]: one["state"] for one in system.status()["orders"]}
+
+
+@pytest.mark.parametrize("fault", [None, kill_leader, freeze_leader,
+                                   kill_router, freeze_router, cut_router])
+def test_an_order_is_given_once_and_never_backwards(fault):
+    with Running() as system:
+        if fault:
+            thread = threading.Thread(target=fault, args=(system,))
+            thread.start()
+        for turn in range(4):
+            order(system, f"model-{turn}")
+            time.sleep(0.4)
+        if fault:
+            thread.join()
+        newest = next(one["revision"] for one in json.loads(system.cli(
+            "--output", "json", "get", "order/engine1").stdout)["resources"])
+        wait_for(lambda: newest in orders_given(system), 20, "it is given")
+        wait_for(lambda: order_state(system)["engine1"] == "done", 5, "noted")
+        given = orders_given(system)
+        assert given == sorted(set(given)), given
+
+
 # Leaving.
 
 @pytest.mark.parametrize("how", ["announced", "silent", "killed"])
