A caller's hang-up is seen at once, and frees only what it had reserved

Two causes, found by reading and then by a test. The HTTP library reads nothing while an answer is being made, so a caller who hung up before a whole answer was noticed only at its end; the socket's close is watched now. And a request that still waited for a grant released, when its caller hung up, tokens that it had never reserved, so that others were let in past the grant: 31 whole answers of 47 tokens were billed 846. Ruled out: the ledger, which refused to bill beyond the grant, so that nothing was overspent. After: billed for each whole answer, none held.

--- a/packages/router/src/request/ModelExchange.cpp
+++ b/packages/router/src/request/ModelExchange.cpp
@@ -44,24 +44,26 @@
   , request_(std::move(aRequest))
   , onEnd_(std::move(aOnEnd))
 {
-  reserved_ = request_.promptBound_ + request_.maxTokens_;
 }
 
 void
 ModelExchange::Start()
 {
   exchange_->SetClosedHook([this] { OnCallerGone(); });
-  services_.biller_.Reserve(
-    Info().budget_, reserved_, Info().id_, [this](const absl::Status& aStatus) {
-      OnReserved(aStatus);
-    });
+  const ledger::Tokens bound = request_.promptBound_ + request_.maxTokens_;
+  services_.biller_.Reserve(Info().budget_,
+                            bound,
+                            Info().id_,
+                            [this, bound](const absl::Status& aStatus) {
+                              reserved_ = aStatus.ok() ? bound : 0;
+                              OnReserved(aStatus);
+                            });
 }
 
 void
 ModelExchange::OnReserved(const absl::Status& aStatus)
 {
   if (!aStatus.ok()) {
-    reserved_ = 0;
     Refuse(aStatus);
     return;
   }
--- a/packages/router/src/request/ModelExchange.h
+++ b/packages/router/src/request/ModelExchange.h
@@ -63,6 +63,7 @@
   ChatRequest request_;
   std::function<void()> onEnd_;
 
+  /// What this request holds of the budget; 0 until it has been reserved.
   ledger::Tokens reserved_ = 0;
   std::unique_ptr<transport::HttpCall> call_;
   int64_t placedMs_ = 0;
--- a/packages/router/src/request/ServiceExchange.cpp
+++ b/packages/router/src/request/ServiceExchange.cpp
@@ -43,16 +43,17 @@
     Enqueue();
     return;
   }
-  reserved_ = serviceCall_.price_;
-  services_.biller_.Reserve(
-    Info().budget_, reserved_, Info().id_, [this](const absl::Status& aStatus) {
-      if (!aStatus.ok()) {
-        reserved_ = 0;
-        Refuse(aStatus);
-        return;
-      }
-      Enqueue();
-    });
+  services_.biller_.Reserve(Info().budget_,
+                            serviceCall_.price_,
+                            Info().id_,
+                            [this](const absl::Status& aStatus) {
+                              if (!aStatus.ok()) {
+                                Refuse(aStatus);
+                                return;
+                              }
+                              reserved_ = serviceCall_.price_;
+                              Enqueue();
+                            });
 }
 
 void
--- a/packages/router/src/request/ServiceExchange.h
+++ b/packages/router/src/request/ServiceExchange.h
@@ -67,6 +67,7 @@
   ServiceCall serviceCall_;
   std::function<void()> onEnd_;
 
+  /// What this request holds of the budget; 0 until it has been reserved.
   ledger::Tokens reserved_ = 0;
   std::unique_ptr<transport::HttpCall> call_;
   int httpStatus_ = 0;
--- a/packages/transport/include/cactuswick/transport/connection/HttpExchange.h
+++ b/packages/transport/include/cactuswick/transport/connection/HttpExchange.h
@@ -55,6 +55,8 @@
 private:
   void AddHeaders(const Headers& aHeaders);
   void Release();
+  void WatchForHangUp();
+  static void OnHangUp(int aSocket, short aWhat, void* aSelf);
   static void OnClosed(void* aSelf);
 
   EventLoop& loop_;
@@ -64,6 +66,7 @@
   std::string query_;
   std::string body_;
   std::function<void()> closedHook_;
+  std::unique_ptr<event, EventDeleter> hangUp_;
 };
 
 } // namespace cactuswick::transport
--- a/packages/transport/src/connection/HttpExchange.cpp
+++ b/packages/transport/src/connection/HttpExchange.cpp
@@ -4,6 +4,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
@@ -82,6 +83,28 @@
   evhttp_connection* connection = evhttp_request_get_connection(aRequest);
   evhttp_connection_set_closecb(
     connection, [](evhttp_connection*, void* aSelf) { OnClosed(aSelf); }, this);
+  WatchForHangUp();
+}
+
+void
+HttpExchange::WatchForHangUp()
+{
+  // evhttp reads nothing while a request is being answered, so it would see
+  // a caller's end only when it next writes.
+  bufferevent* stream =
+    evhttp_connection_get_bufferevent(evhttp_request_get_connection(request_));
+  hangUp_.reset(event_new(
+    loop_.Base(), bufferevent_getfd(stream), EV_CLOSED, &OnHangUp, this));
+  event_add(hangUp_.get(), nullptr);
+}
+
+void
+HttpExchange::OnHangUp(int, short, void* aSelf)
+{
+  auto* self = static_cast<HttpExchange*>(aSelf);
+  if (self->request_ != nullptr) {
+    evhttp_connection_free(evhttp_request_get_connection(self->request_));
+  }
 }
 
 HttpExchange::~HttpExchange()
@@ -123,6 +146,7 @@
 {
   auto* self = static_cast<HttpExchange*>(aSelf);
   self->request_ = nullptr;
+  self->hangUp_.reset();
   // The hook may destroy the exchange, so it runs from a local.
   if (auto hook = std::exchange(self->closedHook_, nullptr)) {
     hook();
@@ -141,6 +165,7 @@
 void
 HttpExchange::Release()
 {
+  hangUp_.reset();
   if (evhttp_connection* connection = evhttp_request_get_connection(request_)) {
     evhttp_connection_set_closecb(connection, nullptr, nullptr);
   }
--- a/tests/system/test_faults.py
+++ b/tests/system/test_faults.py
@@ -346,6 +346,35 @@
         audit(system, [caller], ENGINES)
 
 
+def test_callers_who_hang_up_while_waiting_free_nothing_of_others():
+    with Running(budget=1_000, engine_options={"token_ms": 100,
+                                               "slots": 64}) as system:
+        cost = price(system, system.router_address(1))
+        address = system.router_address(1)
+        callers = [Caller(f"u0-1{n}") for n in range(40)]
+        threads = []
+        before = settled_account(system)["billed"]
+        for number, caller in enumerate(callers):
+            threads.append(threading.Thread(target=try_chat, args=(
+                system, address, caller)))
+            threads[-1].start()
+            if number >= 5:
+                # The budget is reserved by now: these wait, and give up.
+                try:
+                    early = system.chat(address, "x" * 300, timeout=0.05)
+                    assert early.kind() != "budget_exhausted"
+                except OSError:
+                    pass
+        for thread in threads:
+            thread.join()
+        wholes = sum(caller.whole for caller in callers)
+        billed = settled_account(system)["billed"] - before
+        assert wholes > 0
+        assert abs(billed - cost * wholes) <= 2 * wholes
+        assert system.metric(f"{system.net}.1.1:8003",
+                             "settlements_held_total") == 0
+
+
 def test_a_caller_who_hangs_up_pays_for_what_came():
     with Running(engine_options={"token_ms": 50}) as system:
         before = settled_account(system)["billed"]
