Endpoints announce themselves with a key; overspend has its objective; copies only for live routers

Cause, found by reading: anyone could announce an endpoint and be sent prompts; the burn report never counted overspend; and a router that an operator had ended, still alive, could have left copies with a router that had confirmed to hold none. Contract and unit tests pass.

--- a/packages/router/src/connection/EndpointApi.cpp
+++ b/packages/router/src/connection/EndpointApi.cpp
@@ -55,8 +55,10 @@
 }
 
 EndpointApi::EndpointApi(
+  std::string aKeySha256,
   std::function<void(const model::Announcement&)> aOnAnnounced)
-  : onAnnounced_(std::move(aOnAnnounced))
+  : keySha256_(std::move(aKeySha256))
+  , onAnnounced_(std::move(aOnAnnounced))
 {
 }
 
@@ -66,6 +68,13 @@
   if (aExchange->Path() != "/v1/endpoints" || aExchange->Method() != "POST") {
     return aExchange;
   }
+  if (!keySha256_.empty() && !HasKey(*aExchange, keySha256_)) {
+    ReplyError(*aExchange,
+               MakeError(ErrorKind::kUnauthorized,
+                         "Authorization",
+                         "expected the endpoints' key"));
+    return nullptr;
+  }
   const auto announcement =
     model::DecodeJson<model::Announcement>(aExchange->Body());
   absl::Status status = announcement.status();
--- a/packages/router/src/connection/EndpointApi.h
+++ b/packages/router/src/connection/EndpointApi.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 
 #include <absl/status/status.h>
 
@@ -18,14 +19,16 @@
 class EndpointApi
 {
 public:
-  explicit EndpointApi(
-    std::function<void(const model::Announcement&)> aOnAnnounced);
+  /// @p aKeySha256 is the hash of the endpoints' key; empty asks for none.
+  EndpointApi(std::string aKeySha256,
+              std::function<void(const model::Announcement&)> aOnAnnounced);
 
   /// Takes a request under the endpoints' path; gives it back otherwise.
   std::unique_ptr<transport::HttpExchange> Handle(
     std::unique_ptr<transport::HttpExchange> aExchange);
 
 private:
+  std::string keySha256_;
   std::function<void(const model::Announcement&)> onAnnounced_;
 };
 
--- a/packages/router/src/connection/HttpErrors.cpp
+++ b/packages/router/src/connection/HttpErrors.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "cactuswick/model/process/Error.h"
+#include "cactuswick/model/process/Hash.h"
 #include "cactuswick/model/process/Json.h"
 
 namespace cactuswick::router {
@@ -70,6 +71,13 @@
   return value.starts_with(kScheme) ? value.substr(kScheme.size()) : "";
 }
 
+bool
+HasKey(const transport::HttpExchange& aExchange, const std::string& aSha256)
+{
+  const std::string token = BearerToken(aExchange);
+  return !token.empty() && model::Sha256Hex(token) == aSha256;
+}
+
 bool
 ConsumePrefix(std::string_view& aPath, std::string_view aPrefix)
 {
--- a/packages/router/src/connection/HttpErrors.h
+++ b/packages/router/src/connection/HttpErrors.h
@@ -46,6 +46,10 @@
 std::string
 BearerToken(const transport::HttpExchange& aExchange);
 
+/// Whether the bearer token has this SHA-256; no token has the empty one.
+bool
+HasKey(const transport::HttpExchange& aExchange, const std::string& aSha256);
+
 /// Removes @p aPrefix from @p aPath; false when it does not start with it.
 bool
 ConsumePrefix(std::string_view& aPath, std::string_view aPrefix);
--- a/packages/router/src/connection/OperatorApi.cpp
+++ b/packages/router/src/connection/OperatorApi.cpp
@@ -82,21 +82,13 @@
   tick_.StartRepeating(kTickMs);
 }
 
-bool
-OperatorApi::IsOperator(const transport::HttpExchange& aExchange) const
-{
-  const std::string token = BearerToken(aExchange);
-  return !options_.keySha256_.empty() && !token.empty() &&
-         model::Sha256Hex(token) == options_.keySha256_;
-}
-
 std::unique_ptr<transport::HttpExchange>
 OperatorApi::Handle(std::unique_ptr<transport::HttpExchange> aExchange)
 {
   if (!aExchange->Path().starts_with(kPrefix)) {
     return aExchange;
   }
-  if (!IsOperator(*aExchange)) {
+  if (!HasKey(*aExchange, options_.keySha256_)) {
     ReplyError(*aExchange,
                MakeError(ErrorKind::kUnauthorized,
                          "Authorization",
--- a/packages/router/src/connection/OperatorApi.h
+++ b/packages/router/src/connection/OperatorApi.h
@@ -42,7 +42,6 @@
 private:
   using Exchange = std::shared_ptr<transport::HttpExchange>;
 
-  bool IsOperator(const transport::HttpExchange& aExchange) const;
   void Route(const Exchange& aExchange, std::string_view aPath);
   void HandleResource(const Exchange& aExchange, std::string_view aKey);
   void Apply(const Exchange& aExchange, std::string_view aKey);
--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -360,10 +360,12 @@
     const auto& awaiting = router.awaiting_;
     const bool awaited =
       std::find(awaiting.begin(), awaiting.end(), self) != awaiting.end();
+    if (router.state_ == ledger::RouterState::kEnded) {
+      dead.insert(router.incarnation_);
+    }
     if (router.state_ != ledger::RouterState::kEnded || !awaited) {
       continue;
     }
-    dead.insert(router.incarnation_);
     if (!confirmed_.insert(router.incarnation_).second) {
       continue;
     }
@@ -376,13 +378,24 @@
         Level::kInfo,
         model::Concat("handed in copies of router ", router.incarnation_));
   }
+  // Those that the ledger has forgotten need no more confirmation.
+  std::erase_if(confirmed_, [&](ledger::Incarnation aRouter) {
+    return !dead.contains(aRouter);
+  });
 }
 
 std::vector<int64_t>
 Biller::OnCopies(const transport::CopySettlements& aCopies)
 {
-  // Copies that come after the confirmation would never be handed in.
-  if (confirmed_.contains(aCopies.holder_)) {
+  // Only for routers known to be live: copies of one that was ended, and for
+  // which this router may have confirmed, would never be handed in.
+  const auto& routers = options_.config_.Routers();
+  const bool live =
+    std::any_of(routers.begin(), routers.end(), [&](const auto& aRouter) {
+      return aRouter.incarnation_ == aCopies.holder_ &&
+             aRouter.state_ != ledger::RouterState::kEnded;
+    });
+  if (!live) {
     return {};
   }
   return book_.Keep(aCopies.holder_, aCopies.settlements_);
--- a/packages/router/src/process/RouterTask.cpp
+++ b/packages/router/src/process/RouterTask.cpp
@@ -47,7 +47,7 @@
 LimitsOf(const settings::Settings& aSettings)
 {
   return { .queueLimit_ = aSettings.Get(settings::kQueueLimit),
-           .maxInFlight_ = aSettings.Get(settings::kMaxConnections),
+           .maxInFlight_ = aSettings.Get(settings::kMaxInFlight),
            .maxAnswerBytes_ = aSettings.Get(settings::kMaxAnswerBytes),
            .connectTimeoutMs_ = aSettings.Get(settings::kConnectTimeoutMs),
            .firstByteTimeoutMs_ = aSettings.Get(settings::kFirstByteTimeoutMs),
@@ -69,9 +69,10 @@
                   { .failureDomain_ = aSettings.Get(settings::kFailureDomain),
                     .firstTokenLimitMs_ =
                       aSettings.Get(settings::kEndpointFirstTokenMs) })
-    , endpointApi_([this](const model::Announcement& aAnnouncement) {
-      OnAnnounced(aAnnouncement);
-    })
+    , endpointApi_(aSettings.Get(settings::kEndpointKeySha256),
+                   [this](const model::Announcement& aAnnouncement) {
+                     OnAnnounced(aAnnouncement);
+                   })
     , metricsServer_(aLoop, [this] { return ExposeMetrics(); })
     , tick_(aLoop, [this] { OnTick(); })
   {
--- a/packages/router/src/request/ModelExchange.cpp
+++ b/packages/router/src/request/ModelExchange.cpp
@@ -222,6 +222,8 @@
 {
   LeaveEndpoint(AttemptOutcome::kServed);
   const ledger::Tokens used = Used();
+  const auto reported = request_.stream_ ? meter_.Usage() : UsageOf(body_);
+  record_.OnUsage(reported.value_or(used), reserved_);
   services_.metrics_.Count(Counter::kTokensStreamed, meter_.ContentEvents());
   services_.dispatcher_.OnFinished(
     request_.model_, QueuedOf(Info(), reserved_), used);
--- a/packages/router/src/request/RequestRecord.cpp
+++ b/packages/router/src/request/RequestRecord.cpp
@@ -104,6 +104,27 @@
                              info_.rank_.name_);
 }
 
+void
+RequestRecord::OnUsage(ledger::Tokens aReported, ledger::Tokens aReserved)
+{
+  const bool kept = aReported <= aReserved;
+  services_.burn_.Add(Objective::kNoOverspend,
+                      info_.rank_.name_,
+                      info_.workspace_.name_,
+                      kept,
+                      EventLoop::NowMs());
+  if (!kept) {
+    LogRequest(Part::kBilling,
+               Level::kError,
+               model::Concat("r", info_.id_),
+               model::Concat("an engine reports ",
+                             aReported,
+                             " tokens for ",
+                             aReserved,
+                             " reserved"));
+  }
+}
+
 void
 RequestRecord::EndWhole()
 {
--- a/packages/router/src/request/RequestRecord.h
+++ b/packages/router/src/request/RequestRecord.h
@@ -47,6 +47,8 @@
   void OnFirstToken();
   bool HasFirstToken() const { return firstTokenMs_.has_value(); }
 
+  /// Counts whether an engine kept to the tokens that were reserved.
+  void OnUsage(ledger::Tokens aReported, ledger::Tokens aReserved);
   void EndWhole();
   /// @p aFleetHadRoom says that the refusal was the system's own fault.
   void EndRefused(const absl::Status& aStatus, bool aFleetHadRoom);
--- a/packages/settings/include/cactuswick/settings/process/SettingList.h
+++ b/packages/settings/include/cactuswick/settings/process/SettingList.h
@@ -182,15 +182,11 @@
   "bytes",    "Largest answer that is held as a whole.",
   1'024,      268'435'456
 };
-inline constexpr IntegerSetting kMaxConnections{
-  "router",
-  "max_connections",
-  4'096,
-  Shape::kInteger,
-  "connections",
-  "Most requests in flight or queued at once.",
-  1,
-  1'000'000
+inline constexpr IntegerSetting kMaxInFlight{
+  "router",   "max_in_flight",
+  4'096,      Shape::kInteger,
+  "requests", "Most requests in flight or queued at once.",
+  1,          1'000'000
 };
 inline constexpr IntegerSetting kConnectTimeoutMs{
   "router", "connect_timeout_ms",
@@ -231,6 +227,16 @@
   "SHA-256 of the operators' key; empty turns the operators' API off."
 };
 
+inline constexpr TextSetting kEndpointKeySha256{
+  "endpoint",
+  "key_sha256",
+  "",
+  Shape::kSha256,
+  "",
+  "SHA-256 of the key that endpoints announce themselves with; empty lets "
+  "anyone announce an endpoint."
+};
+
 inline constexpr TextSetting kLogLevel{ "log",
                                         "level",
                                         "info",
--- a/packages/settings/src/process/SettingList.cpp
+++ b/packages/settings/src/process/SettingList.cpp
@@ -62,12 +62,13 @@
                                 kEndpointFirstTokenMs,
                                 kMaxBodyBytes,
                                 kMaxAnswerBytes,
-                                kMaxConnections,
+                                kMaxInFlight,
                                 kConnectTimeoutMs,
                                 kFirstByteTimeoutMs,
                                 kProgressTimeoutMs,
                                 kSettleTimeoutMs,
                                 kOperatorKeySha256,
+                                kEndpointKeySha256,
                                 kLogLevel,
                                 kLogFormat);
   return kAll;
--- a/packages/standin/src/process/Announcer.cpp
+++ b/packages/standin/src/process/Announcer.cpp
@@ -35,6 +35,7 @@
     transport::HttpCallOptions{
       .address_ = options_.routers_[router_],
       .path_ = "/v1/endpoints",
+      .headers_ = { { "Authorization", "Bearer " + options_.key_ } },
       .body_ = model::EncodeJson(announcement),
       .connectTimeoutMs_ = kTimeoutMs,
       .firstByteTimeoutMs_ = kTimeoutMs,
--- a/packages/standin/src/process/Announcer.h
+++ b/packages/standin/src/process/Announcer.h
@@ -15,6 +15,8 @@
 {
   std::vector<transport::Address> routers_;
   model::Announcement announcement_;
+  /// The endpoints' key, if routers ask for one.
+  std::string key_;
   std::function<int64_t()> inFlight_;
 };
 
--- a/packages/standin/src/process/StandinMain.cpp
+++ b/packages/standin/src/process/StandinMain.cpp
@@ -23,6 +23,7 @@
   model::Announcement announcement_;
   standin::EngineOptions engine_;
   int64_t delayMs_ = 0;
+  std::string key_;
 };
 
 Arguments
@@ -45,6 +46,7 @@
   Number delay("", "delay-ms", "Delay of a service.", false, 5, "MS", line);
   Number lease("", "lease-ms", "Lease.", false, 2'000, "MS", line);
   Number incarnation("", "incarnation", "Incarnation.", false, 1, "N", line);
+  Text key("", "key", "Endpoints' key.", false, "", "KEY", line);
   TCLAP::SwitchArg fencing("", "checks-fencing", "Checks fencing.", line);
   line.parse(aCount, aValues);
   arguments.kind_ = kind.getValue();
@@ -68,6 +70,7 @@
                         .answerTokens_ = tokens.getValue(),
                         .checksFencing_ = fencing.getValue() };
   arguments.delayMs_ = delay.getValue();
+  arguments.key_ = key.getValue();
   return arguments;
 }
 
@@ -112,6 +115,7 @@
   standin::Announcer announcer(loop,
                                { .routers_ = ToAddresses(aArguments.routers_),
                                  .announcement_ = aArguments.announcement_,
+                                 .key_ = aArguments.key_,
                                  .inFlight_ = inFlight });
   transport::Timer drained(loop, [&] {
     if (inFlight() == 0) {
--- a/packages/transport/include/cactuswick/transport/connection/HttpServer.h
+++ b/packages/transport/include/cactuswick/transport/connection/HttpServer.h
@@ -19,8 +19,6 @@
   size_t maxBodyBytes_ = size_t{ 1 } << 20;
   /// Silence after which an idle connection is closed.
   int64_t idleTimeoutMs_ = 60'000;
-  /// Connections beyond this are closed at once.
-  int maxConnections_ = 4'096;
   std::function<void(std::unique_ptr<HttpExchange>)> onRequest_;
 };
 
--- a/tests/system/test_contract.py
+++ b/tests/system/test_contract.py
@@ -197,6 +197,16 @@
 
 # Endpoints.
 
+ENDPOINT = {"Authorization": f"Bearer {deployment.ENDPOINT_KEY}"}
+
+
+def test_endpoints_need_their_own_key(system):
+    for headers in ({}, system.headers(), system.headers("wrong")):
+        answer = request(system.router_address(1), "POST", "/v1/endpoints",
+                         json.dumps(announcement()), headers)
+        assert (answer.status, answer.kind()) == (401, "unauthorized")
+
+
 def announcement(**change):
     return {"endpoint": "ghost", "endpoint_type": "engine",
             "serves": ["ghost-model"], "address": "127.1.2.99:9001",
@@ -216,7 +226,7 @@
 ])
 def test_bad_announcements_are_refused_by_field(system, change, field):
     answer = request(system.router_address(1), "POST", "/v1/endpoints",
-                     json.dumps(announcement(**change)))
+                     json.dumps(announcement(**change)), ENDPOINT)
     assert answer.status == 400
     assert answer.json()["error"]["field"] == field
 
@@ -232,14 +242,14 @@
                 for n in range(1, 5)}
     assert kinds() == {"no_endpoint"}
     request(system.router_address(2), "POST", "/v1/endpoints",
-            json.dumps(announcement(lease_ms=3000)))
+            json.dumps(announcement(lease_ms=3000)), ENDPOINT)
     wait_for(lambda: "no_endpoint" not in kinds(), 2, "all routers know it")
     request(system.router_address(3), "POST", "/v1/endpoints",
-            json.dumps(announcement(sequence=2, lease_ms=3000, leaving=True)))
+            json.dumps(announcement(sequence=2, lease_ms=3000, leaving=True)), ENDPOINT)
     wait_for(lambda: kinds() == {"no_endpoint"}, 3, "it has left")
     # A late message of the same life does not bring it back.
     request(system.router_address(1), "POST", "/v1/endpoints",
-            json.dumps(announcement(sequence=1, lease_ms=3000)))
+            json.dumps(announcement(sequence=1, lease_ms=3000)), ENDPOINT)
     assert kinds() == {"no_endpoint"}
 
 
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -18,6 +18,7 @@
 BIN = pathlib.Path(os.environ.get("CACTUSWICK_BIN", ROOT / "build" / "bin"))
 DOMAINS = ["a", "b", "c"]
 OPERATOR_KEY = "operator-demo-key"
+ENDPOINT_KEY = "endpoint-demo-key"
 MODEL = "wick-llm"
 SERVICE = "lending-desk"
 
@@ -160,6 +161,8 @@
                            for n in range(1, self.controls + 1))},
             "operator": {"key_sha256":
                          hashlib.sha256(OPERATOR_KEY.encode()).hexdigest()},
+            "endpoint": {"key_sha256":
+                         hashlib.sha256(ENDPOINT_KEY.encode()).hexdigest()},
             "log": {}})
 
     # Processes.
@@ -193,7 +196,8 @@
                    self.endpoint_address(number), "--routers",
                    ",".join(self.router_address(n)
                             for n in range(1, self.routers + 1)),
-                   "--domain", self.domain(number), *flags)
+                   "--domain", self.domain(number), "--key", ENDPOINT_KEY,
+                   *flags)
 
     def start_all(self):
         for number in range(1, self.controls + 1):
