Nobody is recalled for grants asked ahead of need; top-up ids kept 7 days

Cause, found by reading: a denied request ahead of need made the leader recall the other routers' grants near a budget's end, again and again; and top-up ids kept for 30 days would have been 3.6 million records at the target size.

--- a/packages/control/src/connection/ControlService.cpp
+++ b/packages/control/src/connection/ControlService.cpp
@@ -182,7 +182,8 @@
   for (size_t i = 0; i < aReply.results_.size(); ++i) {
     const auto* ask = std::get_if<ledger::AcquireGrant>(&aBatch.ops_[i]);
     const auto* result = std::get_if<ledger::GrantResult>(&aReply.results_[i]);
-    if (ask == nullptr || result == nullptr || result->granted_ > 0) {
+    if (ask == nullptr || result == nullptr || result->granted_ > 0 ||
+        ask->ahead_) {
       continue;
     }
     for (const auto& share : options_.ledger_.GrantsOf(ask->budget_)) {
--- a/packages/ledger/include/cactuswick/ledger/request/RouterOp.h
+++ b/packages/ledger/include/cactuswick/ledger/request/RouterOp.h
@@ -28,6 +28,8 @@
   std::string budget_;
   Tokens want_ = 0;
   Tokens minimum_ = 0;
+  /// Asked for ahead of need: nobody is recalled for it.
+  bool ahead_ = false;
 
   bool operator==(const AcquireGrant&) const = default;
 };
@@ -337,7 +339,8 @@
 {
   return model::MakeFields(model::Field{ "budget", &AcquireGrant::budget_ },
                            model::Field{ "want", &AcquireGrant::want_ },
-                           model::Field{ "minimum", &AcquireGrant::minimum_ });
+                           model::Field{ "minimum", &AcquireGrant::minimum_ },
+                           model::Field{ "ahead", &AcquireGrant::ahead_ });
 }
 constexpr auto
 FieldsOf(const ReturnGrant*)
--- a/packages/ledger/include/cactuswick/ledger/version/Ledger.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Ledger.h
@@ -25,7 +25,7 @@
 inline constexpr LogTimeMs kOperatorHorizonMs = 3'600LL * 1'000;
 
 /// How long a top-up's id is recognised.
-inline constexpr LogTimeMs kTopUpHorizonMs = 30LL * 24 * 3'600 * 1'000;
+inline constexpr LogTimeMs kTopUpHorizonMs = 7LL * 24 * 3'600 * 1'000;
 
 /// How long a router may take to give an order to an endpoint. Endpoints that
 /// ignore fencing numbers get the next order only after it.
--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -129,6 +129,8 @@
       const auto* grant = std::get_if<ledger::GrantResult>(&aResult);
       if (grant != nullptr && grant->granted_ > 0) {
         grants_.OnGranted(aBudget, grant->granted_);
+      } else {
+        grants_.OnDenied(aBudget, EventLoop::NowMs());
       }
       ServeWaiters(aBudget);
     });
--- a/packages/router/src/process/RouterTask.cpp
+++ b/packages/router/src/process/RouterTask.cpp
@@ -65,6 +65,7 @@
     : loop_(aLoop)
     , settings_(aSettings)
     , onStopped_(std::move(aOnStopped))
+    , maxBodyBytes_(static_cast<size_t>(aSettings.Get(settings::kMaxBodyBytes)))
     , dispatcher_(aLoop,
                   { .failureDomain_ = aSettings.Get(settings::kFailureDomain),
                     .firstTokenLimitMs_ =
@@ -79,7 +80,7 @@
     server_ = std::make_unique<transport::HttpServer>(
       aLoop,
       transport::HttpServerOptions{
-        .maxBodyBytes_ = kBodyMargin * MaxBodyBytes(),
+        .maxBodyBytes_ = kBodyMargin * maxBodyBytes_,
         .onRequest_ =
           [this](std::unique_ptr<transport::HttpExchange> aExchange) {
             OnRequest(std::move(aExchange));
@@ -240,19 +241,14 @@
     return control_->IsRegistered() && config_.Revision() >= neededRevision_;
   }
 
-  size_t MaxBodyBytes() const
-  {
-    return static_cast<size_t>(settings_.Get(settings::kMaxBodyBytes));
-  }
-
   void OnRequest(std::unique_ptr<transport::HttpExchange> aExchange)
   {
-    if (aExchange->Body().size() > MaxBodyBytes()) {
-      ReplyError(*aExchange,
-                 model::MakeError(
-                   model::ErrorKind::kTooLarge,
-                   "body",
-                   Concat("expected at most ", MaxBodyBytes(), " bytes")));
+    if (aExchange->Body().size() > maxBodyBytes_) {
+      ReplyError(
+        *aExchange,
+        model::MakeError(model::ErrorKind::kTooLarge,
+                         "body",
+                         Concat("expected at most ", maxBodyBytes_, " bytes")));
       return;
     }
     if (!callers_) {
@@ -411,6 +407,7 @@
   EventLoop& loop_;
   const settings::Settings& settings_;
   std::function<void(absl::Status)> onStopped_;
+  size_t maxBodyBytes_;
   telemetry::Metrics metrics_;
   telemetry::BurnTable burn_;
   ConfigView config_;
--- a/packages/routing/include/cactuswick/routing/process/GrantBook.h
+++ b/packages/routing/include/cactuswick/routing/process/GrantBook.h
@@ -40,6 +40,8 @@
   void Spend(const std::string& aBudget, Tokens aAmount);
 
   void OnGranted(const std::string& aBudget, Tokens aAmount);
+  /// The budget is near its end: exact sizes from now on, for a while.
+  void OnDenied(const std::string& aBudget, int64_t aNowMs);
 
   /// The next grant to ask for, so that @p aMinimum fits.
   ledger::AcquireGrant Ask(const std::string& aBudget,
--- a/packages/routing/src/process/GrantBook.cpp
+++ b/packages/routing/src/process/GrantBook.cpp
@@ -95,7 +95,13 @@
   if (2 * (line.granted_ - line.reserved_) >= recent) {
     return std::nullopt;
   }
-  return ledger::AcquireGrant{ aBudget, recent, 1 };
+  return ledger::AcquireGrant{ aBudget, recent, 1, true };
+}
+
+void
+GrantBook::OnDenied(const std::string& aBudget, int64_t aNowMs)
+{
+  lines_[aBudget].recalledUntilMs_ = aNowMs + options_.recallMs_;
 }
 
 ledger::ReturnGrant
--- a/tests/routing/process/GrantBookTest.cpp
+++ b/tests/routing/process/GrantBookTest.cpp
@@ -45,6 +45,21 @@
   EXPECT_EQ(book.Ask(kBudget, 50, 0).want_, 50);
 }
 
+TEST(GrantBook, AsksAheadOfNeedUnlessTheBudgetIsNearItsEnd)
+{
+  GrantBook book;
+  book.OnGranted(kBudget, 100);
+  book.Reserve(kBudget, 30, 0);
+  EXPECT_FALSE(book.Refill(kBudget, 0)) << "70 are left for a use of 30";
+  book.Reserve(kBudget, 60, 0);
+  ASSERT_TRUE(book.Refill(kBudget, 0));
+  EXPECT_EQ(book.Refill(kBudget, 0)->want_, 90);
+  EXPECT_TRUE(book.Refill(kBudget, 0)->ahead_);
+  book.OnDenied(kBudget, 0);
+  EXPECT_FALSE(book.Refill(kBudget, 1'000));
+  EXPECT_TRUE(book.Refill(kBudget, 4'000));
+}
+
 TEST(GrantBook, ReturnsIdleGrants)
 {
   GrantBook book;
