--- a/packages/router/src/process/RouterTask.cpp
+++ b/packages/router/src/process/RouterTask.cpp
@@ -11,6 +11,7 @@
 #include "connection/CallerApi.h"
 #include "connection/EndpointApi.h"
 #include "connection/OperatorApi.h"
+#include "process/HealthChecker.h"
 #include "process/OrderRunner.h"
 
 namespace cactuswick::router {
@@ -215,15 +216,17 @@
         [this](ledger::Incarnation aRouter) {
           return peers_->LoadOf(aRouter);
         } });
+    const auto endpoints = [this] { return AnnouncedHere(); };
     orders_ = std::make_unique<OrderRunner>(
       loop_,
       OrderRunnerOptions{
-        .control_ = *control_, .config_ = config_, .endpoints_ = [this] {
-          std::vector<model::Announcement> endpoints;
-          for (const auto& news : HeardHere()) {
-            endpoints.push_back(news.announcement_);
-          }
-          return endpoints;
+        .control_ = *control_, .config_ = config_, .endpoints_ = endpoints });
+    health_ = std::make_unique<HealthChecker>(
+      loop_,
+      HealthCheckerOptions{
+        .endpoints_ = endpoints,
+        .onUnhealthy_ = [this](const std::string& aEndpoint) {
+          dispatcher_.Endpoints().OnUnhealthy(aEndpoint, EventLoop::NowMs());
         } });
     operators_ = std::make_unique<OperatorApi>(OperatorApiOptions{
       .loop_ = loop_,
@@ -299,6 +302,15 @@
     return news;
   }
 
+  std::vector<model::Announcement> AnnouncedHere()
+  {
+    std::vector<model::Announcement> announcements;
+    for (const auto& news : HeardHere()) {
+      announcements.push_back(news.announcement_);
+    }
+    return announcements;
+  }
+
   void OnConfig(const ledger::ConfigDelta& aDelta)
   {
     const int64_t before = config_.Revision();
@@ -421,6 +433,7 @@
   EndpointApi endpointApi_;
   std::unique_ptr<OperatorApi> operators_;
   std::unique_ptr<OrderRunner> orders_;
+  std::unique_ptr<HealthChecker> health_;
   control::MetricsServer metricsServer_;
   transport::Timer tick_;
 
--- a/packages/routing/include/cactuswick/routing/process/EndpointTable.h
+++ b/packages/routing/include/cactuswick/routing/process/EndpointTable.h
@@ -62,6 +62,9 @@
                AttemptOutcome aOutcome,
                int64_t aNowMs);
 
+  /// Ejects an endpoint whose health checks failed.
+  void OnUnhealthy(const std::string& aEndpoint, int64_t aNowMs);
+
   /// Feeds the adaptive window.
   void OnFirstToken(const std::string& aEndpoint, int64_t aElapsedMs);
 
@@ -92,6 +95,7 @@
   bool IsUsable(const Endpoint& aEndpoint,
                 const std::string& aServes,
                 int64_t aNowMs) const;
+  void Eject(Endpoint& aEndpoint, int64_t aNowMs) const;
   static bool HasSlot(const Endpoint& aEndpoint);
   static double LoadOf(const Endpoint& aEndpoint);
 
--- a/packages/routing/src/process/EndpointTable.cpp
+++ b/packages/routing/src/process/EndpointTable.cpp
@@ -198,11 +198,25 @@
     endpoint.ejectedUntilMs_ = 0;
   }
   if (aOutcome == AttemptOutcome::kFailed) {
-    endpoint.failures_ = std::min(kMaxFailures, endpoint.failures_ + 1);
-    const int64_t ejection = options_.minEjectionMs_
-                             << (endpoint.failures_ - 1);
-    endpoint.ejectedUntilMs_ =
-      aNowMs + std::min(options_.maxEjectionMs_, ejection);
+    Eject(endpoint, aNowMs);
+  }
+}
+
+void
+EndpointTable::Eject(Endpoint& aEndpoint, int64_t aNowMs) const
+{
+  aEndpoint.failures_ = std::min(kMaxFailures, aEndpoint.failures_ + 1);
+  const int64_t ejection = options_.minEjectionMs_ << (aEndpoint.failures_ - 1);
+  aEndpoint.ejectedUntilMs_ =
+    aNowMs + std::min(options_.maxEjectionMs_, ejection);
+}
+
+void
+EndpointTable::OnUnhealthy(const std::string& aEndpoint, int64_t aNowMs)
+{
+  const auto found = endpoints_.find(aEndpoint);
+  if (found != endpoints_.end()) {
+    Eject(found->second, aNowMs);
   }
 }
 
--- a/packages/standin/src/process/EngineStandin.cpp
+++ b/packages/standin/src/process/EngineStandin.cpp
@@ -75,8 +75,8 @@
     ReplyRuns(*aExchange);
   } else {
     ReplyJson(*aExchange,
-              kOk,
-              { { "healthy", true },
+              fault_.unhealthy_ ? kUnavailable : kOk,
+              { { "healthy", !fault_.unhealthy_ },
                 { "in_flight", InFlight() },
                 { "slots", options_.slots_ } });
   }
@@ -89,7 +89,8 @@
     model::ParseJson(aExchange.Body()).value_or(json::object());
   fault_ = { .cutAfter_ = document.value("cut_after", int64_t{ -1 }),
              .silentAfter_ = document.value("silent_after", int64_t{ -1 }),
-             .refuse_ = document.value("refuse", false) };
+             .refuse_ = document.value("refuse", false),
+             .unhealthy_ = document.value("unhealthy", false) };
   ReplyJson(aExchange, kOk, json::object());
 }
 
--- a/packages/standin/src/process/EngineStandin.h
+++ b/packages/standin/src/process/EngineStandin.h
@@ -19,6 +19,8 @@
   int64_t silentAfter_ = -1;
   /// Answers 503 to new requests.
   bool refuse_ = false;
+  /// Answers 503 to health checks.
+  bool unhealthy_ = false;
 };
 
 struct EngineOptions
--- a/tests/system/test_faults.py
+++ b/tests/system/test_faults.py
@@ -106,25 +106,23 @@
     system.send_signal(name, signal.SIGCONT)
 
 
-def cut_leader(system):
-    name = system.wait_leader()
-    system.forwarder.cut(name)
-    time.sleep(3)
+def cut_for(system, cut, *names, seconds=3):
+    """Cuts links for a while, then heals them."""
+    cut(*names)
+    time.sleep(seconds)
     system.forwarder.heal()
 
 
+def cut_leader(system):
+    cut_for(system, system.forwarder.cut, system.wait_leader())
+
+
 def cut_leaders_ears(system):
-    name = system.wait_leader()
-    system.forwarder.cut_to(name)
-    time.sleep(3)
-    system.forwarder.heal()
+    cut_for(system, system.forwarder.cut_to, system.wait_leader())
 
 
 def cut_leaders_voice(system):
-    name = system.wait_leader()
-    system.forwarder.cut_from(name)
-    time.sleep(3)
-    system.forwarder.heal()
+    cut_for(system, system.forwarder.cut_from, system.wait_leader())
 
 
 def kill_router(system):
@@ -135,9 +133,7 @@
 
 
 def cut_router(system):
-    system.forwarder.cut("r2")
-    time.sleep(3)
-    system.forwarder.heal()
+    cut_for(system, system.forwarder.cut, "r2")
 
 
 def cut_router_from_control(system):
@@ -708,6 +704,20 @@
                        system.runs(1).values()) == started
 
 
+def test_an_endpoint_that_fails_its_health_checks_gets_no_new_work():
+    with Running(routers=1) as system:
+        request(system.endpoint_address(1), "POST", "/fault",
+                json.dumps({"unhealthy": True}))
+        time.sleep(4)
+        before = sum(run["started"] for run in system.runs(1).values())
+        for number in range(20):
+            caller = Caller(f"sick-{number}")
+            assert try_chat(system, system.router_address(1),
+                            caller) == "whole"
+        assert sum(run["started"] for run in
+                   system.runs(1).values()) == before
+
+
 def test_a_draining_router_cuts_off_nothing():
     with Running(engine_options={"token_ms": 150}) as system:
         callers = [Caller(f"drain-{n}") for n in range(6)]
