--- a/packages/control/src/process/ControlTask.cpp
+++ b/packages/control/src/process/ControlTask.cpp
@@ -296,6 +296,8 @@
     }
     metrics_.Count(Counter::kLogSyncs);
     metrics_.Observe(Summary::kSyncMs, aSynced.syncMs_);
+    metrics_.Observe(Summary::kWritesPerSync,
+                     static_cast<double>(aSynced.writes_));
     while (!syncs_.empty() && syncs_.front().token_ <= aSynced.token_) {
       const PendingSync done = std::move(syncs_.front());
       syncs_.pop_front();
--- a/packages/model/include/cactuswick/model/process/Error.h
+++ b/packages/model/include/cactuswick/model/process/Error.h
@@ -33,7 +33,6 @@
   kInProgress,
   kUpstreamFailed,
   kOutcomeUnknown,
-  kStaleFencingNumber,
   kCorruptStorage,
   kIo,
 };
--- a/packages/model/src/process/Error.cpp
+++ b/packages/model/src/process/Error.cpp
@@ -46,7 +46,6 @@
   KindTraits{ "in_progress", 409, StatusCode::kUnavailable, true },
   KindTraits{ "upstream_failed", 502, StatusCode::kUnavailable, true },
   KindTraits{ "outcome_unknown", 504, StatusCode::kUnknown, false },
-  KindTraits{ "stale_fencing_number", 409, StatusCode::kAborted, false },
   KindTraits{ "corrupt_storage", 500, StatusCode::kDataLoss, false },
   KindTraits{ "io", 500, StatusCode::kInternal, false },
 };
--- a/packages/router/src/process/ControlClient.cpp
+++ b/packages/router/src/process/ControlClient.cpp
@@ -414,10 +414,4 @@
   return state_->logTimeMs_;
 }
 
-size_t
-ControlClient::Unanswered() const
-{
-  return state_->queue_.size() + state_->batchHooks_.size();
-}
-
 } // namespace cactuswick::router
--- a/packages/router/src/process/ControlClient.h
+++ b/packages/router/src/process/ControlClient.h
@@ -68,8 +68,6 @@
   ledger::Incarnation Incarnation() const;
   /// The ledger's log time, as far as it is known here.
   ledger::LogTimeMs LogTime() const;
-  /// Operations not answered yet.
-  size_t Unanswered() const;
 
 private:
   struct State;
--- a/packages/telemetry/include/cactuswick/telemetry/process/Metrics.h
+++ b/packages/telemetry/include/cactuswick/telemetry/process/Metrics.h
@@ -30,7 +30,6 @@
   kLogSyncs,
   kElections,
   kSnapshots,
-  kPeerBytesSent,
 };
 
 /// Quantities whose distribution is estimated (P-square, Jain and Chlamtac);
@@ -43,7 +42,7 @@
   kSettleMs,
   kCommitMs,
   kSyncMs,
-  kEntriesPerSync,
+  kWritesPerSync,
 };
 
 /// Values that go up and down.
@@ -53,7 +52,6 @@
   kQueued,
   kEndpoints,
   kPendingSettlements,
-  kTokensGranted,
   kConfigRevision,
   kLeader,
   kTerm,
--- a/packages/telemetry/src/process/Metrics.cpp
+++ b/packages/telemetry/src/process/Metrics.cpp
@@ -49,7 +49,6 @@
   Name{ "log_syncs_total" },
   Name{ "elections_total" },
   Name{ "snapshots_total" },
-  Name{ "peer_bytes_sent_total" },
 };
 constexpr std::array kSummaryNames = {
   Name{ "first_token_ms", "rank" },
@@ -58,20 +57,24 @@
   Name{ "settle_ms" },
   Name{ "commit_ms" },
   Name{ "sync_ms" },
-  Name{ "entries_per_sync" },
+  Name{ "writes_per_sync" },
 };
 constexpr std::array kGaugeNames = {
-  Name{ "in_flight" },      Name{ "queued" },
-  Name{ "endpoints" },      Name{ "pending_settlements" },
-  Name{ "tokens_granted" }, Name{ "config_revision" },
-  Name{ "leader" },         Name{ "term" },
-  Name{ "commit_index" },   Name{ "settled_keys" },
+  Name{ "in_flight" },
+  Name{ "queued" },
+  Name{ "endpoints" },
+  Name{ "pending_settlements" },
+  Name{ "config_revision" },
+  Name{ "leader" },
+  Name{ "term" },
+  Name{ "commit_index" },
+  Name{ "settled_keys" },
 };
 
 static_assert(kCounterNames.size() ==
-              static_cast<size_t>(Counter::kPeerBytesSent) + 1);
+              static_cast<size_t>(Counter::kSnapshots) + 1);
 static_assert(kSummaryNames.size() ==
-              static_cast<size_t>(Summary::kEntriesPerSync) + 1);
+              static_cast<size_t>(Summary::kWritesPerSync) + 1);
 static_assert(kGaugeNames.size() ==
               static_cast<size_t>(Gauge::kSettledKeys) + 1);
 
--- a/packages/transport/include/cactuswick/transport/connection/PeerLink.h
+++ b/packages/transport/include/cactuswick/transport/connection/PeerLink.h
@@ -54,7 +54,6 @@
   /// Queues a message; lost when the link is not open.
   void Send(const PeerMessage& aMessage);
   bool IsOpen() const;
-  uint64_t BytesSent() const;
 
 private:
   struct State;
--- a/packages/transport/include/cactuswick/transport/connection/PeerMessage.h
+++ b/packages/transport/include/cactuswick/transport/connection/PeerMessage.h
@@ -165,16 +165,6 @@
   bool operator==(const JoinRequest&) const = default;
 };
 
-/// Opens a link between routers.
-struct RouterHello
-{
-  ledger::Incarnation incarnation_ = 0;
-  std::string vm_;
-  std::string failureDomain_;
-
-  bool operator==(const RouterHello&) const = default;
-};
-
 /// Settlements for safekeeping while control is unreachable.
 struct CopySettlements
 {
@@ -235,7 +225,6 @@
                                  ConfigPush,
                                  RecallGrant,
                                  JoinRequest,
-                                 RouterHello,
                                  CopySettlements,
                                  CopiesStored,
                                  DropCopies,
--- a/packages/transport/include/cactuswick/transport/connection/PeerMessageFields.h
+++ b/packages/transport/include/cactuswick/transport/connection/PeerMessageFields.h
@@ -172,21 +172,6 @@
   return model::MakeFields(model::Field{ "member", &JoinRequest::member_ });
 }
 
-constexpr std::string_view
-TypeNameOf(const RouterHello*)
-{
-  return "hello";
-}
-
-constexpr auto
-FieldsOf(const RouterHello*)
-{
-  return model::MakeFields(
-    model::Field{ "incarnation", &RouterHello::incarnation_ },
-    model::Field{ "vm", &RouterHello::vm_ },
-    model::Field{ "failure_domain", &RouterHello::failureDomain_ });
-}
-
 constexpr std::string_view
 TypeNameOf(const CopySettlements*)
 {
--- a/packages/transport/src/connection/PeerLink.cpp
+++ b/packages/transport/src/connection/PeerLink.cpp
@@ -89,7 +89,6 @@
   void Write(const char* aData, size_t aSize)
   {
     evbuffer* output = bufferevent_get_output(stream_.get());
-    bytesSent_ += aSize;
     bufferevent_write(stream_.get(), aData, aSize);
     if (evbuffer_get_length(output) > limits_.maxPendingBytes_) {
       Close();
@@ -184,7 +183,6 @@
   WebSocketSession session_;
   Timer timer_;
   int64_t lastHeardMs_;
-  uint64_t bytesSent_ = 0;
   bool open_ = false;
   bool closed_ = false;
   bool sentSinceTimer_ = false;
@@ -241,10 +239,4 @@
   return state_->open_;
 }
 
-uint64_t
-PeerLink::BytesSent() const
-{
-  return state_->bytesSent_;
-}
-
 } // namespace cactuswick::transport
