--- a/packages/control/src/process/ControlTask.cpp
+++ b/packages/control/src/process/ControlTask.cpp
@@ -236,8 +236,12 @@
     wasLeader_ = replica_->Role() == ledger::ReplicaRole::kLeader;
     links_->SendAll(effects.sendNow_);
     // The snapshot is durable before its receipt is acknowledged.
-    if (effects.install_) {
-      Install(*effects.install_);
+    if (effects.install_ && !Install(*effects.install_)) {
+      // Not acknowledged, so the leader sends it again from its start.
+      std::erase_if(effects.sendAfterSync_, [](const auto& aEnvelope) {
+        return std::holds_alternative<ledger::SnapshotReply>(
+          aEnvelope.message_);
+      });
     }
     Persist(effects);
     ApplyCommitted();
@@ -361,17 +365,26 @@
     syncs_.push_back(std::move(pending));
   }
 
-  /// Replaces the whole state by a snapshot from the leader.
-  void Install(const ledger::ReceivedSnapshot& aSnapshot)
+  /// Replaces the whole state by a snapshot from the leader; false when what
+  /// came is not whole.
+  bool Install(const ledger::ReceivedSnapshot& aSnapshot)
   {
+    ledger::Ledger fresh;
+    const auto header = ledger::StoreReceivedSnapshot(
+      directory_, aSnapshot.bytes_, aSnapshot.lastIndex_, fresh);
+    if (!header.ok()) {
+      Log(Part::kStorage,
+          Level::kWarning,
+          Concat("the leader's snapshot is not whole: ",
+                 std::string(header.status().message())));
+      return false;
+    }
     // The writer of own snapshots goes first: both use the same file.
     snapshots_.reset();
-    const auto stored = ledger::InstallSnapshot(directory_, aSnapshot.bytes_);
-    ledger::Ledger fresh;
-    const auto header = ledger::ReadSnapshot(directory_, fresh);
-    if (!stored.ok() || !header.ok()) {
-      onFatal_(stored.ok() ? header.status() : stored);
-      return;
+    const auto installed = ledger::InstallReceivedSnapshot(directory_);
+    if (!installed.ok()) {
+      onFatal_(installed);
+      return false;
     }
     ledger_ = fresh;
     applied_ = header->lastIndex_;
@@ -384,6 +397,7 @@
     Log(Part::kStorage,
         Level::kInfo,
         Concat("installed the leader's snapshot at entry ", applied_));
+    return true;
   }
 
   void DialMembers()
--- a/packages/ledger/include/cactuswick/ledger/process/SnapshotFile.h
+++ b/packages/ledger/include/cactuswick/ledger/process/SnapshotFile.h
@@ -48,9 +48,18 @@
 absl::StatusOr<SnapshotHeader>
 ReadSnapshot(const std::string& aDirectory, Ledger& aLedger);
 
-/// Puts a snapshot received from a leader in place, durably.
+/// Stores a snapshot received from a leader beside the folder's own and reads
+/// it into an empty ledger. kCorruptStorage when it is damaged or not the one
+/// through @p aLastIndex: the leader may have replaced it while sending.
+absl::StatusOr<SnapshotHeader>
+StoreReceivedSnapshot(const std::string& aDirectory,
+                      std::string_view aBytes,
+                      Index aLastIndex,
+                      Ledger& aLedger);
+
+/// Puts the stored snapshot in the place of the folder's own, durably.
 absl::Status
-InstallSnapshot(const std::string& aDirectory, std::string_view aBytes);
+InstallReceivedSnapshot(const std::string& aDirectory);
 
 constexpr auto
 FieldsOf(const SnapshotHeader*)
--- a/packages/ledger/src/process/SnapshotFile.cpp
+++ b/packages/ledger/src/process/SnapshotFile.cpp
@@ -60,6 +60,47 @@
     model::ErrorKind::kCorruptStorage, aPath, "the snapshot is incomplete");
 }
 
+absl::StatusOr<SnapshotHeader>
+ReadSnapshotFile(const std::string& aPath, Ledger& aLedger)
+{
+  SnapshotHeader header;
+  int64_t frames = 0;
+  int64_t loaded = 0;
+  int64_t total = -1;
+  const auto end = ReadFrames(aPath, [&](std::string_view aPayload) {
+    if (frames++ == 0) {
+      auto decoded = model::DecodeCbor<SnapshotHeader>(aPayload);
+      if (decoded.ok()) {
+        header = *decoded;
+      }
+      return decoded.status();
+    }
+    const auto records = model::DecodeCbor<SnapshotRecords>(aPayload);
+    if (!records.ok()) {
+      return records.status();
+    }
+    for (const auto& record : records->records_) {
+      aLedger.Load(record);
+      ++loaded;
+    }
+    total = records->records_.empty() ? records->total_ : -1;
+    return absl::OkStatus();
+  });
+  if (!end.ok()) {
+    return end.status();
+  }
+  if (frames > 0 && total != loaded) {
+    return Incomplete(aPath);
+  }
+  return header;
+}
+
+std::string
+ReceivedPath(const std::string& aDirectory)
+{
+  return SnapshotPath(aDirectory) + ".received";
+}
+
 } // namespace
 
 std::string
@@ -96,55 +137,41 @@
 absl::StatusOr<SnapshotHeader>
 ReadSnapshot(const std::string& aDirectory, Ledger& aLedger)
 {
-  const std::string path = SnapshotPath(aDirectory);
-  SnapshotHeader header;
-  int64_t frames = 0;
-  int64_t loaded = 0;
-  int64_t total = -1;
-  const auto end = ReadFrames(path, [&](std::string_view aPayload) {
-    if (frames++ == 0) {
-      auto decoded = model::DecodeCbor<SnapshotHeader>(aPayload);
-      if (decoded.ok()) {
-        header = *decoded;
-      }
-      return decoded.status();
-    }
-    const auto records = model::DecodeCbor<SnapshotRecords>(aPayload);
-    if (!records.ok()) {
-      return records.status();
-    }
-    for (const auto& record : records->records_) {
-      aLedger.Load(record);
-      ++loaded;
-    }
-    total = records->records_.empty() ? records->total_ : -1;
-    return absl::OkStatus();
-  });
-  if (!end.ok()) {
-    return end.status();
-  }
-  if (frames > 0 && total != loaded) {
-    return Incomplete(path);
-  }
-  return header;
+  return ReadSnapshotFile(SnapshotPath(aDirectory), aLedger);
 }
 
-absl::Status
-InstallSnapshot(const std::string& aDirectory, std::string_view aBytes)
+absl::StatusOr<SnapshotHeader>
+StoreReceivedSnapshot(const std::string& aDirectory,
+                      std::string_view aBytes,
+                      Index aLastIndex,
+                      Ledger& aLedger)
 {
-  const std::string path = SnapshotPath(aDirectory);
-  const std::string fresh = path + ".received";
-  std::ofstream stream(fresh, std::ios::binary | std::ios::trunc);
+  const std::string path = ReceivedPath(aDirectory);
+  std::ofstream stream(path, std::ios::binary | std::ios::trunc);
   stream.write(aBytes.data(), static_cast<std::streamsize>(aBytes.size()));
   stream.close();
   // Reopening at the end is only for the sync of what was written.
-  auto file = FrameFile::Open(fresh, static_cast<int64_t>(aBytes.size()));
+  auto file = FrameFile::Open(path, static_cast<int64_t>(aBytes.size()));
   if (!stream || !file.ok()) {
     return model::MakeError(
-      model::ErrorKind::kIo, fresh, "cannot store the received snapshot");
+      model::ErrorKind::kIo, path, "cannot store the received snapshot");
+  }
+  const auto synced = file->Sync();
+  if (!synced.ok()) {
+    return synced;
   }
-  auto status = file->Sync();
-  return status.ok() ? RenameDurably(aDirectory, fresh, path) : status;
+  auto header = ReadSnapshotFile(path, aLedger);
+  if (header.ok() && header->lastIndex_ != aLastIndex) {
+    return Incomplete(path);
+  }
+  return header;
+}
+
+absl::Status
+InstallReceivedSnapshot(const std::string& aDirectory)
+{
+  return RenameDurably(
+    aDirectory, ReceivedPath(aDirectory), SnapshotPath(aDirectory));
 }
 
 } // namespace cactuswick::ledger
--- a/tests/ledger/process/LogStoreTest.cpp
+++ b/tests/ledger/process/LogStoreTest.cpp
@@ -147,6 +147,29 @@
             model::ErrorKind::kVersionConflict);
 }
 
+TEST_F(LogStoreTest, AReceivedSnapshotThatIsNotWholeLeavesTheOwnOne)
+{
+  Ledger own;
+  own.Apply(ApplyResource{ "q", 0, model::Workspace{ .name_ = "w" } }, 1);
+  ASSERT_TRUE(WriteSnapshot(directory_, { .lastIndex_ = 5 }, own).ok());
+  std::ifstream file(SnapshotPath(directory_), std::ios::binary);
+  const std::string bytes{ std::istreambuf_iterator<char>(file), {} };
+  for (const auto& received :
+       { bytes.substr(0, bytes.size() - 1), bytes.substr(1), bytes }) {
+    Ledger fresh;
+    // The last is whole but not the one that was announced.
+    EXPECT_EQ(model::KindOf(
+                StoreReceivedSnapshot(directory_, received, 6, fresh).status()),
+              model::ErrorKind::kCorruptStorage);
+  }
+  Ledger loaded;
+  EXPECT_EQ(ReadSnapshot(directory_, loaded)->lastIndex_, 5);
+  Ledger fresh;
+  ASSERT_TRUE(StoreReceivedSnapshot(directory_, bytes, 5, fresh).ok());
+  EXPECT_TRUE(InstallReceivedSnapshot(directory_).ok());
+  EXPECT_NE(fresh.FindResource("workspace/w"), nullptr);
+}
+
 TEST_F(LogStoreTest, RefusesAnIncompleteSnapshot)
 {
   Ledger ledger;
