--- a/packages/ledger/include/cactuswick/ledger/version/Replica.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Replica.h
@@ -141,7 +141,8 @@
     Index match_ = 0;
     int64_t ackedRound_ = 0;
     SteadyMs lastHeardMs_ = 0;
-    SteadyMs lastSentMs_ = 0;
+    /// When the last piece of a snapshot was sent.
+    SteadyMs lastChunkMs_ = 0;
     SteadyMs lastProgressMs_ = 0;
     /// Snapshot transfer: bytes acknowledged, or -1 when none is open.
     int64_t snapshotOffset_ = -1;
--- a/packages/ledger/src/version/ReplicaAppend.cpp
+++ b/packages/ledger/src/version/ReplicaAppend.cpp
@@ -158,7 +158,6 @@
     return;
   }
   aPeer.next_ += static_cast<Index>(request.entries_.size());
-  aPeer.lastSentMs_ = nowMs_;
   effects_.sendNow_.push_back({ aTo, std::move(request) });
 }
 
@@ -284,7 +283,7 @@
 {
   const bool open = aPeer.snapshotOffset_ >= 0;
   const bool waiting =
-    open && nowMs_ - aPeer.lastSentMs_ < options_.electionMaxMs_;
+    open && nowMs_ - aPeer.lastChunkMs_ < options_.electionMaxMs_;
   if (waiting || !options_.readSnapshot_) {
     return;
   }
@@ -298,7 +297,7 @@
     options_.readSnapshot_(chunk.offset_, options_.snapshotChunkBytes_);
   chunk.done_ = static_cast<int64_t>(chunk.bytes_.bytes_.size()) <
                 options_.snapshotChunkBytes_;
-  aPeer.lastSentMs_ = nowMs_;
+  aPeer.lastChunkMs_ = nowMs_;
   effects_.sendNow_.push_back({ aTo, std::move(chunk) });
 }
 
@@ -339,7 +338,7 @@
   }
   Peer& peer = found->second;
   peer.lastHeardMs_ = nowMs_;
-  peer.lastSentMs_ = nowMs_ - options_.electionMaxMs_;
+  peer.lastChunkMs_ = nowMs_ - options_.electionMaxMs_;
   peer.snapshotOffset_ =
     aMessage.lastIndex_ == snapshotIndex_ ? aMessage.offset_ : 0;
   if (aMessage.done_) {
--- a/tests/ledger/version/ReplicaTest.cpp
+++ b/tests/ledger/version/ReplicaTest.cpp
@@ -45,7 +45,13 @@
     const Disk& disk = disks_[aNumber];
     replicas_[aNumber] = std::make_unique<Replica>(
       ReplicaOptions{ .id_ = Id(aNumber),
-                      .seed_ = static_cast<uint64_t>(aNumber) + 1 },
+                      .seed_ = static_cast<uint64_t>(aNumber) + 1,
+                      .readSnapshot_ =
+                        [](int64_t aOffset, int64_t aBytes) {
+                          const std::string whole = "a small snapshot";
+                          return whole.substr(
+                            std::min<size_t>(aOffset, whole.size()), aBytes);
+                        } },
       ReplicaStart{ .hardState_ = disk.hardState_,
                     .members_ = members_,
                     .entries_ = disk.entries_ });
@@ -164,6 +170,9 @@
     seen.readsReady_.insert(seen.readsReady_.end(),
                             effects.readsReady_.begin(),
                             effects.readsReady_.end());
+    if (effects.install_) {
+      seen.install_ = effects.install_;
+    }
     messages_.insert(
       messages_.end(), effects.sendNow_.begin(), effects.sendNow_.end());
     unsynced_[aNumber].push_back({ std::move(effects),
@@ -328,6 +337,29 @@
   EXPECT_TRUE(members[3].voter_);
 }
 
+TEST(Replica, ASnapshotWhoseFirstPieceIsLostIsSentAgain)
+{
+  Cluster cluster(3);
+  cluster.Run(100);
+  const int leader = *cluster.Leader();
+  for (int i = 0; i < 20; ++i) {
+    cluster.Propose(leader, std::to_string(i));
+    cluster.Step();
+  }
+  cluster.Run(10);
+  const Index through = cluster.At(leader).CommitIndex();
+  cluster.At(leader).SnapshotWritten(through, through);
+  cluster.CutTo(Cluster::Id(3));
+  cluster.AddLearner(3);
+  cluster.Run(50);
+  cluster.Heal();
+  cluster.Run(100);
+  const auto seen = cluster.LastEffects(3);
+  ASSERT_TRUE(seen.install_);
+  EXPECT_EQ(seen.install_->lastIndex_, through);
+  EXPECT_EQ(seen.install_->bytes_, "a small snapshot");
+}
+
 TEST(Replica, CommittedEntriesSurviveTheLossOfTheLeader)
 {
   Cluster cluster(3);
--- a/tests/system/test_faults.py
+++ b/tests/system/test_faults.py
@@ -582,12 +582,18 @@
 
 # Disks and replicas.
 
-def test_a_lost_disk_comes_back_under_a_new_identity():
-    settings = {"control": {"snapshot_entries": 50}}
+@pytest.mark.parametrize("budgets, snapshot_entries", [
+    (120, 50),
+    # Far enough behind to need a snapshot, in several pieces.
+    (4000, 500)])
+def test_a_lost_disk_comes_back_under_a_new_identity(budgets,
+                                                     snapshot_entries):
+    settings = {"control": {"snapshot_entries": snapshot_entries}}
     with Running(settings=settings) as system:
         path = system.directory / "many.json"
         path.write_text(json.dumps([
-            {"type": "budget", "name": f"ushers/b{n}"} for n in range(120)]))
+            {"type": "budget", "name": f"ushers/b{n}{'x' * 30}"}
+            for n in range(budgets)]))
         system.cli("apply", "-f", path)
         leader = system.wait_leader()
         name = next(n for n in ("c1", "c2", "c3") if n != leader)
@@ -614,7 +620,7 @@
                                     check=False).returncode == 0, 10,
                  "the repaired replica makes a quorum")
         assert len([line for line in system.cli("get", "budget").stdout
-                    .splitlines() if line.startswith("ushers/b")]) == 120
+                    .splitlines() if line.startswith("ushers/b")]) == budgets
 
 
 def test_a_torn_record_is_repaired_and_a_damaged_one_refused():
