Open connections have a limit

The HTTP library accepts without bound. Beyond max_descriptors nothing is accepted and callers wait in the system's queue; the test failed before with an answer in place of a wait.

--- a/packages/router/src/process/RouterTask.cpp
+++ b/packages/router/src/process/RouterTask.cpp
@@ -82,6 +82,8 @@
       aLoop,
       transport::HttpServerOptions{
         .maxBodyBytes_ = kBodyMargin * maxBodyBytes_,
+        .maxDescriptors_ =
+          static_cast<size_t>(aSettings.Get(settings::kMaxDescriptors)),
         .onRequest_ =
           [this](std::unique_ptr<transport::HttpExchange> aExchange) {
             OnRequest(std::move(aExchange));
--- a/packages/settings/include/cactuswick/settings/process/SettingList.h
+++ b/packages/settings/include/cactuswick/settings/process/SettingList.h
@@ -188,6 +188,17 @@
   "requests", "Most requests in flight or queued at once.",
   1,          1'000'000
 };
+inline constexpr IntegerSetting kMaxDescriptors{
+  "router",
+  "max_descriptors",
+  8'192,
+  Shape::kInteger,
+  "descriptors",
+  "Open connections and files beyond which nothing more is accepted; keep it "
+  "below the system's limit.",
+  32,
+  1'000'000
+};
 inline constexpr IntegerSetting kConnectTimeoutMs{
   "router", "connect_timeout_ms",
   1'000,    Shape::kInteger,
--- a/packages/settings/src/process/SettingList.cpp
+++ b/packages/settings/src/process/SettingList.cpp
@@ -63,6 +63,7 @@
                                 kMaxBodyBytes,
                                 kMaxAnswerBytes,
                                 kMaxInFlight,
+                                kMaxDescriptors,
                                 kConnectTimeoutMs,
                                 kFirstByteTimeoutMs,
                                 kProgressTimeoutMs,
--- a/packages/transport/include/cactuswick/transport/connection/HttpServer.h
+++ b/packages/transport/include/cactuswick/transport/connection/HttpServer.h
@@ -19,6 +19,9 @@
   size_t maxBodyBytes_ = size_t{ 1 } << 20;
   /// Silence after which an idle connection is closed.
   int64_t idleTimeoutMs_ = 60'000;
+  /// While the process has more open descriptors, nothing is accepted and
+  /// further callers wait in the system's queue; 0 for no limit.
+  size_t maxDescriptors_ = 0;
   std::function<void(std::unique_ptr<HttpExchange>)> onRequest_;
 };
 
@@ -37,6 +40,8 @@
   void StopListening();
 
 private:
+  void AcceptWithinLimit();
+
   struct State;
   std::unique_ptr<State> state_;
 };
--- a/packages/transport/src/connection/HttpServer.cpp
+++ b/packages/transport/src/connection/HttpServer.cpp
@@ -1,6 +1,10 @@
 #include "cactuswick/transport/connection/HttpServer.h"
 
+#include <filesystem>
+#include <iterator>
+
 #include <event2/http.h>
+#include <event2/listener.h>
 
 #include "cactuswick/model/process/Error.h"
 
@@ -9,6 +13,15 @@
 namespace {
 
 constexpr int64_t kMsPerSecond = 1'000;
+constexpr int64_t kLimitCheckMs = 100;
+
+size_t
+CountDescriptors()
+{
+  std::error_code error;
+  const std::filesystem::directory_iterator open("/proc/self/fd", error);
+  return error ? 0 : static_cast<size_t>(std::distance(begin(open), end(open)));
+}
 
 struct HttpDeleter
 {
@@ -23,6 +36,7 @@
   HttpServerOptions options_;
   std::unique_ptr<evhttp, HttpDeleter> server_;
   evhttp_bound_socket* socket_ = nullptr;
+  std::unique_ptr<Timer> limitCheck_;
 
   static void OnRequest(evhttp_request* aRequest, void* aSelf)
   {
@@ -34,7 +48,7 @@
 
 HttpServer::HttpServer(EventLoop& aLoop, HttpServerOptions aOptions)
   : state_(std::make_unique<State>(
-      State{ aLoop, std::move(aOptions), nullptr, nullptr }))
+      State{ aLoop, std::move(aOptions), nullptr, nullptr, nullptr }))
 {
   evhttp* server = evhttp_new(aLoop.Base());
   state_->server_.reset(server);
@@ -62,12 +76,29 @@
     return model::MakeError(
       model::ErrorKind::kIo, aAddress.ToString(), "cannot bind the address");
   }
+  if (state_->options_.maxDescriptors_ > 0) {
+    state_->limitCheck_ =
+      std::make_unique<Timer>(state_->loop_, [this] { AcceptWithinLimit(); });
+    state_->limitCheck_->StartRepeating(kLimitCheckMs);
+  }
   return absl::OkStatus();
 }
 
+void
+HttpServer::AcceptWithinLimit()
+{
+  evconnlistener* listener = evhttp_bound_socket_get_listener(state_->socket_);
+  if (CountDescriptors() > state_->options_.maxDescriptors_) {
+    evconnlistener_disable(listener);
+  } else {
+    evconnlistener_enable(listener);
+  }
+}
+
 void
 HttpServer::StopListening()
 {
+  state_->limitCheck_.reset();
   if (state_->socket_ != nullptr) {
     evhttp_del_accept_socket(state_->server_.get(), state_->socket_);
     state_->socket_ = nullptr;
--- a/tests/system/test_contract.py
+++ b/tests/system/test_contract.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import json
+import socket
 import time
 
 import pytest
@@ -131,8 +132,31 @@
     assert request(system.router_address(1), "GET", "/healthz").status == 200
 
 
+def test_open_connections_have_a_limit():
+    system = Deployment(controls=1, routers=1, second=True, settings={
+        "router": {"max_descriptors": 60}})
+    idle = []
+    try:
+        system.start_all()
+        host, port = system.router_address(1).split(":")
+        for _ in range(100):
+            idle.append(socket.create_connection((host, int(port)), 2))
+            time.sleep(0.01)
+        time.sleep(0.3)
+        # The rest waits in the system's queue, and so does this one.
+        with pytest.raises(OSError):
+            request(system.router_address(1), "GET", "/healthz", timeout=1)
+        for connection in idle:
+            connection.close()
+        assert request(system.router_address(1), "GET",
+                       "/healthz").status == 200
+    finally:
+        for connection in idle:
+            connection.close()
+        system.close()
+
+
 def test_malformed_http_leaves_the_router_up(system):
-    import socket
     host, port = system.router_address(1).split(":")
     for text in (b"\x00\x01\x02\r\n\r\n", b"GET\r\n\r\n",
                  b"POST /v1/entry HTTP/1.1\r\nContent-Length: -5\r\n\r\n",
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -81,9 +81,11 @@
 class Deployment:
     """Control replicas, routers, engines and a plain service."""
 
-    def __init__(self, controls=3, routers=4, settings=None, directory=None):
-        # Deployments of processes that run together get different networks.
-        self.net = f"127.{20 + os.getpid() % 200}"
+    def __init__(self, controls=3, routers=4, settings=None, directory=None,
+                 second=False):
+        # Deployments of processes that run together get different networks,
+        # and so does a second one of the same process.
+        self.net = f"127.{20 + os.getpid() % 200 + (1 if second else 0)}"
         self.temporary = None
         if directory is None:
             self.temporary = tempfile.TemporaryDirectory(prefix="cactuswick-")
