--- a/tests/system/test_faults.py
+++ b/tests/system/test_faults.py
@@ -93,7 +93,9 @@
 
 def kill_follower(system):
     leader = system.wait_leader()
-    name = next(n for n in ("c1", "c2", "c3") if n != leader)
+    # Another fault may have killed a replica at the same time.
+    name = next(n for n in ("c1", "c2", "c3")
+                if n != leader and n in system.processes)
     system.kill(name)
     time.sleep(1)
     system.start_control(int(name[1:]))
@@ -178,12 +180,22 @@
     traffic = Traffic(system, routers(system))
     try:
         time.sleep(0.5)
-        threads = [threading.Thread(target=fault, args=(system,))
+        broken = []
+
+        def cause(fault):
+            try:
+                fault(system)
+            except BaseException as error:
+                broken.append((fault.__name__, error))
+                raise
+
+        threads = [threading.Thread(target=cause, args=(fault,))
                    for fault in faults]
         for thread in threads:
             thread.start()
         for thread in threads:
             thread.join()
+        assert not broken, "a fault did not happen as meant"
         time.sleep(1)
     finally:
         callers = traffic.stop()
