A whole answer is parsed once for its usage; replay measures share their parts

Found by reading the whole change: the body of an answer that is not streamed was parsed twice for its token count, the health checker listed its endpoints twice a round, and two measures of the replay repeated one loop.

--- a/packages/replay/src/process/Measures.cpp
+++ b/packages/replay/src/process/Measures.cpp
@@ -20,14 +20,19 @@
   return static_cast<double>(aValues[std::min(index, aValues.size() - 1)]);
 }
 
+bool
+IsDuringFlood(const Trace& aTrace, int64_t aMs)
+{
+  return aMs >= aTrace.fromMs_ && aMs < aTrace.toMs_;
+}
+
 /// Requests that came while the flood lasted.
 std::vector<Result>
 DuringFlood(const Trace& aTrace, const std::vector<Result>& aResults)
 {
   std::vector<Result> during;
   for (const auto& result : aResults) {
-    if (result.arrival_.atMs_ >= aTrace.fromMs_ &&
-        result.arrival_.atMs_ < aTrace.toMs_) {
+    if (IsDuringFlood(aTrace, result.arrival_.atMs_)) {
       during.push_back(result);
     }
   }
@@ -53,6 +58,26 @@
                   : 100.0 * static_cast<double>(met) / static_cast<double>(all);
 }
 
+double
+TokensOf(const Arrival& aArrival)
+{
+  return static_cast<double>(aArrival.answerTokens_ + aArrival.promptTokens_);
+}
+
+/// Percentage of @p aPart in the tokens finished while the flood lasted.
+double
+PercentOfFinished(const Trace& aTrace,
+                  const std::vector<Result>& aResults,
+                  double aPart)
+{
+  double finished = 0;
+  for (const auto& result : aResults) {
+    finished +=
+      IsDuringFlood(aTrace, result.endMs_) ? TokensOf(result.arrival_) : 0;
+  }
+  return finished == 0 ? 0 : 100 * aPart / finished;
+}
+
 /// Share of the tokens finished within the flood that a rank got.
 double
 ShareOf(const Trace& aTrace,
@@ -60,16 +85,12 @@
         int64_t aPriority)
 {
   double own = 0;
-  double all = 0;
   for (const auto& result : aResults) {
-    if (result.endMs_ >= aTrace.fromMs_ && result.endMs_ < aTrace.toMs_) {
-      const auto tokens = static_cast<double>(result.arrival_.answerTokens_ +
-                                              result.arrival_.promptTokens_);
-      all += tokens;
-      own += result.arrival_.priority_ == aPriority ? tokens : 0;
-    }
+    const bool counts = result.arrival_.priority_ == aPriority &&
+                        IsDuringFlood(aTrace, result.endMs_);
+    own += counts ? TokensOf(result.arrival_) : 0;
   }
-  return all == 0 ? 0 : 100 * own / all;
+  return PercentOfFinished(aTrace, aResults, own);
 }
 
 /// Tokens that a rank asked for, on the scale of ShareOf.
@@ -79,19 +100,12 @@
          int64_t aPriority)
 {
   double asked = 0;
-  double finished = 0;
   for (const auto& result : aResults) {
-    const auto& arrival = result.arrival_;
-    const auto tokens =
-      static_cast<double>(arrival.answerTokens_ + arrival.promptTokens_);
-    const bool arrived =
-      arrival.atMs_ >= aTrace.fromMs_ && arrival.atMs_ < aTrace.toMs_;
-    const bool ended =
-      result.endMs_ >= aTrace.fromMs_ && result.endMs_ < aTrace.toMs_;
-    asked += arrived && arrival.priority_ == aPriority ? tokens : 0;
-    finished += ended ? tokens : 0;
+    const bool counts = result.arrival_.priority_ == aPriority &&
+                        IsDuringFlood(aTrace, result.arrival_.atMs_);
+    asked += counts ? TokensOf(result.arrival_) : 0;
   }
-  return finished == 0 ? 0 : 100 * asked / finished;
+  return PercentOfFinished(aTrace, aResults, asked);
 }
 
 double
--- a/packages/router/src/process/HealthChecker.cpp
+++ b/packages/router/src/process/HealthChecker.cpp
@@ -25,12 +25,13 @@
 void
 HealthChecker::OnTick()
 {
+  const auto endpoints = options_.endpoints_();
   std::map<std::string, Check> kept;
-  for (const auto& endpoint : options_.endpoints_()) {
+  for (const auto& endpoint : endpoints) {
     kept[endpoint.endpoint_] = std::move(checks_[endpoint.endpoint_]);
   }
   checks_ = std::move(kept);
-  for (const auto& endpoint : options_.endpoints_()) {
+  for (const auto& endpoint : endpoints) {
     Start(endpoint);
   }
 }
--- a/packages/router/src/request/ModelExchange.cpp
+++ b/packages/router/src/request/ModelExchange.cpp
@@ -209,21 +209,21 @@
 }
 
 ledger::Tokens
-ModelExchange::Used() const
+ModelExchange::ReportedTokens() const
 {
   const auto reported = request_.stream_ ? meter_.Usage() : UsageOf(body_);
   const ledger::Tokens estimate =
     request_.stream_ ? meter_.ContentEvents() : reserved_;
-  return std::min(reserved_, reported.value_or(estimate));
+  return reported.value_or(estimate);
 }
 
 void
 ModelExchange::OnWhole()
 {
   LeaveEndpoint(AttemptOutcome::kServed);
-  const ledger::Tokens used = Used();
-  const auto reported = request_.stream_ ? meter_.Usage() : UsageOf(body_);
-  record_.OnUsage(reported.value_or(used), reserved_);
+  const ledger::Tokens reported = ReportedTokens();
+  const ledger::Tokens used = std::min(reserved_, reported);
+  record_.OnUsage(reported, reserved_);
   services_.metrics_.Count(Counter::kTokensStreamed, meter_.ContentEvents());
   services_.dispatcher_.OnFinished(
     request_.model_, QueuedOf(Info(), reserved_), used);
@@ -274,7 +274,8 @@
   services_.biller_.CancelReserve(Info().id_);
   attempts_.Cancel();
   const bool running = attempts_.IsAtEndpoint();
-  const ledger::Tokens used = running ? Used() : 0;
+  const ledger::Tokens used =
+    running ? std::min(reserved_, ReportedTokens()) : 0;
   LeaveEndpoint(AttemptOutcome::kNeutral);
   record_.EndAbandoned();
   if (!streamStarted_ || used == 0) {
--- a/packages/router/src/request/ModelExchange.h
+++ b/packages/router/src/request/ModelExchange.h
@@ -53,7 +53,8 @@
   void Refuse(const absl::Status& aStatus);
   void FailUnknown(const absl::Status& aStatus);
   void LeaveEndpoint(routing::AttemptOutcome aOutcome);
-  ledger::Tokens Used() const;
+  /// Tokens as the engine reports them, or an estimate without a report.
+  ledger::Tokens ReportedTokens() const;
   void End();
 
   RouterServices& services_;
