--- a/packages/control/include/cactuswick/control/process/DataFolder.h
+++ b/packages/control/include/cactuswick/control/process/DataFolder.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 #include <absl/status/status.h>
 
 #include "cactuswick/settings/process/Settings.h"
+#include "cactuswick/transport/process/Address.h"
 
 /// The control role: replicated log, ledger and their service.
 namespace cactuswick::control {
@@ -16,6 +18,17 @@
 BootstrapDataFolder(const settings::Settings& aSettings,
                     const std::string& aGeneration);
 
+/// Addresses at which the replicas on the seed VMs listen: the seeds' hosts
+/// with the port of this replica's own listener.
+std::vector<transport::Address>
+SeedAddresses(const settings::Settings& aSettings);
+
+/// Makes the data folder if there is none and the settings name seeds: of a
+/// founder, if the whole deployment starts for the first time and this VM is
+/// a seed, else of a replica that waits to be added.
+absl::Status
+EnsureDataFolder(const settings::Settings& aSettings);
+
 /// Makes the data folder of a replica that waits to be added.
 absl::Status
 JoinDataFolder(const settings::Settings& aSettings);
--- a/packages/control/src/connection/ControlService.cpp
+++ b/packages/control/src/connection/ControlService.cpp
@@ -91,9 +91,14 @@
     Redirect(aLink, aMessage.call_);
     return;
   }
-  const auto waiting = waiting_.find(id);
-  const bool known =
-    aMessage.remove_ ? removed > 0 : waiting != waiting_.end() && removed == 0;
+  const auto candidates = options_.waiting_();
+  const auto waiting =
+    std::find_if(candidates.begin(), candidates.end(), [&](const auto& aOne) {
+      return aOne.id_ == id;
+    });
+  const bool known = aMessage.remove_
+                       ? removed > 0
+                       : waiting != candidates.end() && removed == 0;
   if (!known || (aMessage.remove_ && members.empty())) {
     Reject(aLink,
            aMessage.call_,
@@ -103,7 +108,7 @@
     return;
   }
   if (!aMessage.remove_) {
-    members.push_back(waiting->second);
+    members.push_back(*waiting);
   }
   const auto status = options_.replica_.ProposeMembers(
     std::move(members), transport::EventLoop::NowMs());
@@ -138,12 +143,8 @@
   }
   subscribers_[aLink] = { aMessage.incarnation_, aMessage.revision_ };
   PushConfig();
-}
-
-void
-ControlService::On(LinkId, const transport::JoinRequest& aMessage)
-{
-  waiting_[aMessage.member_.id_] = aMessage.member_;
+  options_.send_(aLink, Members());
+  options_.send_(aLink, options_.endpoints_());
 }
 
 void
@@ -173,6 +174,17 @@
   if (batch != nullptr && results != nullptr) {
     Recall(*batch, *results);
   }
+  if (const auto* change =
+        std::get_if<ledger::ReplaceDeployment>(&aEntry.command_)) {
+    // A budget that was lowered below what is out is called back.
+    for (const auto& budget : change->budgets_) {
+      const std::string name = model::PrepaidBudgetOf(budget.workspace_);
+      const auto* account = options_.ledger_.FindAccount(name);
+      if (account != nullptr && account->Available() < 0) {
+        RecallFrom(name, 0);
+      }
+    }
+  }
 }
 
 void
@@ -186,12 +198,19 @@
         ask->ahead_) {
       continue;
     }
-    for (const auto& share : options_.ledger_.GrantsOf(ask->budget_)) {
-      for (const auto& [link, subscriber] : subscribers_) {
-        if (subscriber.incarnation_ == share.holder_ &&
-            share.holder_ != aBatch.incarnation_) {
-          options_.send_(link, transport::RecallGrant{ ask->budget_ });
-        }
+    RecallFrom(ask->budget_, aBatch.incarnation_);
+  }
+}
+
+void
+ControlService::RecallFrom(const std::string& aBudget,
+                           ledger::Incarnation aExcept) const
+{
+  for (const auto& share : options_.ledger_.GrantsOf(aBudget)) {
+    for (const auto& [link, subscriber] : subscribers_) {
+      if (subscriber.incarnation_ == share.holder_ &&
+          share.holder_ != aExcept) {
+        options_.send_(link, transport::RecallGrant{ aBudget });
       }
     }
   }
@@ -231,6 +250,44 @@
   }
 }
 
+void
+ControlService::PushToRouters(const transport::PeerMessage& aMessage) const
+{
+  for (const auto& [link, subscriber] : subscribers_) {
+    options_.send_(link, aMessage);
+  }
+}
+
+transport::ControlMembers
+ControlService::Members() const
+{
+  transport::ControlMembers members;
+  for (const auto& member : options_.replica_.Members()) {
+    members.addresses_.push_back(member.address_);
+  }
+  return members;
+}
+
+void
+ControlService::PushMembers()
+{
+  transport::ControlMembers members = Members();
+  if (members != pushedMembers_) {
+    pushedMembers_ = std::move(members);
+    PushToRouters(pushedMembers_);
+  }
+}
+
+std::vector<ledger::Incarnation>
+ControlService::ConnectedRouters() const
+{
+  std::vector<ledger::Incarnation> connected;
+  for (const auto& [link, subscriber] : subscribers_) {
+    connected.push_back(subscriber.incarnation_);
+  }
+  return connected;
+}
+
 void
 ControlService::OnLeadershipLost()
 {
@@ -254,6 +311,9 @@
     case transport::QueryType::kStatus:
       reply.status_ = Status();
       break;
+    case transport::QueryType::kDeployment:
+      reply.deployment_ = ledger.Deployment();
+      break;
     case transport::QueryType::kResource:
       if (key.type_ == kBudgetType) {
         const std::string budget(key.name_);
@@ -302,8 +362,7 @@
       { member,
         self ? replica.Log().LastIndex() : replica.MatchOf(member.id_) });
   }
-  for (const auto& waiting : waiting_) {
-    const ledger::Member& member = waiting.second;
+  for (const auto& member : options_.waiting_()) {
     const auto& members = replica.Members();
     const bool added =
       std::any_of(members.begin(), members.end(), [&](const auto& aMember) {
--- a/packages/control/src/connection/ControlService.h
+++ b/packages/control/src/connection/ControlService.h
@@ -22,6 +22,10 @@
   std::function<void(LinkId, const transport::PeerMessage&)> send_;
   /// Asks for the effects of the replica to be carried out.
   std::function<void()> flush_;
+  /// Replicas that asked to be added.
+  std::function<std::vector<ledger::Member>()> waiting_;
+  /// Endpoints known here, for a router that has just connected.
+  std::function<transport::Gossip()> endpoints_;
 };
 
 /// Serves routers and operators at a control replica: proposals, reads
@@ -35,7 +39,6 @@
   void On(LinkId aLink, const transport::QueryRequest& aMessage);
   void On(LinkId aLink, const transport::MembersRequest& aMessage);
   void On(LinkId aLink, const transport::Subscribe& aMessage);
-  void On(LinkId aLink, const transport::JoinRequest& aMessage);
   void OnLinkDown(LinkId aLink);
 
   /// Answers whoever proposed the entry, after it was applied.
@@ -44,6 +47,12 @@
   void OnReadFailed(ledger::ReadId aRead);
   /// Sends configuration to every subscriber that is behind.
   void PushConfig();
+  /// Sends a message to every subscriber.
+  void PushToRouters(const transport::PeerMessage& aMessage) const;
+  /// Tells subscribers of a changed set of replicas.
+  void PushMembers();
+  /// Routers that are connected here.
+  std::vector<ledger::Incarnation> ConnectedRouters() const;
   /// Sends everyone who still waits to the new leader.
   void OnLeadershipLost();
 
@@ -71,15 +80,19 @@
   void Reject(LinkId aLink, CallId aCall, const absl::Status& aStatus);
   transport::QueryReply Answer(const transport::QueryRequest& aQuery) const;
   transport::ControlStatus Status() const;
+  transport::ControlMembers Members() const;
   void Recall(const ledger::RouterBatch& aBatch,
               const ledger::BatchReply& aReply);
+  /// Asks the holders of grants of a budget, but @p aExcept, to give back.
+  void RecallFrom(const std::string& aBudget,
+                  ledger::Incarnation aExcept) const;
 
   ControlServiceOptions options_;
   std::map<ledger::Index, Waiter> waiters_;
   ledger::ReadId lastRead_ = 0;
   std::map<ledger::ReadId, PendingQuery> queries_;
   std::map<LinkId, Subscriber> subscribers_;
-  std::map<std::string, ledger::Member> waiting_;
+  transport::ControlMembers pushedMembers_;
 };
 
 } // namespace cactuswick::control
--- a/packages/control/src/connection/MemberLinks.cpp
+++ b/packages/control/src/connection/MemberLinks.cpp
@@ -1,5 +1,6 @@
 #include "connection/MemberLinks.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cactuswick::control {
@@ -11,18 +12,23 @@
 {
 }
 
+std::unique_ptr<transport::PeerDialer>
+MemberLinks::MakeDialer(const transport::Address& aAddress) const
+{
+  return std::make_unique<transport::PeerDialer>(
+    loop_,
+    transport::PeerDialerOptions{ .address_ = aAddress,
+                                  .from_ = options_.from_,
+                                  .onMessage_ = options_.onMessage_ });
+}
+
 void
 MemberLinks::Dial(const std::string& aId, const std::string& aAddress)
 {
   const auto address = transport::ParseAddress("", aAddress);
-  if (dialers_.contains(aId) || !address.ok()) {
-    return;
+  if (!dialers_.contains(aId) && address.ok()) {
+    dialers_[aId] = MakeDialer(*address);
   }
-  dialers_[aId] = std::make_unique<transport::PeerDialer>(
-    loop_,
-    transport::PeerDialerOptions{ .address_ = *address,
-                                  .from_ = options_.from_,
-                                  .onMessage_ = options_.onMessage_ });
 }
 
 void
@@ -50,14 +56,48 @@
   }
 }
 
+void
+MemberLinks::Send(const std::string& aId,
+                  const transport::PeerMessage& aMessage)
+{
+  const auto dialer = dialers_.find(aId);
+  if (dialer != dialers_.end()) {
+    dialer->second->Send(aMessage);
+  }
+}
+
+void
+MemberLinks::SendToAll(const transport::PeerMessage& aMessage)
+{
+  for (const auto& [id, dialer] : dialers_) {
+    dialer->Send(aMessage);
+  }
+}
+
+void
+MemberLinks::KeepOnly(const std::vector<ledger::Member>& aMembers)
+{
+  joining_.clear();
+  std::erase_if(dialers_, [&](const auto& aPair) {
+    return std::none_of(
+      aMembers.begin(), aMembers.end(), [&](const ledger::Member& aMember) {
+        return aMember.id_ == aPair.first;
+      });
+  });
+}
+
 void
 MemberLinks::AskToJoin(const std::string& aAddress, const ledger::Member& aSelf)
 {
-  // Its identity is not known yet, so the address stands for it.
-  Dial(aAddress, aAddress);
-  if (const auto dialer = dialers_.find(aAddress); dialer != dialers_.end()) {
-    dialer->second->Send(transport::JoinRequest{ aSelf });
+  const auto address = transport::ParseAddress("", aAddress);
+  if (!address.ok()) {
+    return;
+  }
+  auto& dialer = joining_[aAddress];
+  if (!dialer) {
+    dialer = MakeDialer(*address);
   }
+  dialer->Send(transport::JoinRequest{ aSelf });
 }
 
 } // namespace cactuswick::control
--- a/packages/control/src/connection/MemberLinks.h
+++ b/packages/control/src/connection/MemberLinks.h
@@ -34,13 +34,23 @@
   /// Sends messages of the log; those for unknown replicas go back on the
   /// links that they came by, or are lost.
   void SendAll(const std::vector<ledger::Envelope>& aMessages);
+  /// Sends to one replica; lost while there is no link.
+  void Send(const std::string& aId, const transport::PeerMessage& aMessage);
+  void SendToAll(const transport::PeerMessage& aMessage);
+  /// Closes links to replicas that are no members any more.
+  void KeepOnly(const std::vector<ledger::Member>& aMembers);
   /// Asks the replica at an address to be made a member.
   void AskToJoin(const std::string& aAddress, const ledger::Member& aSelf);
 
 private:
   transport::EventLoop& loop_;
   MemberLinksOptions options_;
+  std::unique_ptr<transport::PeerDialer> MakeDialer(
+    const transport::Address& aAddress) const;
+
   std::map<std::string, std::unique_ptr<transport::PeerDialer>> dialers_;
+  /// By address, to replicas whose identity is not known.
+  std::map<std::string, std::unique_ptr<transport::PeerDialer>> joining_;
   std::map<std::string, transport::LinkId> senders_;
 };
 
--- a/packages/control/src/process/ControlTask.cpp
+++ b/packages/control/src/process/ControlTask.cpp
@@ -2,8 +2,11 @@
 
 #include <deque>
 #include <fstream>
+#include <optional>
+#include <set>
 #include <utility>
 
+#include "cactuswick/control/process/DataFolder.h"
 #include "cactuswick/control/process/MetricsServer.h"
 #include "cactuswick/control/process/SnapshotTask.h"
 #include "cactuswick/control/process/StorageTask.h"
@@ -11,7 +14,11 @@
 #include "cactuswick/telemetry/process/Log.h"
 #include "cactuswick/telemetry/process/Metrics.h"
 #include "connection/ControlService.h"
+#include "connection/LocalCalls.h"
 #include "connection/MemberLinks.h"
+#include "process/EndpointRelay.h"
+#include "process/Membership.h"
+#include "version/EntryList.h"
 
 namespace cactuswick::control {
 
@@ -27,7 +34,11 @@
 using transport::EventLoop;
 
 constexpr int64_t kTickMs = 20;
-constexpr int64_t kJoinIntervalMs = 1'000;
+/// Interval at which a leader tells the others of connected routers.
+constexpr int64_t kLivenessMs = 400;
+/// A leader's word on connected routers counts for this long; a new leader
+/// waits as long before it has one.
+constexpr int64_t kLivenessValidMs = 2'500;
 /// Entries kept behind a snapshot for followers that are a little behind.
 constexpr ledger::Index kKeptEntries = 2'000;
 
@@ -79,6 +90,10 @@
 
   absl::Status Start()
   {
+    const absl::Status folder = EnsureDataFolder(settings_);
+    if (!folder.ok()) {
+      return folder;
+    }
     ledger::Recovered recovered;
     auto store = ledger::LogStore::Open(directory_, recovered);
     if (!store.ok()) {
@@ -94,6 +109,10 @@
     id_ = recovered.identity_.id_;
     MakeReplica(recovered, *header);
     MakeService();
+    MakeMembership();
+    for (const auto& [endpoint, retired] : ledger_.Retired()) {
+      relay_->OnRetired({ endpoint, retired.incarnation_ });
+    }
     StartSnapshots(std::move(shadow), *header);
     storage_ = std::make_unique<StorageTask>(
       *std::move(store),
@@ -131,6 +150,7 @@
         .heartbeatMs_ = settings_.Get(settings::kHeartbeatMs),
         .electionMinMs_ = election,
         .electionMaxMs_ = 2 * election,
+        .promotesCaughtUp_ = !IsAutomatic(),
         .seed_ = model::Hash64(id_),
         .readSnapshot_ =
           [this](int64_t aOffset, int64_t aBytes) {
@@ -156,6 +176,15 @@
             OnMessage(aLink, aMessage);
           },
         .onDown_ = [this](LinkId aLink) { service_->OnLinkDown(aLink); } });
+    relay_ = std::make_unique<EndpointRelay>(EndpointRelayOptions{
+      .toReplicas_ =
+        [this](const transport::PeerMessage& aMessage) {
+          links_->SendToAll(aMessage);
+        },
+      .toRouters_ =
+        [this](const transport::PeerMessage& aMessage) {
+          service_->PushToRouters(aMessage);
+        } });
     links_ = std::make_unique<MemberLinks>(
       loop_,
       MemberLinksOptions{
@@ -173,9 +202,63 @@
       .replica_ = *replica_,
       .send_ =
         [this](LinkId aLink, const transport::PeerMessage& aMessage) {
-          listener_->Send(aLink, aMessage);
+          Answer(aLink, aMessage);
+        },
+      .flush_ = [this] { ScheduleFlush(); },
+      .waiting_ = [this] { return membership_->Waiting(EventLoop::NowMs()); },
+      .endpoints_ = [this] { return relay_->All(EventLoop::NowMs()); } });
+  }
+
+  void MakeMembership()
+  {
+    membership_ = std::make_unique<Membership>(MembershipOptions{
+      .replica_ = *replica_,
+      .self_ = { id_,
+                 OwnAddress(),
+                 settings_.Get(settings::kFailureDomain),
+                 false },
+      .wantedVoters_ =
+        static_cast<size_t>(2 * settings_.Get(settings::kToleratedVms) + 1),
+      .automatic_ = IsAutomatic(),
+      .seeds_ = SeedsOf(settings_),
+      .askToJoin_ =
+        [this](const std::string& aAddress, const ledger::Member& aSelf) {
+          links_->AskToJoin(aAddress, aSelf);
         },
-      .flush_ = [this] { ScheduleFlush(); } });
+      .send_ =
+        [this](const std::string& aId, const transport::PeerMessage& aMessage) {
+          links_->Send(aId, aMessage);
+        } });
+  }
+
+  bool IsAutomatic() const
+  {
+    return !settings_.Get(settings::kControlSeeds).empty();
+  }
+
+  /// Peer addresses of other replicas that the settings name.
+  static std::vector<std::string> SeedsOf(const settings::Settings& aSettings)
+  {
+    std::vector<std::string> seeds;
+    for (const auto& replica : aSettings.GetReplicas()) {
+      if (replica.vm_ != aSettings.Get(settings::kVm)) {
+        seeds.push_back(replica.address_.ToString());
+      }
+    }
+    for (const auto& address : SeedAddresses(aSettings)) {
+      seeds.push_back(address.ToString());
+    }
+    return seeds;
+  }
+
+  void Answer(LinkId aLink, const transport::PeerMessage& aMessage)
+  {
+    if (aLink != kLocalLink) {
+      listener_->Send(aLink, aMessage);
+      return;
+    }
+    // From the loop: the caller may still be inside its own call.
+    loop_.Defer([this, aMessage] { local_.Deliver(aMessage); });
   }
 
   void StartSnapshots(ledger::Ledger aShadow,
@@ -193,10 +276,40 @@
 
   void OnTick()
   {
-    replica_->Tick(EventLoop::NowMs());
+    const int64_t now = EventLoop::NowMs();
+    replica_->Tick(now);
     DialMembers();
-    AskToJoin();
+    membership_->OnTick(now);
+    relay_->OnTick(wasLeader_, now);
+    local_.Expire(now);
     ScheduleFlush();
+    if (now - lastLivenessMs_ >= kLivenessMs) {
+      lastLivenessMs_ = now;
+      SpreadLiveness();
+    }
+  }
+
+  void SpreadLiveness()
+  {
+    if (wasLeader_) {
+      links_->SendToAll(
+        transport::RouterLiveness{ service_->ConnectedRouters() });
+      service_->PushMembers();
+    }
+  }
+
+  /// Routers that are connected to the leader, if that is known.
+  std::optional<std::set<ledger::Incarnation>> ConnectedRouters() const
+  {
+    const int64_t now = EventLoop::NowMs();
+    if (wasLeader_ && now - leadsSinceMs_ >= kLivenessValidMs) {
+      const auto connected = service_->ConnectedRouters();
+      return std::set(connected.begin(), connected.end());
+    }
+    if (now - livenessHeardMs_ <= kLivenessValidMs) {
+      return std::set(liveness_.begin(), liveness_.end());
+    }
+    return std::nullopt;
   }
 
   void OnMessage(LinkId aLink, const transport::PeerMessage& aMessage)
@@ -210,6 +323,20 @@
       }
       return;
     }
+    const int64_t now = EventLoop::NowMs();
+    if (const auto* join = std::get_if<transport::JoinRequest>(&aMessage)) {
+      membership_->On(*join, now);
+      return;
+    }
+    if (const auto* gossip = std::get_if<transport::Gossip>(&aMessage)) {
+      relay_->OnGossip(*gossip, now);
+      return;
+    }
+    if (const auto* live = std::get_if<transport::RouterLiveness>(&aMessage)) {
+      liveness_ = live->connected_;
+      livenessHeardMs_ = now;
+      return;
+    }
     std::visit(
       [&](const auto& aOne) {
         if constexpr (requires { service_->On(aLink, aOne); }) {
@@ -264,6 +391,7 @@
         Concat(wasLeader_ ? "leads" : "leads no more",
                " in term ",
                replica_->CurrentTerm()));
+    leadsSinceMs_ = EventLoop::NowMs();
     if (!wasLeader_) {
       service_->OnLeadershipLost();
     }
@@ -320,6 +448,7 @@
       const ledger::Entry& entry = replica_->Log().At(++applied_);
       const ledger::Reply reply = ledger_.Apply(entry.command_, entry.timeMs_);
       service_->OnApplied(entry, reply);
+      OnApplied(entry.command_);
       entries.push_back(entry);
     }
     if (entries.empty()) {
@@ -331,10 +460,28 @@
     service_->PushConfig();
   }
 
+  void OnApplied(const ledger::Command& aCommand)
+  {
+    if (const auto* retired = std::get_if<ledger::RetireEndpoint>(&aCommand)) {
+      relay_->OnRetired(*retired);
+    }
+    if (std::holds_alternative<ledger::ReplaceDeployment>(aCommand)) {
+      Log(Part::kControl,
+          Level::kInfo,
+          Concat("deployment in force version=",
+                 ledger_.Deployment().version_,
+                 " revision=",
+                 ledger_.Revision()));
+    }
+  }
+
   void OnSnapshotWritten(const SnapshotWritten& aWritten)
   {
     if (!aWritten.status_.ok()) {
-      onFatal_(aWritten.status_);
+      // The log still holds everything; the next snapshot tries again.
+      Log(Part::kStorage,
+          Level::kWarning,
+          Concat("no snapshot: ", std::string(aWritten.status_.message())));
       return;
     }
     metrics_.Count(Counter::kSnapshots);
@@ -402,6 +549,9 @@
 
   void DialMembers()
   {
+    if (!replica_->LeaderId().empty()) {
+      links_->KeepOnly(replica_->Members());
+    }
     for (const auto& member : replica_->Members()) {
       if (member.id_ != id_) {
         links_->Dial(member.id_, member.address_);
@@ -409,28 +559,6 @@
     }
   }
 
-  /// A replica that is no member makes itself known to those it knows of.
-  void AskToJoin()
-  {
-    const int64_t now = EventLoop::NowMs();
-    bool member = false;
-    for (const auto& one : replica_->Members()) {
-      member = member || one.id_ == id_;
-    }
-    if (member || now - lastJoinMs_ < kJoinIntervalMs) {
-      return;
-    }
-    lastJoinMs_ = now;
-    const ledger::Member self{
-      id_, OwnAddress(), settings_.Get(settings::kFailureDomain), false
-    };
-    for (const auto& replica : settings_.GetReplicas()) {
-      if (replica.vm_ != settings_.Get(settings::kVm)) {
-        links_->AskToJoin(replica.address_.ToString(), self);
-      }
-    }
-  }
-
   /// Where others reach this replica: as the replicas list says, if it does.
   std::string OwnAddress() const
   {
@@ -466,7 +594,10 @@
   bool wasLeader_ = false;
   bool flushScheduled_ = false;
   int64_t lastToken_ = 0;
-  int64_t lastJoinMs_ = 0;
+  int64_t lastLivenessMs_ = 0;
+  int64_t leadsSinceMs_ = 0;
+  std::vector<ledger::Incarnation> liveness_;
+  int64_t livenessHeardMs_ = -kLivenessValidMs;
   std::deque<PendingSync> syncs_;
 
   transport::Timer tick_;
@@ -476,6 +607,9 @@
   std::unique_ptr<transport::PeerListener> listener_;
   std::unique_ptr<ControlService> service_;
   std::unique_ptr<MemberLinks> links_;
+  std::unique_ptr<EndpointRelay> relay_;
+  std::unique_ptr<Membership> membership_;
+  LocalCalls local_;
   /// Declared last: their threads end before the mailboxes they write to.
   std::unique_ptr<SnapshotTask> snapshots_;
   std::unique_ptr<StorageTask> storage_;
@@ -496,4 +630,78 @@
   return state_->Start();
 }
 
+void
+ControlTask::Reload(const settings::Settings& aSettings)
+{
+  state_->membership_->SetSeeds(State::SeedsOf(aSettings));
+}
+
+void
+ControlTask::Propose(ledger::Command aCommand, ReplyHook aHook)
+{
+  const auto call =
+    state_->local_.Open(std::move(aHook), EventLoop::NowMs());
+  state_->service_->On(kLocalLink,
+                       transport::ProposeRequest{ call, std::move(aCommand) });
+}
+
+void
+ControlTask::ReadDeployment(QueryHook aHook)
+{
+  const auto call =
+    state_->local_.Open(std::move(aHook), EventLoop::NowMs());
+  state_->service_->On(
+    kLocalLink,
+    transport::QueryRequest{ call, transport::QueryType::kDeployment, "" });
+}
+
+void
+ControlTask::Hear(const model::Announcement& aAnnouncement)
+{
+  state_->relay_->OnAnnouncement(aAnnouncement, EventLoop::NowMs());
+}
+
+bool
+ControlTask::IsRetired(const std::string& aEndpoint, int64_t aIncarnation) const
+{
+  const auto& retired = state_->ledger_.Retired();
+  const auto found = retired.find(aEndpoint);
+  return found != retired.end() && aIncarnation <= found->second.incarnation_;
+}
+
+std::optional<int64_t>
+ControlTask::KnownIncarnation(const std::string& aEndpoint) const
+{
+  return state_->relay_->KnownIncarnation(aEndpoint);
+}
+
+bool
+ControlTask::Leads() const
+{
+  return state_->wasLeader_;
+}
+
+std::string
+ControlTask::LeaderHost() const
+{
+  const auto& replica = *state_->replica_;
+  for (const auto& member : replica.Members()) {
+    if (member.id_ == replica.LeaderId()) {
+      return transport::ParseAddress("", member.address_)
+        .value_or(transport::Address{})
+        .host_;
+    }
+  }
+  return {};
+}
+
+std::vector<std::string>
+ControlTask::EntryAddresses(const std::string& aFailureDomain) const
+{
+  return control::EntryAddresses(
+    { .routers_ = state_->ledger_.Routers(),
+      .connected_ = state_->ConnectedRouters(),
+      .failureDomain_ = aFailureDomain });
+}
+
 } // namespace cactuswick::control
--- a/packages/control/src/process/DataFolder.cpp
+++ b/packages/control/src/process/DataFolder.cpp
@@ -1,5 +1,7 @@
 #include "cactuswick/control/process/DataFolder.h"
 
+#include <algorithm>
+
 #include "cactuswick/ledger/process/LogStore.h"
 #include "cactuswick/model/process/Error.h"
 #include "cactuswick/model/process/Hash.h"
@@ -9,6 +11,9 @@
 
 namespace {
 
+/// Generation of the replicas that found a deployment from its seeds.
+constexpr std::string_view kFounder = "founder";
+
 std::string
 IdOf(std::string_view aVm, std::string_view aGeneration)
 {
@@ -53,4 +58,37 @@
                                   identity);
 }
 
+std::vector<transport::Address>
+SeedAddresses(const settings::Settings& aSettings)
+{
+  const auto listen = aSettings.GetAddress(settings::kControlListen);
+  std::vector<transport::Address> addresses;
+  for (const auto& seed : aSettings.GetAddresses(settings::kControlSeeds)) {
+    addresses.push_back({ seed.host_, listen.port_ });
+  }
+  return addresses;
+}
+
+absl::Status
+EnsureDataFolder(const settings::Settings& aSettings)
+{
+  const std::string directory = aSettings.Get(settings::kControlDataDir);
+  const auto seeds = SeedAddresses(aSettings);
+  if (seeds.empty() || ledger::LogStore::IsFormatted(directory)) {
+    return absl::OkStatus();
+  }
+  const auto self = aSettings.GetAddress(settings::kControlListen);
+  const bool isSeed =
+    std::find(seeds.begin(), seeds.end(), self) != seeds.end();
+  if (aSettings.Get(settings::kControlFounds) != "true" || !isSeed) {
+    return JoinDataFolder(aSettings);
+  }
+  ledger::Identity identity{ .id_ = IdOf(self.host_, kFounder) };
+  for (const auto& seed : seeds) {
+    identity.members_.push_back(
+      { IdOf(seed.host_, kFounder), seed.ToString(), "", true });
+  }
+  return ledger::LogStore::Format(directory, identity);
+}
+
 } // namespace cactuswick::control
--- /dev/null
+++ b/packages/control/src/process/Membership.cpp
@@ -0,0 +1,129 @@
+#include "process/Membership.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "cactuswick/telemetry/process/Log.h"
+#include "version/MembershipPlan.h"
+
+namespace cactuswick::control {
+
+namespace {
+
+using model::Concat;
+using telemetry::Level;
+using telemetry::Log;
+using telemetry::Part;
+
+constexpr int64_t kAskIntervalMs = 500;
+/// A request to join counts for this long.
+constexpr int64_t kCandidateMs = 3'000;
+/// Without a leader for this long a member may have been removed unheard.
+constexpr int64_t kLonelyMs = 2'000;
+
+} // namespace
+
+Membership::Membership(MembershipOptions aOptions)
+  : options_(std::move(aOptions))
+{
+}
+
+void
+Membership::SetSeeds(std::vector<std::string> aSeeds)
+{
+  options_.seeds_ = std::move(aSeeds);
+}
+
+bool
+Membership::IsMember() const
+{
+  const auto& members = options_.replica_.Members();
+  return std::any_of(members.begin(), members.end(), [&](const auto& aOne) {
+    return aOne.id_ == options_.self_.id_;
+  });
+}
+
+void
+Membership::On(const transport::JoinRequest& aMessage, int64_t aNowMs)
+{
+  waiting_[aMessage.member_.id_] = { aMessage.member_, aNowMs };
+  const std::string& leader = options_.replica_.LeaderId();
+  const bool leads = leader == options_.self_.id_;
+  if (!leads && !leader.empty() && !aMessage.relayed_) {
+    options_.send_(leader, transport::JoinRequest{ aMessage.member_, true });
+  }
+}
+
+std::vector<ledger::Member>
+Membership::Waiting(int64_t aNowMs) const
+{
+  std::vector<ledger::Member> waiting;
+  for (const auto& [id, candidate] : waiting_) {
+    if (aNowMs - candidate.heardMs_ <= kCandidateMs) {
+      waiting.push_back(candidate.member_);
+    }
+  }
+  return waiting;
+}
+
+bool
+Membership::OnTick(int64_t aNowMs)
+{
+  if (!options_.replica_.LeaderId().empty()) {
+    leaderHeardMs_ = aNowMs;
+  }
+  std::erase_if(waiting_, [&](const auto& aPair) {
+    return aNowMs - aPair.second.heardMs_ > 2 * kCandidateMs;
+  });
+  AskToJoin(aNowMs);
+  return options_.automatic_ && ProposeNext(aNowMs);
+}
+
+void
+Membership::AskToJoin(int64_t aNowMs)
+{
+  const bool lonely = aNowMs - leaderHeardMs_ > kLonelyMs;
+  if ((IsMember() && !lonely) || aNowMs - lastAskMs_ < kAskIntervalMs) {
+    return;
+  }
+  lastAskMs_ = aNowMs;
+  std::set<std::string> addresses(options_.seeds_.begin(),
+                                  options_.seeds_.end());
+  for (const auto& member : options_.replica_.Members()) {
+    addresses.insert(member.address_);
+  }
+  addresses.erase(options_.self_.address_);
+  for (const auto& address : addresses) {
+    options_.askToJoin_(address, options_.self_);
+  }
+}
+
+bool
+Membership::ProposeNext(int64_t aNowMs)
+{
+  ledger::Replica& replica = options_.replica_;
+  if (!replica.CanServe() || replica.HasOpenChange()) {
+    return false;
+  }
+  MembershipInput input{ .waiting_ = Waiting(aNowMs),
+                         .self_ = options_.self_.id_,
+                         .wantedVoters_ = options_.wantedVoters_ };
+  for (const auto& member : replica.Members()) {
+    input.members_.push_back({ member,
+                               replica.IsCaughtUp(member.id_),
+                               replica.SilenceOf(member.id_) });
+  }
+  const auto next = NextMembers(input);
+  if (!next || !replica.ProposeMembers(*next, aNowMs).ok()) {
+    return false;
+  }
+  std::string names;
+  for (const auto& member : *next) {
+    model::AppendTo(names, " ", member.id_, member.voter_ ? "" : "(learner)");
+  }
+  Log(Part::kControl, Level::kInfo, Concat("changes members to", names));
+  return true;
+}
+
+} // namespace cactuswick::control
--- /dev/null
+++ b/packages/control/src/process/Membership.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "cactuswick/ledger/version/Replica.h"
+#include "cactuswick/transport/connection/PeerMessage.h"
+
+namespace cactuswick::control {
+
+struct MembershipOptions
+{
+  ledger::Replica& replica_;
+  /// This replica as it asks to be added.
+  ledger::Member self_;
+  /// Votes that the fault tolerance needs.
+  size_t wantedVoters_ = 3;
+  /// Whether dead and wiped replicas are replaced without an operator.
+  bool automatic_ = false;
+  /// Peer addresses to ask when no leader is known.
+  std::vector<std::string> seeds_;
+  std::function<void(const std::string& aAddress, const ledger::Member&)>
+    askToJoin_;
+  std::function<void(const std::string& aId, const transport::PeerMessage&)>
+    send_;
+};
+
+/// Joins this replica to the others and, while it leads, keeps their set.
+class Membership
+{
+public:
+  explicit Membership(MembershipOptions aOptions);
+
+  void SetSeeds(std::vector<std::string> aSeeds);
+  void On(const transport::JoinRequest& aMessage, int64_t aNowMs);
+  /// Returns true when it proposed a change.
+  bool OnTick(int64_t aNowMs);
+
+  /// Replicas that asked to be added lately.
+  std::vector<ledger::Member> Waiting(int64_t aNowMs) const;
+
+private:
+  struct Candidate
+  {
+    ledger::Member member_;
+    int64_t heardMs_ = 0;
+  };
+
+  bool IsMember() const;
+  void AskToJoin(int64_t aNowMs);
+  bool ProposeNext(int64_t aNowMs);
+
+  MembershipOptions options_;
+  std::map<std::string, Candidate> waiting_;
+  int64_t lastAskMs_ = 0;
+  int64_t leaderHeardMs_ = 0;
+};
+
+} // namespace cactuswick::control
--- a/packages/control/src/process/StorageTask.cpp
+++ b/packages/control/src/process/StorageTask.cpp
@@ -1,12 +1,25 @@
 #include "cactuswick/control/process/StorageTask.h"
 
+#include <atomic>
 #include <chrono>
+#include <thread>
 #include <utility>
 
+#include "cactuswick/telemetry/process/Log.h"
 #include "cactuswick/transport/process/Worker.h"
 
 namespace cactuswick::control {
 
+namespace {
+
+using telemetry::Level;
+using telemetry::Log;
+using telemetry::Part;
+
+constexpr std::chrono::milliseconds kRefusedWriteWait(100);
+
+} // namespace
+
 struct StorageTask::State
 {
   State(ledger::LogStore aStore, std::function<void(StorageSynced)> aOnSynced)
@@ -24,8 +37,7 @@
     absl::Status status;
     for (const auto& write : aWrites) {
       if (status.ok()) {
-        status = write.rewrite_ ? store_.Rewrite(write.frame_)
-                                : store_.Append(write.frame_);
+        status = WriteOne(write);
       }
     }
     if (status.ok()) {
@@ -39,8 +51,34 @@
              status };
   }
 
+  /// A disk that refuses writes, such as a full one, is tried again: nothing
+  /// is acknowledged meanwhile, and the other replicas go on.
+  absl::Status WriteOne(const StorageWrite& aWrite)
+  {
+    bool refused = false;
+    while (true) {
+      const absl::Status status = aWrite.rewrite_
+                                    ? store_.Rewrite(aWrite.frame_)
+                                    : store_.Append(aWrite.frame_);
+      if (status.ok() || stopping_) {
+        if (refused) {
+          Log(Part::kStorage, Level::kInfo, "the disk takes writes again");
+        }
+        return status;
+      }
+      if (!std::exchange(refused, true)) {
+        Log(Part::kStorage,
+            Level::kWarning,
+            model::Concat("the disk refuses writes, trying again: ",
+                          std::string(status.message())));
+      }
+      std::this_thread::sleep_for(kRefusedWriteWait);
+    }
+  }
+
   ledger::LogStore store_;
   std::function<void(StorageSynced)> onSynced_;
+  std::atomic<bool> stopping_ = false;
   /// Declared last: its thread uses the rest.
   transport::Worker<StorageWrite> worker_;
 };
@@ -51,7 +89,10 @@
 {
 }
 
-StorageTask::~StorageTask() = default;
+StorageTask::~StorageTask()
+{
+  state_->stopping_ = true;
+}
 
 void
 StorageTask::Write(StorageWrite aWrite)
--- a/packages/daemon/src/process/Daemon.cpp
+++ b/packages/daemon/src/process/Daemon.cpp
@@ -1,11 +1,16 @@
 #include "process/Daemon.h"
 
 #include <csignal>
+#include <fstream>
+#include <iterator>
 #include <memory>
 #include <thread>
 #include <utility>
+#include <variant>
 
 #include "cactuswick/control/process/ControlTask.h"
+#include "cactuswick/platform/connection/ControlFrontend.h"
+#include "cactuswick/platform/connection/ForwardHeaders.h"
 #include "cactuswick/router/process/RouterTask.h"
 #include "cactuswick/telemetry/process/Log.h"
 #include "cactuswick/transport/process/EventLoop.h"
@@ -20,13 +25,32 @@
 using transport::EventLoop;
 using transport::Mailbox;
 
-/// What the main task tells a role.
-enum class Order
+constexpr int64_t kWatchMs = 1'000;
+
+/// The file's text; empty when it cannot be read.
+std::string
+ReadText(const std::string& aPath)
+{
+  std::ifstream stream(aPath, std::ios::binary);
+  return { std::istreambuf_iterator<char>(stream), {} };
+}
+
+struct DrainOrder
 {
-  kDrain,
-  kStop,
 };
 
+struct StopOrder
+{
+};
+
+struct ReloadOrder
+{
+  settings::Settings settings_;
+};
+
+/// What the main task tells a role.
+using Order = std::variant<DrainOrder, StopOrder, ReloadOrder>;
+
 /// What a role tells the main task.
 struct RoleEnded
 {
@@ -39,9 +63,13 @@
 public:
   RoleThread(const std::function<absl::Status(EventLoop&)>& aStart,
              std::function<void()> aDrain,
+             std::function<void(const settings::Settings&)> aReload,
              std::function<void()> aDestroy)
     : drain_(std::move(aDrain))
-    , orders_(loop_, [this](Order aOrder) { On(aOrder); })
+    , reload_(std::move(aReload))
+    , orders_(loop_, [this](const Order& aOrder) {
+      std::visit([this](const auto& aOne) { On(aOne); }, aOrder);
+    })
   {
     status_ = aStart(loop_);
     if (status_.ok()) {
@@ -58,26 +86,26 @@
   ~RoleThread()
   {
     if (thread_.joinable()) {
-      orders_.Send(Order::kStop);
+      orders_.Send(StopOrder{});
       thread_.join();
     }
   }
 
   const absl::Status& StartStatus() const { return status_; }
-  void Drain() { orders_.Send(Order::kDrain); }
-
-private:
-  void On(Order aOrder)
+  void Drain() { orders_.Send(DrainOrder{}); }
+  void Reload(const settings::Settings& aSettings)
   {
-    if (aOrder == Order::kStop) {
-      loop_.Stop();
-    } else {
-      drain_();
-    }
+    orders_.Send(ReloadOrder{ aSettings });
   }
 
+private:
+  void On(const DrainOrder&) { drain_(); }
+  void On(const StopOrder&) { loop_.Stop(); }
+  void On(const ReloadOrder& aOrder) { reload_(aOrder.settings_); }
+
   EventLoop loop_;
   std::function<void()> drain_;
+  std::function<void(const settings::Settings&)> reload_;
   Mailbox<Order> orders_;
   absl::Status status_;
   std::thread thread_;
@@ -87,11 +115,15 @@
 class Daemon
 {
 public:
-  explicit Daemon(const settings::Settings& aSettings)
+  Daemon(const settings::Settings& aSettings, std::string aPath)
     : settings_(aSettings)
+    , path_(std::move(aPath))
+    , text_(ReadText(path_))
     , ended_(loop_, [this](const RoleEnded& aEnded) { OnEnded(aEnded); })
     , terminate_(loop_, SIGTERM, [this] { OnSignal(); })
     , interrupt_(loop_, SIGINT, [this] { OnSignal(); })
+    , hangUp_(loop_, SIGHUP, [this] { Reload(); })
+    , watch_(loop_, [this] { OnWatch(); })
   {
     // A peer that is gone is noticed by the write's error.
     std::signal(SIGPIPE, SIG_IGN);
@@ -104,6 +136,7 @@
       status = StartRouter();
     }
     if (status.ok()) {
+      watch_.StartRepeating(kWatchMs);
       loop_.Run();
       status = result_;
     }
@@ -123,10 +156,24 @@
         aLoop, settings_, [this](absl::Status aStatus) {
           ended_.Send({ std::move(aStatus) });
         });
-      return control_->Start();
+      absl::Status status = control_->Start();
+      if (status.ok()) {
+        frontend_ = std::make_unique<platform::ControlFrontend>(
+          aLoop, settings_, *control_);
+        status = frontend_->Listen();
+      }
+      return status;
     };
     controlThread_ = std::make_unique<RoleThread>(
-      start, [] {}, [this] { control_.reset(); });
+      start,
+      [] {},
+      [this](const settings::Settings& aSettings) {
+        control_->Reload(aSettings);
+      },
+      [this] {
+        frontend_.reset();
+        control_.reset();
+      });
     return controlThread_->StartStatus();
   }
 
@@ -137,16 +184,57 @@
     }
     const auto start = [this](EventLoop& aLoop) {
       router_ = std::make_unique<router::RouterTask>(
-        aLoop, settings_, [this](absl::Status aStatus) {
+        aLoop,
+        settings_,
+        platform::MakeForwardDialect(),
+        [this](absl::Status aStatus) {
           ended_.Send({ std::move(aStatus) });
         });
       return router_->Start();
     };
     routerThread_ = std::make_unique<RoleThread>(
-      start, [this] { router_->Drain(); }, [this] { router_.reset(); });
+      start,
+      [this] { router_->Drain(); },
+      [this](const settings::Settings& aSettings) {
+        router_->Reload(aSettings);
+      },
+      [this] { router_.reset(); });
     return routerThread_->StartStatus();
   }
 
+  /// The file may change without a signal.
+  void OnWatch()
+  {
+    if (ReadText(path_) != text_) {
+      Reload();
+    }
+  }
+
+  void Reload()
+  {
+    std::string text = ReadText(path_);
+    if (text == text_) {
+      return;
+    }
+    const auto changed = settings::Settings::Parse(path_, text);
+    text_ = std::move(text);
+    if (!changed.ok()) {
+      Log(Part::kMain,
+          Level::kError,
+          model::Concat("keeps the old settings: ",
+                        model::FieldOf(changed.status()),
+                        ": ",
+                        std::string(changed.status().message())));
+      return;
+    }
+    Log(Part::kMain, Level::kInfo, "takes changed settings");
+    for (auto* role : { controlThread_.get(), routerThread_.get() }) {
+      if (role != nullptr) {
+        role->Reload(*changed);
+      }
+    }
+  }
+
   void OnSignal()
   {
     const bool again = std::exchange(stopping_, true);
@@ -165,13 +253,19 @@
   }
 
   const settings::Settings& settings_;
+  std::string path_;
+  /// The settings file as it was last read.
+  std::string text_;
   EventLoop loop_;
   absl::Status result_;
   bool stopping_ = false;
   Mailbox<RoleEnded> ended_;
   transport::SignalWatch terminate_;
   transport::SignalWatch interrupt_;
+  transport::SignalWatch hangUp_;
+  transport::Timer watch_;
   std::unique_ptr<control::ControlTask> control_;
+  std::unique_ptr<platform::ControlFrontend> frontend_;
   std::unique_ptr<router::RouterTask> router_;
   std::unique_ptr<RoleThread> controlThread_;
   std::unique_ptr<RoleThread> routerThread_;
@@ -180,9 +274,9 @@
 } // namespace
 
 absl::Status
-RunDaemon(const settings::Settings& aSettings)
+RunDaemon(const settings::Settings& aSettings, const std::string& aPath)
 {
-  return Daemon(aSettings).Run();
+  return Daemon(aSettings, aPath).Run();
 }
 
 } // namespace cactuswick::daemon
--- a/packages/daemon/src/process/Main.cpp
+++ b/packages/daemon/src/process/Main.cpp
@@ -117,7 +117,7 @@
     return Report(control::JoinDataFolder(*settings));
   }
   telemetry::InitLog(LogOptionsOf(*settings));
-  return Report(daemon::RunDaemon(*settings));
+  return Report(daemon::RunDaemon(*settings, aArguments.config_));
 }
 
 } // namespace
--- a/packages/ledger/include/cactuswick/ledger/process/FrameFile.h
+++ b/packages/ledger/include/cactuswick/ledger/process/FrameFile.h
@@ -35,6 +35,9 @@
   int64_t Size() const { return size_; }
 
 private:
+  /// Takes a frame back that was written in part.
+  void CutBack() const;
+
   int descriptor_ = -1;
   int64_t size_ = 0;
 };
--- a/packages/ledger/include/cactuswick/ledger/request/RouterOp.h
+++ b/packages/ledger/include/cactuswick/ledger/request/RouterOp.h
@@ -63,6 +63,16 @@
   bool operator==(const Settle&) const = default;
 };
 
+/// Bills what several finished requests used together out of the sender's
+/// grant.
+struct ReportUse
+{
+  std::string budget_;
+  Tokens amount_ = 0;
+
+  bool operator==(const ReportUse&) const = default;
+};
+
 /// Claims the only run of a non-idempotent call.
 struct Claim
 {
@@ -166,7 +176,8 @@
                               ConfirmNoCopies,
                               SetDraining,
                               Goodbye,
-                              Heartbeat>;
+                              Heartbeat,
+                              ReportUse>;
 
 /// Answer to AcquireGrant; @c granted_ is 0 when the minimum was not free.
 struct GrantResult
@@ -314,6 +325,11 @@
   return "heartbeat";
 }
 constexpr std::string_view
+TypeNameOf(const ReportUse*)
+{
+  return "use";
+}
+constexpr std::string_view
 TypeNameOf(const Done*)
 {
   return "done";
@@ -349,6 +365,12 @@
                            model::Field{ "amount", &ReturnGrant::amount_ });
 }
 constexpr auto
+FieldsOf(const ReportUse*)
+{
+  return model::MakeFields(model::Field{ "budget", &ReportUse::budget_ },
+                           model::Field{ "amount", &ReportUse::amount_ });
+}
+constexpr auto
 FieldsOf(const Settle*)
 {
   return model::MakeFields(model::Field{ "holder", &Settle::holder_ },
--- a/packages/ledger/include/cactuswick/ledger/version/Command.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Command.h
@@ -96,6 +96,9 @@
   std::string address_;
   /// "address:port" that routers use among themselves.
   std::string peerAddress_;
+  /// Reports use only after delivery: what its grants still cover when it
+  /// dies may be spent, and is held.
+  bool reportsLate_ = false;
 
   bool operator==(const RegisterRouter&) const = default;
 };
@@ -110,6 +113,35 @@
   bool operator==(const RouterBatch&) const = default;
 };
 
+/// A workspace's declared budget.
+struct DeclaredBudget
+{
+  std::string workspace_;
+  Tokens tokens_ = 0;
+
+  bool operator==(const DeclaredBudget&) const = default;
+};
+
+/// Puts a declared deployment in force if its version is the highest so far.
+struct ReplaceDeployment
+{
+  int64_t version_ = 0;
+  /// The document as the operator sent it; the ledger does not look inside.
+  model::Blob document_;
+  std::vector<DeclaredBudget> budgets_;
+
+  bool operator==(const ReplaceDeployment&) const = default;
+};
+
+/// Notes for good that an incarnation of an endpoint leaves.
+struct RetireEndpoint
+{
+  std::string endpoint_;
+  int64_t incarnation_ = 0;
+
+  bool operator==(const RetireEndpoint&) const = default;
+};
+
 using Command = std::variant<ChangeMembers,
                              ApplyResource,
                              DeleteResource,
@@ -117,7 +149,9 @@
                              ReleaseHeld,
                              EndRouter,
                              RegisterRouter,
-                             RouterBatch>;
+                             RouterBatch,
+                             ReplaceDeployment,
+                             RetireEndpoint>;
 
 /// The change is committed.
 struct Accepted
@@ -201,6 +235,16 @@
   return "batch";
 }
 constexpr std::string_view
+TypeNameOf(const ReplaceDeployment*)
+{
+  return "deployment";
+}
+constexpr std::string_view
+TypeNameOf(const RetireEndpoint*)
+{
+  return "retire";
+}
+constexpr std::string_view
 TypeNameOf(const Accepted*)
 {
   return "accepted";
@@ -282,7 +326,8 @@
     model::Field{ "failure_domain", &RegisterRouter::failureDomain_ },
     model::Field{ "region", &RegisterRouter::region_ },
     model::Field{ "address", &RegisterRouter::address_ },
-    model::Field{ "peer_address", &RegisterRouter::peerAddress_ });
+    model::Field{ "peer_address", &RegisterRouter::peerAddress_ },
+    model::Field{ "reports_late", &RegisterRouter::reportsLate_ });
 }
 constexpr auto
 FieldsOf(const RouterBatch*)
@@ -293,6 +338,28 @@
     model::Field{ "ops", &RouterBatch::ops_ });
 }
 constexpr auto
+FieldsOf(const DeclaredBudget*)
+{
+  return model::MakeFields(
+    model::Field{ "workspace", &DeclaredBudget::workspace_ },
+    model::Field{ "tokens", &DeclaredBudget::tokens_ });
+}
+constexpr auto
+FieldsOf(const ReplaceDeployment*)
+{
+  return model::MakeFields(
+    model::Field{ "version", &ReplaceDeployment::version_ },
+    model::Field{ "document", &ReplaceDeployment::document_ },
+    model::Field{ "budgets", &ReplaceDeployment::budgets_ });
+}
+constexpr auto
+FieldsOf(const RetireEndpoint*)
+{
+  return model::MakeFields(
+    model::Field{ "endpoint", &RetireEndpoint::endpoint_ },
+    model::Field{ "incarnation", &RetireEndpoint::incarnation_ });
+}
+constexpr auto
 FieldsOf(const Accepted*)
 {
   return model::MakeFields(model::Field{ "version", &Accepted::version_ },
--- a/packages/ledger/include/cactuswick/ledger/version/Ledger.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Ledger.h
@@ -12,6 +12,7 @@
 #include "cactuswick/ledger/version/Command.h"
 #include "cactuswick/ledger/version/KeyTable.h"
 #include "cactuswick/ledger/version/Records.h"
+#include "cactuswick/model/version/Deployment.h"
 
 namespace cactuswick::ledger {
 
@@ -31,6 +32,9 @@
 /// ignore fencing numbers get the next order only after it.
 inline constexpr LogTimeMs kOrderLeaseMs = 10'000;
 
+/// How long an endpoint's departure is remembered.
+inline constexpr LogTimeMs kRetiredHorizonMs = 10LL * 60 * 1'000;
+
 /// Most claims remembered; further ones are refused, never forgotten.
 inline constexpr size_t kMaxClaims = 1'000'000;
 
@@ -62,6 +66,14 @@
     return resources_;
   }
 
+  /// The declared deployment; its version is 0 before the first.
+  const DeploymentRecord& Deployment() const { return deployment_; }
+  /// Endpoints that leave, by name.
+  const std::map<std::string, RetiredRecord>& Retired() const
+  {
+    return retired_;
+  }
+
   const Account* FindAccount(const std::string& aBudget) const;
   size_t AccountCount() const { return accounts_.size(); }
   /// Accounts whose names start with @p aPrefix, at most @p aLimit.
@@ -98,6 +110,8 @@
   Reply On(const EndRouter& aCommand);
   Reply On(const RegisterRouter& aCommand);
   Reply On(const RouterBatch& aCommand);
+  Reply On(const ReplaceDeployment& aCommand);
+  Reply On(const RetireEndpoint& aCommand);
 
   OpResult OnOp(Incarnation aRouter, const AcquireGrant& aOp);
   OpResult OnOp(Incarnation aRouter, const ReturnGrant& aOp);
@@ -110,6 +124,7 @@
   OpResult OnOp(Incarnation aRouter, const SetDraining& aOp);
   OpResult OnOp(Incarnation aRouter, const Goodbye& aOp);
   OpResult OnOp(Incarnation aRouter, const Heartbeat& aOp);
+  OpResult OnOp(Incarnation aRouter, const ReportUse& aOp);
 
   Reply Remember(const std::string& aRequestId, Reply aReply);
   const Reply* FindReply(const std::string& aRequestId) const;
@@ -150,6 +165,8 @@
   absl::flat_hash_map<std::string, ClaimRecord> claims_;
   std::deque<std::string> claimOrder_;
   std::map<std::string, OrderRecord> orders_;
+  DeploymentRecord deployment_;
+  std::map<std::string, RetiredRecord> retired_;
   absl::flat_hash_map<std::string, TopUpRecord> topUps_;
   std::deque<std::string> topUpOrder_;
   absl::flat_hash_map<std::string, OperatorRecord> operators_;
--- a/packages/ledger/include/cactuswick/ledger/version/Records.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Records.h
@@ -10,7 +10,8 @@
 namespace cactuswick::ledger {
 
 /// One prepaid budget. Always holds:
-/// toppedUp_ >= billed_ + granted_ + held_.
+/// toppedUp_ >= billed_ + granted_ + held_, but for a declared budget that was
+/// lowered below what is out.
 struct Account
 {
   Tokens toppedUp_ = 0;
@@ -20,6 +21,8 @@
   /// Accounted for by nobody; neither billed nor granted again.
   Tokens held_ = 0;
   int64_t version_ = 0;
+  /// The amount is declared as a whole and may fall.
+  bool declared_ = false;
 
   Tokens Available() const { return toppedUp_ - billed_ - granted_ - held_; }
   bool operator==(const Account&) const = default;
@@ -62,10 +65,32 @@
   int64_t appliedRevision_ = 0;
   LogTimeMs settledBeforeMs_ = 0;
   LogTimeMs lastSeenMs_ = 0;
+  bool reportsLate_ = false;
 
   bool operator==(const RouterRecord&) const = default;
 };
 
+/// The declared deployment in force.
+struct DeploymentRecord
+{
+  int64_t version_ = 0;
+  model::Blob document_;
+  int64_t revision_ = 0;
+
+  bool operator==(const DeploymentRecord&) const = default;
+};
+
+/// An incarnation of an endpoint that leaves and gets no new requests.
+struct RetiredRecord
+{
+  std::string endpoint_;
+  int64_t incarnation_ = 0;
+  int64_t revision_ = 0;
+  LogTimeMs atMs_ = 0;
+
+  bool operator==(const RetiredRecord&) const = default;
+};
+
 /// What changed in the configuration since a revision.
 struct ConfigDelta
 {
@@ -75,6 +100,9 @@
   /// All routers, when any of them changed.
   bool routersChanged_ = false;
   std::vector<RouterRecord> routers_;
+  /// The deployment, when it changed.
+  std::optional<DeploymentRecord> deployment_;
+  std::vector<RetiredRecord> retired_;
 
   bool operator==(const ConfigDelta&) const = default;
 };
@@ -180,7 +208,9 @@
                                     ClaimRecord,
                                     OrderRecord,
                                     TopUpRecord,
-                                    OperatorRecord>;
+                                    OperatorRecord,
+                                    DeploymentRecord,
+                                    RetiredRecord>;
 
 constexpr std::array<std::string_view, 3>
 EnumNames(const RouterState*)
@@ -233,6 +263,16 @@
 {
   return "operator";
 }
+constexpr std::string_view
+TypeNameOf(const DeploymentRecord*)
+{
+  return "deployment";
+}
+constexpr std::string_view
+TypeNameOf(const RetiredRecord*)
+{
+  return "retired";
+}
 
 constexpr auto
 FieldsOf(const Account*)
@@ -241,7 +281,8 @@
                            model::Field{ "billed", &Account::billed_ },
                            model::Field{ "granted", &Account::granted_ },
                            model::Field{ "held", &Account::held_ },
-                           model::Field{ "version", &Account::version_ });
+                           model::Field{ "version", &Account::version_ },
+                           model::Field{ "declared", &Account::declared_ });
 }
 constexpr auto
 FieldsOf(const GrantShare*)
@@ -266,7 +307,25 @@
     model::Field{ "copies_lost_revision", &RouterRecord::copiesLostRevision_ },
     model::Field{ "applied_revision", &RouterRecord::appliedRevision_ },
     model::Field{ "settled_before_ms", &RouterRecord::settledBeforeMs_ },
-    model::Field{ "last_seen_ms", &RouterRecord::lastSeenMs_ });
+    model::Field{ "last_seen_ms", &RouterRecord::lastSeenMs_ },
+    model::Field{ "reports_late", &RouterRecord::reportsLate_ });
+}
+constexpr auto
+FieldsOf(const DeploymentRecord*)
+{
+  return model::MakeFields(
+    model::Field{ "version", &DeploymentRecord::version_ },
+    model::Field{ "document", &DeploymentRecord::document_ },
+    model::Field{ "revision", &DeploymentRecord::revision_ });
+}
+constexpr auto
+FieldsOf(const RetiredRecord*)
+{
+  return model::MakeFields(
+    model::Field{ "endpoint", &RetiredRecord::endpoint_ },
+    model::Field{ "incarnation", &RetiredRecord::incarnation_ },
+    model::Field{ "revision", &RetiredRecord::revision_ },
+    model::Field{ "at_ms", &RetiredRecord::atMs_ });
 }
 constexpr auto
 FieldsOf(const ConfigDelta*)
@@ -276,7 +335,9 @@
     model::Field{ "time_ms", &ConfigDelta::timeMs_ },
     model::Field{ "resources", &ConfigDelta::resources_ },
     model::Field{ "routers_changed", &ConfigDelta::routersChanged_ },
-    model::Field{ "routers", &ConfigDelta::routers_ });
+    model::Field{ "routers", &ConfigDelta::routers_ },
+    model::Field{ "deployment", &ConfigDelta::deployment_ },
+    model::Field{ "retired", &ConfigDelta::retired_ });
 }
 constexpr auto
 FieldsOf(const ClaimRecord*)
--- a/packages/ledger/include/cactuswick/ledger/version/Replica.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Replica.h
@@ -27,6 +27,10 @@
   SteadyMs electionMaxMs_ = 1'000;
   size_t maxEntriesPerAppend_ = 512;
   int64_t snapshotChunkBytes_ = int64_t{ 256 } * 1'024;
+  /// Largest sum of declared documents in one append; one always fits.
+  size_t maxBytesPerAppend_ = size_t{ 512 } * 1'024;
+  /// Whether a caught-up newcomer gets its vote without being asked for.
+  bool promotesCaughtUp_ = true;
   uint64_t seed_ = 1;
   /// Reads bytes of the snapshot file from an offset.
   std::function<std::string(int64_t aOffset, int64_t aBytes)> readSnapshot_;
@@ -133,6 +137,12 @@
   bool CanServe() const;
   /// Last entry known to be at @p aMember; 0 unless leader.
   Index MatchOf(const std::string& aMember) const;
+  /// Whether a member's log is close enough to the leader's for a vote.
+  bool IsCaughtUp(const std::string& aMember) const;
+  /// How long a member has not been heard; 0 for the replica itself.
+  SteadyMs SilenceOf(const std::string& aMember) const;
+  /// Whether a change of members is not committed yet.
+  bool HasOpenChange() const { return membersIndex_ > commit_; }
 
 private:
   struct Peer
--- a/packages/ledger/src/process/FrameFile.cpp
+++ b/packages/ledger/src/process/FrameFile.cpp
@@ -136,7 +136,9 @@
     const ssize_t count =
       write(descriptor_, frame.data() + written, frame.size() - written);
     if (count < 0 && errno != EINTR) {
-      return IoError("", "write");
+      absl::Status status = IoError("", "write");
+      CutBack();
+      return status;
     }
     written += count > 0 ? static_cast<size_t>(count) : 0;
   }
@@ -144,6 +146,14 @@
   return absl::OkStatus();
 }
 
+void
+FrameFile::CutBack() const
+{
+  // What stays behind the last whole frame is found torn when it is read.
+  static_cast<void>(ftruncate(descriptor_, size_));
+  static_cast<void>(lseek(descriptor_, size_, SEEK_SET));
+}
+
 absl::Status
 FrameFile::Sync()
 {
--- a/packages/ledger/src/version/Ledger.cpp
+++ b/packages/ledger/src/version/Ledger.cpp
@@ -57,6 +57,9 @@
   ExpireOldest(claims_, claimOrder_, now - kClaimHorizonMs);
   ExpireOldest(topUps_, topUpOrder_, now - kTopUpHorizonMs);
   ExpireOldest(operators_, operatorOrder_, now - kOperatorHorizonMs);
+  std::erase_if(retired_, [now](const auto& aPair) {
+    return aPair.second.atMs_ < now - kRetiredHorizonMs;
+  });
 }
 
 Reply
@@ -172,6 +175,16 @@
   return SettleResult{ SettleState::kBilled, charge };
 }
 
+OpResult
+Ledger::OnOp(Incarnation aRouter, const ReportUse& aOp)
+{
+  if (aOp.amount_ > 0 &&
+      !TakeFromShare(aOp.budget_, aRouter, aOp.amount_, false)) {
+    return SettleResult{ SettleState::kUnaccounted };
+  }
+  return SettleResult{ SettleState::kBilled, aOp.amount_ };
+}
+
 bool
 Ledger::TakeFromShare(const std::string& aBudget,
                       Incarnation aHolder,
@@ -328,7 +341,8 @@
     if (granted != account.granted_) {
       return breach(budget, "grants do not add up");
     }
-    if (account.Available() < 0 || account.billed_ < 0 || account.held_ < 0) {
+    const bool beyond = account.Available() < 0 && !account.declared_;
+    if (beyond || account.billed_ < 0 || account.held_ < 0) {
       return breach(budget, "overspent");
     }
   }
--- a/packages/ledger/src/version/LedgerRouters.cpp
+++ b/packages/ledger/src/version/LedgerRouters.cpp
@@ -50,7 +50,8 @@
                   .peerAddress_ = aCommand.peerAddress_,
                   .nonce_ = aCommand.nonce_,
                   .settledBeforeMs_ = counters_.timeMs_,
-                  .lastSeenMs_ = counters_.timeMs_ };
+                  .lastSeenMs_ = counters_.timeMs_,
+                  .reportsLate_ = aCommand.reportsLate_ };
   RoutersChanged();
   return Registered{ incarnation, counters_.revision_, counters_.timeMs_ };
 }
@@ -79,7 +80,8 @@
   dead.state_ = RouterState::kEnded;
   sessions_.erase(aIncarnation);
   for (const auto& [incarnation, router] : routers_) {
-    if (router.state_ != RouterState::kEnded) {
+    // Without copies of its settlements there is nothing to wait for.
+    if (router.state_ != RouterState::kEnded && !dead.reportsLate_) {
       dead.awaiting_.push_back(incarnation);
     }
   }
@@ -137,7 +139,8 @@
 void
 Ledger::Reclaim(Incarnation aDead)
 {
-  const bool held = routers_[aDead].copiesLost_;
+  const RouterRecord& dead = routers_[aDead];
+  const bool held = dead.copiesLost_ || dead.reportsLate_;
   std::vector<std::string> budgets;
   for (const auto& [budget, shares] : grants_) {
     const bool holds =
@@ -212,6 +215,7 @@
   ConfirmEverywhere(aRouter, false);
   // Whatever it did not return is freed: it has nothing in flight or pending.
   routers_[aRouter].copiesLost_ = false;
+  routers_[aRouter].reportsLate_ = false;
   Reclaim(aRouter);
   sessions_.erase(aRouter);
   return Done{};
--- a/packages/ledger/src/version/LedgerSnapshot.cpp
+++ b/packages/ledger/src/version/LedgerSnapshot.cpp
@@ -22,6 +22,14 @@
       delta.routers_.push_back(router);
     }
   }
+  if (deployment_.revision_ > aRevision) {
+    delta.deployment_ = deployment_;
+  }
+  for (const auto& [endpoint, retired] : retired_) {
+    if (retired.revision_ > aRevision) {
+      delta.retired_.push_back(retired);
+    }
+  }
   return delta;
 }
 
@@ -55,6 +63,12 @@
   for (const auto& [endpoint, order] : orders_) {
     aSink(order);
   }
+  if (deployment_.version_ > 0) {
+    aSink(deployment_);
+  }
+  for (const auto& [endpoint, retired] : retired_) {
+    aSink(retired);
+  }
   const auto saveInOrder = [&](const auto& aTable, const auto& aOrder) {
     for (const auto& key : aOrder) {
       if (const auto found = aTable.find(key); found != aTable.end()) {
@@ -115,6 +129,14 @@
   {
     ledger_.orders_[aRecord.endpoint_] = aRecord;
   }
+  void operator()(const DeploymentRecord& aRecord) const
+  {
+    ledger_.deployment_ = aRecord;
+  }
+  void operator()(const RetiredRecord& aRecord) const
+  {
+    ledger_.retired_[aRecord.endpoint_] = aRecord;
+  }
   void operator()(const TopUpRecord& aRecord) const
   {
     ledger_.topUps_[aRecord.id_] = aRecord;
--- a/packages/ledger/src/version/Replica.cpp
+++ b/packages/ledger/src/version/Replica.cpp
@@ -9,6 +9,13 @@
 
 namespace cactuswick::ledger {
 
+namespace {
+
+/// A new replica votes once it is this close to the leader's log.
+constexpr Index kCaughtUpEntries = 64;
+
+} // namespace
+
 Replica::Replica(ReplicaOptions aOptions, ReplicaStart aStart)
   : options_(std::move(aOptions))
   , hardState_(std::move(aStart.hardState_))
@@ -61,6 +68,20 @@
   return found == peers_.end() ? 0 : found->second.match_;
 }
 
+bool
+Replica::IsCaughtUp(const std::string& aMember) const
+{
+  return MatchOf(aMember) > 0 &&
+         MatchOf(aMember) + kCaughtUpEntries >= log_.LastIndex();
+}
+
+SteadyMs
+Replica::SilenceOf(const std::string& aMember) const
+{
+  const auto found = peers_.find(aMember);
+  return found == peers_.end() ? 0 : nowMs_ - found->second.lastHeardMs_;
+}
+
 void
 Replica::ResetElectionTimer()
 {
@@ -95,7 +116,9 @@
   if (nowMs_ - lastBroadcastMs_ >= options_.heartbeatMs_) {
     heartbeat_ = true;
   }
-  PromoteCaughtUp();
+  if (options_.promotesCaughtUp_) {
+    PromoteCaughtUp();
+  }
 }
 
 bool
--- a/packages/ledger/src/version/ReplicaAppend.cpp
+++ b/packages/ledger/src/version/ReplicaAppend.cpp
@@ -11,8 +11,26 @@
 
 namespace {
 
-/// A new replica votes once it is this close to the leader's log.
-constexpr Index kCaughtUpEntries = 64;
+/// Bytes of an entry that can be large; the rest is small.
+size_t
+DocumentBytes(const Entry& aEntry)
+{
+  const auto* change = std::get_if<ReplaceDeployment>(&aEntry.command_);
+  return change == nullptr ? 0 : change->document_.bytes_.size();
+}
+
+/// Drops entries behind the first whose documents pass the limit.
+void
+LimitBytes(std::vector<Entry>& aEntries, size_t aLimit)
+{
+  size_t sum = 0;
+  for (size_t i = 0; i < aEntries.size(); ++i) {
+    sum += DocumentBytes(aEntries[i]);
+    if (i > 0 && sum > aLimit) {
+      aEntries.resize(i);
+    }
+  }
+}
 
 } // namespace
 
@@ -153,6 +171,7 @@
                          .round_ = round_ };
   if (aPeer.next_ > log_.BaseIndex()) {
     request.entries_ = log_.Slice(aPeer.next_, options_.maxEntriesPerAppend_);
+    LimitBytes(request.entries_, options_.maxBytesPerAppend_);
   }
   if (request.entries_.empty() && !aEvenIfEmpty) {
     return;
@@ -267,9 +286,7 @@
   }
   for (size_t i = 0; i < members_.size(); ++i) {
     const Member& member = members_[i];
-    const bool close =
-      MatchOf(member.id_) + kCaughtUpEntries >= log_.LastIndex();
-    if (!member.voter_ && MatchOf(member.id_) > 0 && close) {
+    if (!member.voter_ && IsCaughtUp(member.id_)) {
       std::vector<Member> promoted = members_;
       promoted[i].voter_ = true;
       AppendOwn(ChangeMembers{ std::move(promoted) });
--- a/packages/router/include/cactuswick/router/process/RouterTask.h
+++ b/packages/router/include/cactuswick/router/process/RouterTask.h
@@ -5,6 +5,7 @@
 
 #include <absl/status/status.h>
 
+#include "cactuswick/router/connection/ForwardDialect.h"
 #include "cactuswick/settings/process/Settings.h"
 #include "cactuswick/transport/process/EventLoop.h"
 
@@ -19,6 +20,7 @@
   /// for which it must not go on.
   RouterTask(transport::EventLoop& aLoop,
              const settings::Settings& aSettings,
+             const ForwardDialect& aDialect,
              std::function<void(absl::Status)> aOnStopped);
   RouterTask(const RouterTask&) = delete;
   RouterTask& operator=(const RouterTask&) = delete;
@@ -28,6 +30,10 @@
   /// dead, and then registers with control.
   absl::Status Start();
 
+  /// Takes settings that have changed while running: the addresses of
+  /// control.
+  void Reload(const settings::Settings& aSettings);
+
   /// Leaves the entry list, serves on while callers may hold an old one, then
   /// refuses new requests, finishes those in flight and stops.
   void Drain();
--- /dev/null
+++ b/packages/router/src/connection/ForwardApi.cpp
@@ -0,0 +1,239 @@
+#include "connection/ForwardApi.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cactuswick/model/process/Error.h"
+#include "cactuswick/telemetry/process/Log.h"
+
+namespace cactuswick::router {
+
+namespace {
+
+using model::Concat;
+using model::ErrorKind;
+using model::MakeError;
+using telemetry::Counter;
+using telemetry::Level;
+using telemetry::LogRequest;
+using telemetry::Part;
+using transport::EventLoop;
+
+/// Callers come back after a random time in this range, so that those who
+/// were refused together do not return together.
+constexpr int64_t kMinRetryAfterMs = 250;
+constexpr int64_t kMaxRetryAfterMs = 900;
+/// Callers follow a wait of up to this part of their time left.
+constexpr int64_t kRetryAfterPart = 3;
+/// Part of a caller's time that a request may wait for an endpoint.
+constexpr int64_t kQueuePart = 2;
+
+} // namespace
+
+ForwardApi::ForwardApi(ForwardApiOptions aOptions)
+  : options_(std::move(aOptions))
+  , random_(options_.seed_)
+{
+}
+
+void
+ForwardApi::SetDeployment(std::unique_ptr<const DeploymentView> aDeployment)
+{
+  deployment_ = std::move(aDeployment);
+}
+
+void
+ForwardApi::Handle(std::unique_ptr<transport::HttpExchange> aExchange)
+{
+  if (options_.isLeaving_()) {
+    aExchange->CloseAfterReply();
+  }
+  auto plan = Plan(*aExchange);
+  if (!plan.ok()) {
+    const auto request = options_.services_.dialect_.decode_(*aExchange);
+    Refuse(*aExchange, request.ok() ? request->id_ : "", plan.status());
+    return;
+  }
+  const routing::RequestId id = plan->id_;
+  auto exchange = std::make_unique<ForwardExchange>(
+    options_.services_, std::move(aExchange), *std::move(plan), [this, id] {
+      // Not destroyed here: the exchange is still in its own call.
+      options_.services_.loop_.Defer([this, id] { exchanges_.erase(id); });
+    });
+  ForwardExchange& started = *exchange;
+  exchanges_[id] = std::move(exchange);
+  started.Start();
+}
+
+absl::StatusOr<ForwardPlan>
+ForwardApi::Plan(const transport::HttpExchange& aExchange)
+{
+  if (!deployment_ || !options_.isReady_()) {
+    return MakeError(ErrorKind::kStarting, "", "no deployment known yet");
+  }
+  if (options_.refusesNew_()) {
+    return MakeError(ErrorKind::kDraining, "", "this router stops");
+  }
+  auto request = options_.services_.dialect_.decode_(aExchange);
+  if (!request.ok()) {
+    return request.status();
+  }
+  const auto& limits = deployment_->Spec().limits_;
+  if (aExchange.Body().size() > static_cast<size_t>(limits.maxBodyBytes_)) {
+    return MakeError(ErrorKind::kTooLarge, "body", "the body is too large");
+  }
+  const auto* route = deployment_->FindRoute(request->host_, request->path_);
+  if (route == nullptr) {
+    return MakeError(ErrorKind::kUnknownResource, "path", "no such route");
+  }
+  ForwardPlan plan{ .id_ = ++lastId_,
+                    .request_ = *std::move(request),
+                    .route_ = *route,
+                    .priority_ = route->priority_,
+                    .deploymentVersion_ = deployment_->Spec().version_,
+                    .startMs_ = EventLoop::NowMs() };
+  SetTimes(plan);
+  absl::Status status = FindCaller(plan);
+  if (status.ok()) {
+    status = ChooseService(plan);
+  }
+  if (!status.ok()) {
+    return status;
+  }
+  SetBound(plan);
+  RetriesOf(plan.service_).OnRequest();
+  plan.tryRepeat_ = [this, service = plan.service_] {
+    return RetriesOf(service).TryTake();
+  };
+  plan.retryAfterMs_ = [this, deadline = plan.deadlineMs_] {
+    return RetryAfterMs(deadline);
+  };
+  return plan;
+}
+
+void
+ForwardApi::SetTimes(ForwardPlan& aPlan) const
+{
+  const int64_t timeout = aPlan.route_.timeoutMs_;
+  const int64_t wait =
+    std::min(timeout, aPlan.request_.deadlineMs_.value_or(timeout));
+  aPlan.deadlineMs_ = aPlan.startMs_ + wait;
+  aPlan.queueDeadlineMs_ = aPlan.startMs_ + wait / kQueuePart;
+}
+
+absl::Status
+ForwardApi::FindCaller(ForwardPlan& aPlan) const
+{
+  if (deployment_->Spec().workspaces_.empty()) {
+    return absl::OkStatus();
+  }
+  const auto* workspace = deployment_->FindByKey(aPlan.request_.apiKey_);
+  if (workspace != nullptr) {
+    aPlan.workspace_ = workspace->name_;
+    aPlan.priority_ = workspace->priority_.value_or(aPlan.priority_);
+    return absl::OkStatus();
+  }
+  if (aPlan.route_.public_) {
+    return absl::OkStatus();
+  }
+  return MakeError(
+    ErrorKind::kUnauthorized, "key", "expected a workspace's API key");
+}
+
+absl::Status
+ForwardApi::ChooseService(ForwardPlan& aPlan)
+{
+  int64_t sum = 0;
+  std::vector<model::ServiceShare> served;
+  for (const auto& share : aPlan.route_.split_) {
+    if (share.weight_ > 0 &&
+        options_.services_.dispatcher_.Serves(share.service_)) {
+      served.push_back(share);
+      sum += share.weight_;
+    }
+  }
+  if (served.empty()) {
+    return MakeError(ErrorKind::kNoEndpoint,
+                     aPlan.route_.name_,
+                     "no endpoint of the route's services is known");
+  }
+  int64_t draw = std::uniform_int_distribution<int64_t>(0, sum - 1)(random_);
+  for (const auto& share : served) {
+    draw -= share.weight_;
+    if (draw < 0) {
+      aPlan.service_ = share.service_;
+      break;
+    }
+  }
+  const auto* service = deployment_->FindService(aPlan.service_);
+  if (service != nullptr && service->engine_) {
+    aPlan.tokensPerEvent_ = service->engine_->tokensPerEvent_;
+  }
+  return absl::OkStatus();
+}
+
+void
+ForwardApi::SetBound(ForwardPlan& aPlan) const
+{
+  const auto* workspace = deployment_->FindByKey(aPlan.request_.apiKey_);
+  if (workspace == nullptr || !workspace->prepaidTokens_ ||
+      !aPlan.request_.promptTokens_) {
+    return;
+  }
+  aPlan.budget_ = model::PrepaidBudgetOf(workspace->name_);
+  aPlan.bound_ = *aPlan.request_.promptTokens_ + aPlan.request_.maxOutputTokens_;
+}
+
+void
+ForwardApi::Refuse(transport::HttpExchange& aExchange,
+                   const std::string& aId,
+                   const absl::Status& aStatus)
+{
+  const auto kind = model::KindOf(aStatus);
+  if (kind == ErrorKind::kMalformed) {
+    // What follows on the connection cannot be told from the body.
+    aExchange.CloseAfterReply();
+  }
+  const int64_t now = EventLoop::NowMs();
+  const bool transient = model::IsTransient(kind);
+  const int status = ForwardStatusOf(aStatus, RunState::kNotRun);
+  ReplyForwardError(aExchange,
+                    aStatus,
+                    RunState::kNotRun,
+                    transient ? RetryAfterMs(now + kRetryAfterPart *
+                                                     kMaxRetryAfterMs)
+                              : 0);
+  options_.services_.metrics_.Count(
+    Counter::kRefused, 1, model::NameOf(kind));
+  LogRequest(Part::kCaller,
+             Level::kWarning,
+             aId,
+             Concat("outcome=",
+                    model::NameOf(kind),
+                    " status=",
+                    status,
+                    " path=",
+                    aExchange.Path(),
+                    " version=",
+                    deployment_ ? deployment_->Spec().version_ : 0,
+                    " in_flight=",
+                    InFlight()));
+}
+
+routing::RetryBudget&
+ForwardApi::RetriesOf(const std::string& aService)
+{
+  return retries_.try_emplace(aService, options_.retries_()).first->second;
+}
+
+int64_t
+ForwardApi::RetryAfterMs(int64_t aDeadlineMs)
+{
+  const int64_t left = aDeadlineMs - EventLoop::NowMs();
+  const int64_t most =
+    std::clamp(left / kRetryAfterPart, int64_t{ 1 }, kMaxRetryAfterMs);
+  const int64_t least = std::min(most, kMinRetryAfterMs);
+  return std::uniform_int_distribution<int64_t>(least, most)(random_);
+}
+
+} // namespace cactuswick::router
--- /dev/null
+++ b/packages/router/src/connection/ForwardErrors.cpp
@@ -0,0 +1,56 @@
+#include "connection/ForwardErrors.h"
+
+#include "cactuswick/model/process/Error.h"
+#include "cactuswick/model/process/Text.h"
+#include "connection/HttpErrors.h"
+
+namespace cactuswick::router {
+
+namespace {
+
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+constexpr double kMsPerSecond = 1'000;
+
+} // namespace
+
+int
+ForwardStatusOf(const absl::Status& aStatus, RunState aRunState)
+{
+  const model::ErrorKind kind = model::KindOf(aStatus);
+  if (aRunState == RunState::kMayHaveRun) {
+    return kind == model::ErrorKind::kDeadlineUnreachable ? kGatewayTimeout
+                                                          : kBadGateway;
+  }
+  switch (kind) {
+    case model::ErrorKind::kMalformed:
+    case model::ErrorKind::kTooLarge:
+    case model::ErrorKind::kUnauthorized:
+    case model::ErrorKind::kUnknownResource:
+    case model::ErrorKind::kBudgetExhausted:
+      return model::HttpStatusOf(kind);
+    default:
+      return kUnavailable;
+  }
+}
+
+void
+ReplyForwardError(transport::HttpExchange& aExchange,
+                  const absl::Status& aStatus,
+                  RunState aRunState,
+                  int64_t aRetryAfterMs)
+{
+  const auto outcome = aRunState == RunState::kNotRun ? Outcome::kRefused
+                                                      : Outcome::kUnknown;
+  transport::Headers headers{ { "Content-Type", kJsonType } };
+  if (aRetryAfterMs > 0) {
+    const double seconds = static_cast<double>(aRetryAfterMs) / kMsPerSecond;
+    headers.push_back({ "Retry-After", model::Concat(seconds) });
+  }
+  aExchange.Reply(ForwardStatusOf(aStatus, aRunState),
+                  headers,
+                  ErrorBody(aStatus, outcome));
+}
+
+} // namespace cactuswick::router
--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -22,16 +22,15 @@
 constexpr int64_t kTickMs = 50;
 /// Wait before a grant that was denied is asked for again.
 constexpr int64_t kAskAgainMs = 100;
-/// Times a grant is asked for while others may still return tokens.
-constexpr int64_t kMaxTries = 20;
-/// Longest wait for the ledger's word on a grant.
-constexpr int64_t kReserveTimeoutMs = 3'000;
 constexpr int64_t kIdleCheckMs = 2'000;
+/// Interval between reports of use.
+constexpr int64_t kReportMs = 1'500;
 
 } // namespace
 
 Biller::Biller(EventLoop& aLoop, BillerOptions aOptions)
   : options_(aOptions)
+  , grants_(aOptions.grants_)
   , tick_(aLoop, [this] { OnTick(); })
 {
   tick_.StartRepeating(kTickMs);
@@ -54,6 +53,41 @@
     lastIdleMs_ = now;
     ReturnIdle(now);
   }
+  if (options_.control_.IsReachable() && now - lastReportMs_ > kReportMs) {
+    lastReportMs_ = now;
+    ReportUses();
+  }
+}
+
+void
+Biller::ReportUses()
+{
+  for (const auto& [budget, amount] : std::exchange(unreported_, {})) {
+    options_.control_.Submit(ledger::ReportUse{ budget, amount });
+  }
+}
+
+void
+Biller::Use(const std::string& aBudget,
+            ledger::Tokens aReserved,
+            ledger::Tokens aUsed)
+{
+  const ledger::Tokens used =
+    std::clamp(aUsed, ledger::Tokens{ 0 }, aReserved);
+  grants_.Release(aBudget, aReserved - used);
+  grants_.Spend(aBudget, used);
+  if (used > 0) {
+    unreported_[aBudget] += used;
+  }
+  ServeWaiters(aBudget);
+}
+
+void
+Biller::Provide(const std::string& aBudget, ledger::Tokens aWant)
+{
+  if (grants_.Granted(aBudget) == 0 && !queues_[aBudget].asking_) {
+    AskFor({ aBudget, aWant, 1, true });
+  }
 }
 
 void
@@ -122,17 +156,23 @@
   if (!ask || queue.asking_) {
     return;
   }
-  queue.asking_ = true;
+  AskFor(*ask);
+}
+
+void
+Biller::AskFor(const ledger::AcquireGrant& aAsk)
+{
+  queues_[aAsk.budget_].asking_ = true;
   options_.control_.Submit(
-    *ask, [this, aBudget](const ledger::OpResult& aResult) {
-      queues_[aBudget].asking_ = false;
+    aAsk, [this, budget = aAsk.budget_](const ledger::OpResult& aResult) {
+      queues_[budget].asking_ = false;
       const auto* grant = std::get_if<ledger::GrantResult>(&aResult);
       if (grant != nullptr && grant->granted_ > 0) {
-        grants_.OnGranted(aBudget, grant->granted_);
+        grants_.OnGranted(budget, grant->granted_);
       } else {
-        grants_.OnDenied(aBudget, EventLoop::NowMs());
+        grants_.OnDenied(budget, EventLoop::NowMs());
       }
-      ServeWaiters(aBudget);
+      ServeWaiters(budget);
     });
 }
 
@@ -161,7 +201,7 @@
                 MakeError(ErrorKind::kBudgetExhausted,
                           "budget",
                           "the budget does not cover the request"));
-    } else if (++first.tries_ >= kMaxTries) {
+    } else if (++first.tries_ >= options_.maxTries_) {
       FailFirst(aBudget,
                 MakeError(ErrorKind::kBudgetHeldElsewhere,
                           "budget",
@@ -198,17 +238,22 @@
 void
 Biller::ExpireReserves(int64_t aNowMs)
 {
-  if (options_.control_.IsReachable()) {
+  const bool reachable = options_.control_.IsReachable();
+  if (reachable && !options_.expiresAlways_) {
     return;
   }
   // Cut off from control, a router refuses only what its grants do not cover.
   for (auto& [budget, queue] : queues_) {
     while (!queue.waiters_.empty() &&
-           aNowMs - queue.waiters_.front().sinceMs_ > kReserveTimeoutMs) {
+           aNowMs - queue.waiters_.front().sinceMs_ > options_.reserveTimeoutMs_) {
       FailFirst(budget,
-                MakeError(ErrorKind::kControlUnreachable,
-                          "budget",
-                          "cut off from control and past its grants"));
+                reachable
+                  ? MakeError(ErrorKind::kBudgetHeldElsewhere,
+                              "budget",
+                              "the rest of the budget is in use; retry later")
+                  : MakeError(ErrorKind::kControlUnreachable,
+                              "budget",
+                              "cut off from control and past its grants"));
     }
   }
 }
@@ -424,6 +469,7 @@
 void
 Biller::ReturnAll()
 {
+  ReportUses();
   for (const auto& given : grants_.ReturnAll()) {
     options_.control_.Submit(given);
   }
--- a/packages/router/src/process/Biller.h
+++ b/packages/router/src/process/Biller.h
@@ -27,6 +27,13 @@
   telemetry::Metrics& metrics_;
   /// Longest wait for a settlement to be committed or copied.
   int64_t settleTimeoutMs_ = 10'000;
+  /// Longest wait for the ledger's word on a grant.
+  int64_t reserveTimeoutMs_ = 3'000;
+  /// Times a grant is asked for while others may still return tokens.
+  int64_t maxTries_ = 20;
+  /// Whether waiting ends after its time also while control answers.
+  bool expiresAlways_ = false;
+  routing::GrantBookOptions grants_;
 };
 
 /// The money side of a router: reserves from its grants before a request
@@ -51,6 +58,22 @@
   void CancelReserve(int64_t aOwner);
   void Release(const std::string& aBudget, ledger::Tokens aAmount);
 
+  /// Asks for a first grant of a budget, so that a router that is cut off soon
+  /// has something to spend.
+  void Provide(const std::string& aBudget, ledger::Tokens aWant);
+
+  /// Takes what a finished request used out of its reservation; it is
+  /// reported later, together with others.
+  void Use(const std::string& aBudget,
+           ledger::Tokens aReserved,
+           ledger::Tokens aUsed);
+
+  /// Tokens that may still be reserved here.
+  ledger::Tokens Free(const std::string& aBudget) const
+  {
+    return grants_.Free(aBudget);
+  }
+
   /// Settles @c amount_ out of a reservation of @p aReserved tokens.
   void Settle(const ledger::Settle& aSettle,
               ledger::Tokens aReserved,
@@ -98,6 +121,8 @@
 
   void OnTick();
   void ReturnIdle(int64_t aNowMs);
+  void ReportUses();
+  void AskFor(const ledger::AcquireGrant& aAsk);
   void AskNext(const std::string& aBudget);
   void AskAhead(const std::string& aBudget);
   void OnGrant(const std::string& aBudget, const ledger::GrantResult& aResult);
@@ -119,6 +144,9 @@
   bool madeCopies_ = false;
   int64_t droppedThrough_ = 0;
   int64_t lastIdleMs_ = 0;
+  /// Used and not reported yet, by budget.
+  std::map<std::string, ledger::Tokens> unreported_;
+  int64_t lastReportMs_ = 0;
   transport::Timer tick_;
 };
 
--- a/packages/router/src/process/ControlClient.cpp
+++ b/packages/router/src/process/ControlClient.cpp
@@ -68,10 +68,25 @@
         .onDown_ = [this] { ScheduleSwitch(""); } });
   }
 
+  /// Replicas that the settings name, and those that control told of.
+  std::vector<transport::Address> Candidates() const
+  {
+    std::vector<transport::Address> candidates = learned_;
+    for (auto address : options_.replicas_) {
+      address.port_ = options_.port_ == 0 ? address.port_ : options_.port_;
+      if (std::find(candidates.begin(), candidates.end(), address) ==
+          candidates.end()) {
+        candidates.push_back(address);
+      }
+    }
+    return candidates;
+  }
+
   void DialNext()
   {
-    next_ = (next_ + 1) % options_.replicas_.size();
-    Dial(options_.replicas_[next_]);
+    const auto candidates = Candidates();
+    next_ = (next_ + 1) % candidates.size();
+    Dial(candidates[next_]);
   }
 
   /// Leaves the current replica from the loop, never from inside its call.
@@ -130,7 +145,8 @@
   void OnTick()
   {
     const int64_t now = EventLoop::NowMs();
-    const bool waits = batch_ || incarnation_ == 0 || !calls_.empty();
+    const bool waits = batch_ || incarnation_ == 0 || !calls_.empty() ||
+                       !dialer_->IsUp();
     if (switching_) {
       Switch();
     } else if (waits && now - lastAnswerMs_ > kAnswerTimeoutMs) {
@@ -251,6 +267,25 @@
     options_.onRecall_(aMessage.budget_);
   }
 
+  void On(const transport::Gossip& aMessage)
+  {
+    if (options_.onEndpoints_) {
+      options_.onEndpoints_(aMessage);
+    }
+  }
+
+  void On(const transport::ControlMembers& aMessage)
+  {
+    std::vector<transport::Address> learned;
+    for (const auto& text : aMessage.addresses_) {
+      const auto address = transport::ParseAddress("", text);
+      if (address.ok()) {
+        learned.push_back(*address);
+      }
+    }
+    learned_ = std::move(learned);
+  }
+
   template<class Other>
   void On(const Other&)
   {
@@ -319,6 +354,7 @@
   ControlClientOptions options_;
   transport::Timer tick_;
   std::unique_ptr<transport::PeerDialer> dialer_;
+  std::vector<transport::Address> learned_;
   size_t next_ = 0;
   bool switching_ = false;
   std::string switchTo_;
@@ -383,6 +419,12 @@
       .onQuery_ = std::move(aHook) });
 }
 
+void
+ControlClient::SetReplicas(const std::vector<transport::Address>& aReplicas)
+{
+  state_->options_.replicas_ = aReplicas;
+}
+
 void
 ControlClient::SetRevision(int64_t aRevision)
 {
@@ -393,7 +435,9 @@
 ControlClient::IsReachable() const
 {
   const int64_t silence = EventLoop::NowMs() - state_->lastAnswerMs_;
-  return state_->answered_ && silence <= state_->options_.reachableMs_;
+  const bool waits = state_->batch_ || !state_->calls_.empty();
+  return state_->answered_ && state_->dialer_->IsUp() &&
+         (!waits || silence <= state_->options_.reachableMs_);
 }
 
 bool
--- a/packages/router/src/process/ControlClient.h
+++ b/packages/router/src/process/ControlClient.h
@@ -18,6 +18,8 @@
 struct ControlClientOptions
 {
   std::vector<transport::Address> replicas_;
+  /// Port of the replicas' listeners instead of that of @c replicas_; or 0.
+  uint16_t port_ = 0;
   /// Own IP number to connect from.
   std::string from_;
   ledger::RegisterRouter registration_;
@@ -28,6 +30,8 @@
   std::function<void(const ledger::Registered&)> onRegistered_;
   std::function<void(const ledger::ConfigDelta&)> onConfig_;
   std::function<void(const std::string& aBudget)> onRecall_;
+  /// What control has heard of endpoints.
+  std::function<void(const transport::Gossip&)> onEndpoints_;
   /// The ledger knows this incarnation as ended: it must serve nothing more.
   std::function<void()> onEnded_;
 };
@@ -59,6 +63,9 @@
                      ReplyHook aHook);
   void Query(transport::QueryType aType, std::string aKey, QueryHook aHook);
 
+  /// Takes changed addresses of replicas; those learned meanwhile are kept.
+  void SetReplicas(const std::vector<transport::Address>& aReplicas);
+
   /// Revision to subscribe from; call it after each change.
   void SetRevision(int64_t aRevision);
 
--- a/packages/router/src/process/Dispatcher.cpp
+++ b/packages/router/src/process/Dispatcher.cpp
@@ -86,17 +86,33 @@
   const auto found = requests_.find(next->id_);
   const DispatchRequest request = std::move(found->second);
   requests_.erase(found);
-  auto endpoint =
-    endpoints_.Acquire(aServes, request.prefixHash_, request.excluded_, now);
-  if (!endpoint) {
+  auto place = Acquire(request, request.excluded_, now);
+  if (!place) {
     // Only endpoints that failed it before have room: better than none.
-    endpoint = endpoints_.Acquire(aServes, request.prefixHash_, {}, now);
+    place = Acquire(request, {}, now);
   }
-  const model::Announcement announcement = *endpoints_.Find(*endpoint);
-  request.onPlaced_(announcement);
+  const model::Announcement announcement = *endpoints_.Find(place->endpoint_);
+  request.onPlaced_(announcement, place->toRead_);
   return true;
 }
 
+std::optional<routing::PromptPlace>
+Dispatcher::Acquire(const DispatchRequest& aRequest,
+                    const std::vector<std::string>& aExcluded,
+                    int64_t aNowMs)
+{
+  if (aRequest.prompt_) {
+    return endpoints_.AcquireForPrompt(
+      aRequest.serves_, *aRequest.prompt_, aExcluded, aNowMs);
+  }
+  const auto endpoint = endpoints_.Acquire(
+    aRequest.serves_, aRequest.prefixHash_, aExcluded, aNowMs);
+  if (!endpoint) {
+    return std::nullopt;
+  }
+  return routing::PromptPlace{ .endpoint_ = *endpoint };
+}
+
 void
 Dispatcher::Release(const std::string& aServes,
                     const std::string& aEndpoint,
--- a/packages/router/src/process/Dispatcher.h
+++ b/packages/router/src/process/Dispatcher.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,10 +23,13 @@
   std::string serves_;
   /// Hash of the prompt's beginning; 0 when placement need not care.
   uint64_t prefixHash_ = 0;
+  /// Set where an engine has to read a prompt; goes before prefixHash_.
+  std::optional<routing::PromptLoad> prompt_;
   /// Endpoints that failed it before.
   std::vector<std::string> excluded_;
-  /// Called with the endpoint's announcement once it has a slot.
-  std::function<void(const model::Announcement&)> onPlaced_;
+  /// Called with the endpoint's announcement once it has a slot, and with the
+  /// prompt tokens that it is expected to read.
+  std::function<void(const model::Announcement&, ledger::Tokens)> onPlaced_;
   /// Called when its deadline passes first.
   std::function<void()> onExpired_;
 };
@@ -76,6 +80,10 @@
   void SchedulePump(const std::string& aServes);
   void Pump(const std::string& aServes);
   bool PlaceNext(const std::string& aServes, Lane& aLane);
+  std::optional<routing::PromptPlace> Acquire(
+    const DispatchRequest& aRequest,
+    const std::vector<std::string>& aExcluded,
+    int64_t aNowMs);
 
   transport::EventLoop& loop_;
   routing::EndpointTable endpoints_;
--- /dev/null
+++ b/packages/router/src/process/ForwardRole.cpp
@@ -0,0 +1,207 @@
+#include "process/ForwardRole.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cactuswick/model/process/Error.h"
+#include "cactuswick/model/process/Hash.h"
+#include "cactuswick/telemetry/process/Log.h"
+#include "connection/HttpErrors.h"
+
+namespace cactuswick::router {
+
+namespace {
+
+using model::Concat;
+using telemetry::Counter;
+using telemetry::Level;
+using telemetry::Log;
+using telemetry::Part;
+using transport::EventLoop;
+
+/// Larger bodies than any deployment may allow are cut off by the library.
+constexpr size_t kMaxBodyBytes = size_t{ 16 } << 20;
+constexpr size_t kMaxHeaderBytes = size_t{ 64 } << 10;
+/// Callers use connections again that were idle for most of their limit.
+constexpr int64_t kIdleTimeoutMs = 20'000;
+/// Control says when an endpoint is lost, so its lease does not end here.
+constexpr int64_t kLeaseMs = 3'600'000;
+/// First grants of all routers together take this part of a budget.
+constexpr ledger::Tokens kFirstGrantDivisor = 4;
+/// Retry budgets of routers that started anew overlap with those of before.
+constexpr double kSlackSafety = 0.5;
+constexpr double kRatioSafety = 0.75;
+constexpr int kHttpUnavailable = 503;
+
+} // namespace
+
+ForwardRole::ForwardRole(ForwardRoleOptions aOptions)
+  : options_(std::move(aOptions))
+  , pool_(options_.loop_)
+  , services_{ options_.loop_,   options_.biller_,  options_.dispatcher_,
+               pool_,            options_.metrics_, options_.dialect_ }
+  , api_({ .services_ = services_,
+           .retries_ = [this] { return Retries(); },
+           .isReady_ = options_.isReady_,
+           .refusesNew_ = options_.refusesNew_,
+           .isLeaving_ = options_.isLeaving_,
+           .seed_ = model::Hash64(model::RandomHex()) })
+  , server_(options_.loop_,
+            { .maxHeaderBytes_ = kMaxHeaderBytes,
+              .maxBodyBytes_ = kMaxBodyBytes,
+              .idleTimeoutMs_ = kIdleTimeoutMs,
+              .maxDescriptors_ = static_cast<size_t>(
+                options_.settings_.Get(settings::kMaxDescriptors)),
+              .onRequest_ =
+                [this](std::unique_ptr<transport::HttpExchange> aExchange) {
+                  api_.Handle(std::move(aExchange));
+                } })
+  , readyServer_(
+      options_.loop_,
+      { .onRequest_ =
+          [this](std::unique_ptr<transport::HttpExchange> aExchange) {
+            OnReadyRequest(*aExchange);
+          } })
+{
+}
+
+absl::Status
+ForwardRole::Listen()
+{
+  const auto& settings = options_.settings_;
+  absl::Status status =
+    server_.Listen(settings.GetAddress(settings::kForwardListen));
+  if (!settings.Get(settings::kForwardReadyListen).empty()) {
+    status.Update(readyServer_.Listen(
+      settings.GetAddress(settings::kForwardReadyListen)));
+  }
+  return status;
+}
+
+void
+ForwardRole::OnReadyRequest(transport::HttpExchange& aExchange) const
+{
+  const bool known = aExchange.Path() == options_.dialect_.readyPath_;
+  const bool ready =
+    HasDeployment() && options_.isReady_() && !options_.isLeaving_();
+  const int status =
+    known ? (ready ? kHttpOk : kHttpUnavailable) : kHttpNotFound;
+  aExchange.Reply(status,
+                  { { "Content-Type", kJsonType } },
+                  ready ? "{\"ready\":true}" : "{\"ready\":false}");
+}
+
+void
+ForwardRole::OnConfig(const ledger::ConfigDelta& aDelta)
+{
+  const int64_t now = EventLoop::NowMs();
+  for (const auto& retired : aDelta.retired_) {
+    Log(Part::kEndpoint,
+        Level::kInfo,
+        Concat("leaves endpoint=",
+               retired.endpoint_,
+               " incarnation=",
+               retired.incarnation_,
+               " revision=",
+               retired.revision_));
+    options_.dispatcher_.Endpoints().Retire(
+      retired.endpoint_, retired.incarnation_, now);
+  }
+  if (aDelta.deployment_) {
+    TakeDeployment(*aDelta.deployment_);
+  }
+}
+
+void
+ForwardRole::TakeDeployment(const ledger::DeploymentRecord& aRecord)
+{
+  const auto* current = api_.Deployment();
+  if (current != nullptr && aRecord.version_ <= current->Spec().version_) {
+    return;
+  }
+  auto deployment = options_.dialect_.decodeDeployment_(aRecord.document_.bytes_);
+  if (!deployment.ok()) {
+    Log(Part::kRouter,
+        Level::kError,
+        Concat("cannot read deployment version=",
+               aRecord.version_,
+               ": ",
+               std::string(deployment.status().message())));
+    return;
+  }
+  Log(Part::kRouter,
+      Level::kInfo,
+      Concat("deployment in force version=",
+             aRecord.version_,
+             " revision=",
+             aRecord.revision_,
+             " routes=",
+             deployment->routes_.size()));
+  options_.metrics_.Count(Counter::kConfigChanges);
+  for (const auto& workspace : deployment->workspaces_) {
+    if (workspace.prepaidTokens_) {
+      options_.biller_.Provide(model::PrepaidBudgetOf(workspace.name_),
+                               *workspace.prepaidTokens_ /
+                                 (kFirstGrantDivisor * ServingRouters()));
+    }
+  }
+  api_.SetDeployment(
+    std::make_unique<const DeploymentView>(*std::move(deployment)));
+}
+
+void
+ForwardRole::OnEndpoints(const transport::Gossip& aNews)
+{
+  const int64_t now = EventLoop::NowMs();
+  for (const auto& news : aNews.endpoints_) {
+    model::Announcement announcement = news.announcement_;
+    announcement.leaseMs_ = kLeaseMs;
+    if (options_.dispatcher_.Hear(announcement, 0)) {
+      Log(Part::kEndpoint,
+          Level::kInfo,
+          Concat("knows endpoint=",
+                 announcement.endpoint_,
+                 " incarnation=",
+                 announcement.incarnation_,
+                 " sequence=",
+                 announcement.sequence_,
+                 " age_ms=",
+                 news.ageMs_));
+    }
+  }
+  for (const auto& lost : aNews.lost_) {
+    Log(Part::kEndpoint,
+        Level::kWarning,
+        Concat("lost endpoint=",
+               lost.endpoint_,
+               " incarnation=",
+               lost.incarnation_));
+    options_.dispatcher_.Endpoints().Lose(
+      lost.endpoint_, lost.incarnation_, now);
+  }
+}
+
+int64_t
+ForwardRole::ServingRouters() const
+{
+  const auto& routers = options_.config_.Routers();
+  const auto serving =
+    std::count_if(routers.begin(), routers.end(), [](const auto& aOne) {
+      return aOne.state_ == ledger::RouterState::kServing;
+    });
+  return std::max<int64_t>(1, serving);
+}
+
+routing::RetryBudgetOptions
+ForwardRole::Retries() const
+{
+  const auto& settings = options_.settings_;
+  const auto slack =
+    static_cast<double>(settings.Get(settings::kForwardRetrySlack));
+  return { .ratio_ =
+             kRatioSafety * settings.GetDecimal(settings::kForwardRetryRatio),
+           .capacity_ =
+             kSlackSafety * slack / static_cast<double>(ServingRouters()) };
+}
+
+} // namespace cactuswick::router
--- /dev/null
+++ b/packages/router/src/process/ForwardRole.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "cactuswick/settings/process/Settings.h"
+#include "cactuswick/transport/connection/HttpServer.h"
+#include "connection/ForwardApi.h"
+#include "version/ConfigView.h"
+
+namespace cactuswick::router {
+
+struct ForwardRoleOptions
+{
+  transport::EventLoop& loop_;
+  const settings::Settings& settings_;
+  ForwardDialect dialect_;
+  Biller& biller_;
+  Dispatcher& dispatcher_;
+  telemetry::Metrics& metrics_;
+  const ConfigView& config_;
+  std::function<bool()> isReady_;
+  std::function<bool()> isLeaving_;
+  std::function<bool()> refusesNew_;
+};
+
+/// The part of a router that forwards requests by declared routes.
+class ForwardRole
+{
+public:
+  explicit ForwardRole(ForwardRoleOptions aOptions);
+
+  absl::Status Listen();
+  /// Takes the deployment and the departures that a change brought.
+  void OnConfig(const ledger::ConfigDelta& aDelta);
+  /// Takes what control has heard of endpoints.
+  void OnEndpoints(const transport::Gossip& aNews);
+
+  bool HasDeployment() const { return api_.Deployment() != nullptr; }
+  int64_t InFlight() const { return api_.InFlight(); }
+
+private:
+  void OnReadyRequest(transport::HttpExchange& aExchange) const;
+  void TakeDeployment(const ledger::DeploymentRecord& aRecord);
+  int64_t ServingRouters() const;
+  routing::RetryBudgetOptions Retries() const;
+
+  ForwardRoleOptions options_;
+  transport::HttpPool pool_;
+  ForwardServices services_;
+  ForwardApi api_;
+  transport::HttpServer server_;
+  transport::HttpServer readyServer_;
+};
+
+} // namespace cactuswick::router
--- a/packages/router/src/process/RouterTask.cpp
+++ b/packages/router/src/process/RouterTask.cpp
@@ -11,6 +11,7 @@
 #include "connection/CallerApi.h"
 #include "connection/EndpointApi.h"
 #include "connection/OperatorApi.h"
+#include "process/ForwardRole.h"
 #include "process/HealthChecker.h"
 #include "process/OrderRunner.h"
 
@@ -32,6 +33,15 @@
 constexpr size_t kBodyMargin = 4;
 /// Longest wait for the goodbye to be committed.
 constexpr int64_t kGoodbyeMs = 3'000;
+/// Longest wait of a forwarded request for a grant.
+constexpr int64_t kForwardReserveMs = 400;
+constexpr int64_t kForwardMaxTries = 3;
+/// Time for which a router that is cut off can spend on.
+constexpr int64_t kForwardHorizonMs = 9'000;
+constexpr int64_t kForwardRefillPercent = 85;
+/// Time kept back from the end of the grace for the last steps.
+constexpr int64_t kGraceMarginMs = 900;
+constexpr int64_t kMsPerSecond = 1'000;
 
 enum class Phase
 {
@@ -62,9 +72,11 @@
 {
   State(EventLoop& aLoop,
         const settings::Settings& aSettings,
+        const ForwardDialect& aDialect,
         std::function<void(absl::Status)> aOnStopped)
     : loop_(aLoop)
     , settings_(aSettings)
+    , dialect_(aDialect)
     , onStopped_(std::move(aOnStopped))
     , maxBodyBytes_(static_cast<size_t>(aSettings.Get(settings::kMaxBodyBytes)))
     , dispatcher_(aLoop,
@@ -128,8 +140,10 @@
 
   absl::Status Start()
   {
-    absl::Status status =
-      server_->Listen(settings_.GetAddress(settings::kRouterListen));
+    absl::Status status;
+    if (!settings_.Get(settings::kRouterListen).empty()) {
+      status = server_->Listen(settings_.GetAddress(settings::kRouterListen));
+    }
     status.Update(
       peers_->Listen(settings_.GetAddress(settings::kRouterPeerListen)));
     if (!settings_.Get(settings::kRouterMetricsListen).empty()) {
@@ -141,27 +155,72 @@
     }
     MakeControl();
     MakeApis();
+    if (Forwards()) {
+      status = MakeForward();
+    }
+    if (!status.ok()) {
+      return status;
+    }
     tick_.StartRepeating(kTickMs);
     Log(Part::kRouter,
         Level::kInfo,
-        Concat("listens on ", settings_.Get(settings::kRouterListen)));
+        Concat("starts vm=",
+               settings_.Get(settings::kVm),
+               " listen=",
+               CallersAddress()));
     return absl::OkStatus();
   }
 
+  bool Forwards() const
+  {
+    return !settings_.Get(settings::kForwardListen).empty();
+  }
+
+  /// Where callers connect.
+  std::string CallersAddress() const
+  {
+    return settings_.Get(Forwards() ? settings::kForwardListen
+                                    : settings::kRouterListen);
+  }
+
+  absl::Status MakeForward()
+  {
+    forward_ = std::make_unique<ForwardRole>(ForwardRoleOptions{
+      .loop_ = loop_,
+      .settings_ = settings_,
+      .dialect_ = dialect_,
+      .biller_ = *biller_,
+      .dispatcher_ = dispatcher_,
+      .metrics_ = metrics_,
+      .config_ = config_,
+      .isReady_ = [this] { return IsReady(); },
+      .isLeaving_ = [this] { return phase_ >= Phase::kLeaving; },
+      .refusesNew_ = [this] { return phase_ >= Phase::kDraining; } });
+    return forward_->Listen();
+  }
+
+  int64_t InFlight() const
+  {
+    return callers_->InFlight() + (forward_ ? forward_->InFlight() : 0);
+  }
+
   void MakeControl()
   {
     control_ = std::make_unique<ControlClient>(
       loop_,
       ControlClientOptions{
         .replicas_ = settings_.GetAddresses(settings::kRouterControl),
+        .port_ = static_cast<uint16_t>(
+          settings_.Get(settings::kRouterControlPort)),
         .from_ = settings_.GetAddress(settings::kRouterPeerListen).host_,
         .registration_ = { .nonce_ = model::RandomHex(),
                            .vm_ = settings_.Get(settings::kVm),
                            .failureDomain_ =
                              settings_.Get(settings::kFailureDomain),
                            .region_ = settings_.Get(settings::kRegion),
-                           .address_ = settings_.Get(settings::kRouterListen),
-                           .peerAddress_ = PeerAddress() },
+                           .address_ = CallersAddress(),
+                           .peerAddress_ = PeerAddress(),
+                           .reportsLate_ = Forwards() },
         .onRegistered_ =
           [this](const ledger::Registered& aRegistered) {
             neededRevision_ = aRegistered.revision_;
@@ -173,6 +232,12 @@
           [this](const ledger::ConfigDelta& aDelta) { OnConfig(aDelta); },
         .onRecall_ =
           [this](const std::string& aBudget) { biller_->OnRecall(aBudget); },
+        .onEndpoints_ =
+          [this](const transport::Gossip& aNews) {
+            if (forward_) {
+              forward_->OnEndpoints(aNews);
+            }
+          },
         .onEnded_ =
           [this] {
             Stop(model::MakeError(
@@ -180,14 +245,21 @@
               "incarnation",
               "control knows this router as ended; start it again"));
           } });
-    biller_ =
-      std::make_unique<Biller>(loop_,
-                               BillerOptions{ .control_ = *control_,
-                                              .peers_ = *peers_,
-                                              .config_ = config_,
-                                              .metrics_ = metrics_,
-                                              .settleTimeoutMs_ = settings_.Get(
-                                                settings::kSettleTimeoutMs) });
+    BillerOptions billing{ .control_ = *control_,
+                           .peers_ = *peers_,
+                           .config_ = config_,
+                           .metrics_ = metrics_,
+                           .settleTimeoutMs_ =
+                             settings_.Get(settings::kSettleTimeoutMs) };
+    if (Forwards()) {
+      billing.reserveTimeoutMs_ = kForwardReserveMs;
+      billing.maxTries_ = kForwardMaxTries;
+      billing.expiresAlways_ = true;
+      billing.grants_ = { .horizonMs_ = kForwardHorizonMs,
+                          .extrapolates_ = true,
+                          .refillPercent_ = kForwardRefillPercent };
+    }
+    biller_ = std::make_unique<Biller>(loop_, billing);
   }
 
   std::string PeerAddress() const
@@ -322,15 +394,22 @@
     }
     metrics_.Count(telemetry::Counter::kConfigChanges);
     control_->SetRevision(config_.Revision());
-    peers_->SetRouters(control_->Incarnation(), config_.Routers());
+    if (!Forwards()) {
+      peers_->SetRouters(control_->Incarnation(), config_.Routers());
+    }
     biller_->OnConfig();
     operators_->OnConfig();
+    if (forward_) {
+      forward_->OnConfig(aDelta);
+    }
   }
 
   void OnTick()
   {
     const int64_t now = EventLoop::NowMs();
-    if (now - lastHeartbeatMs_ >= kHeartbeatMs && !heartbeatOpen_ &&
+    // A forwarding router's link is its sign of life; it settles no keys.
+    if (!Forwards() && now - lastHeartbeatMs_ >= kHeartbeatMs &&
+        !heartbeatOpen_ &&
         control_->IsRegistered() && phase_ < Phase::kGoodbye) {
       lastHeartbeatMs_ = now;
       SendHeartbeat();
@@ -370,10 +449,15 @@
     phase_ = Phase::kLeaving;
     const int64_t now = EventLoop::NowMs();
     const bool everServed = control_->IsRegistered();
-    refuseFromMs_ =
-      now + (everServed ? settings_.Get(settings::kEntryTtlMs) : 0);
+    const auto& leave =
+      Forwards() ? settings::kForwardLeaveMs : settings::kEntryTtlMs;
+    refuseFromMs_ = now + (everServed ? settings_.Get(leave) : 0);
     const int64_t longest = settings_.Get(settings::kDrainMs);
     drainByMs_ = longest == 0 ? INT64_MAX : refuseFromMs_ + longest;
+    if (Forwards()) {
+      drainByMs_ = now + settings_.Get(settings::kForwardGraceS) * kMsPerSecond -
+                   kGraceMarginMs;
+    }
     if (everServed) {
       control_->Submit(ledger::SetDraining{});
     }
@@ -382,7 +466,7 @@
 
   void CheckDrained(int64_t aNowMs)
   {
-    const bool idle = callers_->InFlight() == 0 && biller_->PendingCount() == 0;
+    const bool idle = InFlight() == 0 && biller_->PendingCount() == 0;
     if (!idle && aNowMs < drainByMs_) {
       return;
     }
@@ -408,7 +492,7 @@
 
   std::string ExposeMetrics()
   {
-    metrics_.Set(Gauge::kInFlight, callers_ ? callers_->InFlight() : 0);
+    metrics_.Set(Gauge::kInFlight, callers_ ? InFlight() : 0);
     metrics_.Set(Gauge::kQueued, static_cast<int64_t>(dispatcher_.Queued()));
     metrics_.Set(Gauge::kEndpoints,
                  static_cast<int64_t>(dispatcher_.Endpoints().Size()));
@@ -420,6 +504,7 @@
 
   EventLoop& loop_;
   const settings::Settings& settings_;
+  ForwardDialect dialect_;
   std::function<void(absl::Status)> onStopped_;
   size_t maxBodyBytes_;
   telemetry::Metrics metrics_;
@@ -436,6 +521,7 @@
   std::unique_ptr<OperatorApi> operators_;
   std::unique_ptr<OrderRunner> orders_;
   std::unique_ptr<HealthChecker> health_;
+  std::unique_ptr<ForwardRole> forward_;
   control::MetricsServer metricsServer_;
   transport::Timer tick_;
 
@@ -452,8 +538,12 @@
 
 RouterTask::RouterTask(EventLoop& aLoop,
                        const settings::Settings& aSettings,
+                       const ForwardDialect& aDialect,
                        std::function<void(absl::Status)> aOnStopped)
-  : state_(std::make_unique<State>(aLoop, aSettings, std::move(aOnStopped)))
+  : state_(std::make_unique<State>(aLoop,
+                                   aSettings,
+                                   aDialect,
+                                   std::move(aOnStopped)))
 {
 }
 
@@ -465,6 +555,13 @@
   return state_->Start();
 }
 
+void
+RouterTask::Reload(const settings::Settings& aSettings)
+{
+  state_->control_->SetReplicas(
+    aSettings.GetAddresses(settings::kRouterControl));
+}
+
 void
 RouterTask::Drain()
 {
--- a/packages/router/src/request/Attempts.cpp
+++ b/packages/router/src/request/Attempts.cpp
@@ -39,7 +39,8 @@
                                   .excluded_ = failed_,
                                   .onPlaced_ =
                                     [this, placed = aHooks.onPlaced_](
-                                      const model::Announcement& aEndpoint) {
+                                      const model::Announcement& aEndpoint,
+                                      ledger::Tokens) {
                                       record_.OnPlaced();
                                       endpoint_ = aEndpoint;
                                       atEndpoint_ = true;
--- /dev/null
+++ b/packages/router/src/request/ForwardExchange.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cactuswick/router/connection/ForwardDialect.h"
+#include "cactuswick/transport/connection/HttpCall.h"
+#include "connection/ForwardErrors.h"
+#include "process/Biller.h"
+#include "process/Dispatcher.h"
+#include "request/EventSplitter.h"
+
+namespace cactuswick::router {
+
+/// What forwarded requests need of the router that serves them.
+struct ForwardServices
+{
+  transport::EventLoop& loop_;
+  Biller& biller_;
+  Dispatcher& dispatcher_;
+  transport::HttpPool& pool_;
+  telemetry::Metrics& metrics_;
+  const ForwardDialect& dialect_;
+};
+
+/// A request as it was admitted.
+struct ForwardPlan
+{
+  routing::RequestId id_ = 0;
+  ForwardRequest request_;
+  model::ForwardRoute route_;
+  std::string service_;
+  /// Most tokens in one event of the service's streams.
+  int64_t tokensPerEvent_ = 1;
+  std::string workspace_;
+  int64_t priority_ = 0;
+  /// Version of the deployment that decided all this.
+  int64_t deploymentVersion_ = 0;
+  int64_t startMs_ = 0;
+  /// When an answer is of no more use to the caller.
+  int64_t deadlineMs_ = 0;
+  /// When a request that still waits for an endpoint is refused.
+  int64_t queueDeadlineMs_ = 0;
+  /// Budget and tokens to reserve; empty for none.
+  std::string budget_;
+  ledger::Tokens bound_ = 0;
+  /// Takes one repeated send from the service's retry budget.
+  std::function<bool()> tryRepeat_;
+  /// When the caller may come back after a refusal.
+  std::function<int64_t()> retryAfterMs_;
+};
+
+/// One forwarded request: reserved, queued, sent to an endpoint, sent again
+/// where that does no harm, answered, and its use noted.
+class ForwardExchange
+{
+public:
+  ForwardExchange(ForwardServices& aServices,
+                  std::unique_ptr<transport::HttpExchange> aExchange,
+                  ForwardPlan aPlan,
+                  std::function<void()> aOnEnd);
+  ForwardExchange(const ForwardExchange&) = delete;
+  ForwardExchange& operator=(const ForwardExchange&) = delete;
+
+  void Start();
+
+private:
+  void Enqueue();
+  void OnPlaced(const model::Announcement& aEndpoint, ledger::Tokens aToRead);
+  void Send();
+  void OnHead(int aStatus, const transport::Headers& aHeaders);
+  void OnData(std::string_view aData);
+  void OnEvents(const std::string& aEvents);
+  void OnCallDone(const absl::Status& aStatus);
+  void OnWholeAnswer();
+  /// @p aArrived says that the endpoint may have read the request.
+  void OnAttemptFailed(const absl::Status& aStatus, bool aArrived);
+  bool MayRepeat(bool aArrived);
+  void OnDeadline();
+  void OnCallerGone();
+  void OnSlowCaller();
+
+  bool IsStream() const;
+  void NotePromptRead();
+  void LeaveEndpoint(routing::AttemptOutcome aOutcome, std::string_view aWhat);
+  void Fail(const absl::Status& aStatus);
+  void Finish(std::string_view aOutcome, int aStatus);
+  ledger::Tokens Used() const;
+
+  ForwardServices& services_;
+  std::unique_ptr<transport::HttpExchange> exchange_;
+  ForwardPlan plan_;
+  std::function<void()> onEnd_;
+  transport::Timer deadline_;
+  transport::Timer slowCaller_;
+  std::unique_ptr<transport::HttpCall> call_;
+  ForwardAnswer answer_;
+  std::string body_;
+  EventSplitter events_;
+
+  model::Announcement endpoint_;
+  bool atEndpoint_ = false;
+  ledger::Tokens toRead_ = 0;
+  int64_t sentMs_ = 0;
+  int64_t firstMs_ = 0;
+  /// Endpoints that the request was sent to.
+  int64_t sends_ = 0;
+  int64_t unreached_ = 0;
+  std::vector<std::string> failed_;
+  /// Attempts and how they ended, for the log.
+  std::string history_;
+  bool mayHaveRun_ = false;
+  /// The answer to the caller has begun.
+  bool started_ = false;
+  ledger::Tokens reserved_ = 0;
+  bool ended_ = false;
+};
+
+} // namespace cactuswick::router
--- a/packages/routing/include/cactuswick/routing/process/EndpointTable.h
+++ b/packages/routing/include/cactuswick/routing/process/EndpointTable.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "cactuswick/ledger/request/RouterOp.h"
 #include "cactuswick/model/version/Announcement.h"
 
 namespace cactuswick::routing {
@@ -32,6 +33,29 @@
   kNeutral,
 };
 
+/// A prompt to be read by a model engine before its first token.
+struct PromptLoad
+{
+  /// Hash of what other requests share; 0 for nothing.
+  uint64_t prefixHash_ = 0;
+  /// Tokens of that part, which an engine that has it need not read again.
+  ledger::Tokens sharedTokens_ = 0;
+  /// Tokens of the rest.
+  ledger::Tokens ownTokens_ = 0;
+
+  bool operator==(const PromptLoad&) const = default;
+};
+
+/// Where a prompt was placed.
+struct PromptPlace
+{
+  std::string endpoint_;
+  /// Tokens that the engine is expected to read.
+  ledger::Tokens toRead_ = 0;
+  /// The engine is expected to have the shared part.
+  bool hasPrefix_ = false;
+};
+
 /// The endpoints that one router knows, their load, limits and health.
 class EndpointTable
 {
@@ -54,6 +78,18 @@
                                      const std::vector<std::string>& aExcluded,
                                      int64_t aNowMs);
 
+  /// Chooses an engine for a prompt and takes a slot: the one whose pending
+  /// prompts and the part of this one that it lacks are read first. Answers
+  /// the load of many long prompts that share their beginnings.
+  std::optional<PromptPlace> AcquireForPrompt(
+    const std::string& aServes,
+    const PromptLoad& aPrompt,
+    const std::vector<std::string>& aExcluded,
+    int64_t aNowMs);
+
+  /// Says that an engine has read a prompt, or will not.
+  void OnPromptRead(const std::string& aEndpoint, ledger::Tokens aTokens);
+
   /// Whether Acquire without exclusions would find an endpoint.
   bool HasRoom(const std::string& aServes, int64_t aNowMs) const;
 
@@ -62,6 +98,15 @@
                AttemptOutcome aOutcome,
                int64_t aNowMs);
 
+  /// Takes an endpoint out of use whose incarnation was lost; it is used
+  /// again once it announces itself later.
+  void Lose(const std::string& aEndpoint, int64_t aIncarnation, int64_t aNowMs);
+
+  /// Takes an incarnation of an endpoint out of use for good.
+  void Retire(const std::string& aEndpoint,
+              int64_t aIncarnation,
+              int64_t aNowMs);
+
   /// Ejects an endpoint whose health checks failed.
   void OnUnhealthy(const std::string& aEndpoint, int64_t aNowMs);
 
@@ -90,8 +135,18 @@
     double window_ = 1;
     int64_t failures_ = 0;
     int64_t ejectedUntilMs_ = 0;
+    /// Tokens of prompts placed there and not yet read.
+    ledger::Tokens pendingTokens_ = 0;
+    /// When prompts with a prefix were last placed there.
+    std::map<uint64_t, int64_t> prefixes_;
   };
 
+  std::vector<Endpoint*> Candidates(const std::string& aServes,
+                                    const std::vector<std::string>& aExcluded,
+                                    int64_t aNowMs);
+  void DropOthersAt(const model::Announcement& aAnnouncement);
+  bool IsRetired(const model::Announcement& aAnnouncement) const;
+
   bool IsUsable(const Endpoint& aEndpoint,
                 const std::string& aServes,
                 int64_t aNowMs) const;
@@ -101,6 +156,8 @@
 
   EndpointTableOptions options_;
   std::map<std::string, Endpoint> endpoints_;
+  /// Newest incarnation out of use for good, by endpoint.
+  std::map<std::string, int64_t> retired_;
 };
 
 } // namespace cactuswick::routing
--- a/packages/routing/include/cactuswick/routing/process/GrantBook.h
+++ b/packages/routing/include/cactuswick/routing/process/GrantBook.h
@@ -21,6 +21,11 @@
   int64_t idleMs_ = 15'000;
   /// After a recall, grants are asked for in exact sizes for this long.
   int64_t recallMs_ = 3'000;
+  /// Takes the rate of a short past for the rate of the horizon.
+  bool extrapolates_ = false;
+  /// Grants are asked for ahead once less than this share of the horizon's
+  /// use is left.
+  int64_t refillPercent_ = 50;
 };
 
 /// What a router may spend: its grants, and what is reserved of them.
@@ -77,7 +82,7 @@
     int64_t recalledUntilMs_ = 0;
   };
 
-  static Tokens RecentUse(const Line& aLine);
+  Tokens RecentUse(const Line& aLine, int64_t aNowMs) const;
   static ledger::ReturnGrant GiveUp(const std::string& aBudget, Line& aLine);
 
   GrantBookOptions options_;
--- a/packages/routing/src/process/EndpointTable.cpp
+++ b/packages/routing/src/process/EndpointTable.cpp
@@ -19,6 +19,13 @@
 constexpr int64_t kMaxFailures = 16;
 /// A tie goes to the router's own failure domain.
 constexpr double kNearBonus = 0.25;
+/// How long an endpoint that is out of use is remembered, so that late
+/// messages of its life do not bring it back.
+constexpr int64_t kGoneMs = 5'000;
+/// How long an engine is expected to keep a prefix that was read there.
+constexpr int64_t kPrefixKeptMs = 20'000;
+/// What one more running request costs a prompt's reading.
+constexpr ledger::Tokens kTokensPerRunning = 300;
 
 bool
 IsNewer(const model::Announcement& aNew, const model::Announcement& aOld)
@@ -50,8 +57,12 @@
                     int64_t aAgeMs,
                     int64_t aNowMs)
 {
+  if (IsRetired(aAnnouncement)) {
+    return false;
+  }
   const auto found = endpoints_.find(aAnnouncement.endpoint_);
   if (found == endpoints_.end()) {
+    DropOthersAt(aAnnouncement);
     endpoints_[aAnnouncement.endpoint_] =
       Endpoint{ .announcement_ = aAnnouncement,
                 .heardMs_ = aNowMs - aAgeMs,
@@ -62,10 +73,12 @@
   if (!IsNewer(aAnnouncement, endpoint.announcement_)) {
     return false;
   }
+  DropOthersAt(aAnnouncement);
   const bool renewal = IsRenewal(aAnnouncement, endpoint.announcement_);
   if (aAnnouncement.incarnation_ != endpoint.announcement_.incarnation_) {
     endpoint.failures_ = 0;
     endpoint.ejectedUntilMs_ = 0;
+    endpoint.prefixes_.clear();
     endpoint.window_ = static_cast<double>(aAnnouncement.slots_);
   }
   endpoint.announcement_ = aAnnouncement;
@@ -73,11 +86,65 @@
   return !renewal;
 }
 
+bool
+EndpointTable::IsRetired(const model::Announcement& aAnnouncement) const
+{
+  const auto retired = retired_.find(aAnnouncement.endpoint_);
+  return retired != retired_.end() &&
+         aAnnouncement.incarnation_ <= retired->second;
+}
+
+void
+EndpointTable::DropOthersAt(const model::Announcement& aAnnouncement)
+{
+  // An address belongs to whoever started there last.
+  for (auto& [name, endpoint] : endpoints_) {
+    auto& other = endpoint.announcement_;
+    if (name != aAnnouncement.endpoint_ &&
+        other.address_ == aAnnouncement.address_ &&
+        other.incarnation_ < aAnnouncement.incarnation_) {
+      other.leaving_ = true;
+      other.leaseMs_ = std::min(other.leaseMs_, kGoneMs);
+    }
+  }
+}
+
+void
+EndpointTable::Lose(const std::string& aEndpoint,
+                    int64_t aIncarnation,
+                    int64_t aNowMs)
+{
+  const auto found = endpoints_.find(aEndpoint);
+  if (found == endpoints_.end() ||
+      found->second.announcement_.incarnation_ != aIncarnation) {
+    return;
+  }
+  found->second.announcement_.leaving_ = true;
+  found->second.announcement_.leaseMs_ = kGoneMs;
+  found->second.heardMs_ = aNowMs;
+}
+
+void
+EndpointTable::Retire(const std::string& aEndpoint,
+                      int64_t aIncarnation,
+                      int64_t aNowMs)
+{
+  int64_t& newest = retired_[aEndpoint];
+  newest = std::max(newest, aIncarnation);
+  const auto found = endpoints_.find(aEndpoint);
+  if (found != endpoints_.end() && IsRetired(found->second.announcement_)) {
+    Lose(aEndpoint, found->second.announcement_.incarnation_, aNowMs);
+  }
+}
+
 std::vector<std::string>
 EndpointTable::Expire(int64_t aNowMs)
 {
   std::vector<std::string> expired;
-  for (const auto& [name, endpoint] : endpoints_) {
+  for (auto& [name, endpoint] : endpoints_) {
+    std::erase_if(endpoint.prefixes_, [aNowMs](const auto& aPair) {
+      return aNowMs - aPair.second > kPrefixKeptMs;
+    });
     const int64_t lease = endpoint.announcement_.leaseMs_;
     // A leaving one is remembered for a while, so that late messages of its
     // life do not bring it back.
@@ -128,11 +195,10 @@
   return static_cast<double>(load) / static_cast<double>(announcement.slots_);
 }
 
-std::optional<std::string>
-EndpointTable::Acquire(const std::string& aServes,
-                       uint64_t aPrefixHash,
-                       const std::vector<std::string>& aExcluded,
-                       int64_t aNowMs)
+std::vector<EndpointTable::Endpoint*>
+EndpointTable::Candidates(const std::string& aServes,
+                          const std::vector<std::string>& aExcluded,
+                          int64_t aNowMs)
 {
   std::vector<Endpoint*> usable;
   std::vector<Endpoint*> healthy;
@@ -149,7 +215,73 @@
     }
   }
   // When every endpoint is ejected, ejection says nothing: all are tried.
-  const auto& candidates = healthy.empty() ? usable : healthy;
+  return healthy.empty() ? usable : healthy;
+}
+
+std::optional<PromptPlace>
+EndpointTable::AcquireForPrompt(const std::string& aServes,
+                                const PromptLoad& aPrompt,
+                                const std::vector<std::string>& aExcluded,
+                                int64_t aNowMs)
+{
+  const auto candidates = Candidates(aServes, aExcluded, aNowMs);
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  // Every router takes the same engine for a prefix's home without being
+  // told.
+  const auto rank = [&](const Endpoint* aOne) {
+    return model::Hash64(aOne->announcement_.endpoint_, aPrompt.prefixHash_);
+  };
+  const auto home = std::max_element(
+    candidates.begin(), candidates.end(), [&](const auto* a, const auto* b) {
+      return rank(a) < rank(b);
+    });
+  Endpoint* best = nullptr;
+  PromptPlace place;
+  ledger::Tokens bestCost = 0;
+  for (Endpoint* endpoint : candidates) {
+    const auto sent = endpoint->prefixes_.find(aPrompt.prefixHash_);
+    const bool recent = sent != endpoint->prefixes_.end() &&
+                        aNowMs - sent->second <= kPrefixKeptMs;
+    const bool hasPrefix = endpoint == *home || recent;
+    const ledger::Tokens toRead =
+      aPrompt.ownTokens_ + (hasPrefix ? 0 : aPrompt.sharedTokens_);
+    const ledger::Tokens cost = toRead + endpoint->pendingTokens_ +
+                                endpoint->inFlight_ * kTokensPerRunning;
+    const bool tieGoesHere = cost == bestCost && rank(endpoint) > rank(best);
+    if (best == nullptr || cost < bestCost || tieGoesHere) {
+      best = endpoint;
+      bestCost = cost;
+      place = { endpoint->announcement_.endpoint_, toRead, hasPrefix };
+    }
+  }
+  ++best->inFlight_;
+  best->pendingTokens_ += place.toRead_;
+  if (aPrompt.prefixHash_ != 0) {
+    best->prefixes_[aPrompt.prefixHash_] = aNowMs;
+  }
+  return place;
+}
+
+void
+EndpointTable::OnPromptRead(const std::string& aEndpoint,
+                            ledger::Tokens aTokens)
+{
+  const auto found = endpoints_.find(aEndpoint);
+  if (found != endpoints_.end()) {
+    auto& pending = found->second.pendingTokens_;
+    pending = std::max(ledger::Tokens{ 0 }, pending - aTokens);
+  }
+}
+
+std::optional<std::string>
+EndpointTable::Acquire(const std::string& aServes,
+                       uint64_t aPrefixHash,
+                       const std::vector<std::string>& aExcluded,
+                       int64_t aNowMs)
+{
+  const auto candidates = Candidates(aServes, aExcluded, aNowMs);
   if (candidates.empty()) {
     return std::nullopt;
   }
--- a/packages/routing/src/process/GrantBook.cpp
+++ b/packages/routing/src/process/GrantBook.cpp
@@ -4,6 +4,14 @@
 
 namespace cactuswick::routing {
 
+namespace {
+
+/// A past shorter than this says little about a rate.
+constexpr int64_t kShortestPastMs = 2'500;
+constexpr int64_t kPercent = 100;
+
+} // namespace
+
 GrantBook::GrantBook(GrantBookOptions aOptions)
   : options_(aOptions)
 {
@@ -18,6 +26,9 @@
   }
   Line& line = found->second;
   line.lastUseMs_ = aNowMs;
+  if (line.windowStartMs_ == 0) {
+    line.windowStartMs_ = aNowMs;
+  }
   if (aAmount > line.granted_ - line.reserved_) {
     return false;
   }
@@ -73,14 +84,20 @@
   ask.minimum_ =
     std::max(Tokens{ 1 }, aMinimum - (line.granted_ - line.reserved_));
   const bool exact = aNowMs < line.recalledUntilMs_;
-  ask.want_ = exact ? ask.minimum_ : std::max(ask.minimum_, RecentUse(line));
+  ask.want_ = exact ? ask.minimum_ : std::max(ask.minimum_, RecentUse(line, aNowMs));
   return ask;
 }
 
 Tokens
-GrantBook::RecentUse(const Line& aLine)
+GrantBook::RecentUse(const Line& aLine, int64_t aNowMs) const
 {
-  return std::max(aLine.spentInWindow_, aLine.spentBefore_);
+  const Tokens seen = std::max(aLine.spentInWindow_, aLine.spentBefore_);
+  if (!options_.extrapolates_ || aLine.spentBefore_ > 0) {
+    return seen;
+  }
+  const int64_t elapsed =
+    std::clamp(aNowMs - aLine.windowStartMs_, kShortestPastMs, options_.horizonMs_);
+  return std::max(seen, aLine.spentInWindow_ * options_.horizonMs_ / elapsed);
 }
 
 std::optional<ledger::AcquireGrant>
@@ -91,8 +108,9 @@
     return std::nullopt;
   }
   const Line& line = found->second;
-  const Tokens recent = RecentUse(line);
-  if (2 * (line.granted_ - line.reserved_) >= recent) {
+  const Tokens recent = RecentUse(line, aNowMs);
+  const Tokens free = line.granted_ - line.reserved_;
+  if (kPercent * free >= options_.refillPercent_ * recent) {
     return std::nullopt;
   }
   return ledger::AcquireGrant{ aBudget, recent, 1, true };
--- a/packages/settings/include/cactuswick/settings/process/SettingList.h
+++ b/packages/settings/include/cactuswick/settings/process/SettingList.h
@@ -11,6 +11,8 @@
 enum class Shape
 {
   kInteger,
+  /// A number with a fraction, 0 or more.
+  kDecimal,
   /// Lower-case letters, digits, '-', '_', '.'.
   kName,
   /// "IPv4:port".
@@ -79,6 +81,70 @@
   "",
   "Control replicas: all of them at bootstrap, any live ones when joining."
 };
+inline constexpr TextSetting kControlSeeds{
+  "control",
+  "seeds",
+  "",
+  Shape::kAddressList,
+  "",
+  "Addresses on VMs of control replicas, for founding, joining and automatic "
+  "replacement; their hosts are used with the port of listen."
+};
+inline constexpr TextSetting kControlFounds{
+  "control",
+  "founds",
+  "false",
+  Shape::kChoice,
+  "true false",
+  "Whether the whole deployment starts for the first time; the seeds then "
+  "found the control log."
+};
+inline constexpr IntegerSetting kToleratedVms{
+  "control",
+  "tolerated_vms",
+  1,
+  Shape::kInteger,
+  "VMs",
+  "Control VMs that may be lost at once; decides how many replicas vote.",
+  0,
+  4
+};
+inline constexpr TextSetting kControlApiListen{
+  "control",
+  "api_listen",
+  "",
+  Shape::kAddress,
+  "",
+  "Where the platform's operators and endpoints call; empty for none."
+};
+inline constexpr TextSetting kControlEntryListen{
+  "control",
+  "entry_listen",
+  "",
+  Shape::kAddress,
+  "",
+  "Where callers ask for addresses of routers; empty for none."
+};
+inline constexpr IntegerSetting kEntryListTtlS{
+  "control",
+  "entry_ttl_s",
+  1,
+  Shape::kInteger,
+  "s",
+  "How long callers may keep a list of routers' addresses.",
+  1,
+  3'600
+};
+inline constexpr IntegerSetting kEndpointHeartbeatMs{
+  "control",
+  "endpoint_heartbeat_ms",
+  1'000,
+  Shape::kInteger,
+  "ms",
+  "Interval at which endpoints announce themselves to control.",
+  10,
+  600'000
+};
 inline constexpr TextSetting kControlMetricsListen{
   "control", "metrics_listen",
   "",        Shape::kAddress,
@@ -129,6 +195,17 @@
   "",       Shape::kAddressList,
   "",       "Addresses of the control replicas."
 };
+inline constexpr IntegerSetting kRouterControlPort{
+  "router",
+  "control_port",
+  0,
+  Shape::kInteger,
+  "",
+  "Port of the control replicas' listeners, where it is not that of control; "
+  "0 takes the ports as they stand.",
+  0,
+  65'535
+};
 inline constexpr TextSetting kRouterMetricsListen{
   "router", "metrics_listen",
   "",       Shape::kAddress,
@@ -229,6 +306,60 @@
   600'000
 };
 
+inline constexpr TextSetting kForwardListen{
+  "forward",
+  "listen",
+  "",
+  Shape::kAddress,
+  "",
+  "Where callers send requests that are forwarded by declared routes; empty "
+  "for none."
+};
+inline constexpr TextSetting kForwardReadyListen{
+  "forward", "ready_listen",
+  "",        Shape::kAddress,
+  "",        "Where the platform asks whether the router is ready."
+};
+inline constexpr IntegerSetting kForwardLeaveMs{
+  "forward",
+  "leave_ms",
+  4'000,
+  Shape::kInteger,
+  "ms",
+  "How long a router that stops still takes requests: as long as callers may "
+  "keep an old list.",
+  0,
+  3'600'000
+};
+inline constexpr IntegerSetting kForwardGraceS{
+  "forward",
+  "grace_s",
+  8,
+  Shape::kInteger,
+  "s",
+  "Time from the signal to stop until the process is killed.",
+  1,
+  3'600
+};
+inline constexpr TextSetting kForwardRetryRatio{
+  "forward",
+  "retry_ratio",
+  "0.1",
+  Shape::kDecimal,
+  "",
+  "Repeated sends allowed per request, over all routers."
+};
+inline constexpr IntegerSetting kForwardRetrySlack{
+  "forward",
+  "retry_slack",
+  20,
+  Shape::kInteger,
+  "requests",
+  "Repeated sends allowed beyond the ratio in one window, over all routers.",
+  0,
+  1'000'000
+};
+
 inline constexpr TextSetting kOperatorKeySha256{
   "operator",
   "key_sha256",
--- a/packages/settings/include/cactuswick/settings/process/Settings.h
+++ b/packages/settings/include/cactuswick/settings/process/Settings.h
@@ -36,6 +36,8 @@
 
   std::string Get(const TextSetting& aSetting) const;
   int64_t Get(const IntegerSetting& aSetting) const;
+  /// The number of a setting of decimal shape.
+  double GetDecimal(const TextSetting& aSetting) const;
 
   bool HasRole(std::string_view aRole) const;
   /// The address of a setting that is set.
--- a/packages/settings/src/process/Settings.cpp
+++ b/packages/settings/src/process/Settings.cpp
@@ -2,10 +2,12 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <cstring>
 #include <fstream>
 #include <iterator>
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 #include <ini.h>
 
@@ -86,6 +88,8 @@
                     aSetting.high_,
                     " ",
                     aSetting.unit_);
+    case Shape::kDecimal:
+      return "a number of 0 or more, such as 0.2";
     case Shape::kName:
       return "1 to 63 of lower-case letters, digits, '-', '_', '.'";
     case Shape::kAddress:
@@ -116,6 +120,14 @@
          number >= aSetting.low_ && number <= aSetting.high_;
 }
 
+bool
+IsDecimal(std::string_view aText)
+{
+  double number = 0;
+  return absl::SimpleAtod(model::ToAbsl(aText), &number) && number >= 0 &&
+         std::isfinite(number);
+}
+
 bool
 IsOneOf(std::string_view aWord, std::string_view aWords)
 {
@@ -138,6 +150,8 @@
   switch (aSetting.shape_) {
     case Shape::kInteger:
       return IsInteger(aSetting, aText);
+    case Shape::kDecimal:
+      return IsDecimal(aText);
     case Shape::kName:
       return model::ValidateName("", aText).ok();
     case Shape::kAddress:
@@ -294,12 +308,14 @@
 {
   std::vector<TextSetting> required = { kVm, kFailureDomain };
   if (HasRole("control")) {
-    required.insert(required.end(),
-                    { kControlListen, kControlDataDir, kControlReplicas });
+    required.insert(required.end(), { kControlListen, kControlDataDir });
+    required.push_back(Get(kControlSeeds).empty() ? kControlReplicas
+                                                  : kControlSeeds);
   }
   if (HasRole("router")) {
-    required.insert(required.end(),
-                    { kRouterListen, kRouterPeerListen, kRouterControl });
+    required.insert(required.end(), { kRouterPeerListen, kRouterControl });
+    required.push_back(Get(kForwardListen).empty() ? kRouterListen
+                                                   : kForwardListen);
   }
   for (const auto& setting : required) {
     if (Get(setting).empty()) {
@@ -333,6 +349,15 @@
   return number;
 }
 
+double
+Settings::GetDecimal(const TextSetting& aSetting) const
+{
+  double number = 0;
+  // Checked when the file was read.
+  static_cast<void>(absl::SimpleAtod(Get(aSetting), &number));
+  return number;
+}
+
 bool
 Settings::HasRole(std::string_view aRole) const
 {
--- a/packages/telemetry/include/cactuswick/telemetry/process/Log.h
+++ b/packages/telemetry/include/cactuswick/telemetry/process/Log.h
@@ -44,7 +44,10 @@
   bool json_ = false;
 };
 
-/// Sets up the process's log on the standard error stream.
+/// Sets up the process's log on the standard output stream.
+///
+/// Writing never blocks: lines beyond a rate, or that the stream does not
+/// take at once, are dropped and counted in a later line.
 void
 InitLog(const LogOptions& aOptions);
 
--- a/packages/telemetry/src/process/Log.cpp
+++ b/packages/telemetry/src/process/Log.cpp
@@ -1,12 +1,17 @@
 #include "cactuswick/telemetry/process/Log.h"
 
-#include <iostream>
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include <poll.h>
+#include <unistd.h>
 
 #include <boost/log/attributes/clock.hpp>
 #include <boost/log/attributes/mutable_constant.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
@@ -23,19 +28,71 @@
 namespace {
 
 namespace logging = boost::log;
-using Backend = logging::sinks::text_ostream_backend;
-using Sink = logging::sinks::synchronous_sink<Backend>;
+
+/// Lines that may be written in a burst, and per second in the long run.
+constexpr double kBurstLines = 2'000;
+constexpr double kLinesPerSecond = 800;
+/// A pipe that is ready takes this much without blocking.
+constexpr size_t kMaxLineBytes = 4'096;
+
+/// Writes lines to the standard output, without ever waiting for it.
+class LineBackend
+  : public logging::sinks::
+      basic_formatted_sink_backend<char, logging::sinks::synchronized_feeding>
+{
+public:
+  // The library calls it by this name.
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  void consume(const logging::record_view&, const std::string& aLine)
+  {
+    if (!HasRoom()) {
+      ++dropped_;
+      return;
+    }
+    if (dropped_ > 0) {
+      Write(model::Concat("dropped_lines=", std::exchange(dropped_, 0)));
+    }
+    Write(aLine);
+  }
+
+private:
+  bool HasRoom()
+  {
+    const auto now = std::chrono::steady_clock::now();
+    const std::chrono::duration<double> elapsed = now - refilled_;
+    refilled_ = now;
+    allowed_ =
+      std::min(kBurstLines, allowed_ + elapsed.count() * kLinesPerSecond);
+    pollfd stream{ .fd = STDOUT_FILENO, .events = POLLOUT };
+    if (allowed_ < 1 || poll(&stream, 1, 0) != 1 ||
+        (stream.revents & POLLOUT) == 0) {
+      return false;
+    }
+    allowed_ -= 1;
+    return true;
+  }
+
+  static void Write(const std::string& aLine)
+  {
+    std::string line = aLine.substr(0, kMaxLineBytes - 1);
+    line.push_back('\n');
+    // A reader that is gone must not end the process.
+    static_cast<void>(write(STDOUT_FILENO, line.data(), line.size()) < 0);
+  }
+
+  std::chrono::steady_clock::time_point refilled_ =
+    std::chrono::steady_clock::now();
+  double allowed_ = kBurstLines;
+  int64_t dropped_ = 0;
+};
+
+using Sink = logging::sinks::synchronous_sink<LineBackend>;
 
 constexpr std::array<std::string_view, 9> kPartNames = {
   "main",   "control",  "storage",  "router", "billing",
   "caller", "endpoint", "operator", "peer"
 };
 
-struct DropNothing
-{
-  void operator()(const void*) const {}
-};
-
 std::string
 TimeOf(const logging::record_view& aRecord)
 {
@@ -92,11 +149,7 @@
 void
 InitLog(const LogOptions& aOptions)
 {
-  auto backend = boost::make_shared<Backend>();
-  backend->add_stream(
-    boost::shared_ptr<std::ostream>(&std::clog, DropNothing()));
-  backend->auto_flush(true);
-  auto sink = boost::make_shared<Sink>(backend);
+  auto sink = boost::make_shared<Sink>(boost::make_shared<LineBackend>());
   sink->set_formatter(aOptions.json_ ? &FormatJson : &FormatText);
   const int lowest = static_cast<int>(aOptions.level_);
   sink->set_filter(logging::expressions::attr<int>("Severity") >= lowest);
--- a/packages/transport/include/cactuswick/transport/connection/HttpCall.h
+++ b/packages/transport/include/cactuswick/transport/connection/HttpCall.h
@@ -9,6 +9,7 @@
 #include <absl/status/status.h>
 
 #include "cactuswick/transport/connection/Headers.h"
+#include "cactuswick/transport/connection/HttpPool.h"
 #include "cactuswick/transport/process/Address.h"
 #include "cactuswick/transport/process/EventLoop.h"
 
@@ -27,6 +28,10 @@
   /// Longest silence inside the answer.
   int64_t progressTimeoutMs_ = 10'000;
   size_t maxBodyBytes_ = size_t{ 64 } << 20;
+  /// Connections to use and to give back; null for one of the call's own.
+  HttpPool* pool_ = nullptr;
+  /// Takes an answer without a length that ends with its connection.
+  bool acceptsUnframed_ = false;
 
   std::function<void(int aStatus, const Headers& aHeaders)> onHeaders_;
   std::function<void(std::string_view aData)> onData_;
@@ -34,7 +39,7 @@
   std::function<void(absl::Status aStatus)> onDone_;
 };
 
-/// One HTTP request on a connection of its own.
+/// One HTTP request, on a connection of its own or one of a pool.
 ///
 /// Destroying it cancels the request and closes the connection; no hook is
 /// called afterwards.
@@ -49,6 +54,9 @@
   /// False while not one byte can have reached the endpoint.
   bool WasDispatched() const;
 
+  /// Stops or resumes reading the answer, while its taker is slow.
+  void SetReading(bool aReading);
+
 private:
   struct State;
   State* state_;
--- a/packages/transport/include/cactuswick/transport/connection/HttpExchange.h
+++ b/packages/transport/include/cactuswick/transport/connection/HttpExchange.h
@@ -28,9 +28,13 @@
   const std::string& Method() const { return method_; }
   /// Path without the query, percent-decoded.
   const std::string& Path() const { return path_; }
+  /// Path and query as they were sent.
+  const std::string& Uri() const { return uri_; }
   const std::string& Body() const { return body_; }
   /// First header of that name, or an empty string.
   std::string HeaderValue(const std::string& aName) const;
+  /// Every header, in order.
+  Headers RequestHeaders() const;
   /// First query parameter of that name, or an empty string.
   std::string QueryValue(const std::string& aName) const;
 
@@ -38,6 +42,9 @@
   void SetClosedHook(std::function<void()> aHook);
   bool IsClosed() const { return request_ == nullptr; }
 
+  /// Closes the connection after this answer, and tells the caller so.
+  void CloseAfterReply() { closeAfter_ = true; }
+
   /// Sends a whole answer.
   void Reply(int aStatus, const Headers& aHeaders, std::string_view aBody);
 
@@ -64,8 +71,10 @@
   std::string method_;
   std::string path_;
   std::string query_;
+  std::string uri_;
   std::string body_;
   std::function<void()> closedHook_;
+  bool closeAfter_ = false;
   std::unique_ptr<event, EventDeleter> hangUp_;
 };
 
--- a/packages/transport/include/cactuswick/transport/connection/PeerMessage.h
+++ b/packages/transport/include/cactuswick/transport/connection/PeerMessage.h
@@ -79,6 +79,8 @@
   kResources,
   /// The state of the control log and the routers.
   kStatus,
+  /// The declared deployment.
+  kDeployment,
 };
 
 /// Reads committed state through a quorum.
@@ -128,6 +130,7 @@
   std::vector<model::Resource> resources_;
   std::vector<ledger::AccountRecord> accounts_;
   std::optional<ControlStatus> status_;
+  std::optional<ledger::DeploymentRecord> deployment_;
 
   bool operator==(const QueryReply&) const = default;
 };
@@ -161,6 +164,8 @@
 struct JoinRequest
 {
   ledger::Member member_;
+  /// Passed on by a replica that is not the leader; goes no further.
+  bool relayed_ = false;
 
   bool operator==(const JoinRequest&) const = default;
 };
@@ -202,17 +207,43 @@
   bool operator==(const EndpointNews&) const = default;
 };
 
-/// Soft state of routers for each other.
+/// An incarnation of an endpoint that was not heard for its lease.
+struct EndpointLost
+{
+  std::string endpoint_;
+  int64_t incarnation_ = 0;
+
+  bool operator==(const EndpointLost&) const = default;
+};
+
+/// Soft state of routers for each other, and of control for routers.
 struct Gossip
 {
   ledger::Incarnation from_ = 0;
   /// Requests that the sender has in flight or queued.
   int64_t load_ = 0;
   std::vector<EndpointNews> endpoints_;
+  std::vector<EndpointLost> lost_;
 
   bool operator==(const Gossip&) const = default;
 };
 
+/// The leader's word on which routers are connected to it.
+struct RouterLiveness
+{
+  std::vector<ledger::Incarnation> connected_;
+
+  bool operator==(const RouterLiveness&) const = default;
+};
+
+/// Peer addresses of the control replicas, for routers to remember.
+struct ControlMembers
+{
+  std::vector<std::string> addresses_;
+
+  bool operator==(const ControlMembers&) const = default;
+};
+
 using PeerMessage = std::variant<KeepAlive,
                                  RaftEnvelope,
                                  ProposeRequest,
@@ -228,6 +259,8 @@
                                  CopySettlements,
                                  CopiesStored,
                                  DropCopies,
-                                 Gossip>;
+                                 Gossip,
+                                 RouterLiveness,
+                                 ControlMembers>;
 
 } // namespace cactuswick::transport
--- a/packages/transport/include/cactuswick/transport/connection/PeerMessageFields.h
+++ b/packages/transport/include/cactuswick/transport/connection/PeerMessageFields.h
@@ -7,10 +7,10 @@
 /// Wire names of the messages between processes.
 namespace cactuswick::transport {
 
-constexpr std::array<std::string_view, 3>
+constexpr std::array<std::string_view, 4>
 EnumNames(const QueryType*)
 {
-  return { "resource", "resources", "status" };
+  return { "resource", "resources", "status", "deployment" };
 }
 
 constexpr std::string_view
@@ -119,7 +119,9 @@
                            model::Field{ "revision", &QueryReply::revision_ },
                            model::Field{ "resources", &QueryReply::resources_ },
                            model::Field{ "accounts", &QueryReply::accounts_ },
-                           model::Field{ "status", &QueryReply::status_ });
+                           model::Field{ "status", &QueryReply::status_ },
+                           model::Field{ "deployment",
+                                         &QueryReply::deployment_ });
 }
 
 constexpr std::string_view
@@ -169,7 +171,8 @@
 constexpr auto
 FieldsOf(const JoinRequest*)
 {
-  return model::MakeFields(model::Field{ "member", &JoinRequest::member_ });
+  return model::MakeFields(model::Field{ "member", &JoinRequest::member_ },
+                           model::Field{ "relayed", &JoinRequest::relayed_ });
 }
 
 constexpr std::string_view
@@ -223,7 +226,42 @@
 {
   return model::MakeFields(model::Field{ "from", &Gossip::from_ },
                            model::Field{ "load", &Gossip::load_ },
-                           model::Field{ "endpoints", &Gossip::endpoints_ });
+                           model::Field{ "endpoints", &Gossip::endpoints_ },
+                           model::Field{ "lost", &Gossip::lost_ });
+}
+
+constexpr auto
+FieldsOf(const EndpointLost*)
+{
+  return model::MakeFields(
+    model::Field{ "endpoint", &EndpointLost::endpoint_ },
+    model::Field{ "incarnation", &EndpointLost::incarnation_ });
+}
+
+constexpr std::string_view
+TypeNameOf(const RouterLiveness*)
+{
+  return "router_liveness";
+}
+
+constexpr auto
+FieldsOf(const RouterLiveness*)
+{
+  return model::MakeFields(
+    model::Field{ "connected", &RouterLiveness::connected_ });
+}
+
+constexpr std::string_view
+TypeNameOf(const ControlMembers*)
+{
+  return "control_members";
+}
+
+constexpr auto
+FieldsOf(const ControlMembers*)
+{
+  return model::MakeFields(
+    model::Field{ "addresses", &ControlMembers::addresses_ });
 }
 
 constexpr auto
--- a/packages/transport/src/connection/HttpCall.cpp
+++ b/packages/transport/src/connection/HttpCall.cpp
@@ -1,13 +1,17 @@
 #include "cactuswick/transport/connection/HttpCall.h"
 
+#include <charconv>
+#include <map>
 #include <utility>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
 #include "cactuswick/model/process/Error.h"
+#include "connection/SocketOptions.h"
 
 namespace cactuswick::transport {
 
@@ -15,24 +19,49 @@
 
 using model::ErrorKind;
 
-struct ConnectionDeleter
-{
-  void operator()(evhttp_connection* aConnection) const
-  {
-    evhttp_connection_free(aConnection);
-  }
-};
+/// Idle time of a kept connection whose server names none.
+constexpr int64_t kDefaultIdleMs = 2'000;
+/// A kept connection is left this long before its server closes it.
+constexpr int64_t kIdleMarginMs = 600;
+constexpr int64_t kMsPerSecond = 1'000;
 
 evhttp_cmd_type
 ToCommand(const std::string& aMethod)
 {
-  if (aMethod == "GET") {
-    return EVHTTP_REQ_GET;
-  }
-  if (aMethod == "PUT") {
-    return EVHTTP_REQ_PUT;
+  static const std::map<std::string, evhttp_cmd_type> kCommands = {
+    { "GET", EVHTTP_REQ_GET },       { "HEAD", EVHTTP_REQ_HEAD },
+    { "PUT", EVHTTP_REQ_PUT },       { "DELETE", EVHTTP_REQ_DELETE },
+    { "PATCH", EVHTTP_REQ_PATCH },   { "POST", EVHTTP_REQ_POST },
+    { "OPTIONS", EVHTTP_REQ_OPTIONS }
+  };
+  const auto found = kCommands.find(aMethod);
+  return found == kCommands.end() ? EVHTTP_REQ_POST : found->second;
+}
+
+/// evhttp gives the length only where the method usually has a body.
+bool
+NeedsLengthHeader(const HttpCallOptions& aOptions)
+{
+  const std::string& method = aOptions.method_;
+  return !aOptions.body_.empty() && method != "POST" && method != "PUT" &&
+         method != "PATCH";
+}
+
+/// How long the server keeps an idle connection open, as it says itself.
+int64_t
+IdleMsOf(evkeyvalq* aHeaders)
+{
+  constexpr std::string_view kKey = "timeout=";
+  const char* value = evhttp_find_header(aHeaders, "Keep-Alive");
+  const std::string_view text = value == nullptr ? "" : value;
+  const auto at = text.find(kKey);
+  int64_t seconds = 0;
+  if (at == std::string_view::npos) {
+    return kDefaultIdleMs;
   }
-  return aMethod == "DELETE" ? EVHTTP_REQ_DELETE : EVHTTP_REQ_POST;
+  const char* digits = text.data() + at + kKey.size();
+  std::from_chars(digits, text.data() + text.size(), seconds);
+  return seconds * kMsPerSecond - kIdleMarginMs;
 }
 
 /// Without either header evhttp takes a closed connection for the end.
@@ -57,11 +86,16 @@
 
   void Start()
   {
-    connection_.reset(
-      evhttp_connection_base_new(loop_.Base(),
-                                 nullptr,
-                                 options_.address_.host_.c_str(),
-                                 options_.address_.port_));
+    if (options_.pool_ != nullptr) {
+      connection_ = options_.pool_->Take(options_.address_);
+    }
+    if (!connection_) {
+      connection_.reset(
+        evhttp_connection_base_new(loop_.Base(),
+                                   nullptr,
+                                   options_.address_.host_.c_str(),
+                                   options_.address_.port_));
+    }
     evhttp_connection_set_max_body_size(
       connection_.get(), static_cast<ev_ssize_t>(options_.maxBodyBytes_));
     bufferevent* stream = evhttp_connection_get_bufferevent(connection_.get());
@@ -70,13 +104,7 @@
     evhttp_request_set_header_cb(request_, &OnHeaders);
     evhttp_request_set_chunked_cb(request_, &OnData);
     evhttp_request_set_error_cb(request_, &OnError);
-    evkeyvalq* output = evhttp_request_get_output_headers(request_);
-    const std::string host = options_.address_.ToString();
-    evhttp_add_header(output, "Host", host.c_str());
-    evhttp_add_header(output, "Connection", "close");
-    for (const auto& header : options_.headers_) {
-      evhttp_add_header(output, header.name_.c_str(), header.value_.c_str());
-    }
+    AddHeaders();
     evbuffer_add(evhttp_request_get_output_buffer(request_),
                  options_.body_.data(),
                  options_.body_.size());
@@ -88,6 +116,44 @@
     if (made != 0) {
       request_ = nullptr;
       loop_.Defer([this] { Finish(ErrorKind::kUpstreamFailed, "no request"); });
+      return;
+    }
+    TuneSocket(bufferevent_getfd(stream));
+  }
+
+  void AddHeaders()
+  {
+    evkeyvalq* output = evhttp_request_get_output_headers(request_);
+    for (const auto& header : options_.headers_) {
+      evhttp_add_header(output, header.name_.c_str(), header.value_.c_str());
+    }
+    if (evhttp_find_header(output, "Host") == nullptr) {
+      const std::string host = options_.address_.ToString();
+      evhttp_add_header(output, "Host", host.c_str());
+    }
+    if (options_.pool_ == nullptr) {
+      evhttp_add_header(output, "Connection", "close");
+    }
+    if (NeedsLengthHeader(options_)) {
+      const std::string length = std::to_string(options_.body_.size());
+      evhttp_add_header(output, "Content-Length", length.c_str());
+    }
+  }
+
+  /// Gives the connection back if another request may follow on it. Bytes
+  /// behind the answer belong to no request.
+  void KeepConnection()
+  {
+    bufferevent* stream = evhttp_connection_get_bufferevent(connection_.get());
+    evbuffer* output = bufferevent_get_output(stream);
+    evbuffer_remove_cb(output, &OnOutput, this);
+    const bool clean =
+      bufferevent_getfd(stream) >= 0 && idleMs_ > 0 &&
+      evbuffer_get_length(bufferevent_get_input(stream)) == 0 &&
+      evbuffer_get_length(output) == 0;
+    if (options_.pool_ != nullptr && clean) {
+      options_.pool_->Give(
+        options_.address_, std::move(connection_), idleMs_);
     }
   }
 
@@ -123,7 +189,9 @@
   {
     auto* self = static_cast<State*>(aSelf);
     evkeyvalq* input = evhttp_request_get_input_headers(aRequest);
-    self->endless_ = !SaysWhereItEnds(input);
+    self->endless_ =
+      !self->options_.acceptsUnframed_ && !SaysWhereItEnds(input);
+    self->idleMs_ = IdleMsOf(input);
     if (self->finished_ || self->endless_) {
       return -1;
     }
@@ -167,6 +235,7 @@
     const bool whole =
       aRequest != nullptr && evhttp_request_get_response_code(aRequest) != 0;
     if (whole && !self->endless_) {
+      self->KeepConnection();
       self->Finish(absl::OkStatus());
     } else if (self->tooLong_) {
       self->Finish(ErrorKind::kTooLarge, "the answer is too large");
@@ -179,8 +248,9 @@
   EventLoop& loop_;
   HttpCallOptions options_;
   Timer timer_;
-  std::unique_ptr<evhttp_connection, ConnectionDeleter> connection_;
+  HttpConnectionPointer connection_;
   evhttp_request* request_ = nullptr;
+  int64_t idleMs_ = 0;
   bool dispatched_ = false;
   bool endless_ = false;
   bool tooLong_ = false;
@@ -202,6 +272,21 @@
   state->loop_.Defer([state] { delete state; });
 }
 
+void
+HttpCall::SetReading(bool aReading)
+{
+  if (!state_->connection_ || state_->finished_) {
+    return;
+  }
+  bufferevent* stream =
+    evhttp_connection_get_bufferevent(state_->connection_.get());
+  if (aReading) {
+    bufferevent_enable(stream, EV_READ);
+  } else {
+    bufferevent_disable(stream, EV_READ);
+  }
+}
+
 bool
 HttpCall::WasDispatched() const
 {
--- a/packages/transport/src/connection/HttpExchange.cpp
+++ b/packages/transport/src/connection/HttpExchange.cpp
@@ -8,6 +8,8 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
+#include "connection/SocketOptions.h"
+
 namespace cactuswick::transport {
 
 namespace {
@@ -39,6 +41,12 @@
       return "PUT";
     case EVHTTP_REQ_DELETE:
       return "DELETE";
+    case EVHTTP_REQ_HEAD:
+      return "HEAD";
+    case EVHTTP_REQ_PATCH:
+      return "PATCH";
+    case EVHTTP_REQ_OPTIONS:
+      return "OPTIONS";
     default:
       return "OTHER";
   }
@@ -72,6 +80,7 @@
   : loop_(aLoop)
   , request_(aRequest)
   , method_(MethodName(evhttp_request_get_command(aRequest)))
+  , uri_(evhttp_request_get_uri(aRequest))
   , body_(TakeBody(aRequest))
 {
   if (const evhttp_uri* uri = evhttp_request_get_evhttp_uri(aRequest)) {
@@ -83,6 +92,8 @@
   evhttp_connection* connection = evhttp_request_get_connection(aRequest);
   evhttp_connection_set_closecb(
     connection, [](evhttp_connection*, void* aSelf) { OnClosed(aSelf); }, this);
+  TuneSocket(
+    bufferevent_getfd(evhttp_connection_get_bufferevent(connection)));
   WatchForHangUp();
 }
 
@@ -124,6 +135,21 @@
   return value == nullptr ? "" : value;
 }
 
+Headers
+HttpExchange::RequestHeaders() const
+{
+  Headers headers;
+  if (request_ == nullptr) {
+    return headers;
+  }
+  evkeyvalq* input = evhttp_request_get_input_headers(request_);
+  for (evkeyval* item = input->tqh_first; item != nullptr;
+       item = item->next.tqe_next) {
+    headers.push_back({ item->key, item->value });
+  }
+  return headers;
+}
+
 std::string
 HttpExchange::QueryValue(const std::string& aName) const
 {
@@ -160,6 +186,9 @@
   for (const auto& header : aHeaders) {
     evhttp_add_header(output, header.name_.c_str(), header.value_.c_str());
   }
+  if (closeAfter_) {
+    evhttp_add_header(output, "Connection", "close");
+  }
 }
 
 void
--- /dev/null
+++ b/packages/transport/src/connection/HttpPool.cpp
@@ -0,0 +1,92 @@
+#include "cactuswick/transport/connection/HttpPool.h"
+
+#include <utility>
+
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+
+namespace cactuswick::transport {
+
+namespace {
+
+constexpr int64_t kTickMs = 500;
+
+/// evhttp closes the socket of an idle connection whose server has left.
+bool
+IsOpen(const HttpConnectionPointer& aConnection)
+{
+  bufferevent* stream = evhttp_connection_get_bufferevent(aConnection.get());
+  return bufferevent_getfd(stream) >= 0;
+}
+
+} // namespace
+
+void
+HttpConnectionDeleter::operator()(evhttp_connection* aConnection) const
+{
+  evhttp_connection_free(aConnection);
+}
+
+HttpPool::HttpPool(EventLoop& aLoop)
+  : tick_(aLoop, [this] { DropExpired(); })
+{
+  tick_.StartRepeating(kTickMs);
+}
+
+HttpConnectionPointer
+HttpPool::Take(const Address& aAddress)
+{
+  const auto found = idle_.find(aAddress.ToString());
+  if (found == idle_.end()) {
+    return nullptr;
+  }
+  auto& list = found->second;
+  const int64_t now = EventLoop::NowMs();
+  while (!list.empty()) {
+    Idle last = std::move(list.back());
+    list.pop_back();
+    if (now < last.untilMs_ && IsOpen(last.connection_)) {
+      return std::move(last.connection_);
+    }
+  }
+  return nullptr;
+}
+
+void
+HttpPool::Give(const Address& aAddress,
+               HttpConnectionPointer aConnection,
+               int64_t aIdleMs)
+{
+  idle_[aAddress.ToString()].push_back(
+    { std::move(aConnection), EventLoop::NowMs() + aIdleMs });
+}
+
+void
+HttpPool::Forget(const Address& aAddress)
+{
+  idle_.erase(aAddress.ToString());
+}
+
+size_t
+HttpPool::Size() const
+{
+  size_t sum = 0;
+  for (const auto& [address, list] : idle_) {
+    sum += list.size();
+  }
+  return sum;
+}
+
+void
+HttpPool::DropExpired()
+{
+  const int64_t now = EventLoop::NowMs();
+  for (auto& [address, list] : idle_) {
+    std::erase_if(list, [now](const Idle& aIdle) {
+      return now >= aIdle.untilMs_ || !IsOpen(aIdle.connection_);
+    });
+  }
+  std::erase_if(idle_, [](const auto& aPair) { return aPair.second.empty(); });
+}
+
+} // namespace cactuswick::transport
--- a/packages/transport/src/connection/HttpServer.cpp
+++ b/packages/transport/src/connection/HttpServer.cpp
@@ -61,7 +61,8 @@
                      static_cast<int>(options.idleTimeoutMs_ / kMsPerSecond));
   evhttp_set_allowed_methods(server,
                              EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
-                               EVHTTP_REQ_DELETE);
+                               EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD |
+                               EVHTTP_REQ_PATCH | EVHTTP_REQ_OPTIONS);
   evhttp_set_gencb(server, &State::OnRequest, state_.get());
 }
 
--- a/packages/transport/src/connection/PeerLink.cpp
+++ b/packages/transport/src/connection/PeerLink.cpp
@@ -4,7 +4,6 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <event2/buffer.h>
@@ -12,6 +11,7 @@
 #include <event2/event.h>
 
 #include "cactuswick/model/process/Codec.h"
+#include "connection/SocketOptions.h"
 #include "connection/WebSocketSession.h"
 
 namespace cactuswick::transport {
@@ -50,13 +50,6 @@
   return handle;
 }
 
-void
-SendAtOnce(int aSocket)
-{
-  const int on = 1;
-  setsockopt(aSocket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-}
-
 } // namespace
 
 struct PeerLink::State
@@ -169,7 +162,7 @@
   {
     auto* self = static_cast<State*>(aSelf);
     if ((aWhat & BEV_EVENT_CONNECTED) != 0) {
-      SendAtOnce(bufferevent_getfd(aStream));
+      TuneSocket(bufferevent_getfd(aStream));
       self->session_.Start();
     } else if ((aWhat & (BEV_EVENT_ERROR | BEV_EVENT_EOF)) != 0) {
       self->Close();
@@ -221,7 +214,7 @@
                                    aLimits,
                                    std::move(aHooks)))
 {
-  SendAtOnce(aSocket);
+  TuneSocket(aSocket);
   state_->session_.Start();
 }
 
