--- a/packages/control/src/process/ControlTask.cpp
+++ b/packages/control/src/process/ControlTask.cpp
@@ -156,7 +156,8 @@
           [this](int64_t aOffset, int64_t aBytes) {
             return ReadSnapshotBytes(directory_, aOffset, aBytes);
           } },
-      ledger::ReplicaStart{ .hardState_ = aRecovered.hardState_,
+      ledger::ReplicaStart{ .startMs_ = EventLoop::NowMs(),
+                            .hardState_ = aRecovered.hardState_,
                             .snapshotIndex_ = aHeader.lastIndex_,
                             .snapshotTerm_ = aHeader.lastTerm_,
                             .snapshotTimeMs_ = aHeader.lastTimeMs_,
--- a/packages/ledger/include/cactuswick/ledger/request/RouterOp.h
+++ b/packages/ledger/include/cactuswick/ledger/request/RouterOp.h
@@ -73,6 +73,16 @@
   bool operator==(const ReportUse&) const = default;
 };
 
+/// Says that the sender has given a part of its grant to another router.
+struct MoveGrant
+{
+  std::string budget_;
+  Incarnation to_ = 0;
+  Tokens amount_ = 0;
+
+  bool operator==(const MoveGrant&) const = default;
+};
+
 /// Claims the only run of a non-idempotent call.
 struct Claim
 {
@@ -177,7 +187,8 @@
                               SetDraining,
                               Goodbye,
                               Heartbeat,
-                              ReportUse>;
+                              ReportUse,
+                              MoveGrant>;
 
 /// Answer to AcquireGrant; @c granted_ is 0 when the minimum was not free.
 struct GrantResult
@@ -330,6 +341,11 @@
   return "use";
 }
 constexpr std::string_view
+TypeNameOf(const MoveGrant*)
+{
+  return "move";
+}
+constexpr std::string_view
 TypeNameOf(const Done*)
 {
   return "done";
@@ -371,6 +387,13 @@
                            model::Field{ "amount", &ReportUse::amount_ });
 }
 constexpr auto
+FieldsOf(const MoveGrant*)
+{
+  return model::MakeFields(model::Field{ "budget", &MoveGrant::budget_ },
+                           model::Field{ "to", &MoveGrant::to_ },
+                           model::Field{ "amount", &MoveGrant::amount_ });
+}
+constexpr auto
 FieldsOf(const Settle*)
 {
   return model::MakeFields(model::Field{ "holder", &Settle::holder_ },
--- a/packages/ledger/include/cactuswick/ledger/version/Ledger.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Ledger.h
@@ -125,6 +125,7 @@
   OpResult OnOp(Incarnation aRouter, const Goodbye& aOp);
   OpResult OnOp(Incarnation aRouter, const Heartbeat& aOp);
   OpResult OnOp(Incarnation aRouter, const ReportUse& aOp);
+  OpResult OnOp(Incarnation aRouter, const MoveGrant& aOp);
 
   Reply Remember(const std::string& aRequestId, Reply aReply);
   const Reply* FindReply(const std::string& aRequestId) const;
@@ -132,6 +133,7 @@
   Reply DeleteBudget(const DeleteResource& aCommand);
   Reply CheckReferences(const model::Spec& aSpec) const;
   bool HasDependents(const std::string& aWorkspace) const;
+  bool ReportsLate(Incarnation aRouter) const;
   bool IsLive(std::string_view aType, std::string_view aName) const;
 
   Tokens* FindShare(const std::string& aBudget, Incarnation aHolder);
--- a/packages/ledger/include/cactuswick/ledger/version/Replica.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Replica.h
@@ -39,6 +39,8 @@
 /// What a replica starts from.
 struct ReplicaStart
 {
+  /// The steady clock when the replica starts.
+  SteadyMs startMs_ = 0;
   HardState hardState_;
   Index snapshotIndex_ = 0;
   Term snapshotTerm_ = 0;
--- a/packages/ledger/src/version/Ledger.cpp
+++ b/packages/ledger/src/version/Ledger.cpp
@@ -135,11 +135,19 @@
 OpResult
 Ledger::OnOp(Incarnation aRouter, const ReturnGrant& aOp)
 {
+  const bool mayBeNegative =
+    ReportsLate(aRouter) && accounts_.contains(aOp.budget_);
+  if (mayBeNegative && aOp.amount_ > 0) {
+    AddToShare(aOp.budget_, aRouter, 0);
+  }
   Tokens* share = FindShare(aOp.budget_, aRouter);
   if (share == nullptr) {
     return Done{};
   }
-  const Tokens amount = std::clamp(aOp.amount_, Tokens{ 0 }, *share);
+  // What another router gave is moved here only once that one reports it.
+  const Tokens most =
+    ReportsLate(aRouter) ? std::max(aOp.amount_, Tokens{ 0 }) : *share;
+  const Tokens amount = std::clamp(aOp.amount_, Tokens{ 0 }, most);
   *share -= amount;
   accounts_[aOp.budget_].granted_ -= amount;
   DropEmptyShare(aOp.budget_, aRouter);
@@ -178,13 +186,45 @@
 OpResult
 Ledger::OnOp(Incarnation aRouter, const ReportUse& aOp)
 {
-  if (aOp.amount_ > 0 &&
-      !TakeFromShare(aOp.budget_, aRouter, aOp.amount_, false)) {
+  const auto account = accounts_.find(aOp.budget_);
+  if (account == accounts_.end() || aOp.amount_ <= 0) {
     return SettleResult{ SettleState::kUnaccounted };
   }
+  AddToShare(aOp.budget_, aRouter, -aOp.amount_);
+  account->second.granted_ -= aOp.amount_;
+  account->second.billed_ += aOp.amount_;
+  DropEmptyShare(aOp.budget_, aRouter);
   return SettleResult{ SettleState::kBilled, aOp.amount_ };
 }
 
+OpResult
+Ledger::OnOp(Incarnation aRouter, const MoveGrant& aOp)
+{
+  const auto account = accounts_.find(aOp.budget_);
+  if (account == accounts_.end() || aOp.amount_ <= 0) {
+    return Done{};
+  }
+  AddToShare(aOp.budget_, aRouter, -aOp.amount_);
+  DropEmptyShare(aOp.budget_, aRouter);
+  const auto to = routers_.find(aOp.to_);
+  if (to != routers_.end() && to->second.state_ != RouterState::kEnded) {
+    AddToShare(aOp.budget_, aOp.to_, aOp.amount_);
+    DropEmptyShare(aOp.budget_, aOp.to_);
+  } else {
+    // Its receiver died; what it used of it is not known.
+    account->second.granted_ -= aOp.amount_;
+    account->second.held_ += aOp.amount_;
+  }
+  return Done{};
+}
+
+bool
+Ledger::ReportsLate(Incarnation aRouter) const
+{
+  const auto found = routers_.find(aRouter);
+  return found != routers_.end() && found->second.reportsLate_;
+}
+
 bool
 Ledger::TakeFromShare(const std::string& aBudget,
                       Incarnation aHolder,
@@ -331,7 +371,10 @@
     Tokens granted = 0;
     for (const auto& share : GrantsOf(budget)) {
       granted += share.amount_;
-      if (share.amount_ <= 0) {
+      // A negative share is what a router used of others' grants before they
+      // reported that they had given it.
+      if (share.amount_ == 0 ||
+          (share.amount_ < 0 && !ReportsLate(share.holder_))) {
         return breach(budget, "a grant is not positive");
       }
       if (!routers_.contains(share.holder_)) {
--- a/packages/ledger/src/version/Replica.cpp
+++ b/packages/ledger/src/version/Replica.cpp
@@ -23,6 +23,7 @@
   , snapshotTerm_(aStart.snapshotTerm_)
   , startMembers_(std::move(aStart.members_))
   , commit_(aStart.snapshotIndex_)
+  , nowMs_(aStart.startMs_)
   , random_(options_.seed_)
 {
   log_.Reset(snapshotIndex_, snapshotTerm_, aStart.snapshotTimeMs_);
@@ -33,7 +34,10 @@
   }
   persisted_ = log_.LastIndex();
   UpdateMembers();
-  ResetElectionTimer();
+  // After a restart nobody may lead; a live leader's followers deny the vote.
+  std::uniform_int_distribution<SteadyMs> soon(options_.electionMinMs_ / 4,
+                                               options_.electionMinMs_);
+  electionDeadlineMs_ = nowMs_ + soon(random_);
 }
 
 bool
--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -25,12 +25,32 @@
 constexpr int64_t kIdleCheckMs = 2'000;
 /// Interval between reports of use.
 constexpr int64_t kReportMs = 1'500;
+/// A request waits this long for control before other routers are asked.
+constexpr int64_t kBorrowAfterMs = 60;
+/// Part of the recent use that is borrowed ahead.
+constexpr ledger::Tokens kBorrowDivisor = 4;
 
 } // namespace
 
 Biller::Biller(EventLoop& aLoop, BillerOptions aOptions)
   : options_(aOptions)
   , grants_(aOptions.grants_)
+  , loans_(aLoop,
+           { .from_ = aOptions.from_,
+             .self_ = [this] { return options_.control_.Incarnation(); },
+             .routers_ = [this] { return options_.config_.Routers(); },
+             .lend_ =
+               [this](const transport::LendRequest& aRequest) {
+                 return LendTo(aRequest);
+               },
+             .onLent_ =
+               [this](const std::string& aBudget, ledger::Tokens aAmount) {
+                 grants_.OnGranted(aBudget, aAmount);
+                 ServeWaiters(aBudget);
+               },
+             .onRefused_ = [this](const std::string& aBudget) {
+               OnNobodyLends(aBudget);
+             } })
   , tick_(aLoop, [this] { OnTick(); })
 {
   tick_.StartRepeating(kTickMs);
@@ -45,6 +65,12 @@
       AskNext(budget);
     }
   }
+  for (const auto& [budget, queue] : queues_) {
+    if (options_.borrows_ && !queue.waiters_.empty() &&
+        now - queue.waiters_.front().sinceMs_ >= kBorrowAfterMs) {
+      Borrow(budget, now);
+    }
+  }
   ExpireReserves(now);
   ExpireSettles(now);
   if (!options_.control_.IsReachable()) {
@@ -67,6 +93,66 @@
   }
 }
 
+void
+Biller::Borrow(const std::string& aBudget, int64_t aNowMs)
+{
+  const BudgetQueue& queue = queues_[aBudget];
+  ledger::Tokens needed = -grants_.Free(aBudget);
+  for (const auto& waiter : queue.waiters_) {
+    needed += waiter.amount_;
+  }
+  const ledger::Tokens first =
+    queue.waiters_.front().amount_ - grants_.Free(aBudget);
+  const ledger::Tokens ahead =
+    grants_.RecentUseOf(aBudget, aNowMs) / kBorrowDivisor;
+  loans_.Ask(aBudget, needed + ahead, std::max(ledger::Tokens{ 1 }, first));
+}
+
+void
+Biller::OnNobodyLends(const std::string& aBudget)
+{
+  if (options_.control_.IsReachable()) {
+    return;
+  }
+  auto& waiters = queues_[aBudget].waiters_;
+  if (!waiters.empty()) {
+    FailFirst(aBudget,
+              MakeError(ErrorKind::kControlUnreachable,
+                        "budget",
+                        "cut off from control, and no router can lend"));
+  }
+}
+
+ledger::Tokens
+Biller::LendTo(const transport::LendRequest& aRequest)
+{
+  const ledger::Tokens lent =
+    grants_.Lend(aRequest.budget_, aRequest.want_, aRequest.minimum_);
+  if (lent > 0) {
+    Log(Part::kBilling,
+        Level::kInfo,
+        model::Concat("lends budget=",
+                      aRequest.budget_,
+                      " tokens=",
+                      lent,
+                      " to=",
+                      aRequest.borrower_,
+                      " left=",
+                      grants_.Free(aRequest.budget_)));
+    // Committed once control is reachable; until then the whole share counts
+    // as this router's.
+    options_.control_.Submit(
+      ledger::MoveGrant{ aRequest.budget_, aRequest.borrower_, lent });
+  }
+  return lent;
+}
+
+transport::LendReply
+Biller::OnLend(const transport::LendRequest& aRequest)
+{
+  return loans_.On(aRequest);
+}
+
 void
 Biller::Use(const std::string& aBudget,
             ledger::Tokens aReserved,
--- a/packages/router/src/process/Biller.h
+++ b/packages/router/src/process/Biller.h
@@ -14,6 +14,7 @@
 #include "cactuswick/routing/process/SettlementBook.h"
 #include "cactuswick/telemetry/process/Metrics.h"
 #include "process/ControlClient.h"
+#include "process/GrantLoans.h"
 #include "process/RouterPeers.h"
 #include "version/ConfigView.h"
 
@@ -33,6 +34,10 @@
   int64_t maxTries_ = 20;
   /// Whether waiting ends after its time also while control answers.
   bool expiresAlways_ = false;
+  /// Whether other routers are asked while control is unreachable.
+  bool borrows_ = false;
+  /// Own IP number to connect from.
+  std::string from_;
   routing::GrantBookOptions grants_;
 };
 
@@ -79,6 +84,9 @@
               ledger::Tokens aReserved,
               SettleHook aHook);
 
+  /// Answers a router that is cut off from control as well.
+  transport::LendReply OnLend(const transport::LendRequest& aRequest);
+
   void OnRecall(const std::string& aBudget);
   void OnConfig();
   void OnStored(const transport::CopiesStored& aStored);
@@ -122,6 +130,9 @@
   void OnTick();
   void ReturnIdle(int64_t aNowMs);
   void ReportUses();
+  void Borrow(const std::string& aBudget, int64_t aNowMs);
+  void OnNobodyLends(const std::string& aBudget);
+  ledger::Tokens LendTo(const transport::LendRequest& aRequest);
   void AskFor(const ledger::AcquireGrant& aAsk);
   void AskNext(const std::string& aBudget);
   void AskAhead(const std::string& aBudget);
@@ -147,6 +158,7 @@
   /// Used and not reported yet, by budget.
   std::map<std::string, ledger::Tokens> unreported_;
   int64_t lastReportMs_ = 0;
+  GrantLoans loans_;
   transport::Timer tick_;
 };
 
--- /dev/null
+++ b/packages/router/src/process/GrantLoans.cpp
@@ -0,0 +1,177 @@
+#include "process/GrantLoans.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "cactuswick/model/process/Hash.h"
+#include "cactuswick/telemetry/process/Log.h"
+
+namespace cactuswick::router {
+
+namespace {
+
+using ledger::Incarnation;
+using telemetry::Level;
+using telemetry::Log;
+using telemetry::Part;
+using transport::EventLoop;
+
+constexpr int64_t kTickMs = 50;
+/// A lender that does not answer for this long counts as one that has none.
+constexpr int64_t kAnswerMs = 150;
+constexpr int64_t kIdleMs = 15'000;
+/// Routers asked at the same time, and in one round.
+constexpr int64_t kAskedAtOnce = 2;
+constexpr size_t kAskedInAll = 8;
+
+} // namespace
+
+GrantLoans::GrantLoans(EventLoop& aLoop, GrantLoansOptions aOptions)
+  : loop_(aLoop)
+  , options_(std::move(aOptions))
+  , tick_(aLoop, [this] { OnTick(); })
+{
+  tick_.StartRepeating(kTickMs);
+}
+
+transport::LendReply
+GrantLoans::On(const transport::LendRequest& aRequest) const
+{
+  return { aRequest.call_, aRequest.budget_, options_.lend_(aRequest) };
+}
+
+void
+GrantLoans::Ask(const std::string& aBudget,
+                ledger::Tokens aWant,
+                ledger::Tokens aMinimum)
+{
+  if (rounds_.contains(aBudget)) {
+    return;
+  }
+  Round round{ .request_ = { .borrower_ = options_.self_(),
+                             .budget_ = aBudget,
+                             .want_ = std::max(aWant, aMinimum),
+                             .minimum_ = aMinimum } };
+  for (const auto& router : options_.routers_()) {
+    if (router.incarnation_ != options_.self_() &&
+        router.state_ != ledger::RouterState::kEnded) {
+      round.untried_.push_back(router.incarnation_);
+    }
+  }
+  // In another order each time, so that nobody is always asked first.
+  std::mt19937_64 random(model::Hash64(aBudget, ++lastCall_));
+  std::shuffle(round.untried_.begin(), round.untried_.end(), random);
+  if (round.untried_.size() > kAskedInAll) {
+    round.untried_.resize(kAskedInAll);
+  }
+  Round& asked = rounds_[aBudget] = std::move(round);
+  AskNext(asked);
+}
+
+void
+GrantLoans::AskNext(Round& aRound)
+{
+  aRound.lastAskMs_ = EventLoop::NowMs();
+  while (aRound.open_ < kAskedAtOnce && !aRound.untried_.empty()) {
+    const Incarnation lender = aRound.untried_.back();
+    aRound.untried_.pop_back();
+    ++aRound.open_;
+    aRound.request_.call_ = ++lastCall_;
+    SendTo(lender, aRound.request_);
+  }
+}
+
+void
+GrantLoans::SendTo(Incarnation aLender, const transport::LendRequest& aRequest)
+{
+  Lender& lender = lenders_[aLender];
+  lender.lastUseMs_ = EventLoop::NowMs();
+  if (lender.dialer_ && lender.dialer_->IsUp()) {
+    lender.dialer_->Send(aRequest);
+    return;
+  }
+  lender.unsent_.push_back(aRequest);
+  if (lender.dialer_) {
+    return;
+  }
+  for (const auto& router : options_.routers_()) {
+    const auto address = transport::ParseAddress("", router.peerAddress_);
+    if (router.incarnation_ != aLender || !address.ok()) {
+      continue;
+    }
+    lender.dialer_ = std::make_unique<transport::PeerDialer>(
+      loop_,
+      transport::PeerDialerOptions{
+        .address_ = *address,
+        .from_ = options_.from_,
+        .onUp_ =
+          [this, aLender] {
+            for (const auto& unsent :
+                 std::exchange(lenders_[aLender].unsent_, {})) {
+              lenders_[aLender].dialer_->Send(unsent);
+            }
+          },
+        .onMessage_ =
+          [this](const transport::PeerMessage& aMessage) {
+            if (const auto* reply =
+                  std::get_if<transport::LendReply>(&aMessage)) {
+              On(*reply);
+            }
+          } });
+  }
+}
+
+void
+GrantLoans::On(const transport::LendReply& aReply)
+{
+  // Also when it comes late: the lender has given it away.
+  if (aReply.amount_ > 0) {
+    Log(Part::kBilling,
+        Level::kInfo,
+        model::Concat(
+          "borrowed budget=", aReply.budget_, " tokens=", aReply.amount_));
+    rounds_.erase(aReply.budget_);
+    options_.onLent_(aReply.budget_, aReply.amount_);
+    return;
+  }
+  const auto found = rounds_.find(aReply.budget_);
+  if (found == rounds_.end()) {
+    return;
+  }
+  Round& round = found->second;
+  round.open_ = std::max(int64_t{ 0 }, round.open_ - 1);
+  if (round.open_ == 0 && round.untried_.empty()) {
+    rounds_.erase(found);
+    options_.onRefused_(aReply.budget_);
+    return;
+  }
+  AskNext(round);
+}
+
+void
+GrantLoans::OnTick()
+{
+  const int64_t now = EventLoop::NowMs();
+  std::vector<std::string> refused;
+  for (auto& [budget, round] : rounds_) {
+    if (now - round.lastAskMs_ < kAnswerMs) {
+      continue;
+    }
+    round.open_ = 0;
+    if (round.untried_.empty()) {
+      refused.push_back(budget);
+    } else {
+      AskNext(round);
+    }
+  }
+  for (const auto& budget : refused) {
+    rounds_.erase(budget);
+    options_.onRefused_(budget);
+  }
+  std::erase_if(lenders_, [now](const auto& aPair) {
+    return now - aPair.second.lastUseMs_ > kIdleMs;
+  });
+}
+
+} // namespace cactuswick::router
--- /dev/null
+++ b/packages/router/src/process/GrantLoans.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cactuswick/ledger/version/Records.h"
+#include "cactuswick/transport/connection/PeerDialer.h"
+
+namespace cactuswick::router {
+
+struct GrantLoansOptions
+{
+  /// Own IP number to connect from.
+  std::string from_;
+  std::function<ledger::Incarnation()> self_;
+  std::function<std::vector<ledger::RouterRecord>()> routers_;
+  /// Gives tokens of this router's grant away; 0 for none.
+  std::function<ledger::Tokens(const transport::LendRequest&)> lend_;
+  /// Takes tokens that another router has given.
+  std::function<void(const std::string& aBudget, ledger::Tokens)> onLent_;
+  /// Nobody who was asked can spare what is needed.
+  std::function<void(const std::string& aBudget)> onRefused_;
+};
+
+/// Borrows parts of grants from other routers while control is unreachable.
+///
+/// Links are made when they are needed and closed when they are idle, to a
+/// few routers at a time, whatever the size of the fleet.
+class GrantLoans
+{
+public:
+  GrantLoans(transport::EventLoop& aLoop, GrantLoansOptions aOptions);
+
+  /// Asks for tokens of a budget, unless it is being asked for already.
+  void Ask(const std::string& aBudget,
+           ledger::Tokens aWant,
+           ledger::Tokens aMinimum);
+
+  /// Answers another router.
+  transport::LendReply On(const transport::LendRequest& aRequest) const;
+
+private:
+  struct Lender
+  {
+    std::unique_ptr<transport::PeerDialer> dialer_;
+    int64_t lastUseMs_ = 0;
+    std::vector<transport::LendRequest> unsent_;
+  };
+
+  /// One round of asking for a budget.
+  struct Round
+  {
+    transport::LendRequest request_;
+    std::vector<ledger::Incarnation> untried_;
+    int64_t lastAskMs_ = 0;
+    int64_t open_ = 0;
+  };
+
+  void AskNext(Round& aRound);
+  void SendTo(ledger::Incarnation aLender,
+              const transport::LendRequest& aRequest);
+  void On(const transport::LendReply& aReply);
+  void OnTick();
+
+  transport::EventLoop& loop_;
+  GrantLoansOptions options_;
+  std::map<ledger::Incarnation, Lender> lenders_;
+  std::map<std::string, Round> rounds_;
+  transport::CallId lastCall_ = 0;
+  transport::Timer tick_;
+};
+
+} // namespace cactuswick::router
--- a/packages/router/src/process/RouterPeers.cpp
+++ b/packages/router/src/process/RouterPeers.cpp
@@ -45,6 +45,9 @@
     } else if (const auto* drop =
                  std::get_if<transport::DropCopies>(&aMessage)) {
       options_.onDrop_(*drop);
+    } else if (const auto* lend =
+                 std::get_if<transport::LendRequest>(&aMessage)) {
+      listener_.Send(aLink, options_.onLend_(*lend));
     } else if (const auto* gossip = std::get_if<transport::Gossip>(&aMessage)) {
       const auto peer = peers_.find(gossip->from_);
       if (peer != peers_.end()) {
--- a/packages/router/src/process/RouterPeers.h
+++ b/packages/router/src/process/RouterPeers.h
@@ -26,6 +26,8 @@
     onCopies_;
   std::function<void(const transport::CopiesStored&)> onStored_;
   std::function<void(const transport::DropCopies&)> onDrop_;
+  /// Gives a part of this router's grant to another one.
+  std::function<transport::LendReply(const transport::LendRequest&)> onLend_;
   /// The link to a router that may keep copies is gone.
   std::function<void(ledger::Incarnation)> onKeeperLost_;
   /// Endpoints heard here, to tell a router that has just connected.
--- a/packages/router/src/process/RouterTask.cpp
+++ b/packages/router/src/process/RouterTask.cpp
@@ -130,6 +130,10 @@
               biller_->OnDrop(aDrop);
             }
           },
+        .onLend_ =
+          [this](const transport::LendRequest& aRequest) {
+            return biller_->OnLend(aRequest);
+          },
         .onKeeperLost_ =
           [this](ledger::Incarnation aKeeper) {
             biller_->OnKeeperLost(aKeeper);
@@ -255,6 +259,8 @@
       billing.reserveTimeoutMs_ = kForwardReserveMs;
       billing.maxTries_ = kForwardMaxTries;
       billing.expiresAlways_ = true;
+      billing.borrows_ = true;
+      billing.from_ = settings_.GetAddress(settings::kRouterPeerListen).host_;
       billing.grants_ = { .horizonMs_ = kForwardHorizonMs,
                           .extrapolates_ = true,
                           .refillPercent_ = kForwardRefillPercent };
--- a/packages/routing/include/cactuswick/routing/process/EndpointTable.h
+++ b/packages/routing/include/cactuswick/routing/process/EndpointTable.h
@@ -144,6 +144,7 @@
   std::vector<Endpoint*> Candidates(const std::string& aServes,
                                     const std::vector<std::string>& aExcluded,
                                     int64_t aNowMs);
+  std::string AcquireNear(const std::vector<Endpoint*>& aCandidates);
   void DropOthersAt(const model::Announcement& aAnnouncement);
   bool IsRetired(const model::Announcement& aAnnouncement) const;
 
@@ -156,6 +157,7 @@
 
   EndpointTableOptions options_;
   std::map<std::string, Endpoint> endpoints_;
+  size_t turn_ = 0;
   /// Newest incarnation out of use for good, by endpoint.
   std::map<std::string, int64_t> retired_;
 };
--- a/packages/routing/include/cactuswick/routing/process/GrantBook.h
+++ b/packages/routing/include/cactuswick/routing/process/GrantBook.h
@@ -45,6 +45,14 @@
   void Spend(const std::string& aBudget, Tokens aAmount);
 
   void OnGranted(const std::string& aBudget, Tokens aAmount);
+
+  /// Gives tokens to another router that is cut off from control: up to half
+  /// of what is free, and @p aMinimum if all of it is that much. 0 for none.
+  Tokens Lend(const std::string& aBudget, Tokens aWant, Tokens aMinimum);
+
+  /// Tokens that the horizon's use came to, lately.
+  Tokens RecentUseOf(const std::string& aBudget, int64_t aNowMs) const;
+
   /// The budget is near its end: exact sizes from now on, for a while.
   void OnDenied(const std::string& aBudget, int64_t aNowMs);
 
--- a/packages/routing/src/process/EndpointTable.cpp
+++ b/packages/routing/src/process/EndpointTable.cpp
@@ -17,8 +17,9 @@
 /// The window never passes this multiple of the announced slots.
 constexpr double kMaxWindowPerSlot = 1.25;
 constexpr int64_t kMaxFailures = 16;
-/// A tie goes to the router's own failure domain.
-constexpr double kNearBonus = 0.25;
+/// An endpoint of another failure domain is taken once the near ones are
+/// fuller by this part of their slots.
+constexpr double kFarLoad = 0.25;
 /// How long an endpoint that is out of use is remembered, so that late
 /// messages of its life do not bring it back.
 constexpr int64_t kGoneMs = 5'000;
@@ -285,6 +286,9 @@
   if (candidates.empty()) {
     return std::nullopt;
   }
+  if (aPrefixHash == 0) {
+    return AcquireNear(candidates);
+  }
   const auto emptiest = std::min_element(
     candidates.begin(), candidates.end(), [](const auto* a, const auto* b) {
       return LoadOf(*a) < LoadOf(*b);
@@ -301,10 +305,7 @@
     // Rendezvous hashing keeps a prefix at its endpoint as others come and go.
     const uint64_t hash =
       model::Hash64(endpoint->announcement_.endpoint_, aPrefixHash);
-    double score = static_cast<double>(hash >> 11) * 0x1.0p-53;
-    const bool near =
-      endpoint->announcement_.failureDomain_ == options_.failureDomain_;
-    score += near && aPrefixHash == 0 ? kNearBonus : 0;
+    const double score = static_cast<double>(hash >> 11) * 0x1.0p-53;
     if (best == nullptr || score > bestScore) {
       best = endpoint;
       bestScore = score;
@@ -314,6 +315,27 @@
   return best->announcement_.endpoint_;
 }
 
+std::string
+EndpointTable::AcquireNear(const std::vector<Endpoint*>& aCandidates)
+{
+  // Ties take turns, so that routers with little load do not all go to one.
+  const size_t offset = turn_++ % aCandidates.size();
+  Endpoint* best = nullptr;
+  double bestLoad = 0;
+  for (size_t i = 0; i < aCandidates.size(); ++i) {
+    Endpoint* one = aCandidates[(i + offset) % aCandidates.size()];
+    const bool near =
+      one->announcement_.failureDomain_ == options_.failureDomain_;
+    const double load = LoadOf(*one) + (near ? 0 : kFarLoad);
+    if (best == nullptr || load < bestLoad) {
+      best = one;
+      bestLoad = load;
+    }
+  }
+  ++best->inFlight_;
+  return best->announcement_.endpoint_;
+}
+
 void
 EndpointTable::Release(const std::string& aEndpoint,
                        AttemptOutcome aOutcome,
--- a/packages/routing/src/process/GrantBook.cpp
+++ b/packages/routing/src/process/GrantBook.cpp
@@ -113,7 +113,33 @@
   if (kPercent * free >= options_.refillPercent_ * recent) {
     return std::nullopt;
   }
-  return ledger::AcquireGrant{ aBudget, recent, 1, true };
+  // What is left counts where the whole horizon is to be covered at all times.
+  const Tokens want = options_.extrapolates_ ? recent - free : recent;
+  return ledger::AcquireGrant{ aBudget, want, 1, true };
+}
+
+Tokens
+GrantBook::Lend(const std::string& aBudget, Tokens aWant, Tokens aMinimum)
+{
+  const auto found = lines_.find(aBudget);
+  if (found == lines_.end() || aMinimum < 1) {
+    return 0;
+  }
+  Line& line = found->second;
+  const Tokens free = line.granted_ - line.reserved_;
+  if (free < aMinimum) {
+    return 0;
+  }
+  const Tokens lent = std::max(aMinimum, std::min(aWant, free / 2));
+  line.granted_ -= lent;
+  return lent;
+}
+
+Tokens
+GrantBook::RecentUseOf(const std::string& aBudget, int64_t aNowMs) const
+{
+  const auto found = lines_.find(aBudget);
+  return found == lines_.end() ? 0 : RecentUse(found->second, aNowMs);
 }
 
 void
--- a/packages/transport/include/cactuswick/transport/connection/PeerMessage.h
+++ b/packages/transport/include/cactuswick/transport/connection/PeerMessage.h
@@ -244,6 +244,28 @@
   bool operator==(const ControlMembers&) const = default;
 };
 
+/// Asks another router for a part of its grant, while control is unreachable.
+struct LendRequest
+{
+  CallId call_ = 0;
+  ledger::Incarnation borrower_ = 0;
+  std::string budget_;
+  ledger::Tokens want_ = 0;
+  ledger::Tokens minimum_ = 0;
+
+  bool operator==(const LendRequest&) const = default;
+};
+
+/// Answer to LendRequest; 0 when the lender cannot spare the minimum.
+struct LendReply
+{
+  CallId call_ = 0;
+  std::string budget_;
+  ledger::Tokens amount_ = 0;
+
+  bool operator==(const LendReply&) const = default;
+};
+
 using PeerMessage = std::variant<KeepAlive,
                                  RaftEnvelope,
                                  ProposeRequest,
@@ -261,6 +283,8 @@
                                  DropCopies,
                                  Gossip,
                                  RouterLiveness,
-                                 ControlMembers>;
+                                 ControlMembers,
+                                 LendRequest,
+                                 LendReply>;
 
 } // namespace cactuswick::transport
--- a/packages/transport/include/cactuswick/transport/connection/PeerMessageFields.h
+++ b/packages/transport/include/cactuswick/transport/connection/PeerMessageFields.h
@@ -251,6 +251,37 @@
     model::Field{ "connected", &RouterLiveness::connected_ });
 }
 
+constexpr std::string_view
+TypeNameOf(const LendRequest*)
+{
+  return "lend";
+}
+
+constexpr auto
+FieldsOf(const LendRequest*)
+{
+  return model::MakeFields(
+    model::Field{ "call", &LendRequest::call_ },
+    model::Field{ "borrower", &LendRequest::borrower_ },
+    model::Field{ "budget", &LendRequest::budget_ },
+    model::Field{ "want", &LendRequest::want_ },
+    model::Field{ "minimum", &LendRequest::minimum_ });
+}
+
+constexpr std::string_view
+TypeNameOf(const LendReply*)
+{
+  return "lent";
+}
+
+constexpr auto
+FieldsOf(const LendReply*)
+{
+  return model::MakeFields(model::Field{ "call", &LendReply::call_ },
+                           model::Field{ "budget", &LendReply::budget_ },
+                           model::Field{ "amount", &LendReply::amount_ });
+}
+
 constexpr std::string_view
 TypeNameOf(const ControlMembers*)
 {
--- a/packages/transport/src/connection/HttpExchange.cpp
+++ b/packages/transport/src/connection/HttpExchange.cpp
@@ -52,6 +52,26 @@
   }
 }
 
+/// Frees a connection from the loop, since evhttp may be in the middle of a
+/// callback of it; not if evhttp has freed it first, as it does on errors.
+void
+FreeLater(EventLoop& aLoop, evhttp_connection* aConnection)
+{
+  const auto held = std::make_shared<evhttp_connection*>(aConnection);
+  evhttp_connection_set_closecb(
+    aConnection,
+    [](evhttp_connection*, void* aHeld) {
+      *static_cast<evhttp_connection**>(aHeld) = nullptr;
+    },
+    held.get());
+  aLoop.Defer([held] {
+    if (*held != nullptr) {
+      evhttp_connection_set_closecb(*held, nullptr, nullptr);
+      evhttp_connection_free(*held);
+    }
+  });
+}
+
 std::string
 TakeBody(evhttp_request* aRequest)
 {
@@ -264,8 +284,7 @@
   evhttp_request* request = request_;
   Release();
   const auto cut = [](evhttp_connection* aConnection, void* aLoop) {
-    static_cast<EventLoop*>(aLoop)->Defer(
-      [aConnection] { evhttp_connection_free(aConnection); });
+    FreeLater(*static_cast<EventLoop*>(aLoop), aConnection);
   };
   evhttp_send_reply_chunk_with_cb(request, ToBuffer(aData).get(), cut, &loop_);
 }
@@ -278,8 +297,7 @@
   }
   evhttp_connection* connection = evhttp_request_get_connection(request_);
   Release();
-  // Not freed here: evhttp may be in the middle of this connection's callback.
-  loop_.Defer([connection] { evhttp_connection_free(connection); });
+  FreeLater(loop_, connection);
 }
 
 } // namespace cactuswick::transport
