--- a/packages/control/src/connection/ControlService.cpp
+++ b/packages/control/src/connection/ControlService.cpp
@@ -5,12 +5,17 @@
 
 #include "cactuswick/model/process/Error.h"
 #include "cactuswick/model/process/Text.h"
+#include "cactuswick/telemetry/process/Log.h"
 #include "cactuswick/transport/process/EventLoop.h"
 
 namespace cactuswick::control {
 
 namespace {
 
+using telemetry::Level;
+using telemetry::Log;
+using telemetry::Part;
+
 constexpr size_t kMaxListed = 10'000;
 constexpr std::string_view kBudgetType = "budget";
 
@@ -198,10 +203,37 @@
         ask->ahead_) {
       continue;
     }
+    LogDenied(*ask, aBatch.incarnation_);
     RecallFrom(ask->budget_, aBatch.incarnation_);
   }
 }
 
+void
+ControlService::LogDenied(const ledger::AcquireGrant& aAsk,
+                          ledger::Incarnation aRouter) const
+{
+  const auto* account = options_.ledger_.FindAccount(aAsk.budget_);
+  if (account == nullptr) {
+    return;
+  }
+  Log(Part::kBilling,
+      Level::kInfo,
+      model::Concat("denies a grant budget=",
+                    aAsk.budget_,
+                    " router=",
+                    aRouter,
+                    " asked=",
+                    aAsk.minimum_,
+                    " total=",
+                    account->toppedUp_,
+                    " billed=",
+                    account->billed_,
+                    " granted=",
+                    account->granted_,
+                    " held=",
+                    account->held_));
+}
+
 void
 ControlService::RecallFrom(const std::string& aBudget,
                            ledger::Incarnation aExcept) const
--- a/packages/control/src/connection/ControlService.h
+++ b/packages/control/src/connection/ControlService.h
@@ -83,6 +83,8 @@
   transport::ControlMembers Members() const;
   void Recall(const ledger::RouterBatch& aBatch,
               const ledger::BatchReply& aReply);
+  void LogDenied(const ledger::AcquireGrant& aAsk,
+                 ledger::Incarnation aRouter) const;
   /// Asks the holders of grants of a budget, but @p aExcept, to give back.
   void RecallFrom(const std::string& aBudget,
                   ledger::Incarnation aExcept) const;
--- a/packages/control/src/connection/MemberLinks.cpp
+++ b/packages/control/src/connection/MemberLinks.cpp
@@ -13,12 +13,14 @@
 }
 
 std::unique_ptr<transport::PeerDialer>
-MemberLinks::MakeDialer(const transport::Address& aAddress) const
+MemberLinks::MakeDialer(const transport::Address& aAddress,
+                        std::function<void()> aOnUp) const
 {
   return std::make_unique<transport::PeerDialer>(
     loop_,
     transport::PeerDialerOptions{ .address_ = aAddress,
                                   .from_ = options_.from_,
+                                  .onUp_ = std::move(aOnUp),
                                   .onMessage_ = options_.onMessage_ });
 }
 
@@ -27,7 +29,7 @@
 {
   const auto address = transport::ParseAddress("", aAddress);
   if (!dialers_.contains(aId) && address.ok()) {
-    dialers_[aId] = MakeDialer(*address);
+    dialers_[aId] = MakeDialer(*address, nullptr);
   }
 }
 
@@ -95,7 +97,9 @@
   }
   auto& dialer = joining_[aAddress];
   if (!dialer) {
-    dialer = MakeDialer(*address);
+    dialer = MakeDialer(*address, [this, aAddress, aSelf] {
+      joining_[aAddress]->Send(transport::JoinRequest{ aSelf });
+    });
   }
   dialer->Send(transport::JoinRequest{ aSelf });
 }
--- a/packages/control/src/connection/MemberLinks.h
+++ b/packages/control/src/connection/MemberLinks.h
@@ -46,7 +46,8 @@
   transport::EventLoop& loop_;
   MemberLinksOptions options_;
   std::unique_ptr<transport::PeerDialer> MakeDialer(
-    const transport::Address& aAddress) const;
+    const transport::Address& aAddress,
+    std::function<void()> aOnUp) const;
 
   std::map<std::string, std::unique_ptr<transport::PeerDialer>> dialers_;
   /// By address, to replicas whose identity is not known.
--- a/packages/control/src/process/ControlTask.cpp
+++ b/packages/control/src/process/ControlTask.cpp
@@ -39,8 +39,6 @@
 /// A leader's word on connected routers counts for this long; a new leader
 /// waits as long before it has one.
 constexpr int64_t kLivenessValidMs = 2'500;
-/// Entries kept behind a snapshot for followers that are a little behind.
-constexpr ledger::Index kKeptEntries = 2'000;
 
 /// Reads a range of the snapshot file for a follower.
 std::string
@@ -493,7 +491,9 @@
                " written: ",
                aWritten.bytes_,
                " bytes"));
-    replica_->SnapshotWritten(aWritten.index_, aWritten.index_ - kKeptEntries);
+    replica_->SnapshotWritten(aWritten.index_,
+                              aWritten.index_ -
+                                settings_.Get(settings::kKeptEntries));
     RewriteLog();
   }
 
--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -24,7 +24,7 @@
 constexpr int64_t kAskAgainMs = 100;
 constexpr int64_t kIdleCheckMs = 2'000;
 /// Interval between reports of use.
-constexpr int64_t kReportMs = 1'500;
+constexpr int64_t kReportMs = 500;
 /// A request waits this long for control before other routers are asked.
 constexpr int64_t kBorrowAfterMs = 60;
 /// Part of the recent use that is borrowed ahead.
@@ -82,6 +82,7 @@
   if (options_.control_.IsReachable() && now - lastReportMs_ > kReportMs) {
     lastReportMs_ = now;
     ReportUses();
+    AskAheadForAll();
   }
 }
 
@@ -153,6 +154,16 @@
   return loans_.On(aRequest);
 }
 
+void
+Biller::AskAheadForAll()
+{
+  // In one batch: what is asked for within one turn of the loop shares an
+  // entry of the log.
+  for (const auto& budget : grants_.Budgets()) {
+    AskAhead(budget);
+  }
+}
+
 void
 Biller::Use(const std::string& aBudget,
             ledger::Tokens aReserved,
@@ -198,7 +209,9 @@
   const auto queue = queues_.find(aBudget);
   const bool others = queue != queues_.end() && !queue->second.waiters_.empty();
   if (!others && grants_.Reserve(aBudget, aAmount, now)) {
-    AskAhead(aBudget);
+    if (!options_.asksTogether_) {
+      AskAhead(aBudget);
+    }
     aHook(absl::OkStatus());
     return;
   }
--- a/packages/router/src/process/Biller.h
+++ b/packages/router/src/process/Biller.h
@@ -34,6 +34,8 @@
   int64_t maxTries_ = 20;
   /// Whether waiting ends after its time also while control answers.
   bool expiresAlways_ = false;
+  /// Whether grants are asked for ahead together, at intervals.
+  bool asksTogether_ = false;
   /// Whether other routers are asked while control is unreachable.
   bool borrows_ = false;
   /// Own IP number to connect from.
@@ -67,6 +69,12 @@
   /// has something to spend.
   void Provide(const std::string& aBudget, ledger::Tokens aWant);
 
+  /// Bounds what is kept of a budget ahead of need.
+  void SetCap(const std::string& aBudget, ledger::Tokens aCap)
+  {
+    grants_.SetCap(aBudget, aCap);
+  }
+
   /// Takes what a finished request used out of its reservation; it is
   /// reported later, together with others.
   void Use(const std::string& aBudget,
@@ -130,6 +138,7 @@
   void OnTick();
   void ReturnIdle(int64_t aNowMs);
   void ReportUses();
+  void AskAheadForAll();
   void Borrow(const std::string& aBudget, int64_t aNowMs);
   void OnNobodyLends(const std::string& aBudget);
   ledger::Tokens LendTo(const transport::LendRequest& aRequest);
--- a/packages/router/src/process/ForwardRole.cpp
+++ b/packages/router/src/process/ForwardRole.cpp
@@ -26,8 +26,10 @@
 constexpr int64_t kIdleTimeoutMs = 20'000;
 /// Control says when an endpoint is lost, so its lease does not end here.
 constexpr int64_t kLeaseMs = 3'600'000;
-/// First grants of all routers together take this part of a budget.
-constexpr ledger::Tokens kFirstGrantDivisor = 4;
+/// All routers together keep at most one part in so many of a budget ahead of
+/// need: enough for some seconds without control, little enough to be lost
+/// with the routers that hold it.
+constexpr ledger::Tokens kHeldPart = 4;
 /// Retry budgets of routers that started anew overlap with those of before.
 constexpr double kSlackSafety = 0.5;
 constexpr double kRatioSafety = 0.75;
@@ -109,6 +111,8 @@
   }
   if (aDelta.deployment_) {
     TakeDeployment(*aDelta.deployment_);
+  } else if (aDelta.routersChanged_) {
+    SetCaps();
   }
 }
 
@@ -138,15 +142,26 @@
              " routes=",
              deployment->routes_.size()));
   options_.metrics_.Count(Counter::kConfigChanges);
-  for (const auto& workspace : deployment->workspaces_) {
+  api_.SetDeployment(
+    std::make_unique<const DeploymentView>(*std::move(deployment)));
+  SetCaps();
+}
+
+void
+ForwardRole::SetCaps()
+{
+  if (!HasDeployment()) {
+    return;
+  }
+  const ledger::Tokens holders = kHeldPart * ServingRouters();
+  for (const auto& workspace : api_.Deployment()->Spec().workspaces_) {
     if (workspace.prepaidTokens_) {
-      options_.biller_.Provide(model::PrepaidBudgetOf(workspace.name_),
-                               *workspace.prepaidTokens_ /
-                                 (kFirstGrantDivisor * ServingRouters()));
+      const std::string budget = model::PrepaidBudgetOf(workspace.name_);
+      const ledger::Tokens cap = *workspace.prepaidTokens_ / holders;
+      options_.biller_.SetCap(budget, cap);
+      options_.biller_.Provide(budget, cap);
     }
   }
-  api_.SetDeployment(
-    std::make_unique<const DeploymentView>(*std::move(deployment)));
 }
 
 void
--- a/packages/router/src/process/ForwardRole.h
+++ b/packages/router/src/process/ForwardRole.h
@@ -42,6 +42,8 @@
 private:
   void OnReadyRequest(transport::HttpExchange& aExchange) const;
   void TakeDeployment(const ledger::DeploymentRecord& aRecord);
+  /// Bounds what this router keeps of each budget.
+  void SetCaps();
   int64_t ServingRouters() const;
   routing::RetryBudgetOptions Retries() const;
 
--- a/packages/router/src/process/RouterTask.cpp
+++ b/packages/router/src/process/RouterTask.cpp
@@ -259,6 +259,7 @@
       billing.reserveTimeoutMs_ = kForwardReserveMs;
       billing.maxTries_ = kForwardMaxTries;
       billing.expiresAlways_ = true;
+      billing.asksTogether_ = true;
       billing.borrows_ = true;
       billing.from_ = settings_.GetAddress(settings::kRouterPeerListen).host_;
       billing.grants_ = { .horizonMs_ = kForwardHorizonMs,
--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -328,6 +328,7 @@
     exchange_->SendChunk(events_.TakeRest());
     exchange_->EndStream();
   }
+  delivered_ = answer_.IsSuccess();
   services_.metrics_.Count(Counter::kAnsweredWhole);
   Finish("whole", answer_.status_);
 }
@@ -411,7 +412,8 @@
 ledger::Tokens
 ForwardExchange::Used() const
 {
-  if (!mayHaveRun_) {
+  // What brought the caller nothing is not charged.
+  if (!started_ && !delivered_) {
     return 0;
   }
   const ledger::Tokens output =
--- a/packages/router/src/request/ForwardExchange.h
+++ b/packages/router/src/request/ForwardExchange.h
@@ -114,6 +114,8 @@
   bool mayHaveRun_ = false;
   /// The answer to the caller has begun.
   bool started_ = false;
+  /// A whole answer has gone to the caller, and it was a success.
+  bool delivered_ = false;
   ledger::Tokens reserved_ = 0;
   bool ended_ = false;
 };
--- a/packages/routing/include/cactuswick/routing/process/GrantBook.h
+++ b/packages/routing/include/cactuswick/routing/process/GrantBook.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -61,6 +62,10 @@
                            Tokens aMinimum,
                            int64_t aNowMs) const;
 
+  /// Bounds what is kept of a budget, whatever the recent use: this router's
+  /// fair part of what all may hold at once.
+  void SetCap(const std::string& aBudget, Tokens aCap);
+
   /// A grant to ask for ahead of need, when less than half of the recent use
   /// is left: a router that is cut off then has something to spend.
   std::optional<ledger::AcquireGrant> Refill(const std::string& aBudget,
@@ -77,6 +82,8 @@
   Tokens Free(const std::string& aBudget) const;
   Tokens Granted(const std::string& aBudget) const;
   size_t Size() const { return lines_.size(); }
+  /// Names of all budgets that were used or granted.
+  std::vector<std::string> Budgets() const;
 
 private:
   struct Line
@@ -88,6 +95,7 @@
     Tokens spentBefore_ = 0;
     int64_t lastUseMs_ = 0;
     int64_t recalledUntilMs_ = 0;
+    Tokens cap_ = std::numeric_limits<Tokens>::max();
   };
 
   Tokens RecentUse(const Line& aLine, int64_t aNowMs) const;
--- a/packages/routing/src/process/GrantBook.cpp
+++ b/packages/routing/src/process/GrantBook.cpp
@@ -84,20 +84,22 @@
   ask.minimum_ =
     std::max(Tokens{ 1 }, aMinimum - (line.granted_ - line.reserved_));
   const bool exact = aNowMs < line.recalledUntilMs_;
-  ask.want_ = exact ? ask.minimum_ : std::max(ask.minimum_, RecentUse(line, aNowMs));
+  ask.want_ = exact || options_.extrapolates_ ? ask.minimum_ : std::max(ask.minimum_, RecentUse(line, aNowMs));
   return ask;
 }
 
 Tokens
 GrantBook::RecentUse(const Line& aLine, int64_t aNowMs) const
 {
-  const Tokens seen = std::max(aLine.spentInWindow_, aLine.spentBefore_);
+  const Tokens seen =
+    std::min(aLine.cap_, std::max(aLine.spentInWindow_, aLine.spentBefore_));
   if (!options_.extrapolates_ || aLine.spentBefore_ > 0) {
     return seen;
   }
   const int64_t elapsed =
     std::clamp(aNowMs - aLine.windowStartMs_, kShortestPastMs, options_.horizonMs_);
-  return std::max(seen, aLine.spentInWindow_ * options_.horizonMs_ / elapsed);
+  const Tokens rate = aLine.spentInWindow_ * options_.horizonMs_ / elapsed;
+  return std::min(aLine.cap_, std::max(seen, rate));
 }
 
 std::optional<ledger::AcquireGrant>
@@ -118,6 +120,12 @@
   return ledger::AcquireGrant{ aBudget, want, 1, true };
 }
 
+void
+GrantBook::SetCap(const std::string& aBudget, Tokens aCap)
+{
+  lines_[aBudget].cap_ = aCap;
+}
+
 Tokens
 GrantBook::Lend(const std::string& aBudget, Tokens aWant, Tokens aMinimum)
 {
@@ -199,6 +207,17 @@
   return given;
 }
 
+std::vector<std::string>
+GrantBook::Budgets() const
+{
+  std::vector<std::string> names;
+  names.reserve(lines_.size());
+  for (const auto& [budget, line] : lines_) {
+    names.push_back(budget);
+  }
+  return names;
+}
+
 Tokens
 GrantBook::Free(const std::string& aBudget) const
 {
--- a/packages/settings/include/cactuswick/settings/process/SettingList.h
+++ b/packages/settings/include/cactuswick/settings/process/SettingList.h
@@ -172,6 +172,17 @@
   "entries", "Log entries between snapshots.",
   10,        10'000'000
 };
+inline constexpr IntegerSetting kKeptEntries{
+  "control",
+  "kept_entries",
+  2'000,
+  Shape::kInteger,
+  "entries",
+  "Log entries kept behind a snapshot for replicas that are a little behind; "
+  "one that is further behind gets the snapshot.",
+  0,
+  10'000'000
+};
 
 inline constexpr TextSetting kRouterListen{
   "router",        "listen", "",
--- a/packages/settings/src/process/SettingList.cpp
+++ b/packages/settings/src/process/SettingList.cpp
@@ -58,6 +58,7 @@
                                 kHeartbeatMs,
                                 kElectionMs,
                                 kSnapshotEntries,
+                                kKeptEntries,
                                 kRouterListen,
                                 kRouterPeerListen,
                                 kRouterPeerAdvertise,
