The ledger bounds what routers hold ahead of a declared budget

The ledger knows what is out in all, so it bounds the sum; ruled out by logs of grants left per router: too small a horizon.

--- a/packages/ledger/src/version/Ledger.cpp
+++ b/packages/ledger/src/version/Ledger.cpp
@@ -13,6 +13,10 @@
 /// A grant beyond the minimum takes at most this share of what is free, so
 /// that one router cannot drain a budget for all others.
 constexpr Tokens kGrantShareDivisor = 4;
+/// Part of a declared budget that routers may hold ahead of need: enough for
+/// some seconds without control, little enough to be lost with them.
+constexpr Tokens kHeldAheadPercent = 35;
+constexpr Tokens kPercent = 100;
 
 std::string
 ClaimKey(std::string_view aWorkspace, std::string_view aKey)
@@ -124,7 +128,17 @@
   if (available < minimum) {
     return result;
   }
-  const Tokens generous = std::min(aOp.want_, available / kGrantShareDivisor);
+  Tokens generous = std::min(aOp.want_, available / kGrantShareDivisor);
+  if (account.declared_ && aOp.ahead_) {
+    // All routers together; each ask takes at most half of the rest, so that
+    // the first ones leave something to the others.
+    const Tokens heldAhead = account.toppedUp_ * kHeldAheadPercent / kPercent;
+    const Tokens room = heldAhead - account.granted_;
+    generous = std::min(generous, room / 2);
+    if (generous < minimum) {
+      return result;
+    }
+  }
   result.granted_ = std::max(minimum, generous);
   result.available_ -= result.granted_;
   account.granted_ += result.granted_;
--- a/packages/router/src/process/Biller.h
+++ b/packages/router/src/process/Biller.h
@@ -69,10 +69,10 @@
   /// has something to spend.
   void Provide(const std::string& aBudget, ledger::Tokens aWant);
 
-  /// Bounds what is kept of a budget ahead of need.
-  void SetCap(const std::string& aBudget, ledger::Tokens aCap)
+  /// Least amount that is kept of a budget ahead of need.
+  void SetFloor(const std::string& aBudget, ledger::Tokens aFloor)
   {
-    grants_.SetCap(aBudget, aCap);
+    grants_.SetFloor(aBudget, aFloor);
   }
 
   /// Takes what a finished request used out of its reservation; it is
--- a/packages/router/src/process/ForwardRole.cpp
+++ b/packages/router/src/process/ForwardRole.cpp
@@ -26,10 +26,10 @@
 constexpr int64_t kIdleTimeoutMs = 20'000;
 /// Control says when an endpoint is lost, so its lease does not end here.
 constexpr int64_t kLeaseMs = 3'600'000;
-/// All routers together keep at most one part in so many of a budget ahead of
-/// need: enough for some seconds without control, little enough to be lost
-/// with the routers that hold it.
-constexpr ledger::Tokens kHeldPart = 4;
+/// Part of a budget that all routers together keep at the least, for callers
+/// who come to a router for the first time while it is cut off.
+constexpr ledger::Tokens kFloorPercent = 8;
+constexpr ledger::Tokens kPercent = 100;
 /// Retry budgets of routers that started anew overlap with those of before.
 constexpr double kSlackSafety = 0.5;
 constexpr double kRatioSafety = 0.75;
@@ -112,7 +112,7 @@
   if (aDelta.deployment_) {
     TakeDeployment(*aDelta.deployment_);
   } else if (aDelta.routersChanged_) {
-    SetCaps();
+    SetFloors();
   }
 }
 
@@ -144,22 +144,22 @@
   options_.metrics_.Count(Counter::kConfigChanges);
   api_.SetDeployment(
     std::make_unique<const DeploymentView>(*std::move(deployment)));
-  SetCaps();
+  SetFloors();
 }
 
 void
-ForwardRole::SetCaps()
+ForwardRole::SetFloors()
 {
   if (!HasDeployment()) {
     return;
   }
-  const ledger::Tokens holders = kHeldPart * ServingRouters();
   for (const auto& workspace : api_.Deployment()->Spec().workspaces_) {
     if (workspace.prepaidTokens_) {
       const std::string budget = model::PrepaidBudgetOf(workspace.name_);
-      const ledger::Tokens cap = *workspace.prepaidTokens_ / holders;
-      options_.biller_.SetCap(budget, cap);
-      options_.biller_.Provide(budget, cap);
+      const ledger::Tokens floor = *workspace.prepaidTokens_ * kFloorPercent /
+                                   (kPercent * ServingRouters());
+      options_.biller_.SetFloor(budget, floor);
+      options_.biller_.Provide(budget, floor);
     }
   }
 }
--- a/packages/router/src/process/ForwardRole.h
+++ b/packages/router/src/process/ForwardRole.h
@@ -42,8 +42,8 @@
 private:
   void OnReadyRequest(transport::HttpExchange& aExchange) const;
   void TakeDeployment(const ledger::DeploymentRecord& aRecord);
-  /// Bounds what this router keeps of each budget.
-  void SetCaps();
+  /// Sets what this router keeps of each budget at the least.
+  void SetFloors();
   int64_t ServingRouters() const;
   routing::RetryBudgetOptions Retries() const;
 
--- a/packages/router/src/process/RouterTask.cpp
+++ b/packages/router/src/process/RouterTask.cpp
@@ -39,6 +39,7 @@
 /// Time for which a router that is cut off can spend on.
 constexpr int64_t kForwardHorizonMs = 9'000;
 constexpr int64_t kForwardRefillPercent = 85;
+constexpr int64_t kForwardMarginPercent = 140;
 /// Time kept back from the end of the grace for the last steps.
 constexpr int64_t kGraceMarginMs = 900;
 constexpr int64_t kMsPerSecond = 1'000;
@@ -264,7 +265,8 @@
       billing.from_ = settings_.GetAddress(settings::kRouterPeerListen).host_;
       billing.grants_ = { .horizonMs_ = kForwardHorizonMs,
                           .extrapolates_ = true,
-                          .refillPercent_ = kForwardRefillPercent };
+                          .refillPercent_ = kForwardRefillPercent,
+                          .marginPercent_ = kForwardMarginPercent };
     }
     biller_ = std::make_unique<Biller>(loop_, billing);
   }
--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -328,7 +328,6 @@
     exchange_->SendChunk(events_.TakeRest());
     exchange_->EndStream();
   }
-  delivered_ = answer_.IsSuccess();
   services_.metrics_.Count(Counter::kAnsweredWhole);
   Finish("whole", answer_.status_);
 }
@@ -412,8 +411,8 @@
 ledger::Tokens
 ForwardExchange::Used() const
 {
-  // What brought the caller nothing is not charged.
-  if (!started_ && !delivered_) {
+  // An endpoint may have read the prompt even if no answer came.
+  if (!mayHaveRun_) {
     return 0;
   }
   const ledger::Tokens output =
--- a/packages/router/src/request/ForwardExchange.h
+++ b/packages/router/src/request/ForwardExchange.h
@@ -114,8 +114,6 @@
   bool mayHaveRun_ = false;
   /// The answer to the caller has begun.
   bool started_ = false;
-  /// A whole answer has gone to the caller, and it was a success.
-  bool delivered_ = false;
   ledger::Tokens reserved_ = 0;
   bool ended_ = false;
 };
--- a/packages/routing/include/cactuswick/routing/process/GrantBook.h
+++ b/packages/routing/include/cactuswick/routing/process/GrantBook.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -27,6 +26,8 @@
   /// Grants are asked for ahead once less than this share of the horizon's
   /// use is left.
   int64_t refillPercent_ = 50;
+  /// Share of the horizon's use that is kept.
+  int64_t marginPercent_ = 100;
 };
 
 /// What a router may spend: its grants, and what is reserved of them.
@@ -62,9 +63,8 @@
                            Tokens aMinimum,
                            int64_t aNowMs) const;
 
-  /// Bounds what is kept of a budget, whatever the recent use: this router's
-  /// fair part of what all may hold at once.
-  void SetCap(const std::string& aBudget, Tokens aCap);
+  /// Least amount that is kept of a budget, whatever the recent use.
+  void SetFloor(const std::string& aBudget, Tokens aFloor);
 
   /// A grant to ask for ahead of need, when less than half of the recent use
   /// is left: a router that is cut off then has something to spend.
@@ -95,7 +95,7 @@
     Tokens spentBefore_ = 0;
     int64_t lastUseMs_ = 0;
     int64_t recalledUntilMs_ = 0;
-    Tokens cap_ = std::numeric_limits<Tokens>::max();
+    Tokens floor_ = 0;
   };
 
   Tokens RecentUse(const Line& aLine, int64_t aNowMs) const;
--- a/packages/routing/src/process/GrantBook.cpp
+++ b/packages/routing/src/process/GrantBook.cpp
@@ -91,15 +91,19 @@
 Tokens
 GrantBook::RecentUse(const Line& aLine, int64_t aNowMs) const
 {
-  const Tokens seen =
-    std::min(aLine.cap_, std::max(aLine.spentInWindow_, aLine.spentBefore_));
-  if (!options_.extrapolates_ || aLine.spentBefore_ > 0) {
+  const Tokens seen = std::max(aLine.spentInWindow_, aLine.spentBefore_);
+  if (!options_.extrapolates_) {
     return seen;
   }
-  const int64_t elapsed =
-    std::clamp(aNowMs - aLine.windowStartMs_, kShortestPastMs, options_.horizonMs_);
-  const Tokens rate = aLine.spentInWindow_ * options_.horizonMs_ / elapsed;
-  return std::min(aLine.cap_, std::max(seen, rate));
+  const int64_t elapsed = std::clamp(
+    aNowMs - aLine.windowStartMs_, kShortestPastMs, options_.horizonMs_);
+  const Tokens rate =
+    aLine.spentBefore_ > 0
+      ? 0
+      : aLine.spentInWindow_ * options_.horizonMs_ / elapsed;
+  const Tokens target =
+    std::max(seen, rate) * options_.marginPercent_ / kPercent;
+  return std::max(target, aLine.floor_);
 }
 
 std::optional<ledger::AcquireGrant>
@@ -121,9 +125,9 @@
 }
 
 void
-GrantBook::SetCap(const std::string& aBudget, Tokens aCap)
+GrantBook::SetFloor(const std::string& aBudget, Tokens aFloor)
 {
-  lines_[aBudget].cap_ = aCap;
+  lines_[aBudget].floor_ = aFloor;
 }
 
 Tokens
