--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -355,6 +355,7 @@
     mayHaveRun_ = true;
     ++sends_;
   }
+  callerGone_ = true;
   LeaveEndpoint(AttemptOutcome::kNeutral, "caller_gone");
   Finish("caller_gone", 0);
 }
@@ -411,8 +412,9 @@
 ledger::Tokens
 ForwardExchange::Used() const
 {
-  // An endpoint may have read the prompt even if no answer came.
-  if (!mayHaveRun_) {
+  // An endpoint may have read the prompt even if no answer came; but not one
+  // whose caller left before the first event.
+  if (!mayHaveRun_ || (callerGone_ && sends_ == 1 && events_.Count() == 0)) {
     return 0;
   }
   const ledger::Tokens output =
--- a/packages/router/src/request/ForwardExchange.h
+++ b/packages/router/src/request/ForwardExchange.h
@@ -114,6 +114,7 @@
   bool mayHaveRun_ = false;
   /// The answer to the caller has begun.
   bool started_ = false;
+  bool callerGone_ = false;
   ledger::Tokens reserved_ = 0;
   bool ended_ = false;
 };
