Routers hold at most half of what is left of a budget

Ruled out: freeing it by log time or wall clocks (an outage of all replicas is not measured by anybody).

--- a/packages/ledger/src/version/Ledger.cpp
+++ b/packages/ledger/src/version/Ledger.cpp
@@ -14,9 +14,22 @@
 /// that one router cannot drain a budget for all others.
 constexpr Tokens kGrantShareDivisor = 4;
 /// Part of a declared budget that routers may hold ahead of need: enough for
-/// some seconds without control, little enough to be lost with them.
-constexpr Tokens kHeldAheadPercent = 35;
+/// some seconds without control.
+constexpr Tokens kHeldAheadPercent = 32;
 constexpr Tokens kPercent = 100;
+/// Part of what is left that routers may hold: if all of them die at once,
+/// nobody knows what they spent of it, and the rest has to go on.
+constexpr Tokens kLeftDivisor = 2;
+
+/// What all routers together may hold of a declared budget ahead of need.
+Tokens
+HeldAhead(const Account& aAccount)
+{
+  const Tokens left =
+    aAccount.toppedUp_ - aAccount.billed_ - aAccount.held_;
+  return std::min(aAccount.toppedUp_ * kHeldAheadPercent / kPercent,
+                  left / kLeftDivisor);
+}
 
 std::string
 ClaimKey(std::string_view aWorkspace, std::string_view aKey)
@@ -132,8 +145,7 @@
   if (account.declared_ && aOp.ahead_) {
     // All routers together; each ask takes at most half of the rest, so that
     // the first ones leave something to the others.
-    const Tokens heldAhead = account.toppedUp_ * kHeldAheadPercent / kPercent;
-    const Tokens room = heldAhead - account.granted_;
+    const Tokens room = HeldAhead(account) - account.granted_;
     generous = std::min(generous, room / 2);
     if (generous < minimum) {
       return result;
