--- a/packages/ledger/src/version/Ledger.cpp
+++ b/packages/ledger/src/version/Ledger.cpp
@@ -19,7 +19,7 @@
 constexpr Tokens kPercent = 100;
 /// Part of what is left that routers may hold: if all of them die at once,
 /// nobody knows what they spent of it, and the rest has to go on.
-constexpr Tokens kLeftDivisor = 2;
+constexpr Tokens kLeftDivisor = 3;
 
 /// What all routers together may hold of a declared budget ahead of need.
 Tokens
--- a/packages/router/src/process/ControlClient.cpp
+++ b/packages/router/src/process/ControlClient.cpp
@@ -19,6 +19,8 @@
 constexpr int64_t kTickMs = 100;
 /// Without an answer for this long the next replica is tried.
 constexpr int64_t kAnswerTimeoutMs = 1'200;
+/// Without a connection for this long the next replica is tried.
+constexpr int64_t kConnectMs = 400;
 constexpr int64_t kMinSwitchMs = 100;
 constexpr size_t kMaxBatchOps = 512;
 
@@ -147,8 +149,11 @@
     const int64_t now = EventLoop::NowMs();
     const bool waits = batch_ || incarnation_ == 0 || !calls_.empty() ||
                        !dialer_->IsUp();
+    const bool connecting = !dialer_->IsUp();
     if (switching_) {
       Switch();
+    } else if (connecting && now - lastSwitchMs_ > kConnectMs) {
+      ScheduleSwitch("");
     } else if (waits && now - lastAnswerMs_ > kAnswerTimeoutMs) {
       ScheduleSwitch("");
     }
