--- a/packages/control/src/process/ControlTask.cpp
+++ b/packages/control/src/process/ControlTask.cpp
@@ -88,7 +88,7 @@
 
   absl::Status Start()
   {
-    const absl::Status folder = EnsureDataFolder(settings_);
+    absl::Status folder = EnsureDataFolder(settings_);
     if (!folder.ok()) {
       return folder;
     }
@@ -175,15 +175,15 @@
             OnMessage(aLink, aMessage);
           },
         .onDown_ = [this](LinkId aLink) { service_->OnLinkDown(aLink); } });
-    relay_ = std::make_unique<EndpointRelay>(EndpointRelayOptions{
-      .toReplicas_ =
-        [this](const transport::PeerMessage& aMessage) {
-          links_->SendToAll(aMessage);
-        },
-      .toRouters_ =
-        [this](const transport::PeerMessage& aMessage) {
-          service_->PushToRouters(aMessage);
-        } });
+    relay_ = std::make_unique<EndpointRelay>(
+      EndpointRelayOptions{ .toReplicas_ =
+                              [this](const transport::PeerMessage& aMessage) {
+                                links_->SendToAll(aMessage);
+                              },
+                            .toRouters_ =
+                              [this](const transport::PeerMessage& aMessage) {
+                                service_->PushToRouters(aMessage);
+                              } });
     links_ = std::make_unique<MemberLinks>(
       loop_,
       MemberLinksOptions{
@@ -491,9 +491,8 @@
                " written: ",
                aWritten.bytes_,
                " bytes"));
-    replica_->SnapshotWritten(aWritten.index_,
-                              aWritten.index_ -
-                                settings_.Get(settings::kKeptEntries));
+    replica_->SnapshotWritten(
+      aWritten.index_, aWritten.index_ - settings_.Get(settings::kKeptEntries));
     RewriteLog();
   }
 
@@ -640,8 +639,7 @@
 void
 ControlTask::Propose(ledger::Command aCommand, ReplyHook aHook)
 {
-  const auto call =
-    state_->local_.Open(std::move(aHook), EventLoop::NowMs());
+  const auto call = state_->local_.Open(std::move(aHook), EventLoop::NowMs());
   state_->service_->On(kLocalLink,
                        transport::ProposeRequest{ call, std::move(aCommand) });
 }
@@ -649,8 +647,7 @@
 void
 ControlTask::ReadDeployment(QueryHook aHook)
 {
-  const auto call =
-    state_->local_.Open(std::move(aHook), EventLoop::NowMs());
+  const auto call = state_->local_.Open(std::move(aHook), EventLoop::NowMs());
   state_->service_->On(
     kLocalLink,
     transport::QueryRequest{ call, transport::QueryType::kDeployment, "" });
@@ -699,10 +696,9 @@
 std::vector<std::string>
 ControlTask::EntryAddresses(const std::string& aFailureDomain) const
 {
-  return control::EntryAddresses(
-    { .routers_ = state_->ledger_.Routers(),
-      .connected_ = state_->ConnectedRouters(),
-      .failureDomain_ = aFailureDomain });
+  return control::EntryAddresses({ .routers_ = state_->ledger_.Routers(),
+                                   .connected_ = state_->ConnectedRouters(),
+                                   .failureDomain_ = aFailureDomain });
 }
 
 } // namespace cactuswick::control
--- a/packages/control/src/process/EndpointDirectory.cpp
+++ b/packages/control/src/process/EndpointDirectory.cpp
@@ -55,8 +55,8 @@
                         int64_t aNowMs)
 {
   const auto retired = retired_.find(aAnnouncement.endpoint_);
-  const bool left = retired != retired_.end() &&
-                    aAnnouncement.incarnation_ <= retired->second;
+  const bool left =
+    retired != retired_.end() && aAnnouncement.incarnation_ <= retired->second;
   if (left || AddressIsTaken(aAnnouncement)) {
     return Hearing::kStale;
   }
@@ -98,8 +98,7 @@
   }
   std::erase_if(endpoints_, [&](const auto& aPair) {
     const Known& known = aPair.second;
-    const bool silent =
-      aNowMs - known.heardMs_ > known.announcement_.leaseMs_;
+    const bool silent = aNowMs - known.heardMs_ > known.announcement_.leaseMs_;
     if (silent) {
       lost.push_back(
         { known.announcement_.endpoint_, known.announcement_.incarnation_ });
--- a/packages/control/src/process/EndpointRelay.cpp
+++ b/packages/control/src/process/EndpointRelay.cpp
@@ -61,11 +61,11 @@
   const Hearing hearing = directory_.Hear(announcement, aNews.ageMs_, aNowMs);
   if (hearing == Hearing::kNews) {
     news_.endpoints_.push_back(aNews);
-    Log(Part::kEndpoint,
-        Level::kInfo,
-        Concat("announced endpoint=",
-               announcement.endpoint_,
-               Describe(announcement)));
+    Log(
+      Part::kEndpoint,
+      Level::kInfo,
+      Concat(
+        "announced endpoint=", announcement.endpoint_, Describe(announcement)));
   } else if (hearing == Hearing::kStale) {
     Log(Part::kEndpoint,
         Level::kDebug,
--- a/packages/control/src/process/EndpointRelay.h
+++ b/packages/control/src/process/EndpointRelay.h
@@ -24,8 +24,7 @@
   explicit EndpointRelay(EndpointRelayOptions aOptions);
 
   /// Takes an announcement that came to this replica.
-  void OnAnnouncement(const model::Announcement& aAnnouncement,
-                      int64_t aNowMs);
+  void OnAnnouncement(const model::Announcement& aAnnouncement, int64_t aNowMs);
   /// Takes what another replica has heard.
   void OnGossip(const transport::Gossip& aGossip, int64_t aNowMs);
   void OnRetired(const ledger::RetireEndpoint& aRetired);
--- a/packages/control/src/process/StorageTask.cpp
+++ b/packages/control/src/process/StorageTask.cpp
@@ -57,7 +57,7 @@
   {
     bool refused = false;
     while (true) {
-      const absl::Status status = aWrite.rewrite_
+      absl::Status status = aWrite.rewrite_
                                     ? store_.Rewrite(aWrite.frame_)
                                     : store_.Append(aWrite.frame_);
       if (status.ok() || stopping_) {
--- a/packages/daemon/src/process/Daemon.cpp
+++ b/packages/daemon/src/process/Daemon.cpp
@@ -36,12 +36,10 @@
 }
 
 struct DrainOrder
-{
-};
+{};
 
 struct StopOrder
-{
-};
+{};
 
 struct ReloadOrder
 {
@@ -187,9 +185,7 @@
         aLoop,
         settings_,
         platform::MakeForwardDialect(),
-        [this](absl::Status aStatus) {
-          ended_.Send({ std::move(aStatus) });
-        });
+        [this](absl::Status aStatus) { ended_.Send({ std::move(aStatus) }); });
       return router_->Start();
     };
     routerThread_ = std::make_unique<RoleThread>(
--- a/packages/ledger/include/cactuswick/ledger/version/Records.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Records.h
@@ -18,7 +18,8 @@
   Tokens billed_ = 0;
   /// In grants of routers, not yet billed or returned.
   Tokens granted_ = 0;
-  /// Accounted for by nobody; neither billed nor granted again.
+  /// Accounted for by nobody; neither billed nor granted again. Below 0 while
+  /// a dead router's use of a loan is known and the loan itself is not.
   Tokens held_ = 0;
   int64_t version_ = 0;
   /// The amount is declared as a whole and may fall.
--- a/packages/ledger/src/version/Ledger.cpp
+++ b/packages/ledger/src/version/Ledger.cpp
@@ -25,8 +25,7 @@
 Tokens
 HeldAhead(const Account& aAccount)
 {
-  const Tokens left =
-    aAccount.toppedUp_ - aAccount.billed_ - aAccount.held_;
+  const Tokens left = aAccount.toppedUp_ - aAccount.billed_ - aAccount.held_;
   return std::min(aAccount.toppedUp_ * kHeldAheadPercent / kPercent,
                   left / kLeftDivisor);
 }
@@ -411,7 +410,10 @@
       return breach(budget, "grants do not add up");
     }
     const bool beyond = account.Available() < 0 && !account.declared_;
-    if (beyond || account.billed_ < 0 || account.held_ < 0) {
+    // Held tokens go below 0 for as long as a dead router's loan is not
+    // reported by its lender, whose share still counts in full.
+    const bool heldBelow = account.held_ < 0 && !account.declared_;
+    if (beyond || account.billed_ < 0 || heldBelow) {
       return breach(budget, "overspent");
     }
   }
--- a/packages/router/src/connection/ForwardApi.cpp
+++ b/packages/router/src/connection/ForwardApi.cpp
@@ -181,7 +181,8 @@
     return;
   }
   aPlan.budget_ = model::PrepaidBudgetOf(workspace->name_);
-  aPlan.bound_ = *aPlan.request_.promptTokens_ + aPlan.request_.maxOutputTokens_;
+  aPlan.bound_ =
+    *aPlan.request_.promptTokens_ + aPlan.request_.maxOutputTokens_;
 }
 
 void
@@ -197,14 +198,12 @@
   const int64_t now = EventLoop::NowMs();
   const bool transient = model::IsTransient(kind);
   const int status = ForwardStatusOf(aStatus, RunState::kNotRun);
-  ReplyForwardError(aExchange,
-                    aStatus,
-                    RunState::kNotRun,
-                    transient ? RetryAfterMs(now + kRetryAfterPart *
-                                                     kMaxRetryAfterMs)
-                              : 0);
-  options_.services_.metrics_.Count(
-    Counter::kRefused, 1, model::NameOf(kind));
+  ReplyForwardError(
+    aExchange,
+    aStatus,
+    RunState::kNotRun,
+    transient ? RetryAfterMs(now + kRetryAfterPart * kMaxRetryAfterMs) : 0);
+  options_.services_.metrics_.Count(Counter::kRefused, 1, model::NameOf(kind));
   LogRequest(Part::kCaller,
              Level::kWarning,
              aId,
--- a/packages/router/src/connection/ForwardErrors.cpp
+++ b/packages/router/src/connection/ForwardErrors.cpp
@@ -41,16 +41,15 @@
                   RunState aRunState,
                   int64_t aRetryAfterMs)
 {
-  const auto outcome = aRunState == RunState::kNotRun ? Outcome::kRefused
-                                                      : Outcome::kUnknown;
+  const auto outcome =
+    aRunState == RunState::kNotRun ? Outcome::kRefused : Outcome::kUnknown;
   transport::Headers headers{ { "Content-Type", kJsonType } };
   if (aRetryAfterMs > 0) {
     const double seconds = static_cast<double>(aRetryAfterMs) / kMsPerSecond;
     headers.push_back({ "Retry-After", model::Concat(seconds) });
   }
-  aExchange.Reply(ForwardStatusOf(aStatus, aRunState),
-                  headers,
-                  ErrorBody(aStatus, outcome));
+  aExchange.Reply(
+    ForwardStatusOf(aStatus, aRunState), headers, ErrorBody(aStatus, outcome));
 }
 
 } // namespace cactuswick::router
--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -32,7 +32,7 @@
 
 } // namespace
 
-Biller::Biller(EventLoop& aLoop, BillerOptions aOptions)
+Biller::Biller(EventLoop& aLoop, const BillerOptions& aOptions)
   : options_(aOptions)
   , grants_(aOptions.grants_)
   , loans_(aLoop,
@@ -48,9 +48,8 @@
                  grants_.OnGranted(aBudget, aAmount);
                  ServeWaiters(aBudget);
                },
-             .onRefused_ = [this](const std::string& aBudget) {
-               OnNobodyLends(aBudget);
-             } })
+             .onRefused_ =
+               [this](const std::string& aBudget) { OnNobodyLends(aBudget); } })
   , tick_(aLoop, [this] { OnTick(); })
 {
   tick_.StartRepeating(kTickMs);
@@ -169,8 +168,7 @@
             ledger::Tokens aReserved,
             ledger::Tokens aUsed)
 {
-  const ledger::Tokens used =
-    std::clamp(aUsed, ledger::Tokens{ 0 }, aReserved);
+  const ledger::Tokens used = std::clamp(aUsed, ledger::Tokens{ 0 }, aReserved);
   grants_.Release(aBudget, aReserved - used);
   grants_.Spend(aBudget, used);
   if (used > 0) {
@@ -343,8 +341,8 @@
   }
   // Cut off from control, a router refuses only what its grants do not cover.
   for (auto& [budget, queue] : queues_) {
-    while (!queue.waiters_.empty() &&
-           aNowMs - queue.waiters_.front().sinceMs_ > options_.reserveTimeoutMs_) {
+    while (!queue.waiters_.empty() && aNowMs - queue.waiters_.front().sinceMs_ >
+                                        options_.reserveTimeoutMs_) {
       FailFirst(budget,
                 reachable
                   ? MakeError(ErrorKind::kBudgetHeldElsewhere,
--- a/packages/router/src/process/Biller.h
+++ b/packages/router/src/process/Biller.h
@@ -53,7 +53,7 @@
   /// OK once the settlement can no longer be lost with this router.
   using SettleHook = std::function<void(absl::Status)>;
 
-  Biller(transport::EventLoop& aLoop, BillerOptions aOptions);
+  Biller(transport::EventLoop& aLoop, const BillerOptions& aOptions);
 
   /// Reserves tokens; fails with the reason why they cannot be had.
   /// @p aOwner names the request, for CancelReserve.
--- a/packages/router/src/process/ControlClient.cpp
+++ b/packages/router/src/process/ControlClient.cpp
@@ -147,14 +147,13 @@
   void OnTick()
   {
     const int64_t now = EventLoop::NowMs();
-    const bool waits = batch_ || incarnation_ == 0 || !calls_.empty() ||
-                       !dialer_->IsUp();
-    const bool connecting = !dialer_->IsUp();
+    const bool waits = batch_ || incarnation_ == 0 || !calls_.empty();
+    const bool unanswered = waits && now - lastAnswerMs_ > kAnswerTimeoutMs;
+    const bool unconnected =
+      !dialer_->IsUp() && now - lastSwitchMs_ > kConnectMs;
     if (switching_) {
       Switch();
-    } else if (connecting && now - lastSwitchMs_ > kConnectMs) {
-      ScheduleSwitch("");
-    } else if (waits && now - lastAnswerMs_ > kAnswerTimeoutMs) {
+    } else if (unanswered || unconnected) {
       ScheduleSwitch("");
     }
     ExpireCalls(now);
--- a/packages/router/src/process/ForwardRole.cpp
+++ b/packages/router/src/process/ForwardRole.cpp
@@ -40,8 +40,8 @@
 ForwardRole::ForwardRole(ForwardRoleOptions aOptions)
   : options_(std::move(aOptions))
   , pool_(options_.loop_)
-  , services_{ options_.loop_,   options_.biller_,  options_.dispatcher_,
-               pool_,            options_.metrics_, options_.dialect_ }
+  , services_{ options_.loop_, options_.biller_,  options_.dispatcher_,
+               pool_,          options_.metrics_, options_.dialect_ }
   , api_({ .services_ = services_,
            .retries_ = [this] { return Retries(); },
            .isReady_ = options_.isReady_,
@@ -74,8 +74,8 @@
   absl::Status status =
     server_.Listen(settings.GetAddress(settings::kForwardListen));
   if (!settings.Get(settings::kForwardReadyListen).empty()) {
-    status.Update(readyServer_.Listen(
-      settings.GetAddress(settings::kForwardReadyListen)));
+    status.Update(
+      readyServer_.Listen(settings.GetAddress(settings::kForwardReadyListen)));
   }
   return status;
 }
@@ -123,7 +123,8 @@
   if (current != nullptr && aRecord.version_ <= current->Spec().version_) {
     return;
   }
-  auto deployment = options_.dialect_.decodeDeployment_(aRecord.document_.bytes_);
+  auto deployment =
+    options_.dialect_.decodeDeployment_(aRecord.document_.bytes_);
   if (!deployment.ok()) {
     Log(Part::kRouter,
         Level::kError,
@@ -185,12 +186,11 @@
     }
   }
   for (const auto& lost : aNews.lost_) {
-    Log(Part::kEndpoint,
-        Level::kWarning,
-        Concat("lost endpoint=",
-               lost.endpoint_,
-               " incarnation=",
-               lost.incarnation_));
+    Log(
+      Part::kEndpoint,
+      Level::kWarning,
+      Concat(
+        "lost endpoint=", lost.endpoint_, " incarnation=", lost.incarnation_));
     options_.dispatcher_.Endpoints().Lose(
       lost.endpoint_, lost.incarnation_, now);
   }
--- a/packages/router/src/process/RouterTask.cpp
+++ b/packages/router/src/process/RouterTask.cpp
@@ -215,8 +215,8 @@
       loop_,
       ControlClientOptions{
         .replicas_ = settings_.GetAddresses(settings::kRouterControl),
-        .port_ = static_cast<uint16_t>(
-          settings_.Get(settings::kRouterControlPort)),
+        .port_ =
+          static_cast<uint16_t>(settings_.Get(settings::kRouterControlPort)),
         .from_ = settings_.GetAddress(settings::kRouterPeerListen).host_,
         .registration_ = { .nonce_ = model::RandomHex(),
                            .vm_ = settings_.Get(settings::kVm),
@@ -418,8 +418,8 @@
     const int64_t now = EventLoop::NowMs();
     // A forwarding router's link is its sign of life; it settles no keys.
     if (!Forwards() && now - lastHeartbeatMs_ >= kHeartbeatMs &&
-        !heartbeatOpen_ &&
-        control_->IsRegistered() && phase_ < Phase::kGoodbye) {
+        !heartbeatOpen_ && control_->IsRegistered() &&
+        phase_ < Phase::kGoodbye) {
       lastHeartbeatMs_ = now;
       SendHeartbeat();
     }
@@ -464,7 +464,8 @@
     const int64_t longest = settings_.Get(settings::kDrainMs);
     drainByMs_ = longest == 0 ? INT64_MAX : refuseFromMs_ + longest;
     if (Forwards()) {
-      drainByMs_ = now + settings_.Get(settings::kForwardGraceS) * kMsPerSecond -
+      drainByMs_ = now +
+                   settings_.Get(settings::kForwardGraceS) * kMsPerSecond -
                    kGraceMarginMs;
     }
     if (everServed) {
--- a/packages/router/src/request/Attempts.cpp
+++ b/packages/router/src/request/Attempts.cpp
@@ -33,20 +33,20 @@
                   const Hooks& aHooks)
 {
   serves_ = aServes;
-  services_.dispatcher_.Enqueue({ .queued_ = QueuedOf(record_.Info(), aCost),
-                                  .serves_ = aServes,
-                                  .prefixHash_ = aPrefixHash,
-                                  .excluded_ = failed_,
-                                  .onPlaced_ =
-                                    [this, placed = aHooks.onPlaced_](
-                                      const model::Announcement& aEndpoint,
-                                      ledger::Tokens) {
-                                      record_.OnPlaced();
-                                      endpoint_ = aEndpoint;
-                                      atEndpoint_ = true;
-                                      placed(aEndpoint);
-                                    },
-                                  .onExpired_ = aHooks.onExpired_ });
+  services_.dispatcher_.Enqueue(
+    { .queued_ = QueuedOf(record_.Info(), aCost),
+      .serves_ = aServes,
+      .prefixHash_ = aPrefixHash,
+      .excluded_ = failed_,
+      .onPlaced_ =
+        [this, placed = aHooks.onPlaced_](const model::Announcement& aEndpoint,
+                                          ledger::Tokens) {
+          record_.OnPlaced();
+          endpoint_ = aEndpoint;
+          atEndpoint_ = true;
+          placed(aEndpoint);
+        },
+      .onExpired_ = aHooks.onExpired_ });
 }
 
 void
--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -109,10 +109,10 @@
       .serves_ = plan_.service_,
       .prompt_ = prompt,
       .excluded_ = failed_,
-      .onPlaced_ = [this](const model::Announcement& aEndpoint,
-                          ledger::Tokens aToRead) {
-        OnPlaced(aEndpoint, aToRead);
-      },
+      .onPlaced_ =
+        [this](const model::Announcement& aEndpoint, ledger::Tokens aToRead) {
+          OnPlaced(aEndpoint, aToRead);
+        },
       .onExpired_ =
         [this] {
           Fail(MakeError(ErrorKind::kDeadlineUnreachable,
@@ -160,13 +160,13 @@
       .progressTimeoutMs_ = left + kConnectMs,
       .pool_ = &services_.pool_,
       .acceptsUnframed_ = true,
-      .onHeaders_ = [this](int aStatus, const transport::Headers& aHeaders) {
-        OnHead(aStatus, aHeaders);
-      },
+      .onHeaders_ =
+        [this](int aStatus, const transport::Headers& aHeaders) {
+          OnHead(aStatus, aHeaders);
+        },
       .onData_ = [this](std::string_view aData) { OnData(aData); },
-      .onDone_ = [this](const absl::Status& aStatus) {
-        OnCallDone(aStatus);
-      } });
+      .onDone_ =
+        [this](const absl::Status& aStatus) { OnCallDone(aStatus); } });
 }
 
 void
@@ -221,8 +221,8 @@
   if (!started_) {
     started_ = true;
     firstMs_ = EventLoop::NowMs();
-    services_.metrics_.Observe(
-      Summary::kFirstTokenMs, static_cast<double>(firstMs_ - plan_.startMs_));
+    services_.metrics_.Observe(Summary::kFirstTokenMs,
+                               static_cast<double>(firstMs_ - plan_.startMs_));
     exchange_->StartStream(answer_.status_, answer_.headers_);
   }
   NotePromptRead();
@@ -255,8 +255,9 @@
   const bool whole = aStatus.ok() && answer_.status_ != 0;
   if (whole && answer_.notRun_) {
     // At an address that another endpoint has taken, nobody else should try.
-    LeaveEndpoint(answer_.status_ == kHttpMisdirected ? AttemptOutcome::kFailed
-                                                      : AttemptOutcome::kNeutral,
+    LeaveEndpoint(answer_.status_ == kHttpMisdirected
+                    ? AttemptOutcome::kFailed
+                    : AttemptOutcome::kNeutral,
                   "not_run");
     OnAttemptFailed(MakeError(ErrorKind::kQueueFull,
                               endpoint_.endpoint_,
@@ -279,11 +280,11 @@
     Enqueue();
     return;
   }
-  OnAttemptFailed(aStatus.ok() ? MakeError(ErrorKind::kUpstreamFailed,
-                                           endpoint_.endpoint_,
-                                           "no answer")
-                               : aStatus,
-                  sent);
+  OnAttemptFailed(
+    aStatus.ok()
+      ? MakeError(ErrorKind::kUpstreamFailed, endpoint_.endpoint_, "no answer")
+      : aStatus,
+    sent);
 }
 
 bool
@@ -384,8 +385,7 @@
                   ":",
                   EventLoop::NowMs() - sentMs_,
                   "ms");
-  services_.dispatcher_.Release(
-    plan_.service_, endpoint_.endpoint_, aOutcome);
+  services_.dispatcher_.Release(plan_.service_, endpoint_.endpoint_, aOutcome);
 }
 
 void
@@ -400,10 +400,8 @@
   const RunState state =
     mayHaveRun_ ? RunState::kMayHaveRun : RunState::kNotRun;
   const int status = ForwardStatusOf(aStatus, state);
-  ReplyForwardError(*exchange_,
-                    aStatus,
-                    state,
-                    mayHaveRun_ ? 0 : plan_.retryAfterMs_());
+  ReplyForwardError(
+    *exchange_, aStatus, state, mayHaveRun_ ? 0 : plan_.retryAfterMs_());
   services_.metrics_.Count(
     mayHaveRun_ ? Counter::kOutcomeUnknown : Counter::kRefused, 1, kind);
   Finish(kind, status);
@@ -417,9 +415,8 @@
   if (!mayHaveRun_ || (callerGone_ && sends_ == 1 && events_.Count() == 0)) {
     return 0;
   }
-  const ledger::Tokens output =
-    std::min(plan_.request_.maxOutputTokens_,
-             events_.Count() * plan_.tokensPerEvent_);
+  const ledger::Tokens output = std::min(
+    plan_.request_.maxOutputTokens_, events_.Count() * plan_.tokensPerEvent_);
   return plan_.request_.promptTokens_.value_or(0) + output;
 }
 
--- a/packages/routing/src/process/EndpointTable.cpp
+++ b/packages/routing/src/process/EndpointTable.cpp
@@ -1,6 +1,7 @@
 #include "cactuswick/routing/process/EndpointTable.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "cactuswick/model/process/Hash.h"
 
@@ -320,14 +321,14 @@
 {
   // Ties take turns, so that routers with little load do not all go to one.
   const size_t offset = turn_++ % aCandidates.size();
-  Endpoint* best = nullptr;
-  double bestLoad = 0;
+  Endpoint* best = aCandidates[offset];
+  double bestLoad = std::numeric_limits<double>::max();
   for (size_t i = 0; i < aCandidates.size(); ++i) {
     Endpoint* one = aCandidates[(i + offset) % aCandidates.size()];
     const bool near =
       one->announcement_.failureDomain_ == options_.failureDomain_;
     const double load = LoadOf(*one) + (near ? 0 : kFarLoad);
-    if (best == nullptr || load < bestLoad) {
+    if (load < bestLoad) {
       best = one;
       bestLoad = load;
     }
--- a/packages/routing/src/process/GrantBook.cpp
+++ b/packages/routing/src/process/GrantBook.cpp
@@ -84,7 +84,9 @@
   ask.minimum_ =
     std::max(Tokens{ 1 }, aMinimum - (line.granted_ - line.reserved_));
   const bool exact = aNowMs < line.recalledUntilMs_;
-  ask.want_ = exact || options_.extrapolates_ ? ask.minimum_ : std::max(ask.minimum_, RecentUse(line, aNowMs));
+  ask.want_ = exact || options_.extrapolates_
+                ? ask.minimum_
+                : std::max(ask.minimum_, RecentUse(line, aNowMs));
   return ask;
 }
 
@@ -97,10 +99,9 @@
   }
   const int64_t elapsed = std::clamp(
     aNowMs - aLine.windowStartMs_, kShortestPastMs, options_.horizonMs_);
-  const Tokens rate =
-    aLine.spentBefore_ > 0
-      ? 0
-      : aLine.spentInWindow_ * options_.horizonMs_ / elapsed;
+  const Tokens rate = aLine.spentBefore_ > 0
+                        ? 0
+                        : aLine.spentInWindow_ * options_.horizonMs_ / elapsed;
   const Tokens target =
     std::max(seen, rate) * options_.marginPercent_ / kPercent;
   return std::max(target, aLine.floor_);
--- a/packages/settings/include/cactuswick/settings/process/SettingList.h
+++ b/packages/settings/include/cactuswick/settings/process/SettingList.h
@@ -118,32 +118,21 @@
   "Where the platform's operators and endpoints call; empty for none."
 };
 inline constexpr TextSetting kControlEntryListen{
-  "control",
-  "entry_listen",
-  "",
-  Shape::kAddress,
-  "",
-  "Where callers ask for addresses of routers; empty for none."
+  "control", "entry_listen",
+  "",        Shape::kAddress,
+  "",        "Where callers ask for addresses of routers; empty for none."
 };
 inline constexpr IntegerSetting kEntryListTtlS{
-  "control",
-  "entry_ttl_s",
-  1,
-  Shape::kInteger,
-  "s",
-  "How long callers may keep a list of routers' addresses.",
-  1,
-  3'600
+  "control", "entry_ttl_s",
+  1,         Shape::kInteger,
+  "s",       "How long callers may keep a list of routers' addresses.",
+  1,         3'600
 };
 inline constexpr IntegerSetting kEndpointHeartbeatMs{
-  "control",
-  "endpoint_heartbeat_ms",
-  1'000,
-  Shape::kInteger,
-  "ms",
-  "Interval at which endpoints announce themselves to control.",
-  10,
-  600'000
+  "control", "endpoint_heartbeat_ms",
+  1'000,     Shape::kInteger,
+  "ms",      "Interval at which endpoints announce themselves to control.",
+  10,        600'000
 };
 inline constexpr TextSetting kControlMetricsListen{
   "control", "metrics_listen",
@@ -343,22 +332,15 @@
   3'600'000
 };
 inline constexpr IntegerSetting kForwardGraceS{
-  "forward",
-  "grace_s",
-  8,
-  Shape::kInteger,
-  "s",
-  "Time from the signal to stop until the process is killed.",
-  1,
-  3'600
+  "forward", "grace_s",
+  8,         Shape::kInteger,
+  "s",       "Time from the signal to stop until the process is killed.",
+  1,         3'600
 };
 inline constexpr TextSetting kForwardRetryRatio{
-  "forward",
-  "retry_ratio",
-  "0.1",
-  Shape::kDecimal,
-  "",
-  "Repeated sends allowed per request, over all routers."
+  "forward", "retry_ratio",
+  "0.1",     Shape::kDecimal,
+  "",        "Repeated sends allowed per request, over all routers."
 };
 inline constexpr IntegerSetting kForwardRetrySlack{
   "forward",
--- a/packages/transport/include/cactuswick/transport/connection/PeerMessageFields.h
+++ b/packages/transport/include/cactuswick/transport/connection/PeerMessageFields.h
@@ -115,13 +115,13 @@
 constexpr auto
 FieldsOf(const QueryReply*)
 {
-  return model::MakeFields(model::Field{ "call", &QueryReply::call_ },
-                           model::Field{ "revision", &QueryReply::revision_ },
-                           model::Field{ "resources", &QueryReply::resources_ },
-                           model::Field{ "accounts", &QueryReply::accounts_ },
-                           model::Field{ "status", &QueryReply::status_ },
-                           model::Field{ "deployment",
-                                         &QueryReply::deployment_ });
+  return model::MakeFields(
+    model::Field{ "call", &QueryReply::call_ },
+    model::Field{ "revision", &QueryReply::revision_ },
+    model::Field{ "resources", &QueryReply::resources_ },
+    model::Field{ "accounts", &QueryReply::accounts_ },
+    model::Field{ "status", &QueryReply::status_ },
+    model::Field{ "deployment", &QueryReply::deployment_ });
 }
 
 constexpr std::string_view
@@ -260,12 +260,11 @@
 constexpr auto
 FieldsOf(const LendRequest*)
 {
-  return model::MakeFields(
-    model::Field{ "call", &LendRequest::call_ },
-    model::Field{ "borrower", &LendRequest::borrower_ },
-    model::Field{ "budget", &LendRequest::budget_ },
-    model::Field{ "want", &LendRequest::want_ },
-    model::Field{ "minimum", &LendRequest::minimum_ });
+  return model::MakeFields(model::Field{ "call", &LendRequest::call_ },
+                           model::Field{ "borrower", &LendRequest::borrower_ },
+                           model::Field{ "budget", &LendRequest::budget_ },
+                           model::Field{ "want", &LendRequest::want_ },
+                           model::Field{ "minimum", &LendRequest::minimum_ });
 }
 
 constexpr std::string_view
--- a/packages/transport/src/connection/HttpCall.cpp
+++ b/packages/transport/src/connection/HttpCall.cpp
@@ -29,9 +29,9 @@
 ToCommand(const std::string& aMethod)
 {
   static const std::map<std::string, evhttp_cmd_type> kCommands = {
-    { "GET", EVHTTP_REQ_GET },       { "HEAD", EVHTTP_REQ_HEAD },
-    { "PUT", EVHTTP_REQ_PUT },       { "DELETE", EVHTTP_REQ_DELETE },
-    { "PATCH", EVHTTP_REQ_PATCH },   { "POST", EVHTTP_REQ_POST },
+    { "GET", EVHTTP_REQ_GET },        { "HEAD", EVHTTP_REQ_HEAD },
+    { "PUT", EVHTTP_REQ_PUT },        { "DELETE", EVHTTP_REQ_DELETE },
+    { "PATCH", EVHTTP_REQ_PATCH },    { "POST", EVHTTP_REQ_POST },
     { "OPTIONS", EVHTTP_REQ_OPTIONS }
   };
   const auto found = kCommands.find(aMethod);
@@ -152,8 +152,7 @@
       evbuffer_get_length(bufferevent_get_input(stream)) == 0 &&
       evbuffer_get_length(output) == 0;
     if (options_.pool_ != nullptr && clean) {
-      options_.pool_->Give(
-        options_.address_, std::move(connection_), idleMs_);
+      options_.pool_->Give(options_.address_, std::move(connection_), idleMs_);
     }
   }
 
--- a/packages/transport/src/connection/HttpExchange.cpp
+++ b/packages/transport/src/connection/HttpExchange.cpp
@@ -112,8 +112,7 @@
   evhttp_connection* connection = evhttp_request_get_connection(aRequest);
   evhttp_connection_set_closecb(
     connection, [](evhttp_connection*, void* aSelf) { OnClosed(aSelf); }, this);
-  TuneSocket(
-    bufferevent_getfd(evhttp_connection_get_bufferevent(connection)));
+  TuneSocket(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)));
   WatchForHangUp();
 }
 
--- /dev/null
+++ b/tests/control/process/EndpointDirectoryTest.cpp
@@ -0,0 +1,67 @@
+#include <gtest/gtest.h>
+
+#include "process/EndpointDirectory.h"
+
+namespace cactuswick::control {
+namespace {
+
+model::Announcement
+From(const std::string& aName,
+     int64_t aIncarnation,
+     int64_t aSequence,
+     const std::string& aAddress = "10.0.0.1:80")
+{
+  return { .endpoint_ = aName,
+           .serves_ = { "s" },
+           .address_ = aAddress,
+           .incarnation_ = aIncarnation,
+           .sequence_ = aSequence,
+           .leaseMs_ = 1'000 };
+}
+
+TEST(EndpointDirectory, TellsNewsFromRenewals)
+{
+  EndpointDirectory directory;
+  EXPECT_EQ(directory.Hear(From("a", 1, 1), 0, 0), Hearing::kNews);
+  EXPECT_EQ(directory.Hear(From("a", 1, 2), 0, 10), Hearing::kRenewal);
+  EXPECT_EQ(directory.Hear(From("a", 1, 2), 0, 10), Hearing::kStale);
+  // The same identity, born again, counts from the start.
+  EXPECT_EQ(directory.Hear(From("a", 2, 1), 0, 20), Hearing::kNews);
+  EXPECT_EQ(directory.Hear(From("a", 1, 9), 0, 30), Hearing::kStale);
+}
+
+TEST(EndpointDirectory, AnAddressBelongsToWhoeverStartedThereLast)
+{
+  EndpointDirectory directory;
+  directory.Hear(From("old", 5, 1), 0, 0);
+  EXPECT_EQ(directory.Hear(From("new", 8, 1), 0, 10), Hearing::kNews);
+  EXPECT_EQ(directory.All(10).size(), 1U);
+  // Held up by a partition, from an endpoint that has crashed since.
+  EXPECT_EQ(directory.Hear(From("old", 5, 2), 0, 20), Hearing::kStale);
+}
+
+TEST(EndpointDirectory, ARetiredIncarnationDoesNotComeBack)
+{
+  EndpointDirectory directory;
+  directory.Hear(From("a", 5, 1), 0, 0);
+  directory.Retire("a", 5);
+  EXPECT_TRUE(directory.All(0).empty());
+  EXPECT_EQ(directory.Hear(From("a", 5, 2), 0, 10), Hearing::kStale);
+  EXPECT_EQ(directory.Hear(From("a", 6, 1), 0, 10), Hearing::kNews);
+}
+
+TEST(EndpointDirectory, LosesWhatIsSilentForItsLeaseButNotDuringTheGrace)
+{
+  EndpointDirectory directory;
+  directory.Hear(From("a", 5, 1), 0, 0);
+  EXPECT_TRUE(directory.Expire(1'000, 0).empty());
+  EXPECT_TRUE(directory.Expire(5'000, 6'000).empty());
+  const auto lost = directory.Expire(6'000, 6'000);
+  ASSERT_EQ(lost.size(), 1U);
+  EXPECT_EQ(lost[0].incarnation_, 5);
+  // Heard again, it is news.
+  EXPECT_EQ(directory.Hear(From("a", 5, 2), 0, 7'000), Hearing::kNews);
+}
+
+} // namespace
+} // namespace cactuswick::control
--- /dev/null
+++ b/tests/control/version/MembershipPlanTest.cpp
@@ -0,0 +1,95 @@
+#include <gtest/gtest.h>
+
+#include "version/MembershipPlan.h"
+
+namespace cactuswick::control {
+namespace {
+
+MemberHealth
+Voter(const std::string& aName, int64_t aSilentMs = 0)
+{
+  return { { aName + "/1", aName + ":1", "", true }, true, aSilentMs };
+}
+
+MemberHealth
+Learner(const std::string& aName, bool aCaughtUp, int64_t aSilentMs = 0)
+{
+  return { { aName + "/1", aName + ":1", "", false }, aCaughtUp, aSilentMs };
+}
+
+std::string
+NamesOf(const std::optional<std::vector<ledger::Member>>& aMembers)
+{
+  std::string names;
+  for (const auto& member :
+       aMembers.value_or(std::vector<ledger::Member>{})) {
+    names += member.id_ + (member.voter_ ? " " : "? ");
+  }
+  return names;
+}
+
+TEST(MembershipPlan, TakesOneStepAtATime)
+{
+  const ledger::Member fresh{ "d/1", "d:1", "", false };
+  const ledger::Member wiped{ "c/2", "c:1", "", false };
+  struct Case
+  {
+    const char* what_;
+    std::vector<MemberHealth> members_;
+    std::vector<ledger::Member> waiting_;
+    std::string next_;
+  };
+  const std::vector<Case> cases = {
+    { "all is well", { Voter("a"), Voter("b"), Voter("c") }, {}, "" },
+    { "a newcomer first learns",
+      { Voter("a"), Voter("b"), Voter("c") },
+      { fresh },
+      "a/1 b/1 c/1 d/1? " },
+    { "one that has not caught up waits",
+      { Voter("a"), Voter("b"), Voter("c", 9'000), Learner("d", false) },
+      {},
+      "" },
+    { "one too many does not vote while all live",
+      { Voter("a"), Voter("b"), Voter("c"), Learner("d", true) },
+      {},
+      "" },
+    { "a dead voter is outvoted before it goes",
+      { Voter("a"), Voter("b"), Voter("c", 9'000), Learner("d", true) },
+      {},
+      "a/1 b/1 c/1 d/1 " },
+    { "then the dead one goes",
+      { Voter("a"), Voter("b"), Voter("c", 9'000), Voter("d") },
+      {},
+      "a/1 b/1 d/1 " },
+    { "without a successor a silent voter stays",
+      { Voter("a"), Voter("b"), Voter("c", 9'000) },
+      {},
+      "" },
+    { "a lost disk comes back as a learner",
+      { Voter("a"), Voter("b"), Voter("c", 200) },
+      { wiped },
+      "a/1 b/1 c/1 c/2? " },
+    { "the leader is never removed",
+      { Voter("a", 9'000), Voter("b"), Voter("c"), Voter("d") },
+      {},
+      "" },
+    { "a silent learner is dropped",
+      { Voter("a"), Voter("b"), Voter("c"), Learner("d", true, 60'000) },
+      {},
+      "a/1 b/1 c/1 " },
+    { "with too few votes a learner gets one",
+      { Voter("a"), Voter("b"), Learner("c", true) },
+      {},
+      "a/1 b/1 c/1 " },
+  };
+  for (const auto& one : cases) {
+    EXPECT_EQ(NamesOf(NextMembers({ .members_ = one.members_,
+                                    .waiting_ = one.waiting_,
+                                    .self_ = "a/1" })),
+              one.next_)
+      << one.what_;
+  }
+}
+
+} // namespace
+} // namespace cactuswick::control
--- /dev/null
+++ b/tests/model/version/DeploymentTest.cpp
@@ -0,0 +1,82 @@
+#include <gtest/gtest.h>
+
+#include "cactuswick/model/version/Deployment.h"
+
+#include "cactuswick/model/process/Error.h"
+
+namespace cactuswick::model {
+namespace {
+
+Deployment
+Valid()
+{
+  return { .version_ = 1,
+           .routes_ = { { .name_ = "r1",
+                          .host_ = "h",
+                          .pathPrefix_ = "/a/",
+                          .timeoutMs_ = 100,
+                          .split_ = { { "s", 1 } } } },
+           .services_ = { { .name_ = "s" } },
+           .workspaces_ = { { .name_ = "w", .apiKeys_ = { "k1", "k2" } } } };
+}
+
+TEST(Deployment, AValidOnePasses)
+{
+  EXPECT_TRUE(Validate(Valid()).ok());
+}
+
+TEST(Deployment, RefusesWhatIsInvalidAsAWhole)
+{
+  struct Case
+  {
+    const char* what_;
+    void (*spoil_)(Deployment&);
+    ErrorKind kind_;
+  };
+  const std::vector<Case> cases = {
+    { "unknown service",
+      [](Deployment& aOne) { aOne.routes_[0].split_[0].service_ = "x"; },
+      ErrorKind::kUnknownResource },
+    { "same place",
+      [](Deployment& aOne) { aOne.routes_.push_back(aOne.routes_[0]); },
+      ErrorKind::kMalformed },
+    { "weights of 0",
+      [](Deployment& aOne) { aOne.routes_[0].split_[0].weight_ = 0; },
+      ErrorKind::kOutOfRange },
+    { "negative weight",
+      [](Deployment& aOne) { aOne.routes_[0].split_[0].weight_ = -1; },
+      ErrorKind::kOutOfRange },
+    { "no split",
+      [](Deployment& aOne) { aOne.routes_[0].split_.clear(); },
+      ErrorKind::kOutOfRange },
+    { "no timeout",
+      [](Deployment& aOne) { aOne.routes_[0].timeoutMs_ = 0; },
+      ErrorKind::kOutOfRange },
+    { "shared key",
+      [](Deployment& aOne) {
+        aOne.workspaces_.push_back({ .name_ = "v", .apiKeys_ = { "k2" } });
+      },
+      ErrorKind::kMalformed },
+    { "negative budget",
+      [](Deployment& aOne) { aOne.workspaces_[0].prepaidTokens_ = -1; },
+      ErrorKind::kOutOfRange },
+  };
+  for (const auto& one : cases) {
+    Deployment deployment = Valid();
+    one.spoil_(deployment);
+    EXPECT_EQ(KindOf(Validate(deployment)), one.kind_) << one.what_;
+  }
+}
+
+TEST(Deployment, OnlyResumableStreamsAndSafeRoutesAreIdempotent)
+{
+  EXPECT_TRUE(ForwardRoute{ .type_ = RouteType::kSafe }.IsIdempotent());
+  EXPECT_FALSE(ForwardRoute{ .type_ = RouteType::kUnsafe }.IsIdempotent());
+  EXPECT_FALSE(ForwardRoute{ .type_ = RouteType::kStreaming }.IsIdempotent());
+  const ForwardRoute resumable{ .type_ = RouteType::kStreaming,
+                                .resumable_ = true };
+  EXPECT_TRUE(resumable.IsIdempotent());
+}
+
+} // namespace
+} // namespace cactuswick::model
--- /dev/null
+++ b/tests/platform/connection/AnnouncementDocumentTest.cpp
@@ -0,0 +1,78 @@
+#include <gtest/gtest.h>
+
+#include "connection/AnnouncementDocument.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cactuswick::platform {
+namespace {
+
+nlohmann::json
+Ready()
+{
+  return { { "Service", "s" },   { "Address", "10.0.0.9:8080" },
+           { "Zone", "z" },      { "Version", "v1" },
+           { "Slots", 64 },      { "State", "ready" },
+           { "ColdLeftMs", 0 },  { "Sequence", 4 },
+           { "born", 1'700'000 } };
+}
+
+TEST(AnnouncementDocument, ReadsAReadyEndpoint)
+{
+  const auto heard = DecodeAnnouncement("i-1", Ready().dump(), 5'000);
+  ASSERT_TRUE(heard.ok()) << heard.status();
+  EXPECT_EQ(heard->endpoint_, "i-1");
+  EXPECT_EQ(heard->serves_, (std::vector<std::string>{ "s" }));
+  EXPECT_EQ(heard->address_, "10.0.0.9:8080");
+  EXPECT_EQ(heard->failureDomain_, "z");
+  EXPECT_EQ(heard->slots_, 64);
+  EXPECT_EQ(heard->incarnation_, 1'700'000);
+  EXPECT_EQ(heard->sequence_, 4);
+  EXPECT_EQ(heard->leaseMs_, 5'000);
+  EXPECT_FALSE(heard->leaving_);
+}
+
+TEST(AnnouncementDocument, ReadsALeavingEndpoint)
+{
+  auto document = Ready();
+  document["State"] = "draining";
+  EXPECT_TRUE(DecodeAnnouncement("i-1", document.dump(), 1)->leaving_);
+}
+
+TEST(AnnouncementDocument, ForeignOnesNameNoEndpoint)
+{
+  for (const char* name :
+       { "Service", "Address", "Zone", "Slots", "State", "Sequence" }) {
+    auto missing = Ready();
+    missing.erase(name);
+    EXPECT_FALSE(DecodeAnnouncement("i-1", missing.dump(), 1).ok()) << name;
+    auto other = Ready();
+    other[name] = nlohmann::json::array();
+    EXPECT_FALSE(DecodeAnnouncement("i-1", other.dump(), 1).ok()) << name;
+  }
+  const std::vector<std::pair<const char*, nlohmann::json>> cases = {
+    { "State", "asleep" }, { "Address", "nowhere" }, { "Slots", 0 },
+    { "Slots", 1.5 },      { "born", "yesterday" },  { "born", 1.5 },
+    { "Version", 3 },      { "Service", "" },
+  };
+  for (const auto& [name, value] : cases) {
+    auto document = Ready();
+    document[name] = value;
+    EXPECT_FALSE(DecodeAnnouncement("i-1", document.dump(), 1).ok())
+      << name << " " << value;
+  }
+  for (const char* bytes : { "", "{", "[]", "\xff\xfe", "null", "3" }) {
+    EXPECT_FALSE(DecodeAnnouncement("i-1", bytes, 1).ok()) << bytes;
+  }
+  EXPECT_FALSE(DecodeAnnouncement("", Ready().dump(), 1).ok());
+}
+
+TEST(AnnouncementDocument, ALeavingEndpointMayNameItsIncarnation)
+{
+  EXPECT_EQ(DecodeLeavingIncarnation(R"({"born":7})"), 7);
+  EXPECT_EQ(DecodeLeavingIncarnation(""), std::nullopt);
+  EXPECT_EQ(DecodeLeavingIncarnation(R"({"born":"x"})"), std::nullopt);
+}
+
+} // namespace
+} // namespace cactuswick::platform
--- /dev/null
+++ b/tests/platform/connection/ForwardHeadersTest.cpp
@@ -0,0 +1,151 @@
+#include <gtest/gtest.h>
+
+#include "cactuswick/platform/connection/ForwardHeaders.h"
+
+#include "cactuswick/model/process/Error.h"
+
+namespace cactuswick::platform {
+namespace {
+
+using transport::Headers;
+
+const Headers kPlain = { { "Host", "Shop.example:80" },
+                         { "X-Request-Id", "abc" },
+                         { "X-Deadline-Ms", "1500" },
+                         { "Authorization", "Token secret" },
+                         { "X-Other", "kept" } };
+
+Headers
+With(Headers aMore)
+{
+  Headers headers = kPlain;
+  headers.insert(headers.end(), aMore.begin(), aMore.end());
+  return headers;
+}
+
+bool
+Has(const Headers& aHeaders, const std::string& aName)
+{
+  return std::any_of(aHeaders.begin(), aHeaders.end(), [&](const auto& aOne) {
+    return aOne.name_ == aName;
+  });
+}
+
+TEST(ForwardHeaders, ReadsACallersRequest)
+{
+  const auto request =
+    DecodeRequest("/a/b?q=1",
+                  With({ { "X-Token-Count", "1460,80" },
+                         { "X-Prompt-Prefix", "5c:800,91:410,e4:250" },
+                         { "Last-Event-Id", "12" } }));
+  ASSERT_TRUE(request.ok()) << request.status();
+  EXPECT_EQ(request->id_, "abc");
+  EXPECT_EQ(request->host_, "shop.example");
+  EXPECT_EQ(request->path_, "/a/b");
+  EXPECT_EQ(request->apiKey_, "secret");
+  EXPECT_EQ(request->deadlineMs_, 1'500);
+  EXPECT_EQ(request->promptTokens_, 1'460);
+  EXPECT_EQ(request->maxOutputTokens_, 80);
+  EXPECT_EQ(request->lastEventId_, "12");
+  EXPECT_EQ(request->parts_,
+            (std::vector<router::PromptPart>{
+              { "5c", 800 }, { "91", 410 }, { "e4", 250 } }));
+}
+
+TEST(ForwardHeaders, DropsWhatConcernsOneConnectionAndWhatOnlyTheRouterSets)
+{
+  const auto request = DecodeRequest("/",
+                                     With({ { "Connection", "X-Hop, close" },
+                                            { "X-Hop", "1" },
+                                            { "Keep-Alive", "timeout=5" },
+                                            { "TE", "trailers" },
+                                            { "X-Hold", "forged" },
+                                            { "X-Pin-Ms", "9" },
+                                            { "X-Kv-Backup", "forged" },
+                                            { "Kv-From", "forged" },
+                                            { "Kv-Fetch", "forged" },
+                                            { "X-Tenant", "forged" },
+                                            { "X-Expect-Instance", "forged" },
+                                            { "X-Request-Priority", "0" } }));
+  ASSERT_TRUE(request.ok());
+  EXPECT_EQ(request->headers_,
+            (Headers{ { "Host", "Shop.example:80" },
+                      { "X-Request-Id", "abc" },
+                      { "X-Other", "kept" } }));
+}
+
+TEST(ForwardHeaders, RefusesRequestsWithoutOneEnd)
+{
+  const std::vector<Headers> cases = {
+    { { "Content-Length", "4" }, { "Transfer-Encoding", "chunked" } },
+    { { "Content-Length", "4" }, { "Content-Length", "5" } },
+    { { "Transfer-Encoding", "chunked" }, { "Transfer-Encoding", "x" } },
+    { { "Transfer-Encoding", "gzip, chunked" } },
+    { { "Content-Length ", "4" } },
+    { { "Host", "other.example" } },
+    { { "X-Token-Count", "many" } },
+    { { "X-Token-Count", "-4,5" } },
+    { { "X-Token-Count", "4" } },
+  };
+  for (const auto& headers : cases) {
+    EXPECT_EQ(model::KindOf(DecodeRequest("/", With(headers)).status()),
+              model::ErrorKind::kMalformed)
+      << headers[0].name_ << ": " << headers[0].value_;
+  }
+}
+
+TEST(ForwardHeaders, PlacementDoesWithoutPartsThatCannotBeRead)
+{
+  for (const char* parts : { "x", "a:b", "a:1,b", ":" }) {
+    const auto request =
+      DecodeRequest("/", With({ { "X-Prompt-Prefix", parts } }));
+    ASSERT_TRUE(request.ok());
+    EXPECT_TRUE(request->parts_.empty()) << parts;
+  }
+}
+
+TEST(ForwardHeaders, TellsTheEndpointWhatTheRouterDecided)
+{
+  const auto request = DecodeRequest("/", kPlain);
+  const auto headers = EncodeRequest(*request,
+                                     { .endpoint_ = "i-1",
+                                       .workspace_ = "w",
+                                       .priority_ = 30,
+                                       .deadlineMs_ = 900,
+                                       .lastEventId_ = "4",
+                                       .isGeneration_ = true });
+  EXPECT_EQ(headers,
+            (Headers{ { "Host", "Shop.example:80" },
+                      { "X-Request-Id", "abc" },
+                      { "X-Other", "kept" },
+                      { "X-Deadline-Ms", "900" },
+                      { "X-Expect-Instance", "i-1" },
+                      { "X-Tenant", "w" },
+                      { "X-Request-Priority", "9" },
+                      { "Last-Event-Id", "4" } }));
+  const auto plain = EncodeRequest(*request, { .endpoint_ = "i-1" });
+  EXPECT_FALSE(Has(plain, "X-Tenant"));
+  EXPECT_FALSE(Has(plain, "X-Request-Priority"));
+  EXPECT_FALSE(Has(plain, "Last-Event-Id"));
+}
+
+TEST(ForwardHeaders, ReadsAnswers)
+{
+  const auto served = DecodeAnswer(200,
+                                   { { "X-Request-Id", "abc" },
+                                     { "X-Response-Stamp", "s" },
+                                     { "Content-Length", "3" },
+                                     { "Connection", "close" } });
+  EXPECT_FALSE(served.notRun_);
+  EXPECT_EQ(served.requestId_, "abc");
+  EXPECT_EQ(served.headers_,
+            (Headers{ { "X-Request-Id", "abc" }, { "X-Response-Stamp", "s" } }));
+  EXPECT_TRUE(DecodeAnswer(503, { { "X-Not-Executed", "1" } }).notRun_);
+  EXPECT_TRUE(DecodeAnswer(421, {}).notRun_);
+  // Without the endpoint's word a refusal promises nothing.
+  EXPECT_FALSE(DecodeAnswer(503, {}).notRun_);
+  EXPECT_FALSE(DecodeAnswer(500, {}).notRun_);
+}
+
+} // namespace
+} // namespace cactuswick::platform
--- a/tests/routing/process/GrantBookTest.cpp
+++ b/tests/routing/process/GrantBookTest.cpp
@@ -120,6 +120,45 @@
   EXPECT_FALSE(book.HasCopiesOut());
 }
 
+TEST(GrantBook, LendsHalfOfWhatIsFreeOrTheMinimum)
+{
+  GrantBook book;
+  book.OnGranted(kBudget, 100);
+  book.Reserve(kBudget, 20, 0);
+  EXPECT_EQ(book.Lend(kBudget, 90, 10), 40);
+  EXPECT_EQ(book.Free(kBudget), 40);
+  EXPECT_EQ(book.Lend(kBudget, 90, 35), 35);
+  EXPECT_EQ(book.Lend(kBudget, 90, 35), 0) << "only 5 are left";
+  EXPECT_EQ(book.Lend("w/other", 90, 1), 0);
+  EXPECT_EQ(book.Granted(kBudget), 25);
+}
+
+TEST(GrantBook, AsksForWhatIsMissingOfTheHorizon)
+{
+  GrantBook book({ .horizonMs_ = 10'000,
+                   .extrapolates_ = true,
+                   .refillPercent_ = 85,
+                   .marginPercent_ = 100 });
+  book.OnGranted(kBudget, 1'000);
+  book.Reserve(kBudget, 500, 1'000);
+  book.Spend(kBudget, 500);
+  // 500 in the first 5 s come to 1,000 in 10 s; 500 are left of them.
+  const auto ask = book.Refill(kBudget, 6'000);
+  ASSERT_TRUE(ask);
+  EXPECT_EQ(ask->want_, 500);
+  EXPECT_TRUE(ask->ahead_);
+  book.OnGranted(kBudget, 400);
+  EXPECT_FALSE(book.Refill(kBudget, 6'000)) << "900 of 1,000 are enough";
+}
+
+TEST(GrantBook, KeepsAFloorOfBudgetsThatAreNotUsedYet)
+{
+  GrantBook book({ .extrapolates_ = true });
+  book.SetFloor(kBudget, 70);
+  EXPECT_EQ(book.Refill(kBudget, 0)->want_, 70);
+  EXPECT_EQ(book.Budgets(), (std::vector<std::string>{ kBudget }));
+}
+
 TEST(SettlementBook, DropsCopiesThatTheirHolderHandedIn)
 {
   SettlementBook book;
