--- a/packages/control/src/process/StorageTask.cpp
+++ b/packages/control/src/process/StorageTask.cpp
@@ -57,9 +57,8 @@
   {
     bool refused = false;
     while (true) {
-      absl::Status status = aWrite.rewrite_
-                                    ? store_.Rewrite(aWrite.frame_)
-                                    : store_.Append(aWrite.frame_);
+      absl::Status status = aWrite.rewrite_ ? store_.Rewrite(aWrite.frame_)
+                                            : store_.Append(aWrite.frame_);
       if (status.ok() || stopping_) {
         if (refused) {
           Log(Part::kStorage, Level::kInfo, "the disk takes writes again");
--- a/tests/control/version/EntryListTest.cpp
+++ b/tests/control/version/EntryListTest.cpp
@@ -40,12 +40,12 @@
 {
   const auto routers = FourRouters();
   const Addresses all{ "r1", "r2", "r3", "r4" };
-  EXPECT_EQ(EntryAddresses({ .routers_ = routers,
-                             .connected_ = std::set<int64_t>{ 1 } }),
-            all);
-  EXPECT_EQ(EntryAddresses({ .routers_ = routers,
-                             .connected_ = std::set<int64_t>{} }),
+  EXPECT_EQ(EntryAddresses(
+              { .routers_ = routers, .connected_ = std::set<int64_t>{ 1 } }),
             all);
+  EXPECT_EQ(
+    EntryAddresses({ .routers_ = routers, .connected_ = std::set<int64_t>{} }),
+    all);
   EXPECT_EQ(EntryAddresses({ .routers_ = routers }), all);
 }
 
--- a/tests/control/version/MembershipPlanTest.cpp
+++ b/tests/control/version/MembershipPlanTest.cpp
@@ -21,8 +21,7 @@
 NamesOf(const std::optional<std::vector<ledger::Member>>& aMembers)
 {
   std::string names;
-  for (const auto& member :
-       aMembers.value_or(std::vector<ledger::Member>{})) {
+  for (const auto& member : aMembers.value_or(std::vector<ledger::Member>{})) {
     names += member.id_ + (member.voter_ ? " " : "? ");
   }
   return names;
--- a/tests/ledger/version/LedgerDeploymentTest.cpp
+++ b/tests/ledger/version/LedgerDeploymentTest.cpp
@@ -18,7 +18,10 @@
 public:
   LateReporters() { Declare(1, kTotal); }
 
-  Reply Run(const Command& aCommand) { return ledger_.Apply(aCommand, ++time_); }
+  Reply Run(const Command& aCommand)
+  {
+    return ledger_.Apply(aCommand, ++time_);
+  }
 
   Reply Declare(int64_t aVersion, Tokens aTokens)
   {
@@ -184,11 +187,12 @@
     routers[i].incarnation_ = run.Register("vm" + std::to_string(i));
   }
   Tokens spent = 0;
-  const auto steps = *rc::gen::container<std::vector<std::tuple<int, int, int>>>(
-    300,
-    rc::gen::tuple(rc::gen::inRange(0, 8),
-                   rc::gen::inRange(0, kRouters),
-                   rc::gen::inRange(1, 9'000)));
+  const auto steps =
+    *rc::gen::container<std::vector<std::tuple<int, int, int>>>(
+      300,
+      rc::gen::tuple(rc::gen::inRange(0, 8),
+                     rc::gen::inRange(0, kRouters),
+                     rc::gen::inRange(1, 9'000)));
   for (const auto& [action, which, amount] : steps) {
     Holder& router = routers[which];
     Holder& other = routers[(which + 1) % kRouters];
--- a/tests/platform/connection/ForwardHeadersTest.cpp
+++ b/tests/platform/connection/ForwardHeadersTest.cpp
@@ -138,8 +138,9 @@
                                      { "Connection", "close" } });
   EXPECT_FALSE(served.notRun_);
   EXPECT_EQ(served.requestId_, "abc");
-  EXPECT_EQ(served.headers_,
-            (Headers{ { "X-Request-Id", "abc" }, { "X-Response-Stamp", "s" } }));
+  EXPECT_EQ(
+    served.headers_,
+    (Headers{ { "X-Request-Id", "abc" }, { "X-Response-Stamp", "s" } }));
   EXPECT_TRUE(DecodeAnswer(503, { { "X-Not-Executed", "1" } }).notRun_);
   EXPECT_TRUE(DecodeAnswer(421, {}).notRun_);
   // Without the endpoint's word a refusal promises nothing.
--- a/tests/router/connection/ForwardErrorsTest.cpp
+++ b/tests/router/connection/ForwardErrorsTest.cpp
@@ -27,17 +27,22 @@
     int status_;
   };
   const std::vector<Case> cases = {
-    { ErrorKind::kMalformed, 400 },       { ErrorKind::kUnauthorized, 401 },
-    { ErrorKind::kBudgetExhausted, 402 }, { ErrorKind::kUnknownResource, 404 },
-    { ErrorKind::kTooLarge, 413 },        { ErrorKind::kStarting, 503 },
-    { ErrorKind::kDraining, 503 },        { ErrorKind::kNoEndpoint, 503 },
-    { ErrorKind::kQueueFull, 503 },       { ErrorKind::kBudgetHeldElsewhere, 503 },
+    { ErrorKind::kMalformed, 400 },
+    { ErrorKind::kUnauthorized, 401 },
+    { ErrorKind::kBudgetExhausted, 402 },
+    { ErrorKind::kUnknownResource, 404 },
+    { ErrorKind::kTooLarge, 413 },
+    { ErrorKind::kStarting, 503 },
+    { ErrorKind::kDraining, 503 },
+    { ErrorKind::kNoEndpoint, 503 },
+    { ErrorKind::kQueueFull, 503 },
+    { ErrorKind::kBudgetHeldElsewhere, 503 },
     { ErrorKind::kControlUnreachable, 503 },
   };
   for (const auto& one : cases) {
-    EXPECT_EQ(ForwardStatusOf(model::MakeError(one.kind_, "", ""),
-                              RunState::kNotRun),
-              one.status_)
+    EXPECT_EQ(
+      ForwardStatusOf(model::MakeError(one.kind_, "", ""), RunState::kNotRun),
+      one.status_)
       << model::NameOf(one.kind_);
   }
 }
--- a/tests/router/version/DeploymentViewTest.cpp
+++ b/tests/router/version/DeploymentViewTest.cpp
@@ -6,18 +6,19 @@
 namespace {
 
 model::ForwardRoute
-Route(const std::string& aName, const std::string& aHost, const std::string& aPrefix)
+Route(const std::string& aName,
+      const std::string& aHost,
+      const std::string& aPrefix)
 {
   return { .name_ = aName, .host_ = aHost, .pathPrefix_ = aPrefix };
 }
 
 TEST(DeploymentView, TheLongestPrefixOfTheHostWins)
 {
-  const DeploymentView view(
-    { .routes_ = { Route("all", "h", "/"),
-                   Route("deep", "h", "/a/b/"),
-                   Route("flat", "h", "/a/"),
-                   Route("other", "g", "/a/b/c/") } });
+  const DeploymentView view({ .routes_ = { Route("all", "h", "/"),
+                                           Route("deep", "h", "/a/b/"),
+                                           Route("flat", "h", "/a/"),
+                                           Route("other", "g", "/a/b/c/") } });
   EXPECT_EQ(view.FindRoute("h", "/a/b/c/x")->name_, "deep");
   EXPECT_EQ(view.FindRoute("h", "/a/x")->name_, "flat");
   EXPECT_EQ(view.FindRoute("h", "/a")->name_, "all");
--- /dev/null
+++ b/tests/system/platform_run.py
@@ -0,0 +1,213 @@
+"""A deployment as the users' platform starts it, with stand-in endpoints."""
+
+import http.server
+import json
+import socketserver
+import threading
+import time
+
+from deployment import BIN, Deployment, HttpAnswer, request, wait_for
+
+HOST = "shop.example"
+KEY = "key-of-w"
+
+
+class Runner:
+    """A stand-in endpoint: announces itself and serves calls and streams."""
+
+    def __init__(self, run, number, service):
+        self.run = run
+        self.id = f"i-{number}"
+        self.service = service
+        self.address = f"{run.net}.2.{number}:9001"
+        self.born = int(time.time() * 1000) + number
+        self.sequence = 0
+        self.state = "ready"
+        self.seen = []
+        self.events = 5
+        # How the next requests end: "", "refuse", "reset" or "break".
+        self.fault = ""
+        host, port = self.address.split(":")
+        runner = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def do_GET(self):
+                runner.serve(self)
+
+            do_POST = do_GET
+
+            def log_message(self, *_):
+                pass
+
+        socketserver.ThreadingTCPServer.allow_reuse_address = True
+        self.server = socketserver.ThreadingTCPServer((host, int(port)),
+                                                      Handler)
+        self.server.daemon_threads = True
+        threading.Thread(target=self.server.serve_forever,
+                         daemon=True).start()
+        self.stopped = threading.Event()
+        threading.Thread(target=self.announce, daemon=True).start()
+
+    def serve(self, call):
+        length = int(call.headers.get("Content-Length", 0))
+        body = call.rfile.read(length)
+        self.seen.append({"path": call.path, "body": body,
+                          "headers": dict(call.headers)})
+        if self.fault == "reset":
+            call.close_connection = True
+            call.connection.close()
+            return
+        if self.fault == "refuse":
+            call.send_response(503)
+            call.send_header("X-Not-Executed", "1")
+            call.send_header("Content-Length", "0")
+            call.end_headers()
+            return
+        call.send_response(200)
+        call.send_header("X-Request-Id", call.headers["X-Request-Id"])
+        call.send_header("X-Response-Stamp", f"stamp-{self.id}")
+        if call.path.startswith("/stream/"):
+            self.stream(call)
+            return
+        answer = f"{self.id} {call.path}".encode()
+        call.send_header("Content-Length", str(len(answer)))
+        call.end_headers()
+        call.wfile.write(answer)
+
+    def stream(self, call):
+        call.send_header("Content-Type", "text/event-stream")
+        call.send_header("Transfer-Encoding", "chunked")
+        call.end_headers()
+        first = int(call.headers.get("Last-Event-Id", 0)) + 1
+        for number in range(first, self.events + 1):
+            piece = f"id: {number}\ndata: e{number}\n\n".encode()
+            if self.fault == "break" and number == 3:
+                call.wfile.write(b"5\r\nid: 3\r\n")
+                call.close_connection = True
+                call.connection.close()
+                return
+            call.wfile.write(b"%x\r\n%s\r\n" % (len(piece), piece))
+        call.wfile.write(b"0\r\n\r\n")
+
+    def announce(self):
+        while not self.stopped.wait(0.2):
+            self.tell()
+
+    def tell(self):
+        self.sequence += 1
+        body = json.dumps({
+            "Service": self.service, "Address": self.address, "Zone": "a",
+            "Version": "v1", "Slots": 8, "State": self.state,
+            "ColdLeftMs": 0, "Sequence": self.sequence, "born": self.born})
+        return self.run.control_call(
+            "POST", f"/cactuswick/Instances.Heartbeat/{self.id}", body)
+
+    def stop(self):
+        self.stopped.set()
+        self.server.shutdown()
+        self.server.server_close()
+
+
+class PlatformRun(Deployment):
+    """Control replicas that found themselves, and forwarding routers."""
+
+    def control_api(self, number):
+        return f"{self.net}.0.{number}:7010"
+
+    def entry_address(self, number):
+        return f"{self.net}.0.{number}:7011"
+
+    def forward_address(self, number):
+        return f"{self.net}.1.{number}:8010"
+
+    def ready_address(self, number):
+        return f"{self.net}.1.{number}:8011"
+
+    def seeds(self):
+        return ", ".join(self.control_api(n) for n in range(1, 4))
+
+    def start_replica(self, number, founds="false"):
+        settings = self.write_settings(f"c{number}", {
+            "process": {"vm": f"c{number}", "roles": "control",
+                        "failure_domain": self.domain(number)},
+            "control": {"listen": self.control_listen(number),
+                        "data_dir": self.directory / f"c{number}.data",
+                        "seeds": self.seeds(), "founds": founds,
+                        "api_listen": self.control_api(number),
+                        "entry_listen": self.entry_address(number),
+                        "endpoint_heartbeat_ms": 200,
+                        "election_ms": 300},
+            "log": {"format": "json"}})
+        self.start(f"c{number}", BIN / "cactuswickd", "--config", settings)
+
+    def start_forwarder(self, number):
+        settings = self.write_settings(f"r{number}", {
+            "process": {"vm": f"r{number}", "roles": "router",
+                        "failure_domain": self.domain(number)},
+            "router": {"peer_listen": self.router_peer_listen(number),
+                       "control": self.seeds(), "control_port": 7001},
+            "forward": {"listen": self.forward_address(number),
+                        "ready_listen": self.ready_address(number),
+                        "leave_ms": 500, "grace_s": 4},
+            "log": {"format": "json"}})
+        self.start(f"r{number}", BIN / "cactuswickd", "--config", settings)
+
+    def control_call(self, method, path, body=None):
+        """Asks one replica after the other, as the platform does."""
+        last = HttpAnswer(0, {}, "no replica answered", whole=False)
+        for number in range(1, self.controls + 1):
+            address = self.control_api(number)
+            for _ in range(3):
+                try:
+                    last = request(address, method, path, body, timeout=2)
+                except OSError:
+                    break
+                if last.status != 307:
+                    break
+                place = last.headers["Location"].split("/", 3)
+                address, path = place[2], "/" + place[3]
+            if last.status in (200, 400):
+                return last
+        return last
+
+    def declare(self, version, **changes):
+        document = {
+            "Version": version,
+            "Routes": [
+                {"Name": "call", "Host": HOST, "PathPrefix": "/call/",
+                 "Type": "safe", "TimeoutMs": 2000, "Service": "desk",
+                 "MaxAttempts": 2},
+                {"Name": "once", "Host": HOST, "PathPrefix": "/once/",
+                 "Type": "unsafe", "TimeoutMs": 2000, "Service": "desk",
+                 "MaxAttempts": 2},
+                {"Name": "stream", "Host": HOST, "PathPrefix": "/stream/",
+                 "Type": "streaming", "TimeoutMs": 5000,
+                 "Service": "engine", "MaxAttempts": 2, "Resumable": True}],
+            "Services": [
+                {"Name": "desk", "HealthPath": "/healthz"},
+                {"Name": "engine", "HealthPath": "/healthz",
+                 "Engine": {"Slots": 8, "KvCapacity": 100000, "Stride": 4}}],
+            "Tenants": [{"Name": "w", "ApiKeys": [KEY], "Prepaid": 10000}]}
+        document.update(changes)
+        return self.control_call("POST", "/cactuswick/Config.Replace",
+                                 json.dumps(document))
+
+    def ask(self, path, router=1, method="GET", body=None, key=KEY,
+            request_id="id-1", **headers):
+        sent = {"Host": HOST, "X-Request-Id": request_id,
+                "Authorization": f"Token {key}"}
+        sent.update({name.replace("_", "-"): value
+                     for name, value in headers.items()})
+        return request(self.forward_address(router), method, path, body, sent,
+                       timeout=10)
+
+    def is_ready(self, router):
+        return request(self.ready_address(router), "GET",
+                       "/cactuswick/readyz").status == 200
+
+    def wait_ready(self, routers=(1, 2)):
+        for router in routers:
+            wait_for(lambda r=router: self.is_ready(r), 15,
+                     f"router {router} is ready")
--- /dev/null
+++ b/tests/system/test_platform.py
@@ -0,0 +1,194 @@
+"""The platform's interface on the real processes, without its bench."""
+
+import json
+import shutil
+import signal
+import time
+
+import pytest
+
+from deployment import request, wait_for
+from platform_run import HOST, PlatformRun, Runner
+
+
+@pytest.fixture
+def run():
+    deployment = PlatformRun(controls=3, routers=2)
+    runners = []
+    try:
+        for number in (1, 2, 3):
+            deployment.start_replica(number, founds="true")
+        for number in (1, 2):
+            deployment.start_forwarder(number)
+        wait_for(lambda: deployment.declare(1).status == 200, 15,
+                 "the first deployment is acknowledged")
+        deployment.runners = runners
+        for number, service in ((1, "desk"), (2, "desk"), (3, "engine"),
+                                (4, "engine")):
+            runners.append(Runner(deployment, number, service))
+        deployment.wait_ready()
+        for router in (1, 2):
+            for path in ("/call/x", "/stream/x"):
+                wait_for(lambda r=router, p=path:
+                         deployment.ask(p, r).status == 200, 10,
+                         f"router {router} serves {path}")
+        for runner in runners:
+            runner.seen.clear()
+        yield deployment
+    finally:
+        for runner in runners:
+            runner.stop()
+        deployment.close()
+
+
+def seen(run, path):
+    return [call for runner in run.runners for call in runner.seen
+            if call["path"] == path]
+
+
+def test_a_call_passes_unchanged_and_bears_what_the_router_decided(run):
+    answer = run.ask("/call/a%2Fb?q=%20", method="POST", body="payload",
+                     X_Deadline_Ms="900", X_Tenant="forged", X_Other="kept")
+    assert answer.status == 200
+    assert answer.headers["X-Response-Stamp"].startswith("stamp-i-")
+    (call,) = seen(run, "/call/a%2Fb?q=%20")
+    headers = call["headers"]
+    assert call["body"] == b"payload"
+    assert headers["X-Tenant"] == "w"
+    assert headers["X-Other"] == "kept"
+    assert headers["X-Expect-Instance"].startswith("i-")
+    assert 0 < int(headers["X-Deadline-Ms"]) <= 900
+    assert "Authorization" not in headers
+
+
+@pytest.mark.parametrize("path, key, headers, status", [
+    ("/call/x", "unknown", {}, 401),
+    ("/nowhere/x", "key-of-w", {}, 404),
+    ("/stream/x", "key-of-w", {"X_Token_Count": "20000,10"}, 402),
+    ("/stream/x", "key-of-w", {"X_Token_Count": "many"}, 400),
+    ("/call/x", "key-of-w", {"Transfer_Encoding": "gzip"}, 400),
+])
+def test_refusals_reach_no_endpoint(run, path, key, headers, status):
+    assert run.ask(path, key=key, **headers).status == status
+    assert not seen(run, path)
+
+
+def test_a_budget_is_spent_to_its_end_and_not_beyond(run):
+    served = sum(run.ask("/stream/x", router=1 + i % 2,
+                         X_Token_Count="900,100").status == 200
+                 for i in range(14))
+    # 900 tokens of prompt and 5 events of up to 4 tokens each.
+    assert 9 <= served <= 10000 // 920
+
+
+def test_versions_only_rise_and_invalid_ones_change_nothing(run):
+    assert run.declare(5).status == 200
+    assert run.declare(3, Routes=[]).status == 200
+    assert run.declare(9, Routes=[{"Name": "x"}]).status == 400
+    read = run.control_call("GET", "/cactuswick/Config.Read")
+    assert read.status == 200
+    assert read.json()["Version"] == 5
+    assert len(read.json()["Routes"]) == 3
+
+
+def test_a_new_version_is_in_force_at_every_router_soon(run):
+    assert run.declare(2, Routes=[]).status == 200
+    for router in (1, 2):
+        wait_for(lambda r=router: run.ask("/call/x", r).status == 404, 2,
+                 "the dropped route is gone")
+
+
+def test_a_refusal_of_an_endpoint_is_tried_elsewhere_and_else_promised(run):
+    run.runners[0].fault = "refuse"
+    for number in range(4):
+        assert run.ask(f"/once/{number}").status == 200
+    run.runners[1].fault = "refuse"
+    answer = run.ask("/once/x")
+    assert answer.status == 503
+    assert float(answer.headers["Retry-After"]) > 0
+
+
+def test_a_call_that_may_have_run_is_neither_repeated_nor_denied(run):
+    run.runners[0].fault = run.runners[1].fault = "reset"
+    assert run.ask("/once/x").status == 502
+    assert len(seen(run, "/once/x")) == 1
+    assert run.ask("/call/x").status == 502
+    assert len(seen(run, "/call/x")) == 2
+
+
+def test_a_broken_stream_goes_on_elsewhere_without_half_an_event(run):
+    run.runners[2].fault = "break"
+    for number in range(4):
+        answer = run.ask(f"/stream/{number}", request_id=f"s{number}")
+        assert answer.whole
+        assert answer.body == "".join(
+            f"id: {i}\ndata: e{i}\n\n" for i in range(1, 6))
+
+
+def test_a_leaving_endpoint_gets_nothing_new(run):
+    run.runners[0].state = "draining"
+    assert run.runners[0].tell().status == 200
+    time.sleep(0.5)
+    run.runners[0].seen.clear()
+    for number in range(8):
+        assert run.ask(f"/call/{number}", router=1 + number % 2).status == 200
+    assert not run.runners[0].seen
+    # Not even when an announcement of before arrives late.
+    run.runners[0].state = "ready"
+    run.runners[0].tell()
+    assert run.ask("/call/late").status == 200
+    assert not run.runners[0].seen
+
+
+def test_foreign_announcements_name_no_endpoint(run):
+    for body in ("", "{}", "\x00", json.dumps({"Service": "desk"})):
+        answer = run.control_call(
+            "POST", "/cactuswick/Instances.Heartbeat/i-9", body)
+        assert answer.status == 400
+
+
+def test_a_router_that_stops_leaves_the_list_and_cuts_nothing(run):
+    def listed():
+        answer = request(run.entry_address(1), "GET",
+                         f"/cactuswick/resolve?Name={HOST}&Zone=a")
+        return answer.json()["Addresses"] if answer.status == 200 else []
+
+    wait_for(lambda: len(listed()) == 2, 5, "both routers are listed")
+    run.processes["r1"].send_signal(signal.SIGTERM)
+    wait_for(lambda: listed() == [run.forward_address(2)], 2, "one is left")
+    assert not run.is_ready(1)
+    answer = run.ask("/call/x", router=1)
+    assert answer.status == 200
+    assert answer.headers["Connection"] == "close"
+    assert run.processes["r1"].wait(timeout=8) == 0
+
+
+def test_a_wiped_replica_is_replaced_and_then_another_may_die(run):
+    run.kill("c3")
+    shutil.rmtree(run.directory / "c3.data")
+    run.start_replica(3)
+    # Committed by the survivors meanwhile; then the newcomer has to vote.
+    assert run.declare(2).status == 200
+    time.sleep(4)
+    run.kill("c1")
+    wait_for(lambda: run.declare(4).status == 200, 8,
+             "two replicas, one of them new, are a quorum")
+    read = wait_for(
+        lambda: run.control_call("GET", "/cactuswick/Config.Read"), 5, "read")
+    assert read.json()["Version"] == 4
+
+
+def test_everything_restarts_and_nothing_acknowledged_is_lost(run):
+    assert run.declare(6).status == 200
+    for name in ("c1", "c2", "c3", "r1", "r2"):
+        run.kill(name)
+    for number in (1, 2, 3):
+        run.start_replica(number)
+    for number in (1, 2):
+        run.start_forwarder(number)
+    run.wait_ready()
+    read = run.control_call("GET", "/cactuswick/Config.Read")
+    assert read.json()["Version"] == 6
+    for router in (1, 2):
+        wait_for(lambda r=router: run.ask("/call/x", r).status == 200, 5,
+                 "served again")
--- /dev/null
+++ b/tests/transport/connection/HttpExchangeTest.cpp
@@ -0,0 +1,105 @@
+#include <gtest/gtest.h>
+
+#include "cactuswick/transport/connection/HttpServer.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace cactuswick::transport {
+namespace {
+
+constexpr uint16_t kPort = 18'931;
+
+int
+ConnectAndAsk()
+{
+  const int handle = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(kPort);
+  inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+  EXPECT_EQ(connect(handle,
+                    reinterpret_cast<const sockaddr*>(&address),
+                    sizeof(address)),
+            0);
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  EXPECT_EQ(write(handle, request.data(), request.size()),
+            static_cast<ssize_t>(request.size()));
+  return handle;
+}
+
+void
+CloseWithReset(int aHandle)
+{
+  const linger now{ .l_onoff = 1, .l_linger = 0 };
+  setsockopt(aHandle, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+  close(aHandle);
+}
+
+TEST(HttpExchange, MayBeAbortedWhileTheCallerResetsItsConnection)
+{
+  EventLoop loop;
+  int client = -1;
+  int rounds = 0;
+  std::unique_ptr<HttpExchange> exchange;
+  HttpServer server(
+    loop, { .onRequest_ = [&](std::unique_ptr<HttpExchange> aExchange) {
+      exchange = std::move(aExchange);
+      exchange->StartStream(200, {});
+      // More than the system takes at once, so that writing fails later.
+      exchange->SendChunk(std::string(size_t{ 32 } << 20, 'x'));
+      CloseWithReset(client);
+      exchange->Abort();
+    } });
+  ASSERT_TRUE(server.Listen({ "127.0.0.1", kPort }).ok());
+  Timer next(loop, [&] {
+    exchange.reset();
+    if (++rounds > 20) {
+      loop.Stop();
+      return;
+    }
+    client = ConnectAndAsk();
+  });
+  next.StartRepeating(10);
+  loop.Run();
+  EXPECT_GT(rounds, 20);
+}
+
+TEST(HttpExchange, KeepsUriAndHeadersAsTheyWereSent)
+{
+  EventLoop loop;
+  std::string uri;
+  Headers headers;
+  HttpServer server(
+    loop, { .onRequest_ = [&](std::unique_ptr<HttpExchange> aExchange) {
+      uri = aExchange->Uri();
+      headers = aExchange->RequestHeaders();
+      aExchange->CloseAfterReply();
+      aExchange->Reply(200, {}, "ok");
+      loop.Stop();
+    } });
+  ASSERT_TRUE(server.Listen({ "127.0.0.1", kPort + 1 }).ok());
+  const int handle = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(kPort + 1);
+  inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+  ASSERT_EQ(connect(handle,
+                    reinterpret_cast<const sockaddr*>(&address),
+                    sizeof(address)),
+            0);
+  const std::string request =
+    "GET /a%2Fb?x=%20 HTTP/1.1\r\nHost: h\r\nX-A: 1\r\nx-a: 2\r\n\r\n";
+  ASSERT_EQ(write(handle, request.data(), request.size()),
+            static_cast<ssize_t>(request.size()));
+  loop.Run();
+  close(handle);
+  EXPECT_EQ(uri, "/a%2Fb?x=%20");
+  EXPECT_EQ(headers,
+            (Headers{ { "Host", "h" }, { "X-A", "1" }, { "x-a", "2" } }));
+}
+
+} // namespace
+} // namespace cactuswick::transport
