--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -365,7 +365,9 @@
 ForwardExchange::NotePromptRead()
 {
   if (const auto toRead = std::exchange(toRead_, 0)) {
-    services_.dispatcher_.Endpoints().OnPromptRead(endpoint_.endpoint_, toRead);
+    const int64_t now = EventLoop::NowMs();
+    services_.dispatcher_.Endpoints().OnPromptRead(
+      endpoint_.endpoint_, toRead, now - sentMs_, now);
   }
 }
 
--- a/packages/routing/include/cactuswick/routing/process/EndpointTable.h
+++ b/packages/routing/include/cactuswick/routing/process/EndpointTable.h
@@ -87,8 +87,13 @@
     const std::vector<std::string>& aExcluded,
     int64_t aNowMs);
 
-  /// Says that an engine has read a prompt, or will not.
-  void OnPromptRead(const std::string& aEndpoint, ledger::Tokens aTokens);
+  /// Says that an engine has read @p aTokens of a prompt after @p aElapsedMs,
+  /// or that it has not read them for so long. What it took longer than other
+  /// engines would counts against it for some seconds.
+  void OnPromptRead(const std::string& aEndpoint,
+                    ledger::Tokens aTokens,
+                    int64_t aElapsedMs,
+                    int64_t aNowMs);
 
   /// Whether Acquire without exclusions would find an endpoint.
   bool HasRoom(const std::string& aServes, int64_t aNowMs) const;
@@ -137,6 +142,9 @@
     int64_t ejectedUntilMs_ = 0;
     /// Tokens of prompts placed there and not yet read.
     ledger::Tokens pendingTokens_ = 0;
+    /// By how much first tokens came too late, as of @c delayMs_' time.
+    double delayMs_ = 0;
+    int64_t delayAtMs_ = 0;
     /// When prompts with a prefix were last placed there.
     std::map<uint64_t, int64_t> prefixes_;
   };
@@ -153,6 +161,7 @@
                 int64_t aNowMs) const;
   void Eject(Endpoint& aEndpoint, int64_t aNowMs) const;
   static bool HasSlot(const Endpoint& aEndpoint);
+  static double DelayOf(const Endpoint& aEndpoint, int64_t aNowMs);
   static double LoadOf(const Endpoint& aEndpoint);
 
   EndpointTableOptions options_;
--- a/packages/routing/src/process/EndpointTable.cpp
+++ b/packages/routing/src/process/EndpointTable.cpp
@@ -1,6 +1,7 @@
 #include "cactuswick/routing/process/EndpointTable.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 #include "cactuswick/model/process/Hash.h"
@@ -28,6 +29,12 @@
 constexpr int64_t kPrefixKeptMs = 20'000;
 /// What one more running request costs a prompt's reading.
 constexpr ledger::Tokens kTokensPerRunning = 300;
+/// Prompt tokens that an engine reads in a millisecond.
+constexpr double kTokensPerMs = 50;
+/// Time to a first token beyond reading the prompt that is usual.
+constexpr double kUsualDelayMs = 250;
+/// How fast an engine's delay is forgotten.
+constexpr double kDelayFadesMs = 4'000;
 
 bool
 IsNewer(const model::Announcement& aNew, const model::Announcement& aOld)
@@ -249,7 +256,9 @@
     const bool hasPrefix = endpoint == *home || recent;
     const ledger::Tokens toRead =
       aPrompt.ownTokens_ + (hasPrefix ? 0 : aPrompt.sharedTokens_);
-    const ledger::Tokens cost = toRead + endpoint->pendingTokens_ +
+    const auto delay =
+      static_cast<ledger::Tokens>(DelayOf(*endpoint, aNowMs) * kTokensPerMs);
+    const ledger::Tokens cost = toRead + endpoint->pendingTokens_ + delay +
                                 endpoint->inFlight_ * kTokensPerRunning;
     const bool tieGoesHere = cost == bestCost && rank(endpoint) > rank(best);
     if (best == nullptr || cost < bestCost || tieGoesHere) {
@@ -266,15 +275,32 @@
   return place;
 }
 
+double
+EndpointTable::DelayOf(const Endpoint& aEndpoint, int64_t aNowMs)
+{
+  const auto age = static_cast<double>(aNowMs - aEndpoint.delayAtMs_);
+  return aEndpoint.delayMs_ * std::exp(-age / kDelayFadesMs);
+}
+
 void
 EndpointTable::OnPromptRead(const std::string& aEndpoint,
-                            ledger::Tokens aTokens)
+                            ledger::Tokens aTokens,
+                            int64_t aElapsedMs,
+                            int64_t aNowMs)
 {
   const auto found = endpoints_.find(aEndpoint);
-  if (found != endpoints_.end()) {
-    auto& pending = found->second.pendingTokens_;
-    pending = std::max(ledger::Tokens{ 0 }, pending - aTokens);
+  if (found == endpoints_.end()) {
+    return;
   }
+  Endpoint& endpoint = found->second;
+  endpoint.pendingTokens_ =
+    std::max(ledger::Tokens{ 0 }, endpoint.pendingTokens_ - aTokens);
+  const double expected =
+    kUsualDelayMs + static_cast<double>(aTokens) / kTokensPerMs;
+  const double excess =
+    std::max(0.0, static_cast<double>(aElapsedMs) - expected);
+  endpoint.delayMs_ = (DelayOf(endpoint, aNowMs) + excess) / 2;
+  endpoint.delayAtMs_ = aNowMs;
 }
 
 std::optional<std::string>
--- a/tests/routing/process/EndpointTableTest.cpp
+++ b/tests/routing/process/EndpointTableTest.cpp
@@ -184,5 +184,80 @@
   EXPECT_TRUE(table.Acquire(kModel, 0, {}, 1));
 }
 
+PromptLoad
+Prompt(uint64_t aPrefix)
+{
+  return { .prefixHash_ = aPrefix, .sharedTokens_ = 10'000, .ownTokens_ = 500 };
+}
+
+TEST(PromptPlacement, RoutersAgreeOnAPrefixesHomeWithoutBeingTold)
+{
+  auto first = Table(5);
+  auto second = Table(5);
+  for (uint64_t prefix = 1; prefix < 20; ++prefix) {
+    const auto place = first.AcquireForPrompt(kModel, Prompt(prefix), {}, 0);
+    first.Release(place->endpoint_, AttemptOutcome::kServed, 0);
+    first.OnPromptRead(place->endpoint_, place->toRead_, 10, 0);
+    EXPECT_EQ(place->toRead_, 500) << "the home has the shared part";
+    const auto same = second.AcquireForPrompt(kModel, Prompt(prefix), {}, 0);
+    second.Release(same->endpoint_, AttemptOutcome::kServed, 0);
+    second.OnPromptRead(same->endpoint_, same->toRead_, 10, 0);
+    EXPECT_EQ(place->endpoint_, same->endpoint_);
+  }
+}
+
+TEST(PromptPlacement, AHotPrefixGoesOnToASecondEngineThatThenHasIt)
+{
+  auto table = Table(3);
+  std::map<std::string, int> places;
+  ledger::Tokens read = 0;
+  for (int i = 0; i < 9; ++i) {
+    table.Hear(Announce("e0", 2 + i), 0, 0);
+    const auto place = table.AcquireForPrompt(kModel, Prompt(7), {}, 0);
+    ASSERT_TRUE(place);
+    ++places[place->endpoint_];
+    read += place->toRead_;
+  }
+  EXPECT_GE(places.size(), 2U) << "not all of it waits at one engine";
+  EXPECT_LE(read, 9 * 500 + 2 * 10'000) << "the shared part is read twice only";
+}
+
+TEST(PromptPlacement, AnEngineThatAnswersLateIsAvoidedForSomeSeconds)
+{
+  auto table = Table(3);
+  const auto home = table.AcquireForPrompt(kModel, Prompt(7), {}, 0);
+  table.Release(home->endpoint_, AttemptOutcome::kServed, 0);
+  table.OnPromptRead(home->endpoint_, home->toRead_, 3'000, 3'000);
+  const auto next = table.AcquireForPrompt(kModel, Prompt(7), {}, 3'000);
+  EXPECT_NE(next->endpoint_, home->endpoint_);
+  table.Release(next->endpoint_, AttemptOutcome::kServed, 3'100);
+  table.OnPromptRead(next->endpoint_, next->toRead_, 100, 3'100);
+  for (int i = 0; i < 3; ++i) {
+    table.Hear(Announce("e" + std::to_string(i), 2), 0, 30'000);
+  }
+  const auto later = table.AcquireForPrompt(kModel, Prompt(7), {}, 30'000);
+  EXPECT_EQ(later->endpoint_, home->endpoint_);
+}
+
+TEST(EndpointTable, ARetiredIncarnationIsNotUsedAgainButItsSuccessorIs)
+{
+  auto table = Table(1);
+  table.Retire("e0", 1, 100);
+  EXPECT_FALSE(table.Serves(kModel, 100));
+  table.Hear(Announce("e0", 9, 1), 0, 200);
+  EXPECT_FALSE(table.Serves(kModel, 200));
+  table.Hear(Announce("e0", 1, 2), 0, 300);
+  EXPECT_TRUE(table.Serves(kModel, 300));
+}
+
+TEST(EndpointTable, ALostEndpointIsUsedAgainOnceItIsHeard)
+{
+  auto table = Table(1);
+  table.Lose("e0", 1, 100);
+  EXPECT_FALSE(table.Serves(kModel, 100));
+  table.Hear(Announce("e0", 2), 0, 200);
+  EXPECT_TRUE(table.Serves(kModel, 200));
+}
+
 } // namespace
 } // namespace cactuswick::routing
