--- a/packages/ledger/include/cactuswick/ledger/request/RouterOp.h
+++ b/packages/ledger/include/cactuswick/ledger/request/RouterOp.h
@@ -197,6 +197,8 @@
   Tokens available_ = 0;
   /// Tokens of this budget in other routers' grants, or held.
   Tokens elsewhere_ = 0;
+  /// Those of them that are held: nobody can give them back.
+  Tokens held_ = 0;
   bool budgetExists_ = true;
 
   bool operator==(const GrantResult&) const = default;
@@ -475,6 +477,7 @@
     model::Field{ "granted", &GrantResult::granted_ },
     model::Field{ "available", &GrantResult::available_ },
     model::Field{ "elsewhere", &GrantResult::elsewhere_ },
+    model::Field{ "held", &GrantResult::held_ },
     model::Field{ "budget_exists", &GrantResult::budgetExists_ });
 }
 constexpr auto
--- a/packages/ledger/src/version/Ledger.cpp
+++ b/packages/ledger/src/version/Ledger.cpp
@@ -133,7 +133,8 @@
   const Tokens minimum =
     std::clamp(aOp.minimum_, Tokens{ 1 }, model::kMaxTokens);
   GrantResult result{ .available_ = available,
-                      .elsewhere_ = account.granted_ + account.held_ };
+                      .elsewhere_ = account.granted_ + account.held_,
+                      .held_ = account.held_ };
   if (const Tokens* share = FindShare(aOp.budget_, aRouter)) {
     result.elsewhere_ -= *share;
   }
--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -288,6 +288,11 @@
     const ledger::Tokens reservedHere =
       grants_.Granted(aBudget) - grants_.Free(aBudget);
     const bool mayComeBack = aResult.elsewhere_ > 0 || reservedHere > 0;
+    // Held tokens never come back, so that there is nothing to wait for where
+    // the rest does not cover the request.
+    const ledger::Tokens reachable = aResult.available_ + aResult.elsewhere_ -
+                                     aResult.held_ + grants_.Granted(aBudget);
+    const bool hopeless = options_.expiresAlways_ && reachable < first.amount_;
     if (!aResult.budgetExists_) {
       FailFirst(aBudget,
                 MakeError(ErrorKind::kUnknownResource,
@@ -298,11 +303,11 @@
                 MakeError(ErrorKind::kBudgetExhausted,
                           "budget",
                           "the budget does not cover the request"));
-    } else if (++first.tries_ >= options_.maxTries_) {
+    } else if (hopeless || ++first.tries_ >= options_.maxTries_) {
       FailFirst(aBudget,
                 MakeError(ErrorKind::kBudgetHeldElsewhere,
                           "budget",
-                          "the rest of the budget is in use; retry later"));
+                          "the rest of the budget is held or in use"));
     }
   }
   // Smaller requests behind one that failed may still fit.
@@ -347,7 +352,7 @@
                 reachable
                   ? MakeError(ErrorKind::kBudgetHeldElsewhere,
                               "budget",
-                              "the rest of the budget is in use; retry later")
+                              "the rest of the budget is held or in use")
                   : MakeError(ErrorKind::kControlUnreachable,
                               "budget",
                               "cut off from control and past its grants"));
@@ -362,130 +367,6 @@
   ServeWaiters(aBudget);
 }
 
-void
-Biller::Settle(const ledger::Settle& aSettle,
-               ledger::Tokens aReserved,
-               SettleHook aHook)
-{
-  ledger::Settle settle = aSettle;
-  settle.holder_ = options_.control_.Incarnation();
-  settle.amount_ = std::clamp(settle.amount_, ledger::Tokens{ 0 }, aReserved);
-  grants_.Release(settle.budget_, aReserved - settle.amount_);
-  const int64_t number = book_.Add(settle);
-  settle.number_ = number;
-  const int64_t now = EventLoop::NowMs();
-  settling_[number] = { std::move(aHook),
-                        now + options_.settleTimeoutMs_,
-                        now };
-  options_.control_.Submit(
-    settle, [this, number](const ledger::OpResult& aResult) {
-      if (const auto* result = std::get_if<ledger::SettleResult>(&aResult)) {
-        OnSettled(number, *result);
-      }
-    });
-  ServeWaiters(settle.budget_);
-}
-
-void
-Biller::OnSettled(int64_t aNumber, const ledger::SettleResult& aResult)
-{
-  const auto settle = book_.Committed(aNumber);
-  if (!settle) {
-    return;
-  }
-  // What the ledger did not charge stays in the grant.
-  const ledger::Tokens charged = std::min(aResult.charged_, settle->amount_);
-  grants_.Spend(settle->budget_, charged);
-  Release(settle->budget_, settle->amount_ - charged);
-  CountSettled(aResult);
-  Finish(aNumber, absl::OkStatus());
-  if (madeCopies_ && book_.CommittedThrough() > droppedThrough_) {
-    droppedThrough_ = book_.CommittedThrough();
-    options_.peers_.SendDrop(
-      { options_.control_.Incarnation(), droppedThrough_ });
-  }
-}
-
-void
-Biller::CountSettled(const ledger::SettleResult& aResult)
-{
-  switch (aResult.state_) {
-    case ledger::SettleState::kBilled:
-      options_.metrics_.Count(Counter::kSettlementsCommitted);
-      options_.metrics_.Count(Counter::kTokensBilled, aResult.charged_);
-      break;
-    case ledger::SettleState::kDuplicate:
-      options_.metrics_.Count(Counter::kSettlementsDuplicate);
-      options_.metrics_.Count(Counter::kTokensBilled, aResult.charged_);
-      break;
-    case ledger::SettleState::kHeld:
-    case ledger::SettleState::kUnaccounted:
-      options_.metrics_.Count(Counter::kSettlementsHeld);
-      break;
-  }
-}
-
-void
-Biller::Finish(int64_t aNumber, const absl::Status& aStatus)
-{
-  const auto found = settling_.find(aNumber);
-  if (found == settling_.end()) {
-    return;
-  }
-  const SettleWaiter waiter = std::move(found->second);
-  settling_.erase(found);
-  options_.metrics_.Observe(
-    Summary::kSettleMs,
-    static_cast<double>(EventLoop::NowMs() - waiter.startMs_));
-  waiter.hook_(aStatus);
-}
-
-void
-Biller::CopyPending()
-{
-  const auto uncopied = book_.Uncopied();
-  if (uncopied.empty()) {
-    return;
-  }
-  madeCopies_ = true;
-  options_.peers_.SendCopies({ options_.control_.Incarnation(), uncopied });
-}
-
-void
-Biller::OnStored(const transport::CopiesStored& aStored)
-{
-  for (const int64_t number : aStored.numbers_) {
-    if (book_.Copied(number, aStored.keeper_)) {
-      options_.metrics_.Count(Counter::kSettlementsCopied);
-      Finish(number, absl::OkStatus());
-    }
-  }
-}
-
-void
-Biller::OnKeeperLost(ledger::Incarnation aKeeper)
-{
-  book_.KeeperLost(aKeeper);
-}
-
-void
-Biller::ExpireSettles(int64_t aNowMs)
-{
-  std::vector<int64_t> expired;
-  for (const auto& [number, waiter] : settling_) {
-    if (aNowMs >= waiter.deadlineMs_) {
-      expired.push_back(number);
-    }
-  }
-  // Still settled later; only the caller is not kept waiting.
-  for (const int64_t number : expired) {
-    Finish(number,
-           MakeError(ErrorKind::kOutcomeUnknown,
-                     "",
-                     "the answer could not be settled in time"));
-  }
-}
-
 void
 Biller::OnRecall(const std::string& aBudget)
 {
@@ -495,74 +376,6 @@
   }
 }
 
-void
-Biller::OnConfig()
-{
-  const auto self = options_.control_.Incarnation();
-  std::set<ledger::Incarnation> dead;
-  for (const auto& router : options_.config_.Routers()) {
-    const auto& awaiting = router.awaiting_;
-    const bool awaited =
-      std::find(awaiting.begin(), awaiting.end(), self) != awaiting.end();
-    if (router.state_ == ledger::RouterState::kEnded) {
-      dead.insert(router.incarnation_);
-    }
-    if (router.state_ != ledger::RouterState::kEnded || !awaited) {
-      continue;
-    }
-    if (!confirmed_.insert(router.incarnation_).second) {
-      continue;
-    }
-    for (const auto& settle : book_.KeptFor(router.incarnation_)) {
-      options_.control_.Submit(settle);
-    }
-    book_.ForgetHolder(router.incarnation_);
-    options_.control_.Submit(ledger::ConfirmNoCopies{ router.incarnation_ });
-    Log(Part::kBilling,
-        Level::kInfo,
-        model::Concat("handed in copies of router ", router.incarnation_));
-  }
-  // Those that the ledger has forgotten need no more confirmation.
-  std::erase_if(confirmed_, [&](ledger::Incarnation aRouter) {
-    return !dead.contains(aRouter);
-  });
-}
-
-std::vector<int64_t>
-Biller::OnCopies(const transport::CopySettlements& aCopies)
-{
-  // Only for routers known to be live: copies of one that was ended, and for
-  // which this router may have confirmed, would never be handed in.
-  const auto& routers = options_.config_.Routers();
-  const bool live =
-    std::any_of(routers.begin(), routers.end(), [&](const auto& aRouter) {
-      return aRouter.incarnation_ == aCopies.holder_ &&
-             aRouter.state_ != ledger::RouterState::kEnded;
-    });
-  if (!live) {
-    return {};
-  }
-  return book_.Keep(aCopies.holder_, aCopies.settlements_);
-}
-
-void
-Biller::OnDrop(const transport::DropCopies& aDrop)
-{
-  book_.Drop(aDrop.holder_, aDrop.through_);
-}
-
-bool
-Biller::HasSettlementPath() const
-{
-  return options_.control_.IsReachable() || options_.peers_.HasKeeper();
-}
-
-std::optional<ledger::LogTimeMs>
-Biller::OldestStart() const
-{
-  return book_.OldestStart();
-}
-
 void
 Biller::ReturnAll()
 {
--- a/tests/ledger/version/LedgerDeploymentTest.cpp
+++ b/tests/ledger/version/LedgerDeploymentTest.cpp
@@ -130,6 +130,23 @@
   EXPECT_EQ(run.Budget().held_, 20'000);
 }
 
+TEST(LedgerDeployment, ARefusedGrantTellsWhatCanStillComeBack)
+{
+  LateReporters run;
+  const auto dead = run.Register("a");
+  run.Grant(dead, 60'000);
+  run.Register("a");
+  const auto other = run.Register("b");
+  run.Grant(other, 30'000);
+  const auto asker = run.Register("c");
+  const auto result = std::get<GrantResult>(
+    run.Op(asker, AcquireGrant{ kBudget, 50'000, 50'000 }));
+  EXPECT_EQ(result.granted_, 0);
+  EXPECT_EQ(result.available_, 10'000);
+  EXPECT_EQ(result.held_, 60'000);
+  EXPECT_EQ(result.elsewhere_ - result.held_, 30'000);
+}
+
 TEST(LedgerDeployment, AGoodbyeFreesTheRest)
 {
   LateReporters run;
--- a/tests/transport/connection/HttpExchangeTest.cpp
+++ b/tests/transport/connection/HttpExchangeTest.cpp
@@ -10,7 +10,8 @@
 namespace cactuswick::transport {
 namespace {
 
-constexpr uint16_t kPort = 18'931;
+/// Runs of the tests beside each other get different ports.
+const auto kPort = static_cast<uint16_t>(20'000 + getpid() % 10'000 * 2);
 
 int
 ConnectAndAsk()
@@ -80,7 +81,8 @@
       aExchange->Reply(200, {}, "ok");
       loop.Stop();
     } });
-  ASSERT_TRUE(server.Listen({ "127.0.0.1", kPort + 1 }).ok());
+  ASSERT_TRUE(
+    server.Listen({ "127.0.0.1", static_cast<uint16_t>(kPort + 1) }).ok());
   const int handle = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
