--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -16,7 +16,6 @@
 using telemetry::Level;
 using telemetry::Log;
 using telemetry::Part;
-using telemetry::Summary;
 using transport::EventLoop;
 
 constexpr int64_t kTickMs = 50;
