A request beyond all that is not billed gets 402, whoever holds the rest

Cause: one of four runs of the platform's system tests answered 503 where the total itself was too small: the other router held its floor, and the request was told that the rest was in use. Traced by the inputs of the decision (elsewhere above 0).

--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -286,18 +286,21 @@
     ReserveWaiter& first = queue.waiters_.front();
     const ledger::Tokens reservedHere =
       grants_.Granted(aBudget) - grants_.Free(aBudget);
-    const bool mayComeBack = aResult.elsewhere_ > 0 || reservedHere > 0;
-    // Held tokens never come back, so that there is nothing to wait for where
-    // the rest does not cover the request.
-    const ledger::Tokens reachable = aResult.available_ + aResult.elsewhere_ -
-                                     aResult.held_ + grants_.Granted(aBudget);
-    const bool hopeless = options_.expiresAlways_ && reachable < first.amount_;
+    // All that is not billed; held tokens never come back, so that there is
+    // nothing to wait for where the rest does not cover the request.
+    const ledger::Tokens unbilled =
+      aResult.available_ + aResult.elsewhere_ + grants_.Granted(aBudget);
+    const bool exhausted =
+      (aResult.elsewhere_ == 0 && reservedHere == 0) ||
+      (options_.expiresAlways_ && unbilled < first.amount_);
+    const bool hopeless =
+      options_.expiresAlways_ && unbilled - aResult.held_ < first.amount_;
     if (!aResult.budgetExists_) {
       FailFirst(aBudget,
                 MakeError(ErrorKind::kUnknownResource,
                           "budget",
                           "the budget does not exist"));
-    } else if (!mayComeBack) {
+    } else if (exhausted) {
       FailFirst(aBudget,
                 MakeError(ErrorKind::kBudgetExhausted,
                           "budget",
