The exchange tests listen at an address of their own

Cause: one run of all tests found the port taken on 127.0.0.1, where ports of outgoing connections come from the same range. Traced by the failed bind.

--- a/tests/transport/connection/HttpExchangeTest.cpp
+++ b/tests/transport/connection/HttpExchangeTest.cpp
@@ -10,17 +10,33 @@
 namespace cactuswick::transport {
 namespace {
 
-/// Runs of the tests beside each other get different ports.
-const auto kPort = static_cast<uint16_t>(20'000 + getpid() % 10'000 * 2);
+constexpr uint16_t kPort = 18'931;
+
+/// A loopback address of this process's own, so that nothing else has the port.
+std::string
+OwnHost()
+{
+  constexpr int kPerByte = 250;
+  const int id = getpid();
+  return "127.77." + std::to_string(id / kPerByte % kPerByte) + "." +
+         std::to_string(id % kPerByte + 1);
+}
+
+sockaddr_in
+AddressOf(uint16_t aPort)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aPort);
+  inet_pton(AF_INET, OwnHost().c_str(), &address.sin_addr);
+  return address;
+}
 
 int
 ConnectAndAsk()
 {
   const int handle = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(kPort);
-  inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+  const sockaddr_in address = AddressOf(kPort);
   EXPECT_EQ(connect(handle,
                     reinterpret_cast<const sockaddr*>(&address),
                     sizeof(address)),
@@ -54,7 +70,7 @@
       CloseWithReset(client);
       exchange->Abort();
     } });
-  ASSERT_TRUE(server.Listen({ "127.0.0.1", kPort }).ok());
+  ASSERT_TRUE(server.Listen({ OwnHost(), kPort }).ok());
   Timer next(loop, [&] {
     exchange.reset();
     if (++rounds > 20) {
@@ -81,13 +97,9 @@
       aExchange->Reply(200, {}, "ok");
       loop.Stop();
     } });
-  ASSERT_TRUE(
-    server.Listen({ "127.0.0.1", static_cast<uint16_t>(kPort + 1) }).ok());
+  ASSERT_TRUE(server.Listen({ OwnHost(), kPort + 1 }).ok());
   const int handle = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(kPort + 1);
-  inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+  const sockaddr_in address = AddressOf(kPort + 1);
   ASSERT_EQ(connect(handle,
                     reinterpret_cast<const sockaddr*>(&address),
                     sizeof(address)),
