--- a/scripts/install-dependencies.sh
+++ b/scripts/install-dependencies.sh
@@ -8,7 +8,7 @@
 fi
 "${run_as_root[@]}" apt-get update -qq
 "${run_as_root[@]}" apt-get install -y -qq \
-  g++ cmake ninja-build ccache mold pkg-config \
+  g++ cmake make ninja-build ccache mold pkg-config \
   clang-format clang-tidy \
   libevent-dev libwebsocketpp-dev nlohmann-json3-dev libabsl-dev \
   libboost-dev libboost-log-dev libboost-thread-dev libboost-filesystem-dev \
