A refused request is decoded once; two unused calls of the connection pool go

Found reading the change: Handle decoded a refused request a second time for its id. Behaviour is the same: the checks keep their order.

--- a/packages/router/src/connection/ForwardApi.cpp
+++ b/packages/router/src/connection/ForwardApi.cpp
@@ -48,10 +48,11 @@
   if (options_.isLeaving_()) {
     aExchange->CloseAfterReply();
   }
-  auto plan = Plan(*aExchange);
+  auto request = options_.services_.dialect_.decode_(*aExchange);
+  const std::string name = request.ok() ? request->id_ : "";
+  auto plan = Plan(*aExchange, std::move(request));
   if (!plan.ok()) {
-    const auto request = options_.services_.dialect_.decode_(*aExchange);
-    Refuse(*aExchange, request.ok() ? request->id_ : "", plan.status());
+    Refuse(*aExchange, name, plan.status());
     return;
   }
   const routing::RequestId id = plan->id_;
@@ -66,7 +67,8 @@
 }
 
 absl::StatusOr<ForwardPlan>
-ForwardApi::Plan(const transport::HttpExchange& aExchange)
+ForwardApi::Plan(const transport::HttpExchange& aExchange,
+                 absl::StatusOr<ForwardRequest> aRequest)
 {
   if (!deployment_ || !options_.isReady_()) {
     return MakeError(ErrorKind::kStarting, "", "no deployment known yet");
@@ -74,20 +76,19 @@
   if (options_.refusesNew_()) {
     return MakeError(ErrorKind::kDraining, "", "this router stops");
   }
-  auto request = options_.services_.dialect_.decode_(aExchange);
-  if (!request.ok()) {
-    return request.status();
+  if (!aRequest.ok()) {
+    return aRequest.status();
   }
   const auto& limits = deployment_->Spec().limits_;
   if (aExchange.Body().size() > static_cast<size_t>(limits.maxBodyBytes_)) {
     return MakeError(ErrorKind::kTooLarge, "body", "the body is too large");
   }
-  const auto* route = deployment_->FindRoute(request->host_, request->path_);
+  const auto* route = deployment_->FindRoute(aRequest->host_, aRequest->path_);
   if (route == nullptr) {
     return MakeError(ErrorKind::kUnknownResource, "path", "no such route");
   }
   ForwardPlan plan{ .id_ = ++lastId_,
-                    .request_ = *std::move(request),
+                    .request_ = *std::move(aRequest),
                     .route_ = *route,
                     .priority_ = route->priority_,
                     .deploymentVersion_ = deployment_->Spec().version_,
--- a/packages/router/src/connection/ForwardApi.h
+++ b/packages/router/src/connection/ForwardApi.h
@@ -40,7 +40,8 @@
   int64_t InFlight() const { return static_cast<int64_t>(exchanges_.size()); }
 
 private:
-  absl::StatusOr<ForwardPlan> Plan(const transport::HttpExchange& aExchange);
+  absl::StatusOr<ForwardPlan> Plan(const transport::HttpExchange& aExchange,
+                                   absl::StatusOr<ForwardRequest> aRequest);
   absl::Status FindCaller(ForwardPlan& aPlan) const;
   absl::Status ChooseService(ForwardPlan& aPlan);
   void SetTimes(ForwardPlan& aPlan) const;
--- a/packages/transport/include/cactuswick/transport/connection/HttpPool.h
+++ b/packages/transport/include/cactuswick/transport/connection/HttpPool.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -38,11 +37,6 @@
             HttpConnectionPointer aConnection,
             int64_t aIdleMs);
 
-  /// Closes what is kept for an address.
-  void Forget(const Address& aAddress);
-
-  size_t Size() const;
-
 private:
   struct Idle
   {
--- a/packages/transport/src/connection/HttpPool.cpp
+++ b/packages/transport/src/connection/HttpPool.cpp
@@ -61,22 +61,6 @@
     { std::move(aConnection), EventLoop::NowMs() + aIdleMs });
 }
 
-void
-HttpPool::Forget(const Address& aAddress)
-{
-  idle_.erase(aAddress.ToString());
-}
-
-size_t
-HttpPool::Size() const
-{
-  size_t sum = 0;
-  for (const auto& [address, list] : idle_) {
-    sum += list.size();
-  }
-  return sum;
-}
-
 void
 HttpPool::DropExpired()
 {
