An answer of which nothing reached its caller is not billed

Cause: a request that failed before its first event was charged its prompt. Chat completions already release what an unknown outcome had reserved. Kept: a caller who leaves in mid-answer pays the prompt and what it was sent. An answer that is no stream now counts its largest size, as its length in tokens is not known. Test: test_an_answer_of_which_nothing_came_is_not_billed failed before.

--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -204,6 +204,7 @@
   }
   if (!started_ && body_.size() > kMaxHeldBytes) {
     started_ = true;
+    answerPassedOn_ = true;
     exchange_->StartStream(answer_.status_, answer_.headers_);
     exchange_->SendChunk(std::exchange(body_, {}));
   } else if (started_) {
@@ -320,6 +321,7 @@
 {
   LeaveEndpoint(AttemptOutcome::kServed, "whole");
   mayHaveRun_ = true;
+  answerPassedOn_ = true;
   if (!started_) {
     if (IsStream()) {
       body_ += events_.TakeRest();
@@ -356,7 +358,6 @@
     mayHaveRun_ = true;
     ++sends_;
   }
-  callerGone_ = true;
   LeaveEndpoint(AttemptOutcome::kNeutral, "caller_gone");
   Finish("caller_gone", 0);
 }
@@ -412,13 +413,15 @@
 ledger::Tokens
 ForwardExchange::Used() const
 {
-  // An endpoint may have read the prompt even if no answer came; but not one
-  // whose caller left before the first event.
-  if (!mayHaveRun_ || (callerGone_ && sends_ == 1 && events_.Count() == 0)) {
+  const bool delivered =
+    events_.Count() > 0 || (answerPassedOn_ && answer_.IsSuccess());
+  if (!delivered) {
     return 0;
   }
-  const ledger::Tokens output = std::min(
-    plan_.request_.maxOutputTokens_, events_.Count() * plan_.tokensPerEvent_);
+  // The length of an answer that is no stream is not known in tokens.
+  const ledger::Tokens most = plan_.request_.maxOutputTokens_;
+  const ledger::Tokens output =
+    IsStream() ? std::min(most, events_.Count() * plan_.tokensPerEvent_) : most;
   return plan_.request_.promptTokens_.value_or(0) + output;
 }
 
--- a/packages/router/src/request/ForwardExchange.h
+++ b/packages/router/src/request/ForwardExchange.h
@@ -87,6 +87,7 @@
   void LeaveEndpoint(routing::AttemptOutcome aOutcome, std::string_view aWhat);
   void Fail(const absl::Status& aStatus);
   void Finish(std::string_view aOutcome, int aStatus);
+  /// Tokens to bill. An answer of which nothing reached the caller is free.
   ledger::Tokens Used() const;
 
   ForwardServices& services_;
@@ -114,7 +115,8 @@
   bool mayHaveRun_ = false;
   /// The answer to the caller has begun.
   bool started_ = false;
-  bool callerGone_ = false;
+  /// An answer that is no stream has gone to the caller, whole or in part.
+  bool answerPassedOn_ = false;
   ledger::Tokens reserved_ = 0;
   bool ended_ = false;
 };
--- a/tests/system/test_platform.py
+++ b/tests/system/test_platform.py
@@ -85,6 +85,19 @@
     assert 9 <= served <= 10000 // 920
 
 
+def test_an_answer_of_which_nothing_came_is_not_billed(run):
+    engines = run.runners[2:]
+    for runner in engines:
+        runner.fault = "reset"
+    lost = run.ask("/stream/lost", X_Token_Count="6000,80")
+    assert lost.status == 502
+    for runner in engines:
+        runner.fault = ""
+    wait_for(lambda: run.ask("/stream/whole",
+                             X_Token_Count="9000,80").status == 200, 3,
+             "the whole budget serves the next request")
+
+
 def test_versions_only_rise_and_invalid_ones_change_nothing(run):
     assert run.declare(5).status == 200
     assert run.declare(3, Routes=[]).status == 200
