A large request that nobody can cover takes no small one down with it

Cause: requests wait for a budget in turn. When the first had been refused for want of a lender, those behind it were not tried against the grant at hand; each became first, asked others for a loan, and was refused as well. Test: test_a_large_request_takes_no_small_one_down_with_it failed before.

--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -120,6 +120,8 @@
                         "budget",
                         "cut off from control, and no router can lend"));
   }
+  // Smaller requests behind one that failed may still fit.
+  ServeWaiters(aBudget);
 }
 
 ledger::Tokens
@@ -359,6 +361,7 @@
                               "budget",
                               "cut off from control and past its grants"));
     }
+    ServeWaiters(budget);
   }
 }
 
--- a/tests/system/test_platform.py
+++ b/tests/system/test_platform.py
@@ -1,5 +1,6 @@
 """The platform's interface on the real processes, without its bench."""
 
+import concurrent.futures
 import json
 import shutil
 import signal
@@ -98,6 +99,20 @@
              "the whole budget serves the next request")
 
 
+def test_a_large_request_takes_no_small_one_down_with_it(run):
+    run.ask("/stream/warm", X_Token_Count="100,20")
+    time.sleep(1)
+    for name in ("c1", "c2", "c3", "r2"):
+        run.kill(name)
+    with concurrent.futures.ThreadPoolExecutor() as pool:
+        large = pool.submit(run.ask, "/stream/large",
+                            X_Token_Count="9000,100")
+        time.sleep(0.03)
+        small = pool.submit(run.ask, "/stream/small", X_Token_Count="50,20")
+    assert large.result().status == 503
+    assert small.result().status == 200
+
+
 def test_versions_only_rise_and_invalid_ones_change_nothing(run):
     assert run.declare(5).status == 200
     assert run.declare(3, Routes=[]).status == 200
