--- a/packages/router/src/connection/CallerApi.cpp
+++ b/packages/router/src/connection/CallerApi.cpp
@@ -165,7 +165,9 @@
   if (!workspace.ok()) {
     return workspace.status();
   }
-  RequestInfo info{ .id_ = ++lastId_,
+  const routing::RequestId id = ++lastId_;
+  RequestInfo info{ .id_ = id,
+                    .logId_ = model::Concat("r", id),
                     .workspace_ = **workspace,
                     .startMs_ = EventLoop::NowMs(),
                     .startedLogMs_ = options_.services_.control_.LogTime() };
--- a/packages/router/src/process/ForwardRole.cpp
+++ b/packages/router/src/process/ForwardRole.cpp
@@ -40,8 +40,8 @@
 ForwardRole::ForwardRole(ForwardRoleOptions aOptions)
   : options_(std::move(aOptions))
   , pool_(options_.loop_)
-  , services_{ options_.loop_, options_.biller_,  options_.dispatcher_,
-               pool_,          options_.metrics_, options_.dialect_ }
+  , services_{ options_.loop_,    options_.biller_, options_.dispatcher_, pool_,
+               options_.metrics_, options_.burn_,   options_.dialect_ }
   , api_({ .services_ = services_,
            .retries_ = [this] { return Retries(); },
            .isReady_ = options_.isReady_,
--- a/packages/router/src/process/ForwardRole.h
+++ b/packages/router/src/process/ForwardRole.h
@@ -18,6 +18,7 @@
   Biller& biller_;
   Dispatcher& dispatcher_;
   telemetry::Metrics& metrics_;
+  telemetry::BurnTable& burn_;
   const ConfigView& config_;
   std::function<bool()> isReady_;
   std::function<bool()> isLeaving_;
--- a/packages/router/src/process/HealthChecker.cpp
+++ b/packages/router/src/process/HealthChecker.cpp
@@ -2,21 +2,35 @@
 
 #include <utility>
 
+#include "cactuswick/model/process/Text.h"
+#include "cactuswick/telemetry/process/Log.h"
+#include "connection/HttpErrors.h"
+
 namespace cactuswick::router {
 
 namespace {
 
+using telemetry::Level;
+using telemetry::Log;
+using telemetry::Part;
+
 constexpr int64_t kIntervalMs = 1'000;
 constexpr int64_t kTimeoutMs = 800;
 constexpr int64_t kMaxFailures = 2;
-constexpr int kHttpOk = 200;
 
 } // namespace
 
 HealthChecker::HealthChecker(transport::EventLoop& aLoop,
                              HealthCheckerOptions aOptions)
-  : loop_(aLoop)
-  , options_(std::move(aOptions))
+  : options_(std::move(aOptions))
+  , calls_(aLoop,
+           { .timeoutMs_ = kTimeoutMs,
+             .onDone_ =
+               [this](const std::string& aEndpoint,
+                      const absl::Status& aStatus,
+                      int aHttpStatus) {
+                 OnDone(aEndpoint, aStatus, aHttpStatus);
+               } })
   , tick_(aLoop, [this] { OnTick(); })
 {
   tick_.StartRepeating(kIntervalMs);
@@ -25,51 +39,38 @@
 void
 HealthChecker::OnTick()
 {
-  const auto endpoints = options_.endpoints_();
-  std::map<std::string, Check> kept;
-  for (const auto& endpoint : endpoints) {
-    kept[endpoint.endpoint_] = std::move(checks_[endpoint.endpoint_]);
-  }
-  checks_ = std::move(kept);
-  for (const auto& endpoint : endpoints) {
-    Start(endpoint);
+  std::map<std::string, int64_t> kept;
+  for (const auto& endpoint : options_.endpoints_()) {
+    kept[endpoint.endpoint_] = failures_[endpoint.endpoint_];
+    if (endpoint.leaving_) {
+      continue;
+    }
+    const absl::Status started =
+      calls_.Start(endpoint, { .method_ = "GET", .path_ = "/health" });
+    if (!started.ok()) {
+      Log(Part::kEndpoint,
+          Level::kWarning,
+          model::Concat("no health check of endpoint=",
+                        endpoint.endpoint_,
+                        ": ",
+                        std::string(started.message())));
+    }
   }
+  failures_ = std::move(kept);
 }
 
 void
-HealthChecker::Start(const model::Announcement& aEndpoint)
+HealthChecker::OnDone(const std::string& aEndpoint,
+                      const absl::Status& aStatus,
+                      int aHttpStatus)
 {
-  const auto address = transport::ParseAddress("address", aEndpoint.address_);
-  const std::string name = aEndpoint.endpoint_;
-  if (!address.ok() || aEndpoint.leaving_) {
+  const auto failures = failures_.find(aEndpoint);
+  if (failures == failures_.end()) {
     return;
   }
-  Check& check = checks_[name];
-  check.httpStatus_ = 0;
-  check.call_ = std::make_unique<transport::HttpCall>(
-    loop_,
-    transport::HttpCallOptions{
-      .address_ = *address,
-      .method_ = "GET",
-      .path_ = "/health",
-      .connectTimeoutMs_ = kTimeoutMs,
-      .firstByteTimeoutMs_ = kTimeoutMs,
-      .progressTimeoutMs_ = kTimeoutMs,
-      .onHeaders_ =
-        [this, name](int aStatus, const transport::Headers&) {
-          checks_[name].httpStatus_ = aStatus;
-        },
-      .onDone_ =
-        [this, name](const absl::Status& aStatus) { OnDone(name, aStatus); } });
-}
-
-void
-HealthChecker::OnDone(const std::string& aEndpoint, const absl::Status& aStatus)
-{
-  Check& check = checks_[aEndpoint];
-  const bool healthy = aStatus.ok() && check.httpStatus_ == kHttpOk;
-  check.failures_ = healthy ? 0 : check.failures_ + 1;
-  if (check.failures_ >= kMaxFailures) {
+  const bool healthy = aStatus.ok() && aHttpStatus == kHttpOk;
+  failures->second = healthy ? 0 : failures->second + 1;
+  if (failures->second >= kMaxFailures) {
     options_.onUnhealthy_(aEndpoint);
   }
 }
--- a/packages/router/src/process/HealthChecker.h
+++ b/packages/router/src/process/HealthChecker.h
@@ -3,12 +3,10 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <memory>
 #include <string>
 #include <vector>
 
-#include "cactuswick/model/version/Announcement.h"
-#include "cactuswick/transport/connection/HttpCall.h"
+#include "process/EndpointCalls.h"
 
 namespace cactuswick::router {
 
@@ -28,20 +26,15 @@
   HealthChecker(transport::EventLoop& aLoop, HealthCheckerOptions aOptions);
 
 private:
-  struct Check
-  {
-    int64_t failures_ = 0;
-    int httpStatus_ = 0;
-    std::unique_ptr<transport::HttpCall> call_;
-  };
-
   void OnTick();
-  void Start(const model::Announcement& aEndpoint);
-  void OnDone(const std::string& aEndpoint, const absl::Status& aStatus);
+  void OnDone(const std::string& aEndpoint,
+              const absl::Status& aStatus,
+              int aHttpStatus);
 
-  transport::EventLoop& loop_;
   HealthCheckerOptions options_;
-  std::map<std::string, Check> checks_;
+  EndpointCalls calls_;
+  /// Checks that failed in a row, by endpoint.
+  std::map<std::string, int64_t> failures_;
   transport::Timer tick_;
 };
 
--- a/packages/router/src/process/OrderRunner.cpp
+++ b/packages/router/src/process/OrderRunner.cpp
@@ -7,6 +7,7 @@
 #include "cactuswick/ledger/version/Ledger.h"
 #include "cactuswick/model/process/Json.h"
 #include "cactuswick/telemetry/process/Log.h"
+#include "connection/HttpErrors.h"
 
 namespace cactuswick::router {
 
@@ -23,13 +24,19 @@
 /// An order is sent only this soon after it was asked for, so that it ends
 /// within its lease however late the ledger's answer came.
 constexpr int64_t kSendWithinMs = ledger::kOrderLeaseMs - 2 * kCallMs;
-constexpr int kHttpOk = 200;
 
 } // namespace
 
 OrderRunner::OrderRunner(EventLoop& aLoop, OrderRunnerOptions aOptions)
-  : loop_(aLoop)
-  , options_(std::move(aOptions))
+  : options_(std::move(aOptions))
+  , calls_(aLoop,
+           { .timeoutMs_ = kCallMs,
+             .onDone_ =
+               [this](const std::string& aEndpoint,
+                      const absl::Status& aStatus,
+                      int aHttpStatus) {
+                 OnGiven(aEndpoint, aStatus, aHttpStatus);
+               } })
   , tick_(aLoop, [this] { OnTick(); })
 {
   tick_.StartRepeating(kTickMs);
@@ -88,46 +95,37 @@
 void
 OrderRunner::Give(const model::Announcement& aEndpoint)
 {
-  const std::string name = aEndpoint.endpoint_;
-  Running& running = running_[name];
+  const std::string& name = aEndpoint.endpoint_;
   const auto* order = options_.config_.Find<model::Order>(name);
-  const auto address = transport::ParseAddress("address", aEndpoint.address_);
-  if (order == nullptr || !address.ok()) {
+  if (order == nullptr) {
     End(name, ledger::OrderState::kUnknown);
     return;
   }
   const auto actions = EnumNames(&order->action_);
-  running.call_ = std::make_unique<transport::HttpCall>(
-    loop_,
-    transport::HttpCallOptions{
-      .address_ = *address,
-      .path_ = "/orders",
+  const absl::Status started = calls_.Start(
+    aEndpoint,
+    { .path_ = "/orders",
       .headers_ = { { "Content-Type", "application/json" } },
       .body_ = model::PrintJson(
-        { { "fence", running.fence_ },
+        { { "fence", running_[name].fence_ },
           { "action", actions[static_cast<size_t>(order->action_)] },
-          { "target", order->target_ } }),
-      .connectTimeoutMs_ = kCallMs,
-      .firstByteTimeoutMs_ = kCallMs,
-      .progressTimeoutMs_ = kCallMs,
-      .onHeaders_ =
-        [this, name](int aStatus, const transport::Headers&) {
-          running_[name].httpStatus_ = aStatus;
-        },
-      .onDone_ = [this, name](
-                   const absl::Status& aStatus) { OnGiven(name, aStatus); } });
+          { "target", order->target_ } }) });
+  if (!started.ok()) {
+    End(name, ledger::OrderState::kUnknown);
+  }
 }
 
 void
-OrderRunner::OnGiven(const std::string& aEndpoint, const absl::Status& aStatus)
+OrderRunner::OnGiven(const std::string& aEndpoint,
+                     const absl::Status& aStatus,
+                     int aHttpStatus)
 {
-  const Running& running = running_[aEndpoint];
   if (!aStatus.ok()) {
     End(aEndpoint, ledger::OrderState::kUnknown);
   } else {
     End(aEndpoint,
-        running.httpStatus_ == kHttpOk ? ledger::OrderState::kDone
-                                       : ledger::OrderState::kRefused);
+        aHttpStatus == kHttpOk ? ledger::OrderState::kDone
+                               : ledger::OrderState::kRefused);
   }
 }
 
--- a/packages/router/src/process/OrderRunner.h
+++ b/packages/router/src/process/OrderRunner.h
@@ -3,12 +3,10 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <memory>
 #include <string>
 
-#include "cactuswick/model/version/Announcement.h"
-#include "cactuswick/transport/connection/HttpCall.h"
 #include "process/ControlClient.h"
+#include "process/EndpointCalls.h"
 #include "version/ConfigView.h"
 
 namespace cactuswick::router {
@@ -36,8 +34,6 @@
   {
     int64_t fence_ = 0;
     int64_t askedMs_ = 0;
-    int httpStatus_ = 0;
-    std::unique_ptr<transport::HttpCall> call_;
   };
 
   void OnTick();
@@ -45,11 +41,13 @@
   void OnBegun(const model::Announcement& aEndpoint,
                const ledger::OrderResult& aResult);
   void Give(const model::Announcement& aEndpoint);
-  void OnGiven(const std::string& aEndpoint, const absl::Status& aStatus);
+  void OnGiven(const std::string& aEndpoint,
+               const absl::Status& aStatus,
+               int aHttpStatus);
   void End(const std::string& aEndpoint, ledger::OrderState aState);
 
-  transport::EventLoop& loop_;
   OrderRunnerOptions options_;
+  EndpointCalls calls_;
   std::map<std::string, Running> running_;
   /// Fencing numbers of orders that need no more asking.
   std::map<std::string, int64_t> settled_;
--- a/packages/router/src/process/RouterTask.cpp
+++ b/packages/router/src/process/RouterTask.cpp
@@ -197,6 +197,7 @@
       .biller_ = *biller_,
       .dispatcher_ = dispatcher_,
       .metrics_ = metrics_,
+      .burn_ = burn_,
       .config_ = config_,
       .isReady_ = [this] { return IsReady(); },
       .isLeaving_ = [this] { return phase_ >= Phase::kLeaving; },
--- a/packages/router/src/request/Attempts.cpp
+++ b/packages/router/src/request/Attempts.cpp
@@ -3,14 +3,11 @@
 #include <utility>
 
 #include "cactuswick/model/process/Error.h"
+#include "cactuswick/model/process/Text.h"
 
 namespace cactuswick::router {
 
-namespace {
-
-constexpr size_t kMaxAttempts = 3;
-
-} // namespace
+using transport::EventLoop;
 
 absl::Status
 DeadlinePassed()
@@ -20,62 +17,72 @@
                           "the deadline passed before an endpoint was free");
 }
 
-Attempts::Attempts(RouterServices& aServices, RequestRecord& aRecord)
-  : services_(aServices)
-  , record_(aRecord)
+Attempts::Attempts(AttemptsOptions aOptions)
+  : options_(std::move(aOptions))
 {
 }
 
 void
-Attempts::Enqueue(const std::string& aServes,
-                  ledger::Tokens aCost,
-                  uint64_t aPrefixHash,
-                  const Hooks& aHooks)
+Attempts::Enqueue(DispatchRequest aRequest)
 {
-  serves_ = aServes;
-  services_.dispatcher_.Enqueue(
-    { .queued_ = QueuedOf(record_.Info(), aCost),
-      .serves_ = aServes,
-      .prefixHash_ = aPrefixHash,
-      .excluded_ = failed_,
-      .onPlaced_ =
-        [this, placed = aHooks.onPlaced_](const model::Announcement& aEndpoint,
-                                          ledger::Tokens) {
-          record_.OnPlaced();
-          endpoint_ = aEndpoint;
-          atEndpoint_ = true;
-          placed(aEndpoint);
-        },
-      .onExpired_ = aHooks.onExpired_ });
+  id_ = aRequest.queued_.id_;
+  serves_ = aRequest.serves_;
+  aRequest.excluded_ = failed_;
+  aRequest.onPlaced_ = [this, placed = std::move(aRequest.onPlaced_)](
+                         const model::Announcement& aEndpoint,
+                         ledger::Tokens aToRead) {
+    endpoint_ = aEndpoint;
+    placedMs_ = EventLoop::NowMs();
+    atEndpoint_ = true;
+    placed(endpoint_, aToRead);
+  };
+  options_.dispatcher_.Enqueue(std::move(aRequest));
 }
 
 void
 Attempts::Cancel()
 {
-  services_.dispatcher_.Cancel(record_.Info().id_);
+  options_.dispatcher_.Cancel(id_);
+}
+
+int64_t
+Attempts::AtEndpointMs() const
+{
+  return EventLoop::NowMs() - placedMs_;
 }
 
 void
-Attempts::Leave(routing::AttemptOutcome aOutcome)
+Attempts::Leave(routing::AttemptOutcome aOutcome, std::string_view aWhat)
 {
-  if (std::exchange(atEndpoint_, false)) {
-    services_.dispatcher_.Release(serves_, endpoint_.endpoint_, aOutcome);
+  if (!std::exchange(atEndpoint_, false)) {
+    return;
   }
+  model::AppendTo(history_,
+                  history_.empty() ? "" : ",",
+                  endpoint_.endpoint_,
+                  ":",
+                  aWhat,
+                  ":",
+                  AtEndpointMs(),
+                  "ms");
+  options_.dispatcher_.Release(serves_, endpoint_.endpoint_, aOutcome);
 }
 
 bool
-Attempts::Fail(bool aSafe)
+Attempts::TryRepeat(bool aArrived)
 {
   failed_.push_back(endpoint_.endpoint_);
-  Leave(routing::AttemptOutcome::kFailed);
-  const bool inTime =
-    transport::EventLoop::NowMs() < record_.Info().deadlineMs_;
-  if (!aSafe || !inTime || failed_.size() >= kMaxAttempts ||
-      !services_.dispatcher_.Retries().TryTake()) {
+  const int64_t left = options_.deadlineMs_ - EventLoop::NowMs();
+  if (left < options_.leastLeftMs_) {
     return false;
   }
-  services_.metrics_.Count(telemetry::Counter::kRetries);
-  return true;
+  const bool may = aArrived
+                     ? sends_ < options_.maxSends_ && options_.tryRepeat_()
+                     : unreached_ < options_.maxUnreached_;
+  if (may) {
+    options_.metrics_.Count(telemetry::Counter::kRetries);
+  }
+  return may;
 }
 
 } // namespace cactuswick::router
--- a/packages/router/src/request/Attempts.h
+++ b/packages/router/src/request/Attempts.h
@@ -2,9 +2,13 @@
 
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
-#include "request/RequestRecord.h"
+#include <absl/status/status.h>
+
+#include "cactuswick/telemetry/process/Metrics.h"
+#include "process/Dispatcher.h"
 
 namespace cactuswick::router {
 
@@ -12,47 +16,65 @@
 absl::Status
 DeadlinePassed();
 
+struct AttemptsOptions
+{
+  Dispatcher& dispatcher_;
+  telemetry::Metrics& metrics_;
+  /// Endpoints that may read the request, one after the other.
+  int64_t maxSends_ = 3;
+  /// Endpoints that could not be reached at all, before giving up.
+  int64_t maxUnreached_ = 3;
+  /// When an answer is of no more use.
+  int64_t deadlineMs_ = 0;
+  /// An attempt with less time than this left is not worth making.
+  int64_t leastLeftMs_ = 1;
+  /// Takes one repeated send from the retry budget.
+  std::function<bool()> tryRepeat_;
+};
+
 /// The attempts of one request: its place in the queue, the endpoint that it
-/// is at, and whether it may be tried elsewhere.
+/// is at, what is known of earlier ones, and whether another may be made.
 class Attempts
 {
 public:
-  struct Hooks
-  {
-    /// The request has a slot at this endpoint.
-    std::function<void(const model::Announcement&)> onPlaced_;
-    /// It has waited for longer than is of use.
-    std::function<void()> onExpired_;
-  };
-
-  Attempts(RouterServices& aServices, RequestRecord& aRecord);
-
-  /// Queues for an endpoint that serves @p aServes and did not fail before.
-  void Enqueue(const std::string& aServes,
-               ledger::Tokens aCost,
-               uint64_t aPrefixHash,
-               const Hooks& aHooks);
+  explicit Attempts(AttemptsOptions aOptions);
+
+  /// Queues for an endpoint that did not fail this request before.
+  void Enqueue(DispatchRequest aRequest);
   /// Leaves the queue; hooks are not called.
   void Cancel();
-  /// Gives the slot back, if there is one.
-  void Leave(routing::AttemptOutcome aOutcome);
-  /// Leaves after a failure. Returns true when another attempt may be made
-  /// and is paid from the retry budget; @p aSafe says that it cannot harm.
-  bool Fail(bool aSafe);
+
+  /// A call to the endpoint has ended. @p aArrived says that the endpoint may
+  /// have read the request.
+  void NoteEnd(bool aArrived) { ++(aArrived ? sends_ : unreached_); }
+  /// Gives the slot back, if there is one; @p aWhat is for the history.
+  void Leave(routing::AttemptOutcome aOutcome, std::string_view aWhat);
+  /// True when the request may be tried at another endpoint. One that has
+  /// arrived is paid from the retry budget.
+  bool TryRepeat(bool aArrived);
 
   bool IsAtEndpoint() const { return atEndpoint_; }
   const model::Announcement& Endpoint() const { return endpoint_; }
+  /// Time since the endpoint was chosen.
+  int64_t AtEndpointMs() const;
 
   /// Notes that an attempt was dispatched and its end is not known.
   void NoteMayHaveRun() { mayHaveRun_ = true; }
   bool MayHaveRun() const { return mayHaveRun_; }
 
+  /// Endpoints tried, how each attempt ended and how long it took.
+  const std::string& History() const { return history_; }
+
 private:
-  RouterServices& services_;
-  RequestRecord& record_;
+  AttemptsOptions options_;
+  routing::RequestId id_ = 0;
   std::string serves_;
   model::Announcement endpoint_;
+  int64_t placedMs_ = 0;
   std::vector<std::string> failed_;
+  int64_t sends_ = 0;
+  int64_t unreached_ = 0;
+  std::string history_;
   bool atEndpoint_ = false;
   bool mayHaveRun_ = false;
 };
--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -16,18 +16,12 @@
 using model::MakeError;
 using routing::AttemptOutcome;
 using telemetry::Counter;
-using telemetry::Level;
-using telemetry::LogRequest;
-using telemetry::Part;
-using telemetry::Summary;
 using transport::EventLoop;
 
 constexpr int kHttpMisdirected = 421;
 constexpr int kHttpServerError = 500;
 /// Longest wait for a connection to an endpoint.
 constexpr int64_t kConnectMs = 700;
-/// Endpoints that could not be reached at all, before giving up.
-constexpr int64_t kMaxUnreached = 3;
 /// An attempt with less time than this left is not worth making.
 constexpr int64_t kLeastAttemptMs = 60;
 /// An answer that is no stream is held back up to this size, so that a cut
@@ -37,6 +31,23 @@
 constexpr size_t kMaxPendingBytes = size_t{ 256 } << 10;
 constexpr int64_t kSlowCallerMs = 20;
 
+/// What the record keeps of a forwarded request. There may be too many
+/// workspaces to keep objectives for each of them.
+RequestInfo
+InfoOf(const ForwardPlan& aPlan)
+{
+  return { .id_ = aPlan.id_,
+           .logId_ = aPlan.request_.id_,
+           .workspace_ = { .name_ = aPlan.workspace_ },
+           .burnsByWorkspace_ = false,
+           .rank_ = { .name_ = Concat("priority-", aPlan.priority_),
+                      .priority_ = aPlan.priority_,
+                      .firstTokenTargetMs_ = aPlan.route_.latencyTargetMs_ },
+           .budget_ = aPlan.budget_,
+           .deadlineMs_ = aPlan.deadlineMs_,
+           .startMs_ = aPlan.startMs_ };
+}
+
 } // namespace
 
 ForwardExchange::ForwardExchange(
@@ -48,6 +59,13 @@
   , exchange_(std::move(aExchange))
   , plan_(std::move(aPlan))
   , onEnd_(std::move(aOnEnd))
+  , record_(aServices.metrics_, aServices.burn_, InfoOf(plan_))
+  , attempts_({ .dispatcher_ = aServices.dispatcher_,
+                .metrics_ = aServices.metrics_,
+                .maxSends_ = plan_.route_.maxAttempts_,
+                .deadlineMs_ = plan_.deadlineMs_,
+                .leastLeftMs_ = kLeastAttemptMs,
+                .tryRepeat_ = plan_.tryRepeat_ })
   , deadline_(aServices.loop_, [this] { OnDeadline(); })
   , slowCaller_(aServices.loop_, [this] { OnSlowCaller(); })
 {
@@ -62,7 +80,6 @@
 void
 ForwardExchange::Start()
 {
-  services_.metrics_.Count(Counter::kRequests);
   exchange_->SetClosedHook([this] { OnCallerGone(); });
   events_.SetLastId(plan_.request_.lastEventId_);
   deadline_.StartOnce(
@@ -84,63 +101,56 @@
                             });
 }
 
-void
-ForwardExchange::Enqueue()
+std::optional<routing::PromptLoad>
+ForwardExchange::Prompt() const
 {
   const auto& request = plan_.request_;
-  std::optional<routing::PromptLoad> prompt;
-  if (request.promptTokens_) {
-    prompt.emplace();
-    const bool shares = request.parts_.size() > 1;
-    for (size_t i = 0; shares && i + 1 < request.parts_.size(); ++i) {
-      prompt->sharedTokens_ += request.parts_[i].tokens_;
+  if (!request.promptTokens_) {
+    return std::nullopt;
+  }
+  routing::PromptLoad prompt;
+  if (request.parts_.size() > 1) {
+    // The last part is the request's own.
+    for (size_t i = 0; i + 1 < request.parts_.size(); ++i) {
+      prompt.sharedTokens_ += request.parts_[i].tokens_;
     }
-    prompt->prefixHash_ =
-      shares ? model::Hash64(request.parts_.front().id_) : 0;
-    prompt->ownTokens_ = std::max(
-      ledger::Tokens{ 0 }, *request.promptTokens_ - prompt->sharedTokens_);
+    prompt.prefixHash_ = model::Hash64(request.parts_.front().id_);
   }
-  services_.dispatcher_.Enqueue(
+  prompt.ownTokens_ = std::max(ledger::Tokens{ 0 },
+                               *request.promptTokens_ - prompt.sharedTokens_);
+  return prompt;
+}
+
+void
+ForwardExchange::Enqueue()
+{
+  attempts_.Enqueue(
     { .queued_ = { .id_ = plan_.id_,
                    .workspace_ = plan_.workspace_,
                    .priority_ = plan_.priority_,
                    .cost_ = std::max(ledger::Tokens{ 1 }, plan_.bound_),
                    .deadlineMs_ = plan_.queueDeadlineMs_ },
       .serves_ = plan_.service_,
-      .prompt_ = prompt,
-      .excluded_ = failed_,
+      .prompt_ = Prompt(),
       .onPlaced_ =
         [this](const model::Announcement& aEndpoint, ledger::Tokens aToRead) {
           OnPlaced(aEndpoint, aToRead);
         },
-      .onExpired_ =
-        [this] {
-          Fail(MakeError(ErrorKind::kDeadlineUnreachable,
-                         "",
-                         "no endpoint was free in time"));
-        } });
+      .onExpired_ = [this] { Fail(DeadlinePassed()); } });
 }
 
 void
 ForwardExchange::OnPlaced(const model::Announcement& aEndpoint,
                           ledger::Tokens aToRead)
 {
-  endpoint_ = aEndpoint;
-  atEndpoint_ = true;
+  record_.OnPlaced();
   toRead_ = aToRead;
-  Send();
-}
-
-void
-ForwardExchange::Send()
-{
-  const int64_t now = EventLoop::NowMs();
-  const int64_t left = std::max(int64_t{ 1 }, plan_.deadlineMs_ - now);
-  const auto address = transport::ParseAddress("address", endpoint_.address_);
   answer_ = {};
   body_.clear();
-  sentMs_ = now;
-  const ForwardSend send{ .endpoint_ = endpoint_.endpoint_,
+  const int64_t left =
+    std::max(int64_t{ 1 }, plan_.deadlineMs_ - EventLoop::NowMs());
+  const auto address = transport::ParseAddress("address", aEndpoint.address_);
+  const ForwardSend send{ .endpoint_ = aEndpoint.endpoint_,
                           .workspace_ = plan_.workspace_,
                           .priority_ = plan_.priority_,
                           .deadlineMs_ = left,
@@ -177,7 +187,7 @@
     !answer.requestId_.empty() && answer.requestId_ != plan_.request_.id_;
   if (foreign) {
     OnCallDone(MakeError(ErrorKind::kUpstreamFailed,
-                         endpoint_.endpoint_,
+                         attempts_.Endpoint().endpoint_,
                          "the answer belongs to another request"));
     return;
   }
@@ -205,6 +215,7 @@
   if (!started_ && body_.size() > kMaxHeldBytes) {
     started_ = true;
     answerPassedOn_ = true;
+    record_.OnFirstToken();
     exchange_->StartStream(answer_.status_, answer_.headers_);
     exchange_->SendChunk(std::exchange(body_, {}));
   } else if (started_) {
@@ -221,9 +232,7 @@
   }
   if (!started_) {
     started_ = true;
-    firstMs_ = EventLoop::NowMs();
-    services_.metrics_.Observe(Summary::kFirstTokenMs,
-                               static_cast<double>(firstMs_ - plan_.startMs_));
+    record_.OnFirstToken();
     exchange_->StartStream(answer_.status_, answer_.headers_);
   }
   NotePromptRead();
@@ -251,65 +260,62 @@
     return;
   }
   const bool sent = call_->WasDispatched();
-  sends_ += sent ? 1 : 0;
-  unreached_ += sent ? 0 : 1;
+  attempts_.NoteEnd(sent);
   const bool whole = aStatus.ok() && answer_.status_ != 0;
   if (whole && answer_.notRun_) {
-    // At an address that another endpoint has taken, nobody else should try.
-    LeaveEndpoint(answer_.status_ == kHttpMisdirected
-                    ? AttemptOutcome::kFailed
-                    : AttemptOutcome::kNeutral,
-                  "not_run");
-    OnAttemptFailed(MakeError(ErrorKind::kQueueFull,
-                              endpoint_.endpoint_,
-                              "the endpoint refused the request"),
-                    true);
+    OnNotRun();
     return;
   }
   const bool ownFailure =
     answer_.status_ >= kHttpServerError && plan_.route_.IsIdempotent();
-  if (whole && !(ownFailure && !started_ && MayRepeat(true))) {
+  const bool repeats = whole && ownFailure && !started_ && MayRepeat(true);
+  if (whole && !repeats) {
     OnWholeAnswer();
     return;
   }
-  mayHaveRun_ = mayHaveRun_ || sent;
+  if (sent) {
+    attempts_.NoteMayHaveRun();
+  }
   LeaveEndpoint(AttemptOutcome::kFailed,
                 whole ? "server_error" : (sent ? "cut" : "unreached"));
-  if (whole) {
-    // MayRepeat has taken the repeat already.
-    failed_.push_back(endpoint_.endpoint_);
+  if (repeats) {
     Enqueue();
     return;
   }
-  OnAttemptFailed(
-    aStatus.ok()
-      ? MakeError(ErrorKind::kUpstreamFailed, endpoint_.endpoint_, "no answer")
-      : aStatus,
-    sent);
+  OnAttemptFailed(aStatus.ok() ? MakeError(ErrorKind::kUpstreamFailed,
+                                           attempts_.Endpoint().endpoint_,
+                                           "no answer")
+                               : aStatus,
+                  sent);
+}
+
+void
+ForwardExchange::OnNotRun()
+{
+  // At an address that another endpoint has taken, nobody else should try.
+  LeaveEndpoint(answer_.status_ == kHttpMisdirected ? AttemptOutcome::kFailed
+                                                    : AttemptOutcome::kNeutral,
+                "not_run");
+  OnAttemptFailed(MakeError(ErrorKind::kQueueFull,
+                            attempts_.Endpoint().endpoint_,
+                            "the endpoint refused the request"),
+                  true);
 }
 
 bool
 ForwardExchange::MayRepeat(bool aArrived)
 {
-  const int64_t left = plan_.deadlineMs_ - EventLoop::NowMs();
-  if (left < kLeastAttemptMs || exchange_->IsClosed()) {
-    return false;
-  }
-  if (!aArrived) {
-    return unreached_ < kMaxUnreached;
-  }
-  return sends_ < plan_.route_.maxAttempts_ && plan_.tryRepeat_();
+  return !exchange_->IsClosed() && attempts_.TryRepeat(aArrived);
 }
 
 void
 ForwardExchange::OnAttemptFailed(const absl::Status& aStatus, bool aArrived)
 {
-  failed_.push_back(endpoint_.endpoint_);
   events_.DropRest();
-  const bool harmless = plan_.route_.IsIdempotent() || !mayHaveRun_;
+  const bool harmless =
+    plan_.route_.IsIdempotent() || !attempts_.MayHaveRun();
   const bool resumable = !started_ || (IsStream() && plan_.route_.resumable_);
   if (harmless && resumable && MayRepeat(aArrived)) {
-    services_.metrics_.Count(Counter::kRetries);
     Enqueue();
     return;
   }
@@ -320,28 +326,24 @@
 ForwardExchange::OnWholeAnswer()
 {
   LeaveEndpoint(AttemptOutcome::kServed, "whole");
-  mayHaveRun_ = true;
+  attempts_.NoteMayHaveRun();
   answerPassedOn_ = true;
+  const std::string rest = events_.TakeRest();
+  Settle();
   if (!started_) {
-    if (IsStream()) {
-      body_ += events_.TakeRest();
-    }
-    exchange_->Reply(answer_.status_, answer_.headers_, body_);
+    exchange_->Reply(answer_.status_, answer_.headers_, body_ + rest);
   } else {
-    exchange_->SendChunk(events_.TakeRest());
+    exchange_->SendChunk(rest);
     exchange_->EndStream();
   }
-  services_.metrics_.Count(Counter::kAnsweredWhole);
-  Finish("whole", answer_.status_);
+  record_.EndWhole(EndWith(answer_.status_));
+  onEnd_();
 }
 
 void
 ForwardExchange::OnDeadline()
 {
-  if (call_ && call_->WasDispatched()) {
-    mayHaveRun_ = true;
-    ++sends_;
-  }
+  NoteDispatched();
   const auto status = MakeError(
     ErrorKind::kDeadlineUnreachable, "", "the time for an answer has passed");
   LeaveEndpoint(AttemptOutcome::kNeutral, "deadline");
@@ -354,21 +356,30 @@
   if (ended_) {
     return;
   }
+  NoteDispatched();
+  LeaveEndpoint(AttemptOutcome::kNeutral, "caller_gone");
+  Settle();
+  record_.EndAbandoned(EndWith(0));
+  onEnd_();
+}
+
+void
+ForwardExchange::NoteDispatched()
+{
   if (call_ && call_->WasDispatched()) {
-    mayHaveRun_ = true;
-    ++sends_;
+    attempts_.NoteMayHaveRun();
   }
-  LeaveEndpoint(AttemptOutcome::kNeutral, "caller_gone");
-  Finish("caller_gone", 0);
 }
 
 void
 ForwardExchange::NotePromptRead()
 {
   if (const auto toRead = std::exchange(toRead_, 0)) {
-    const int64_t now = EventLoop::NowMs();
     services_.dispatcher_.Endpoints().OnPromptRead(
-      endpoint_.endpoint_, toRead, now - sentMs_, now);
+      attempts_.Endpoint().endpoint_,
+      toRead,
+      attempts_.AtEndpointMs(),
+      EventLoop::NowMs());
   }
 }
 
@@ -376,38 +387,36 @@
 ForwardExchange::LeaveEndpoint(AttemptOutcome aOutcome, std::string_view aWhat)
 {
   call_.reset();
-  if (!std::exchange(atEndpoint_, false)) {
-    return;
+  if (attempts_.IsAtEndpoint()) {
+    NotePromptRead();
   }
-  NotePromptRead();
-  model::AppendTo(history_,
-                  history_.empty() ? "" : ",",
-                  endpoint_.endpoint_,
-                  ":",
-                  aWhat,
-                  ":",
-                  EventLoop::NowMs() - sentMs_,
-                  "ms");
-  services_.dispatcher_.Release(plan_.service_, endpoint_.endpoint_, aOutcome);
+  attempts_.Leave(aOutcome, aWhat);
 }
 
 void
 ForwardExchange::Fail(const absl::Status& aStatus)
 {
-  const auto kind = model::NameOf(model::KindOf(aStatus));
+  Settle();
   if (started_) {
     exchange_->Abort();
-    Finish(Concat("cut:", kind), 0);
+    record_.EndUnknown(aStatus, EndWith(0));
+    onEnd_();
     return;
   }
+  const bool mayHaveRun = attempts_.MayHaveRun();
   const RunState state =
-    mayHaveRun_ ? RunState::kMayHaveRun : RunState::kNotRun;
+    mayHaveRun ? RunState::kMayHaveRun : RunState::kNotRun;
   const int status = ForwardStatusOf(aStatus, state);
   ReplyForwardError(
-    *exchange_, aStatus, state, mayHaveRun_ ? 0 : plan_.retryAfterMs_());
-  services_.metrics_.Count(
-    mayHaveRun_ ? Counter::kOutcomeUnknown : Counter::kRefused, 1, kind);
-  Finish(kind, status);
+    *exchange_, aStatus, state, mayHaveRun ? 0 : plan_.retryAfterMs_());
+  if (mayHaveRun) {
+    record_.EndUnknown(aStatus, EndWith(status));
+  } else {
+    record_.EndRefused(aStatus,
+                       services_.dispatcher_.Serves(plan_.service_),
+                       EndWith(status));
+  }
+  onEnd_();
 }
 
 ledger::Tokens
@@ -426,52 +435,44 @@
 }
 
 void
-ForwardExchange::Finish(std::string_view aOutcome, int aStatus)
+ForwardExchange::Settle()
 {
-  if (std::exchange(ended_, true)) {
-    return;
-  }
+  ended_ = true;
   deadline_.Stop();
   slowCaller_.Stop();
-  services_.dispatcher_.Cancel(plan_.id_);
+  attempts_.Cancel();
   services_.biller_.CancelReserve(plan_.id_);
-  const ledger::Tokens used = Used();
   if (reserved_ > 0) {
-    services_.biller_.Use(plan_.budget_, std::exchange(reserved_, 0), used);
+    services_.biller_.Use(plan_.budget_, std::exchange(reserved_, 0), Used());
   }
-  const int64_t now = EventLoop::NowMs();
-  services_.metrics_.Observe(Summary::kTotalMs,
-                             static_cast<double>(now - plan_.startMs_));
-  LogRequest(Part::kCaller,
-             aOutcome == "whole" ? Level::kInfo : Level::kWarning,
-             plan_.request_.id_,
-             Concat("outcome=",
-                    aOutcome,
-                    " status=",
-                    aStatus,
-                    " route=",
-                    plan_.route_.name_,
-                    " service=",
-                    plan_.service_,
-                    " workspace=",
-                    plan_.workspace_,
-                    " version=",
-                    plan_.deploymentVersion_,
-                    " attempts=",
-                    history_,
-                    " first_ms=",
-                    firstMs_ == 0 ? 0 : firstMs_ - plan_.startMs_,
-                    " total_ms=",
-                    now - plan_.startMs_,
-                    " events=",
-                    events_.Count(),
-                    " bound=",
-                    plan_.bound_,
-                    " used=",
-                    used,
-                    " grant_left=",
-                    services_.biller_.Free(plan_.budget_)));
-  onEnd_();
+}
+
+RequestEnd
+ForwardExchange::EndWith(int aStatus) const
+{
+  return { aStatus,
+           Concat("route=",
+                  plan_.route_.name_,
+                  " service=",
+                  plan_.service_,
+                  " workspace=",
+                  plan_.workspace_,
+                  " version=",
+                  plan_.deploymentVersion_,
+                  " attempts=",
+                  attempts_.History(),
+                  " first_ms=",
+                  record_.FirstTokenMs(),
+                  " total_ms=",
+                  record_.TotalMs(),
+                  " events=",
+                  events_.Count(),
+                  " bound=",
+                  plan_.bound_,
+                  " used=",
+                  Used(),
+                  " grant_left=",
+                  services_.biller_.Free(plan_.budget_)) };
 }
 
 } // namespace cactuswick::router
--- a/packages/router/src/request/ForwardExchange.h
+++ b/packages/router/src/request/ForwardExchange.h
@@ -2,15 +2,16 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
-#include <vector>
 
 #include "cactuswick/router/connection/ForwardDialect.h"
 #include "cactuswick/transport/connection/HttpCall.h"
 #include "connection/ForwardErrors.h"
 #include "process/Biller.h"
-#include "process/Dispatcher.h"
+#include "request/Attempts.h"
 #include "request/EventSplitter.h"
+#include "request/RequestRecord.h"
 
 namespace cactuswick::router {
 
@@ -22,6 +23,7 @@
   Dispatcher& dispatcher_;
   transport::HttpPool& pool_;
   telemetry::Metrics& metrics_;
+  telemetry::BurnTable& burn_;
   const ForwardDialect& dialect_;
 };
 
@@ -69,11 +71,11 @@
 private:
   void Enqueue();
   void OnPlaced(const model::Announcement& aEndpoint, ledger::Tokens aToRead);
-  void Send();
   void OnHead(int aStatus, const transport::Headers& aHeaders);
   void OnData(std::string_view aData);
   void OnEvents(const std::string& aEvents);
   void OnCallDone(const absl::Status& aStatus);
+  void OnNotRun();
   void OnWholeAnswer();
   /// @p aArrived says that the endpoint may have read the request.
   void OnAttemptFailed(const absl::Status& aStatus, bool aArrived);
@@ -83,10 +85,14 @@
   void OnSlowCaller();
 
   bool IsStream() const;
+  std::optional<routing::PromptLoad> Prompt() const;
   void NotePromptRead();
+  void NoteDispatched();
   void LeaveEndpoint(routing::AttemptOutcome aOutcome, std::string_view aWhat);
   void Fail(const absl::Status& aStatus);
-  void Finish(std::string_view aOutcome, int aStatus);
+  /// Lets go of all that the request holds and notes what it used.
+  void Settle();
+  RequestEnd EndWith(int aStatus) const;
   /// Tokens to bill. An answer of which nothing reached the caller is free.
   ledger::Tokens Used() const;
 
@@ -94,25 +100,16 @@
   std::unique_ptr<transport::HttpExchange> exchange_;
   ForwardPlan plan_;
   std::function<void()> onEnd_;
+  RequestRecord record_;
+  Attempts attempts_;
   transport::Timer deadline_;
   transport::Timer slowCaller_;
   std::unique_ptr<transport::HttpCall> call_;
   ForwardAnswer answer_;
   std::string body_;
   EventSplitter events_;
-
-  model::Announcement endpoint_;
-  bool atEndpoint_ = false;
+  /// Prompt tokens that the endpoint is taken to read until its first event.
   ledger::Tokens toRead_ = 0;
-  int64_t sentMs_ = 0;
-  int64_t firstMs_ = 0;
-  /// Endpoints that the request was sent to.
-  int64_t sends_ = 0;
-  int64_t unreached_ = 0;
-  std::vector<std::string> failed_;
-  /// Attempts and how they ended, for the log.
-  std::string history_;
-  bool mayHaveRun_ = false;
   /// The answer to the caller has begun.
   bool started_ = false;
   /// An answer that is no stream has gone to the caller, whole or in part.
--- a/packages/router/src/request/ModelExchange.cpp
+++ b/packages/router/src/request/ModelExchange.cpp
@@ -39,8 +39,8 @@
                              std::function<void()> aOnEnd)
   : services_(aServices)
   , exchange_(std::move(aExchange))
-  , record_(aServices, std::move(aInfo))
-  , attempts_(aServices, record_)
+  , record_(aServices.metrics_, aServices.burn_, std::move(aInfo))
+  , attempts_(AttemptsOf(aServices, record_.Info()))
   , request_(std::move(aRequest))
   , onEnd_(std::move(aOnEnd))
 {
@@ -74,18 +74,18 @@
 ModelExchange::Enqueue()
 {
   attempts_.Enqueue(
-    request_.model_,
-    reserved_,
-    request_.prefixHash_,
-    { .onPlaced_ =
-        [this](const model::Announcement& aEndpoint) { OnPlaced(aEndpoint); },
+    { .queued_ = QueuedOf(Info(), reserved_),
+      .serves_ = request_.model_,
+      .prefixHash_ = request_.prefixHash_,
+      .onPlaced_ = [this](const model::Announcement& aEndpoint,
+                          ledger::Tokens) { OnPlaced(aEndpoint); },
       .onExpired_ = [this] { FailByTruth(DeadlinePassed()); } });
 }
 
 void
 ModelExchange::OnPlaced(const model::Announcement& aEndpoint)
 {
-  placedMs_ = EventLoop::NowMs();
+  record_.OnPlaced();
   meter_ = {};
   body_.clear();
   httpStatus_ = 0;
@@ -142,7 +142,7 @@
     streamStarted_ = true;
     record_.OnFirstToken();
     services_.dispatcher_.OnFirstToken(attempts_.Endpoint().endpoint_,
-                                       EventLoop::NowMs() - placedMs_);
+                                       attempts_.AtEndpointMs());
     exchange_->StartStream(kHttpOk,
                            { { "Content-Type", "text/event-stream" },
                              { "Cache-Control", "no-cache" } });
@@ -169,7 +169,7 @@
   }
   if (aStatus.ok() && httpStatus_ != kHttpOk &&
       httpStatus_ < kHttpServerError) {
-    LeaveEndpoint(AttemptOutcome::kNeutral);
+    LeaveEndpoint(AttemptOutcome::kNeutral, "rejected");
     Refuse(
       MakeError(ErrorKind::kMalformed, "", "the engine rejected the request"));
     return;
@@ -186,9 +186,10 @@
 void
 ModelExchange::OnAttemptFailed(const absl::Status& aStatus)
 {
-  call_.reset();
+  attempts_.NoteEnd(true);
+  LeaveEndpoint(AttemptOutcome::kFailed, "failed");
   // A model request may run again, but not once its answer has begun.
-  if (attempts_.Fail(!streamStarted_)) {
+  if (!streamStarted_ && attempts_.TryRepeat(true)) {
     Enqueue();
   } else {
     FailByTruth(aStatus);
@@ -202,10 +203,28 @@
 }
 
 void
-ModelExchange::LeaveEndpoint(AttemptOutcome aOutcome)
+ModelExchange::LeaveEndpoint(AttemptOutcome aOutcome, std::string_view aWhat)
 {
   call_.reset();
-  attempts_.Leave(aOutcome);
+  attempts_.Leave(aOutcome, aWhat);
+}
+
+RequestEnd
+ModelExchange::EndWith(int aStatus) const
+{
+  return { aStatus,
+           model::Concat("model=",
+                         request_.model_,
+                         " workspace=",
+                         Info().workspace_.name_,
+                         " attempts=",
+                         attempts_.History(),
+                         " first_ms=",
+                         record_.FirstTokenMs(),
+                         " total_ms=",
+                         record_.TotalMs(),
+                         " bound=",
+                         request_.promptBound_ + request_.maxTokens_) };
 }
 
 ledger::Tokens
@@ -220,7 +239,7 @@
 void
 ModelExchange::OnWhole()
 {
-  LeaveEndpoint(AttemptOutcome::kServed);
+  LeaveEndpoint(AttemptOutcome::kServed, "whole");
   const ledger::Tokens reported = ReportedTokens();
   const ledger::Tokens used = std::min(reserved_, reported);
   record_.OnUsage(reported, reserved_);
@@ -243,7 +262,7 @@
 {
   settling_ = false;
   if (exchange_->IsClosed()) {
-    record_.EndAbandoned();
+    record_.EndAbandoned(EndWith(0));
     End();
     return;
   }
@@ -261,7 +280,7 @@
         { kOutcomeHeader, std::string(NameOf(Outcome::kWhole)) } },
       body_);
   }
-  record_.EndWhole();
+  record_.EndWhole(EndWith(kHttpOk));
   End();
 }
 
@@ -276,8 +295,8 @@
   const bool running = attempts_.IsAtEndpoint();
   const ledger::Tokens used =
     running ? std::min(reserved_, ReportedTokens()) : 0;
-  LeaveEndpoint(AttemptOutcome::kNeutral);
-  record_.EndAbandoned();
+  LeaveEndpoint(AttemptOutcome::kNeutral, "caller_gone");
+  record_.EndAbandoned(EndWith(0));
   if (!streamStarted_ || used == 0) {
     services_.biller_.Release(Info().budget_, reserved_);
     End();
@@ -297,7 +316,10 @@
   }
   services_.biller_.Release(Info().budget_, reserved_);
   ReplyError(*exchange_, aStatus, Outcome::kRefused);
-  record_.EndRefused(aStatus, services_.dispatcher_.Serves(request_.model_));
+  record_.EndRefused(
+    aStatus,
+    services_.dispatcher_.Serves(request_.model_),
+    EndWith(model::HttpStatusOf(model::KindOf(aStatus))));
   End();
 }
 
@@ -315,7 +337,10 @@
   } else {
     ReplyError(*exchange_, unknown, Outcome::kUnknown);
   }
-  record_.EndUnknown(aStatus);
+  record_.EndUnknown(
+    aStatus,
+    EndWith(streamStarted_ ? 0
+                           : model::HttpStatusOf(ErrorKind::kOutcomeUnknown)));
   End();
 }
 
--- a/packages/router/src/request/ModelExchange.h
+++ b/packages/router/src/request/ModelExchange.h
@@ -6,10 +6,10 @@
 
 #include "cactuswick/transport/connection/HttpCall.h"
 #include "cactuswick/transport/connection/HttpExchange.h"
+#include "connection/HttpErrors.h"
 #include "request/AnswerMeter.h"
-#include "request/Attempts.h"
 #include "request/ChatRequest.h"
-#include "request/RequestRecord.h"
+#include "request/RouterServices.h"
 
 namespace cactuswick::router {
 
@@ -52,7 +52,8 @@
   void FailByTruth(const absl::Status& aStatus);
   void Refuse(const absl::Status& aStatus);
   void FailUnknown(const absl::Status& aStatus);
-  void LeaveEndpoint(routing::AttemptOutcome aOutcome);
+  void LeaveEndpoint(routing::AttemptOutcome aOutcome, std::string_view aWhat);
+  RequestEnd EndWith(int aStatus) const;
   /// Tokens as the engine reports them, or an estimate without a report.
   ledger::Tokens ReportedTokens() const;
   void End();
@@ -67,7 +68,6 @@
   /// What this request holds of the budget; 0 until it has been reserved.
   ledger::Tokens reserved_ = 0;
   std::unique_ptr<transport::HttpCall> call_;
-  int64_t placedMs_ = 0;
   int httpStatus_ = 0;
   AnswerMeter meter_;
   std::string body_;
--- a/packages/router/src/request/RequestRecord.cpp
+++ b/packages/router/src/request/RequestRecord.cpp
@@ -5,6 +5,7 @@
 
 #include "cactuswick/model/process/Error.h"
 #include "cactuswick/telemetry/process/Log.h"
+#include "cactuswick/transport/process/EventLoop.h"
 
 namespace cactuswick::router {
 
@@ -55,21 +56,37 @@
            .deadlineMs_ = QueueDeadlineOf(aInfo) };
 }
 
-RequestRecord::RequestRecord(RouterServices& aServices, RequestInfo aInfo)
-  : services_(aServices)
+RequestRecord::RequestRecord(telemetry::Metrics& aMetrics,
+                             telemetry::BurnTable& aBurn,
+                             RequestInfo aInfo)
+  : metrics_(aMetrics)
+  , burn_(aBurn)
   , info_(std::move(aInfo))
 {
-  services_.metrics_.Count(Counter::kRequests, 1, info_.rank_.name_);
-  services_.dispatcher_.Retries().OnRequest();
+  metrics_.Count(Counter::kRequests, 1, info_.rank_.name_);
+}
+
+int64_t
+RequestRecord::TotalMs() const
+{
+  return EventLoop::NowMs() - info_.startMs_;
+}
+
+void
+RequestRecord::Burn(Objective aObjective, bool aKept)
+{
+  burn_.Add(aObjective,
+            info_.rank_.name_,
+            info_.burnsByWorkspace_ ? info_.workspace_.name_ : "",
+            aKept,
+            EventLoop::NowMs());
 }
 
 void
 RequestRecord::OnPlaced()
 {
-  services_.metrics_.Observe(
-    Summary::kQueueMs,
-    static_cast<double>(EventLoop::NowMs() - info_.startMs_),
-    info_.rank_.name_);
+  metrics_.Observe(
+    Summary::kQueueMs, static_cast<double>(TotalMs()), info_.rank_.name_);
 }
 
 void
@@ -78,45 +95,32 @@
   if (firstTokenMs_) {
     return;
   }
-  const int64_t now = EventLoop::NowMs();
-  firstTokenMs_ = now - info_.startMs_;
-  services_.metrics_.Observe(Summary::kFirstTokenMs,
-                             static_cast<double>(*firstTokenMs_),
-                             info_.rank_.name_);
-  services_.burn_.Add(Objective::kFirstToken,
-                      info_.rank_.name_,
-                      info_.workspace_.name_,
-                      *firstTokenMs_ <= info_.rank_.firstTokenTargetMs_,
-                      now);
+  firstTokenMs_ = TotalMs();
+  metrics_.Observe(Summary::kFirstTokenMs,
+                   static_cast<double>(*firstTokenMs_),
+                   info_.rank_.name_);
+  Burn(Objective::kFirstToken,
+       *firstTokenMs_ <= info_.rank_.firstTokenTargetMs_);
 }
 
 void
 RequestRecord::CountDeadline(bool aWhole)
 {
-  const int64_t now = EventLoop::NowMs();
-  services_.burn_.Add(Objective::kDeadline,
-                      info_.rank_.name_,
-                      info_.workspace_.name_,
-                      aWhole && now <= info_.deadlineMs_,
-                      now);
-  services_.metrics_.Observe(Summary::kTotalMs,
-                             static_cast<double>(now - info_.startMs_),
-                             info_.rank_.name_);
+  Burn(Objective::kDeadline,
+       aWhole && EventLoop::NowMs() <= info_.deadlineMs_);
+  metrics_.Observe(
+    Summary::kTotalMs, static_cast<double>(TotalMs()), info_.rank_.name_);
 }
 
 void
 RequestRecord::OnUsage(ledger::Tokens aReported, ledger::Tokens aReserved)
 {
   const bool kept = aReported <= aReserved;
-  services_.burn_.Add(Objective::kNoOverspend,
-                      info_.rank_.name_,
-                      info_.workspace_.name_,
-                      kept,
-                      EventLoop::NowMs());
+  Burn(Objective::kNoOverspend, kept);
   if (!kept) {
     LogRequest(Part::kBilling,
                Level::kError,
-               model::Concat("r", info_.id_),
+               info_.logId_,
                model::Concat("an engine reports ",
                              aReported,
                              " tokens for ",
@@ -126,52 +130,53 @@
 }
 
 void
-RequestRecord::EndWhole()
-{
-  services_.metrics_.Count(Counter::kAnsweredWhole, 1, info_.rank_.name_);
-  services_.burn_.Add(Objective::kNoFalseRefusal,
-                      info_.rank_.name_,
-                      info_.workspace_.name_,
-                      true,
-                      EventLoop::NowMs());
+RequestRecord::EndWhole(const RequestEnd& aEnd)
+{
+  metrics_.Count(Counter::kAnsweredWhole, 1, info_.rank_.name_);
+  Burn(Objective::kNoFalseRefusal, true);
   CountDeadline(true);
+  LogEnd("whole", aEnd);
 }
 
 void
-RequestRecord::EndRefused(const absl::Status& aStatus, bool aFleetHadRoom)
+RequestRecord::EndRefused(const absl::Status& aStatus,
+                          bool aFleetHadRoom,
+                          const RequestEnd& aEnd)
 {
   const model::ErrorKind kind = model::KindOf(aStatus);
-  services_.metrics_.Count(Counter::kRefused, 1, model::NameOf(kind));
-  services_.burn_.Add(Objective::kNoFalseRefusal,
-                      info_.rank_.name_,
-                      info_.workspace_.name_,
-                      !(aFleetHadRoom && IsFalseRefusal(kind)),
-                      EventLoop::NowMs());
-  LogRequest(Part::kCaller,
-             Level::kDebug,
-             model::Concat("r", info_.id_),
-             model::Concat("refused: ", model::NameOf(kind)));
+  metrics_.Count(Counter::kRefused, 1, model::NameOf(kind));
+  Burn(Objective::kNoFalseRefusal, !(aFleetHadRoom && IsFalseRefusal(kind)));
+  LogEnd(model::NameOf(kind), aEnd);
 }
 
 void
-RequestRecord::EndUnknown(const absl::Status& aStatus)
+RequestRecord::EndUnknown(const absl::Status& aStatus, const RequestEnd& aEnd)
 {
-  services_.metrics_.Count(Counter::kOutcomeUnknown, 1, info_.rank_.name_);
+  metrics_.Count(Counter::kOutcomeUnknown, 1, info_.rank_.name_);
   CountDeadline(false);
-  LogRequest(
-    Part::kCaller,
-    Level::kWarning,
-    model::Concat("r", info_.id_),
-    model::Concat("outcome unknown: ", model::NameOf(model::KindOf(aStatus))));
+  const auto kind = model::NameOf(model::KindOf(aStatus));
+  LogEnd(HasFirstToken() ? model::Concat("cut:", kind) : std::string(kind),
+         aEnd);
+}
+
+void
+RequestRecord::EndAbandoned(const RequestEnd& aEnd)
+{
+  LogEnd("caller_gone", aEnd);
 }
 
 void
-RequestRecord::EndAbandoned()
+RequestRecord::LogEnd(std::string_view aOutcome, const RequestEnd& aEnd) const
 {
   LogRequest(Part::kCaller,
-             Level::kDebug,
-             model::Concat("r", info_.id_),
-             "the caller hung up");
+             aOutcome == "whole" ? Level::kInfo : Level::kWarning,
+             info_.logId_,
+             model::Concat("outcome=",
+                           aOutcome,
+                           " status=",
+                           aEnd.httpStatus_,
+                           " ",
+                           aEnd.inputs_));
 }
 
 ledger::Settle
--- a/packages/router/src/request/RequestRecord.h
+++ b/packages/router/src/request/RequestRecord.h
@@ -3,12 +3,15 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include <absl/status/status.h>
 
+#include "cactuswick/ledger/request/RouterOp.h"
 #include "cactuswick/model/version/Resource.h"
-#include "connection/HttpErrors.h"
-#include "request/RouterServices.h"
+#include "cactuswick/routing/request/FairQueue.h"
+#include "cactuswick/telemetry/process/BurnTable.h"
+#include "cactuswick/telemetry/process/Metrics.h"
 
 namespace cactuswick::router {
 
@@ -16,7 +19,11 @@
 struct RequestInfo
 {
   routing::RequestId id_ = 0;
+  /// The request's name in the log.
+  std::string logId_;
   model::Workspace workspace_;
+  /// Objectives are kept for each workspace by itself.
+  bool burnsByWorkspace_ = true;
   model::Rank rank_;
   std::string budget_;
   /// The caller's idempotency key, or one made up for it.
@@ -36,32 +43,53 @@
 routing::QueuedRequest
 QueuedOf(const RequestInfo& aInfo, ledger::Tokens aCost);
 
-/// Keeps the measures of one request: times, outcome, objectives.
+/// How a request ended, for its line in the log.
+struct RequestEnd
+{
+  /// Status that the caller got; 0 for none.
+  int httpStatus_ = 0;
+  /// Inputs of the decision, "name=value" each.
+  std::string inputs_;
+};
+
+/// Keeps the measures of one request: times, outcome, objectives. Writes the
+/// one line of the log that says how it ended.
 class RequestRecord
 {
 public:
-  RequestRecord(RouterServices& aServices, RequestInfo aInfo);
+  RequestRecord(telemetry::Metrics& aMetrics,
+                telemetry::BurnTable& aBurn,
+                RequestInfo aInfo);
 
   const RequestInfo& Info() const { return info_; }
   void OnPlaced();
   void OnFirstToken();
   bool HasFirstToken() const { return firstTokenMs_.has_value(); }
+  /// Time from the request to its first token; 0 without one.
+  int64_t FirstTokenMs() const { return firstTokenMs_.value_or(0); }
+  int64_t TotalMs() const;
 
   /// Counts whether an engine kept to the tokens that were reserved.
   void OnUsage(ledger::Tokens aReported, ledger::Tokens aReserved);
-  void EndWhole();
+  void EndWhole(const RequestEnd& aEnd);
   /// @p aFleetHadRoom says that the refusal was the system's own fault.
-  void EndRefused(const absl::Status& aStatus, bool aFleetHadRoom);
-  void EndUnknown(const absl::Status& aStatus);
+  void EndRefused(const absl::Status& aStatus,
+                  bool aFleetHadRoom,
+                  const RequestEnd& aEnd);
+  /// Nobody knows whether it ran, or its answer was cut.
+  void EndUnknown(const absl::Status& aStatus, const RequestEnd& aEnd);
   /// The caller hung up; no objective is kept or broken.
-  void EndAbandoned();
+  void EndAbandoned(const RequestEnd& aEnd);
 
   ledger::Settle SettleOf(ledger::Tokens aAmount) const;
 
 private:
+  void Burn(telemetry::Objective aObjective, bool aKept);
   void CountDeadline(bool aWhole);
+  void LogEnd(std::string_view aOutcome, const RequestEnd& aEnd) const;
 
-  RouterServices& services_;
+  telemetry::Metrics& metrics_;
+  telemetry::BurnTable& burn_;
   RequestInfo info_;
   std::optional<int64_t> firstTokenMs_;
 };
--- a/packages/router/src/request/RouterServices.h
+++ b/packages/router/src/request/RouterServices.h
@@ -7,6 +7,8 @@
 #include "process/Biller.h"
 #include "process/ControlClient.h"
 #include "process/Dispatcher.h"
+#include "request/Attempts.h"
+#include "request/RequestRecord.h"
 #include "version/ConfigView.h"
 
 namespace cactuswick::router {
@@ -36,4 +38,9 @@
   RouterLimits limits_;
 };
 
+/// The rules for attempts at a request of the product's own interface, which
+/// is counted for the retry budget.
+AttemptsOptions
+AttemptsOf(RouterServices& aServices, const RequestInfo& aInfo);
+
 } // namespace cactuswick::router
--- a/packages/router/src/request/ServiceExchange.cpp
+++ b/packages/router/src/request/ServiceExchange.cpp
@@ -4,6 +4,7 @@
 
 #include "cactuswick/ledger/version/Ledger.h"
 #include "cactuswick/model/process/Error.h"
+#include "cactuswick/model/process/Text.h"
 
 namespace cactuswick::router {
 
@@ -27,8 +28,8 @@
   std::function<void()> aOnEnd)
   : services_(aServices)
   , exchange_(std::move(aExchange))
-  , record_(aServices, std::move(aInfo))
-  , attempts_(aServices, record_)
+  , record_(aServices.metrics_, aServices.burn_, std::move(aInfo))
+  , attempts_(AttemptsOf(aServices, record_.Info()))
   , serviceCall_(std::move(aCall))
   , onEnd_(std::move(aOnEnd))
   , timer_(aServices.loop_, [this] { OnClaimTimeout(); })
@@ -60,16 +61,17 @@
 ServiceExchange::Enqueue()
 {
   attempts_.Enqueue(
-    serviceCall_.service_,
-    1,
-    0,
-    { .onPlaced_ = [this](const model::Announcement&) { OnPlaced(); },
+    { .queued_ = QueuedOf(Info(), 1),
+      .serves_ = serviceCall_.service_,
+      .onPlaced_ = [this](const model::Announcement&,
+                          ledger::Tokens) { OnPlaced(); },
       .onExpired_ = [this] { FailByTruth(DeadlinePassed()); } });
 }
 
 void
 ServiceExchange::OnPlaced()
 {
+  record_.OnPlaced();
   if (serviceCall_.idempotent_ || claimed_) {
     Call();
   } else {
@@ -125,7 +127,7 @@
     Call();
     return;
   }
-  LeaveEndpoint(AttemptOutcome::kNeutral);
+  LeaveEndpoint(AttemptOutcome::kNeutral, "not_sent");
   if (aResult.keyReused_) {
     Refuse(MakeError(ErrorKind::kKeyReused,
                      "Idempotency-Key",
@@ -147,7 +149,7 @@
       static_cast<int>(aResult.httpStatus_),
       { { kOutcomeHeader, "whole" }, { kReplayedHeader, "true" } },
       aResult.body_);
-    record_.EndWhole();
+    record_.EndWhole(EndWith(static_cast<int>(aResult.httpStatus_)));
     End();
     return;
   }
@@ -208,8 +210,10 @@
 void
 ServiceExchange::OnAttemptFailed(const absl::Status& aStatus)
 {
-  call_.reset();
-  if (attempts_.Fail(serviceCall_.idempotent_ || !attempts_.MayHaveRun())) {
+  attempts_.NoteEnd(true);
+  LeaveEndpoint(AttemptOutcome::kFailed, "failed");
+  const bool harmless = serviceCall_.idempotent_ || !attempts_.MayHaveRun();
+  if (harmless && attempts_.TryRepeat(true)) {
     Enqueue();
   } else {
     FailByTruth(aStatus);
@@ -225,7 +229,7 @@
 void
 ServiceExchange::OnWhole()
 {
-  LeaveEndpoint(AttemptOutcome::kServed);
+  LeaveEndpoint(AttemptOutcome::kServed, "whole");
   services_.dispatcher_.OnFinished(
     serviceCall_.service_, QueuedOf(Info(), 1), 1);
   Resolve(ledger::ClaimState::kDone);
@@ -273,7 +277,7 @@
     httpStatus_,
     { { "Content-Type", contentType_ }, { kOutcomeHeader, "whole" } },
     body_);
-  record_.EndWhole();
+  record_.EndWhole(EndWith(httpStatus_));
   End();
 }
 
@@ -287,26 +291,43 @@
   services_.biller_.CancelReserve(Info().id_);
   attempts_.Cancel();
   services_.biller_.Release(Info().budget_, std::exchange(reserved_, 0));
-  record_.EndAbandoned();
+  record_.EndAbandoned(EndWith(0));
   End();
 }
 
 void
-ServiceExchange::LeaveEndpoint(AttemptOutcome aOutcome)
+ServiceExchange::LeaveEndpoint(AttemptOutcome aOutcome, std::string_view aWhat)
 {
   call_.reset();
-  attempts_.Leave(aOutcome);
+  attempts_.Leave(aOutcome, aWhat);
+}
+
+RequestEnd
+ServiceExchange::EndWith(int aStatus) const
+{
+  return { aStatus,
+           model::Concat("service=",
+                         serviceCall_.service_,
+                         " workspace=",
+                         Info().workspace_.name_,
+                         " attempts=",
+                         attempts_.History(),
+                         " total_ms=",
+                         record_.TotalMs(),
+                         " price=",
+                         serviceCall_.price_) };
 }
 
 void
 ServiceExchange::Refuse(const absl::Status& aStatus)
 {
   Resolve(ledger::ClaimState::kNotRun);
-  LeaveEndpoint(AttemptOutcome::kNeutral);
+  LeaveEndpoint(AttemptOutcome::kNeutral, "refused");
   services_.biller_.Release(Info().budget_, std::exchange(reserved_, 0));
   ReplyError(*exchange_, aStatus, Outcome::kRefused);
   record_.EndRefused(aStatus,
-                     services_.dispatcher_.Serves(serviceCall_.service_));
+                     services_.dispatcher_.Serves(serviceCall_.service_),
+                     EndWith(model::HttpStatusOf(model::KindOf(aStatus))));
   End();
 }
 
@@ -316,7 +337,8 @@
   Resolve(ledger::ClaimState::kUnknown);
   services_.biller_.Release(Info().budget_, std::exchange(reserved_, 0));
   ReplyError(*exchange_, aStatus, Outcome::kUnknown);
-  record_.EndUnknown(aStatus);
+  record_.EndUnknown(
+    aStatus, EndWith(model::HttpStatusOf(ErrorKind::kOutcomeUnknown)));
   End();
 }
 
--- a/packages/router/src/request/ServiceExchange.h
+++ b/packages/router/src/request/ServiceExchange.h
@@ -6,7 +6,8 @@
 
 #include "cactuswick/transport/connection/HttpCall.h"
 #include "cactuswick/transport/connection/HttpExchange.h"
-#include "request/Attempts.h"
+#include "connection/HttpErrors.h"
+#include "request/RouterServices.h"
 
 namespace cactuswick::router {
 
@@ -57,7 +58,8 @@
   void FailByTruth(const absl::Status& aStatus);
   void Refuse(const absl::Status& aStatus);
   void FailUnknown(const absl::Status& aStatus);
-  void LeaveEndpoint(routing::AttemptOutcome aOutcome);
+  void LeaveEndpoint(routing::AttemptOutcome aOutcome, std::string_view aWhat);
+  RequestEnd EndWith(int aStatus) const;
   void End();
 
   RouterServices& services_;
