Connections of callers may stay idle for as long as the deployment allows

Until now 20 s, whatever the deployment said; a deployment with a longer limit would have had its callers' kept connections closed under them. A limit of headers' time is not applied: the library knows silence only.

--- a/packages/router/src/process/ForwardRole.cpp
+++ b/packages/router/src/process/ForwardRole.cpp
@@ -23,7 +23,7 @@
 constexpr size_t kMaxBodyBytes = size_t{ 16 } << 20;
 constexpr size_t kMaxHeaderBytes = size_t{ 64 } << 10;
 /// Callers use connections again that were idle for most of their limit.
-constexpr int64_t kIdleTimeoutMs = 20'000;
+constexpr int64_t kIdleMarginMs = 5'000;
 /// Control says when an endpoint is lost, so its lease does not end here.
 constexpr int64_t kLeaseMs = 3'600'000;
 /// Part of a budget that all routers together keep at the least, for callers
@@ -49,9 +49,8 @@
            .isLeaving_ = options_.isLeaving_,
            .seed_ = model::Hash64(model::RandomHex()) })
   , server_(options_.loop_,
-            { .maxHeaderBytes_ = kMaxHeaderBytes,
-              .maxBodyBytes_ = kMaxBodyBytes,
-              .idleTimeoutMs_ = kIdleTimeoutMs,
+            { .limits_ = { .maxHeaderBytes_ = kMaxHeaderBytes,
+                           .maxBodyBytes_ = kMaxBodyBytes },
               .maxDescriptors_ = static_cast<size_t>(
                 options_.settings_.Get(settings::kMaxDescriptors)),
               .onRequest_ =
@@ -143,6 +142,10 @@
              " routes=",
              deployment->routes_.size()));
   options_.metrics_.Count(Counter::kConfigChanges);
+  server_.SetLimits(
+    { .maxHeaderBytes_ = kMaxHeaderBytes,
+      .maxBodyBytes_ = kMaxBodyBytes,
+      .idleTimeoutMs_ = deployment->limits_.idleTimeoutMs_ + kIdleMarginMs });
   api_.SetDeployment(
     std::make_unique<const DeploymentView>(*std::move(deployment)));
   SetFloors();
--- a/packages/router/src/process/RouterTask.cpp
+++ b/packages/router/src/process/RouterTask.cpp
@@ -94,7 +94,7 @@
     server_ = std::make_unique<transport::HttpServer>(
       aLoop,
       transport::HttpServerOptions{
-        .maxBodyBytes_ = kBodyMargin * maxBodyBytes_,
+        .limits_ = { .maxBodyBytes_ = kBodyMargin * maxBodyBytes_ },
         .maxDescriptors_ =
           static_cast<size_t>(aSettings.Get(settings::kMaxDescriptors)),
         .onRequest_ =
--- a/packages/transport/src/connection/HttpServer.cpp
+++ b/packages/transport/src/connection/HttpServer.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr int64_t kMsPerSecond = 1'000;
+constexpr int64_t kUsPerMs = 1'000;
 constexpr int64_t kLimitCheckMs = 100;
 
 size_t
@@ -52,13 +53,7 @@
 {
   evhttp* server = evhttp_new(aLoop.Base());
   state_->server_.reset(server);
-  const auto& options = state_->options_;
-  evhttp_set_max_headers_size(server,
-                              static_cast<ev_ssize_t>(options.maxHeaderBytes_));
-  evhttp_set_max_body_size(server,
-                           static_cast<ev_ssize_t>(options.maxBodyBytes_));
-  evhttp_set_timeout(server,
-                     static_cast<int>(options.idleTimeoutMs_ / kMsPerSecond));
+  SetLimits(state_->options_.limits_);
   evhttp_set_allowed_methods(server,
                              EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
                                EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD |
@@ -85,6 +80,20 @@
   return absl::OkStatus();
 }
 
+void
+HttpServer::SetLimits(const HttpLimits& aLimits)
+{
+  evhttp* server = state_->server_.get();
+  evhttp_set_max_headers_size(server,
+                              static_cast<ev_ssize_t>(aLimits.maxHeaderBytes_));
+  evhttp_set_max_body_size(server,
+                           static_cast<ev_ssize_t>(aLimits.maxBodyBytes_));
+  const int64_t idle = aLimits.idleTimeoutMs_;
+  const timeval timeout{ .tv_sec = idle / kMsPerSecond,
+                         .tv_usec = idle % kMsPerSecond * kUsPerMs };
+  evhttp_set_timeout_tv(server, &timeout);
+}
+
 void
 HttpServer::AcceptWithinLimit()
 {
--- a/tests/transport/connection/HttpExchangeTest.cpp
+++ b/tests/transport/connection/HttpExchangeTest.cpp
@@ -2,45 +2,17 @@
 
 #include "cactuswick/transport/connection/HttpServer.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
+#include "connection/LoopbackCaller.h"
 
 namespace cactuswick::transport {
 namespace {
 
 constexpr uint16_t kPort = 18'931;
 
-/// A loopback address of this process's own, so that nothing else has the port.
-std::string
-OwnHost()
-{
-  constexpr int kPerByte = 250;
-  const int id = getpid();
-  return "127.77." + std::to_string(id / kPerByte % kPerByte) + "." +
-         std::to_string(id % kPerByte + 1);
-}
-
-sockaddr_in
-AddressOf(uint16_t aPort)
-{
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(aPort);
-  inet_pton(AF_INET, OwnHost().c_str(), &address.sin_addr);
-  return address;
-}
-
 int
 ConnectAndAsk()
 {
-  const int handle = socket(AF_INET, SOCK_STREAM, 0);
-  const sockaddr_in address = AddressOf(kPort);
-  EXPECT_EQ(connect(handle,
-                    reinterpret_cast<const sockaddr*>(&address),
-                    sizeof(address)),
-            0);
+  const int handle = ConnectTo(kPort);
   const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
   EXPECT_EQ(write(handle, request.data(), request.size()),
             static_cast<ssize_t>(request.size()));
@@ -98,12 +70,7 @@
       loop.Stop();
     } });
   ASSERT_TRUE(server.Listen({ OwnHost(), kPort + 1 }).ok());
-  const int handle = socket(AF_INET, SOCK_STREAM, 0);
-  const sockaddr_in address = AddressOf(kPort + 1);
-  ASSERT_EQ(connect(handle,
-                    reinterpret_cast<const sockaddr*>(&address),
-                    sizeof(address)),
-            0);
+  const int handle = ConnectTo(kPort + 1);
   const std::string request =
     "GET /a%2Fb?x=%20 HTTP/1.1\r\nHost: h\r\nX-A: 1\r\nx-a: 2\r\n\r\n";
   ASSERT_EQ(write(handle, request.data(), request.size()),
