Full and stalled disks are tried on real processes; the replica's driver is a class of its own

A library that tests preload makes writes fail or syncs wait. One replica's disk, leader or follower, full or stalled: changes go on within AckMs + StretchMaxMs, and the replica is part of a quorum again afterwards; all disks full: nothing is acknowledged, nothing lost, forwarding goes on. Clock steps: no source reads the time of day, but for the log's time stamps.

--- a/packages/control/src/process/ControlTask.cpp
+++ b/packages/control/src/process/ControlTask.cpp
@@ -1,16 +1,11 @@
 #include "cactuswick/control/process/ControlTask.h"
 
-#include <deque>
-#include <fstream>
 #include <optional>
 #include <set>
 #include <utility>
 
 #include "cactuswick/control/process/DataFolder.h"
 #include "cactuswick/control/process/MetricsServer.h"
-#include "cactuswick/control/process/SnapshotTask.h"
-#include "cactuswick/control/process/StorageTask.h"
-#include "cactuswick/model/process/Hash.h"
 #include "cactuswick/telemetry/process/Log.h"
 #include "cactuswick/telemetry/process/Metrics.h"
 #include "connection/ControlService.h"
@@ -18,6 +13,7 @@
 #include "connection/MemberLinks.h"
 #include "process/EndpointRelay.h"
 #include "process/Membership.h"
+#include "process/ReplicaDriver.h"
 #include "version/EntryList.h"
 
 namespace cactuswick::control {
@@ -30,7 +26,6 @@
 using telemetry::Level;
 using telemetry::Log;
 using telemetry::Part;
-using telemetry::Summary;
 using transport::EventLoop;
 
 constexpr int64_t kTickMs = 20;
@@ -40,30 +35,6 @@
 /// waits as long before it has one.
 constexpr int64_t kLivenessValidMs = 2'500;
 
-/// Reads a range of the snapshot file for a follower.
-std::string
-ReadSnapshotBytes(const std::string& aDirectory,
-                  int64_t aOffset,
-                  int64_t aBytes)
-{
-  std::ifstream stream(ledger::SnapshotPath(aDirectory), std::ios::binary);
-  stream.seekg(aOffset);
-  std::string bytes(static_cast<size_t>(aBytes), '\0');
-  stream.read(bytes.data(), aBytes);
-  bytes.resize(static_cast<size_t>(stream.gcount()));
-  return bytes;
-}
-
-/// Messages that wait for a write to be durable.
-struct PendingSync
-{
-  int64_t token_ = 0;
-  ledger::Index lastIndex_ = 0;
-  ledger::Term lastTerm_ = 0;
-  int64_t sentMs_ = 0;
-  std::vector<ledger::Envelope> messages_;
-};
-
 } // namespace
 
 struct ControlTask::State
@@ -73,49 +44,52 @@
         std::function<void(absl::Status)> aOnFatal)
     : loop_(aLoop)
     , settings_(aSettings)
-    , directory_(aSettings.Get(settings::kControlDataDir))
     , onFatal_(std::move(aOnFatal))
     , tick_(aLoop, [this] { OnTick(); })
-    , synced_(aLoop,
-              [this](const StorageSynced& aSynced) { OnSynced(aSynced); })
-    , snapshotWritten_(aLoop,
-                       [this](const SnapshotWritten& aWritten) {
-                         OnSnapshotWritten(aWritten);
-                       })
     , metricsServer_(aLoop, [this] { return ExposeMetrics(); })
+    , driver_(aLoop, DriverOptions())
   {
   }
 
+  ReplicaDriverOptions DriverOptions()
+  {
+    return {
+      .settings_ = settings_,
+      .promotesCaughtUp_ = !IsAutomatic(),
+      .metrics_ = metrics_,
+      .send_ =
+        [this](const std::vector<ledger::Envelope>& aMessages) {
+          links_->SendAll(aMessages);
+        },
+      .onApplied_ = [this](const ledger::Entry& aEntry,
+                           const ledger::Reply& aReply) {
+        OnApplied(aEntry, aReply);
+      },
+      .onCommitted_ = [this] { service_->PushConfig(); },
+      .onInstalled_ = [this] { TakeRetired(); },
+      .onRead_ =
+        [this](int64_t aRead, bool aReady) {
+          aReady ? service_->OnReadReady(aRead) : service_->OnReadFailed(aRead);
+        },
+      .onLeadership_ = [this] { OnLeadershipChange(); },
+      .onFatal_ = [this](absl::Status aStatus) { onFatal_(std::move(aStatus)); }
+    };
+  }
+
   absl::Status Start()
   {
     absl::Status folder = EnsureDataFolder(settings_);
     if (!folder.ok()) {
       return folder;
     }
-    ledger::Recovered recovered;
-    auto store = ledger::LogStore::Open(directory_, recovered);
-    if (!store.ok()) {
-      return store.status();
-    }
-    ledger::Ledger shadow;
-    const auto header = ledger::ReadSnapshot(directory_, shadow);
-    if (!header.ok()) {
-      return header.status();
+    absl::Status status = driver_.Open();
+    if (!status.ok()) {
+      return status;
     }
-    ledger_ = shadow;
-    applied_ = header->lastIndex_;
-    id_ = recovered.identity_.id_;
-    MakeReplica(recovered, *header);
     MakeService();
     MakeMembership();
-    for (const auto& [endpoint, retired] : ledger_.Retired()) {
-      relay_->OnRetired({ endpoint, retired.incarnation_ });
-    }
-    StartSnapshots(std::move(shadow), *header);
-    storage_ = std::make_unique<StorageTask>(
-      *std::move(store),
-      [this](StorageSynced aSynced) { synced_.Send(std::move(aSynced)); });
-    absl::Status status =
+    TakeRetired();
+    status =
       listener_->Listen(settings_.GetAddress(settings::kControlListen));
     if (status.ok() &&
         !settings_.Get(settings::kControlMetricsListen).empty()) {
@@ -129,40 +103,19 @@
     Log(Part::kControl,
         Level::kInfo,
         Concat("replica ",
-               id_,
+               driver_.Id(),
                " starts at entry ",
-               replica_->Log().LastIndex(),
+               driver_.Replica().Log().LastIndex(),
                ", snapshot ",
-               applied_));
+               driver_.Applied()));
     return absl::OkStatus();
   }
 
-  void MakeReplica(const ledger::Recovered& aRecovered,
-                   const ledger::SnapshotHeader& aHeader)
+  void TakeRetired()
   {
-    const int64_t election = settings_.Get(settings::kElectionMs);
-    const bool fresh = aHeader.lastIndex_ == 0;
-    replica_ = std::make_unique<ledger::Replica>(
-      ledger::ReplicaOptions{
-        .id_ = id_,
-        .heartbeatMs_ = settings_.Get(settings::kHeartbeatMs),
-        .electionMinMs_ = election,
-        .electionMaxMs_ = 2 * election,
-        .promotesCaughtUp_ = !IsAutomatic(),
-        .seed_ = model::Hash64(id_),
-        .readSnapshot_ =
-          [this](int64_t aOffset, int64_t aBytes) {
-            return ReadSnapshotBytes(directory_, aOffset, aBytes);
-          } },
-      ledger::ReplicaStart{ .startMs_ = EventLoop::NowMs(),
-                            .hardState_ = aRecovered.hardState_,
-                            .snapshotIndex_ = aHeader.lastIndex_,
-                            .snapshotTerm_ = aHeader.lastTerm_,
-                            .snapshotTimeMs_ = aHeader.lastTimeMs_,
-                            .members_ = fresh ? aRecovered.identity_.members_
-                                              : aHeader.members_,
-                            .entries_ = aRecovered.entries_ });
-    replica_->Tick(EventLoop::NowMs());
+    for (const auto& [endpoint, retired] : driver_.Ledger().Retired()) {
+      relay_->OnRetired({ endpoint, retired.incarnation_ });
+    }
   }
 
   void MakeService()
@@ -197,13 +150,13 @@
             listener_->Send(aLink, aMessage);
           } });
     service_ = std::make_unique<ControlService>(ControlServiceOptions{
-      .ledger_ = ledger_,
-      .replica_ = *replica_,
+      .ledger_ = driver_.Ledger(),
+      .replica_ = driver_.Replica(),
       .send_ =
         [this](LinkId aLink, const transport::PeerMessage& aMessage) {
           Answer(aLink, aMessage);
         },
-      .flush_ = [this] { ScheduleFlush(); },
+      .flush_ = [this] { driver_.ScheduleFlush(); },
       .waiting_ = [this] { return membership_->Waiting(EventLoop::NowMs()); },
       .endpoints_ = [this] { return relay_->All(EventLoop::NowMs()); } });
   }
@@ -211,8 +164,8 @@
   void MakeMembership()
   {
     membership_ = std::make_unique<Membership>(MembershipOptions{
-      .replica_ = *replica_,
-      .self_ = { id_,
+      .replica_ = driver_.Replica(),
+      .self_ = { driver_.Id(),
                  OwnAddress(),
                  settings_.Get(settings::kFailureDomain),
                  false },
@@ -260,28 +213,15 @@
     loop_.Defer([this, aMessage] { local_.Deliver(aMessage); });
   }
 
-  void StartSnapshots(ledger::Ledger aShadow,
-                      const ledger::SnapshotHeader& aHeader)
-  {
-    snapshots_ = std::make_unique<SnapshotTask>(SnapshotTaskOptions{
-      .directory_ = directory_,
-      .everyEntries_ = settings_.Get(settings::kSnapshotEntries),
-      .ledger_ = std::move(aShadow),
-      .header_ = aHeader,
-      .onWritten_ = [this](SnapshotWritten aWritten) {
-        snapshotWritten_.Send(std::move(aWritten));
-      } });
-  }
-
   void OnTick()
   {
     const int64_t now = EventLoop::NowMs();
-    replica_->Tick(now);
+    driver_.Replica().Tick(now);
     DialMembers();
     membership_->OnTick(now);
-    relay_->OnTick(wasLeader_, now);
+    relay_->OnTick(driver_.Leads(), now);
     local_.Expire(now);
-    ScheduleFlush();
+    driver_.ScheduleFlush();
     if (now - lastLivenessMs_ >= kLivenessMs) {
       lastLivenessMs_ = now;
       SpreadLiveness();
@@ -290,7 +230,7 @@
 
   void SpreadLiveness()
   {
-    if (wasLeader_) {
+    if (driver_.Leads()) {
       links_->SendToAll(
         transport::RouterLiveness{ service_->ConnectedRouters() });
       service_->PushMembers();
@@ -301,7 +241,7 @@
   std::optional<std::set<ledger::Incarnation>> ConnectedRouters() const
   {
     const int64_t now = EventLoop::NowMs();
-    if (wasLeader_ && now - leadsSinceMs_ >= kLivenessValidMs) {
+    if (driver_.Leads() && now - leadsSinceMs_ >= kLivenessValidMs) {
       const auto connected = service_->ConnectedRouters();
       return std::set(connected.begin(), connected.end());
     }
@@ -315,10 +255,10 @@
   {
     if (const auto* raft = std::get_if<transport::RaftEnvelope>(&aMessage)) {
       // A folder made anew at the same address is another replica.
-      if (raft->to_ == id_) {
+      if (raft->to_ == driver_.Id()) {
         links_->NoteSender(raft->message_, aLink);
-        replica_->Receive(raft->message_, EventLoop::NowMs());
-        ScheduleFlush();
+        driver_.Replica().Receive(raft->message_, EventLoop::NowMs());
+        driver_.ScheduleFlush();
       }
       return;
     }
@@ -345,215 +285,45 @@
       aMessage);
   }
 
-  /// Carries out effects once per turn of the loop, so that everything that
-  /// came together shares one write and one message per follower.
-  void ScheduleFlush()
-  {
-    if (!std::exchange(flushScheduled_, true)) {
-      loop_.Defer([this] { Flush(); });
-    }
-  }
-
-  void Flush()
-  {
-    flushScheduled_ = false;
-    const bool led = wasLeader_;
-    ledger::Effects effects = replica_->Take();
-    wasLeader_ = replica_->Role() == ledger::ReplicaRole::kLeader;
-    links_->SendAll(effects.sendNow_);
-    // The snapshot is durable before its receipt is acknowledged.
-    if (effects.install_ && !Install(*effects.install_)) {
-      // Not acknowledged, so the leader sends it again from its start.
-      std::erase_if(effects.sendAfterSync_, [](const auto& aEnvelope) {
-        return std::holds_alternative<ledger::SnapshotReply>(
-          aEnvelope.message_);
-      });
-    }
-    Persist(effects);
-    ApplyCommitted();
-    for (const auto read : effects.readsReady_) {
-      service_->OnReadReady(read);
-    }
-    for (const auto read : effects.readsFailed_) {
-      service_->OnReadFailed(read);
-    }
-    if (led != wasLeader_) {
-      OnLeadershipChange();
-    }
-  }
-
   void OnLeadershipChange()
   {
     metrics_.Count(Counter::kElections);
     Log(Part::kControl,
         Level::kInfo,
-        Concat(wasLeader_ ? "leads" : "leads no more",
+        Concat(driver_.Leads() ? "leads" : "leads no more",
                " in term ",
-               replica_->CurrentTerm()));
+               driver_.Replica().CurrentTerm()));
     leadsSinceMs_ = EventLoop::NowMs();
-    if (!wasLeader_) {
+    if (!driver_.Leads()) {
       service_->OnLeadershipLost();
     }
   }
 
-  void Persist(ledger::Effects& aEffects)
+  void OnApplied(const ledger::Entry& aEntry, const ledger::Reply& aReply)
   {
-    if (aEffects.NeedsPersisting()) {
-      PendingSync pending{ .token_ = ++lastToken_,
-                           .lastIndex_ = replica_->Log().LastIndex(),
-                           .lastTerm_ = replica_->Log().LastTerm(),
-                           .sentMs_ = EventLoop::NowMs(),
-                           .messages_ = std::move(aEffects.sendAfterSync_) };
-      storage_->Write({ .frame_ = { aEffects.hardState_,
-                                    aEffects.truncateFrom_,
-                                    std::move(aEffects.persist_) },
-                        .token_ = lastToken_ });
-      syncs_.push_back(std::move(pending));
-    } else if (syncs_.empty()) {
-      links_->SendAll(aEffects.sendAfterSync_);
-    } else {
-      auto& waiting = syncs_.back().messages_;
-      waiting.insert(waiting.end(),
-                     aEffects.sendAfterSync_.begin(),
-                     aEffects.sendAfterSync_.end());
-    }
-  }
-
-  void OnSynced(const StorageSynced& aSynced)
-  {
-    if (!aSynced.status_.ok()) {
-      onFatal_(aSynced.status_);
-      return;
-    }
-    metrics_.Count(Counter::kLogSyncs);
-    metrics_.Observe(Summary::kSyncMs, aSynced.syncMs_);
-    metrics_.Observe(Summary::kWritesPerSync,
-                     static_cast<double>(aSynced.writes_));
-    while (!syncs_.empty() && syncs_.front().token_ <= aSynced.token_) {
-      const PendingSync done = std::move(syncs_.front());
-      syncs_.pop_front();
-      replica_->Persisted(done.lastIndex_, done.lastTerm_);
-      links_->SendAll(done.messages_);
-      metrics_.Observe(Summary::kCommitMs,
-                       static_cast<double>(EventLoop::NowMs() - done.sentMs_));
-    }
-    ScheduleFlush();
-  }
-
-  void ApplyCommitted()
-  {
-    std::vector<ledger::Entry> entries;
-    while (applied_ < replica_->CommitIndex()) {
-      const ledger::Entry& entry = replica_->Log().At(++applied_);
-      const ledger::Reply reply = ledger_.Apply(entry.command_, entry.timeMs_);
-      service_->OnApplied(entry, reply);
-      OnApplied(entry.command_);
-      entries.push_back(entry);
-    }
-    if (entries.empty()) {
-      return;
-    }
-    metrics_.Count(Counter::kLogEntriesCommitted,
-                   static_cast<int64_t>(entries.size()));
-    snapshots_->Apply(std::move(entries));
-    service_->PushConfig();
-  }
-
-  void OnApplied(const ledger::Command& aCommand)
-  {
-    if (const auto* retired = std::get_if<ledger::RetireEndpoint>(&aCommand)) {
+    service_->OnApplied(aEntry, aReply);
+    const ledger::Command& command = aEntry.command_;
+    if (const auto* retired = std::get_if<ledger::RetireEndpoint>(&command)) {
       relay_->OnRetired(*retired);
     }
-    if (std::holds_alternative<ledger::ReplaceDeployment>(aCommand)) {
+    if (std::holds_alternative<ledger::ReplaceDeployment>(command)) {
       Log(Part::kControl,
           Level::kInfo,
           Concat("deployment in force version=",
-                 ledger_.Deployment().version_,
+                 driver_.Ledger().Deployment().version_,
                  " revision=",
-                 ledger_.Revision()));
-    }
-  }
-
-  void OnSnapshotWritten(const SnapshotWritten& aWritten)
-  {
-    if (!aWritten.status_.ok()) {
-      // The log still holds everything; the next snapshot tries again.
-      Log(Part::kStorage,
-          Level::kWarning,
-          Concat("no snapshot: ", std::string(aWritten.status_.message())));
-      return;
-    }
-    metrics_.Count(Counter::kSnapshots);
-    Log(Part::kStorage,
-        Level::kInfo,
-        Concat("snapshot at entry ",
-               aWritten.index_,
-               " written: ",
-               aWritten.bytes_,
-               " bytes"));
-    replica_->SnapshotWritten(
-      aWritten.index_, aWritten.index_ - settings_.Get(settings::kKeptEntries));
-    RewriteLog();
-  }
-
-  void RewriteLog()
-  {
-    const auto& log = replica_->Log();
-    const auto count = static_cast<size_t>(log.LastIndex() - log.BaseIndex());
-    PendingSync pending{ .token_ = ++lastToken_,
-                         .lastIndex_ = log.LastIndex(),
-                         .lastTerm_ = log.LastTerm(),
-                         .sentMs_ = EventLoop::NowMs() };
-    storage_->Write({ .frame_ = { replica_->Hard(),
-                                  std::nullopt,
-                                  log.Slice(log.BaseIndex() + 1, count) },
-                      .rewrite_ = true,
-                      .token_ = lastToken_ });
-    syncs_.push_back(std::move(pending));
-  }
-
-  /// Replaces the whole state by a snapshot from the leader; false when what
-  /// came is not whole.
-  bool Install(const ledger::ReceivedSnapshot& aSnapshot)
-  {
-    ledger::Ledger fresh;
-    const auto header = ledger::StoreReceivedSnapshot(
-      directory_, aSnapshot.bytes_, aSnapshot.lastIndex_, fresh);
-    if (!header.ok()) {
-      Log(Part::kStorage,
-          Level::kWarning,
-          Concat("the leader's snapshot is not whole: ",
-                 std::string(header.status().message())));
-      return false;
+                 driver_.Ledger().Revision()));
     }
-    // The writer of own snapshots goes first: both use the same file.
-    snapshots_.reset();
-    const auto installed = ledger::InstallReceivedSnapshot(directory_);
-    if (!installed.ok()) {
-      onFatal_(installed);
-      return false;
-    }
-    ledger_ = fresh;
-    applied_ = header->lastIndex_;
-    replica_->SnapshotInstalled({ .snapshotIndex_ = header->lastIndex_,
-                                  .snapshotTerm_ = header->lastTerm_,
-                                  .snapshotTimeMs_ = header->lastTimeMs_,
-                                  .members_ = header->members_ });
-    StartSnapshots(std::move(fresh), *header);
-    RewriteLog();
-    Log(Part::kStorage,
-        Level::kInfo,
-        Concat("installed the leader's snapshot at entry ", applied_));
-    return true;
   }
 
   void DialMembers()
   {
-    if (!replica_->LeaderId().empty()) {
-      links_->KeepOnly(replica_->Members());
+    const ledger::Replica& replica = driver_.Replica();
+    if (!replica.LeaderId().empty()) {
+      links_->KeepOnly(replica.Members());
     }
-    for (const auto& member : replica_->Members()) {
-      if (member.id_ != id_) {
+    for (const auto& member : replica.Members()) {
+      if (member.id_ != driver_.Id()) {
         links_->Dial(member.id_, member.address_);
       }
     }
@@ -572,37 +342,26 @@
 
   std::string ExposeMetrics()
   {
-    metrics_.Set(Gauge::kLeader, wasLeader_ ? 1 : 0);
-    metrics_.Set(Gauge::kTerm, replica_->CurrentTerm());
-    metrics_.Set(Gauge::kCommitIndex, replica_->CommitIndex());
-    metrics_.Set(Gauge::kConfigRevision, ledger_.Revision());
+    metrics_.Set(Gauge::kLeader, driver_.Leads() ? 1 : 0);
+    metrics_.Set(Gauge::kTerm, driver_.Replica().CurrentTerm());
+    metrics_.Set(Gauge::kCommitIndex, driver_.Replica().CommitIndex());
+    metrics_.Set(Gauge::kConfigRevision, driver_.Ledger().Revision());
     metrics_.Set(Gauge::kSettledKeys,
-                 static_cast<int64_t>(ledger_.SettledKeyCount()));
+                 static_cast<int64_t>(driver_.Ledger().SettledKeyCount()));
     return metrics_.Expose();
   }
 
   EventLoop& loop_;
   const settings::Settings& settings_;
-  std::string directory_;
   std::function<void(absl::Status)> onFatal_;
-  std::string id_;
   telemetry::Metrics metrics_;
 
-  ledger::Ledger ledger_;
-  std::unique_ptr<ledger::Replica> replica_;
-  ledger::Index applied_ = 0;
-  bool wasLeader_ = false;
-  bool flushScheduled_ = false;
-  int64_t lastToken_ = 0;
   int64_t lastLivenessMs_ = 0;
   int64_t leadsSinceMs_ = 0;
   std::vector<ledger::Incarnation> liveness_;
   int64_t livenessHeardMs_ = -kLivenessValidMs;
-  std::deque<PendingSync> syncs_;
 
   transport::Timer tick_;
-  transport::Mailbox<StorageSynced> synced_;
-  transport::Mailbox<SnapshotWritten> snapshotWritten_;
   MetricsServer metricsServer_;
   std::unique_ptr<transport::PeerListener> listener_;
   std::unique_ptr<ControlService> service_;
@@ -610,9 +369,7 @@
   std::unique_ptr<EndpointRelay> relay_;
   std::unique_ptr<Membership> membership_;
   LocalCalls local_;
-  /// Declared last: their threads end before the mailboxes they write to.
-  std::unique_ptr<SnapshotTask> snapshots_;
-  std::unique_ptr<StorageTask> storage_;
+  ReplicaDriver driver_;
 };
 
 ControlTask::ControlTask(EventLoop& aLoop,
@@ -662,7 +419,7 @@
 bool
 ControlTask::IsRetired(const std::string& aEndpoint, int64_t aIncarnation) const
 {
-  const auto& retired = state_->ledger_.Retired();
+  const auto& retired = state_->driver_.Ledger().Retired();
   const auto found = retired.find(aEndpoint);
   return found != retired.end() && aIncarnation <= found->second.incarnation_;
 }
@@ -676,13 +433,13 @@
 bool
 ControlTask::Leads() const
 {
-  return state_->wasLeader_;
+  return state_->driver_.Leads();
 }
 
 std::string
 ControlTask::LeaderHost() const
 {
-  const auto& replica = *state_->replica_;
+  const auto& replica = state_->driver_.Replica();
   for (const auto& member : replica.Members()) {
     if (member.id_ == replica.LeaderId()) {
       return transport::ParseAddress("", member.address_)
@@ -696,7 +453,7 @@
 std::vector<std::string>
 ControlTask::EntryAddresses(const std::string& aFailureDomain) const
 {
-  return control::EntryAddresses({ .routers_ = state_->ledger_.Routers(),
+  return control::EntryAddresses({ .routers_ = state_->driver_.Ledger().Routers(),
                                    .connected_ = state_->ConnectedRouters(),
                                    .failureDomain_ = aFailureDomain });
 }
--- /dev/null
+++ b/packages/control/src/process/ReplicaDriver.cpp
@@ -0,0 +1,301 @@
+#include "process/ReplicaDriver.h"
+
+#include <fstream>
+#include <optional>
+#include <utility>
+
+#include "cactuswick/model/process/Hash.h"
+#include "cactuswick/model/process/Text.h"
+#include "cactuswick/telemetry/process/Log.h"
+
+namespace cactuswick::control {
+
+namespace {
+
+using model::Concat;
+using telemetry::Counter;
+using telemetry::Level;
+using telemetry::Log;
+using telemetry::Part;
+using telemetry::Summary;
+using transport::EventLoop;
+
+/// Reads a range of the snapshot file for a follower.
+std::string
+ReadSnapshotBytes(const std::string& aDirectory,
+                  int64_t aOffset,
+                  int64_t aBytes)
+{
+  std::ifstream stream(ledger::SnapshotPath(aDirectory), std::ios::binary);
+  stream.seekg(aOffset);
+  std::string bytes(static_cast<size_t>(aBytes), '\0');
+  stream.read(bytes.data(), aBytes);
+  bytes.resize(static_cast<size_t>(stream.gcount()));
+  return bytes;
+}
+
+} // namespace
+
+ReplicaDriver::ReplicaDriver(EventLoop& aLoop, ReplicaDriverOptions aOptions)
+  : loop_(aLoop)
+  , options_(std::move(aOptions))
+  , directory_(options_.settings_.Get(settings::kControlDataDir))
+  , synced_(aLoop,
+            [this](const StorageSynced& aSynced) { OnSynced(aSynced); })
+  , snapshotWritten_(aLoop, [this](const SnapshotWritten& aWritten) {
+    OnSnapshotWritten(aWritten);
+  })
+{
+}
+
+absl::Status
+ReplicaDriver::Open()
+{
+  ledger::Recovered recovered;
+  auto store = ledger::LogStore::Open(directory_, recovered);
+  if (!store.ok()) {
+    return store.status();
+  }
+  ledger::Ledger shadow;
+  const auto header = ledger::ReadSnapshot(directory_, shadow);
+  if (!header.ok()) {
+    return header.status();
+  }
+  ledger_ = shadow;
+  applied_ = header->lastIndex_;
+  id_ = recovered.identity_.id_;
+  MakeReplica(recovered, *header);
+  StartSnapshots(std::move(shadow), *header);
+  storage_ = std::make_unique<StorageTask>(
+    *std::move(store),
+    [this](StorageSynced aSynced) { synced_.Send(std::move(aSynced)); });
+  return absl::OkStatus();
+}
+
+void
+ReplicaDriver::MakeReplica(const ledger::Recovered& aRecovered,
+                           const ledger::SnapshotHeader& aHeader)
+{
+  const auto& settings = options_.settings_;
+  const int64_t election = settings.Get(settings::kElectionMs);
+  const bool fresh = aHeader.lastIndex_ == 0;
+  replica_ = std::make_unique<ledger::Replica>(
+    ledger::ReplicaOptions{
+      .id_ = id_,
+      .heartbeatMs_ = settings.Get(settings::kHeartbeatMs),
+      .electionMinMs_ = election,
+      .electionMaxMs_ = 2 * election,
+      .promotesCaughtUp_ = options_.promotesCaughtUp_,
+      .seed_ = model::Hash64(id_),
+      .readSnapshot_ =
+        [this](int64_t aOffset, int64_t aBytes) {
+          return ReadSnapshotBytes(directory_, aOffset, aBytes);
+        } },
+    ledger::ReplicaStart{ .startMs_ = EventLoop::NowMs(),
+                          .hardState_ = aRecovered.hardState_,
+                          .snapshotIndex_ = aHeader.lastIndex_,
+                          .snapshotTerm_ = aHeader.lastTerm_,
+                          .snapshotTimeMs_ = aHeader.lastTimeMs_,
+                          .members_ = fresh ? aRecovered.identity_.members_
+                                            : aHeader.members_,
+                          .entries_ = aRecovered.entries_ });
+  replica_->Tick(EventLoop::NowMs());
+}
+
+void
+ReplicaDriver::StartSnapshots(ledger::Ledger aShadow,
+                              const ledger::SnapshotHeader& aHeader)
+{
+  snapshots_ = std::make_unique<SnapshotTask>(SnapshotTaskOptions{
+    .directory_ = directory_,
+    .everyEntries_ = options_.settings_.Get(settings::kSnapshotEntries),
+    .ledger_ = std::move(aShadow),
+    .header_ = aHeader,
+    .onWritten_ = [this](SnapshotWritten aWritten) {
+      snapshotWritten_.Send(std::move(aWritten));
+    } });
+}
+
+void
+ReplicaDriver::ScheduleFlush()
+{
+  if (!std::exchange(flushScheduled_, true)) {
+    loop_.Defer([this] { Flush(); });
+  }
+}
+
+void
+ReplicaDriver::Flush()
+{
+  flushScheduled_ = false;
+  ledger::Effects effects = replica_->Take();
+  const bool led =
+    std::exchange(leads_, replica_->Role() == ledger::ReplicaRole::kLeader);
+  options_.send_(effects.sendNow_);
+  // The snapshot is durable before its receipt is acknowledged.
+  if (effects.install_ && !Install(*effects.install_)) {
+    // Not acknowledged, so the leader sends it again from its start.
+    std::erase_if(effects.sendAfterSync_, [](const auto& aEnvelope) {
+      return std::holds_alternative<ledger::SnapshotReply>(aEnvelope.message_);
+    });
+  }
+  Persist(effects);
+  ApplyCommitted();
+  for (const auto read : effects.readsReady_) {
+    options_.onRead_(read, true);
+  }
+  for (const auto read : effects.readsFailed_) {
+    options_.onRead_(read, false);
+  }
+  if (led != leads_) {
+    options_.onLeadership_();
+  }
+}
+
+ReplicaDriver::PendingSync
+ReplicaDriver::NextSync()
+{
+  const auto& log = replica_->Log();
+  return { .token_ = ++lastToken_,
+           .lastIndex_ = log.LastIndex(),
+           .lastTerm_ = log.LastTerm(),
+           .sentMs_ = EventLoop::NowMs() };
+}
+
+void
+ReplicaDriver::Persist(ledger::Effects& aEffects)
+{
+  if (aEffects.NeedsPersisting()) {
+    PendingSync pending = NextSync();
+    pending.messages_ = std::move(aEffects.sendAfterSync_);
+    storage_->Write({ .frame_ = { aEffects.hardState_,
+                                  aEffects.truncateFrom_,
+                                  std::move(aEffects.persist_) },
+                      .token_ = pending.token_ });
+    syncs_.push_back(std::move(pending));
+  } else if (syncs_.empty()) {
+    options_.send_(aEffects.sendAfterSync_);
+  } else {
+    auto& waiting = syncs_.back().messages_;
+    waiting.insert(waiting.end(),
+                   aEffects.sendAfterSync_.begin(),
+                   aEffects.sendAfterSync_.end());
+  }
+}
+
+void
+ReplicaDriver::OnSynced(const StorageSynced& aSynced)
+{
+  if (!aSynced.status_.ok()) {
+    options_.onFatal_(aSynced.status_);
+    return;
+  }
+  auto& metrics = options_.metrics_;
+  metrics.Count(Counter::kLogSyncs);
+  metrics.Observe(Summary::kSyncMs, aSynced.syncMs_);
+  metrics.Observe(Summary::kWritesPerSync,
+                  static_cast<double>(aSynced.writes_));
+  while (!syncs_.empty() && syncs_.front().token_ <= aSynced.token_) {
+    const PendingSync done = std::move(syncs_.front());
+    syncs_.pop_front();
+    replica_->Persisted(done.lastIndex_, done.lastTerm_);
+    options_.send_(done.messages_);
+    metrics.Observe(Summary::kCommitMs,
+                    static_cast<double>(EventLoop::NowMs() - done.sentMs_));
+  }
+  ScheduleFlush();
+}
+
+void
+ReplicaDriver::ApplyCommitted()
+{
+  std::vector<ledger::Entry> entries;
+  while (applied_ < replica_->CommitIndex()) {
+    const ledger::Entry& entry = replica_->Log().At(++applied_);
+    const ledger::Reply reply = ledger_.Apply(entry.command_, entry.timeMs_);
+    options_.onApplied_(entry, reply);
+    entries.push_back(entry);
+  }
+  if (entries.empty()) {
+    return;
+  }
+  options_.metrics_.Count(Counter::kLogEntriesCommitted,
+                          static_cast<int64_t>(entries.size()));
+  snapshots_->Apply(std::move(entries));
+  options_.onCommitted_();
+}
+
+void
+ReplicaDriver::OnSnapshotWritten(const SnapshotWritten& aWritten)
+{
+  if (!aWritten.status_.ok()) {
+    // The log still holds everything; the next snapshot tries again.
+    Log(Part::kStorage,
+        Level::kWarning,
+        Concat("no snapshot: ", std::string(aWritten.status_.message())));
+    return;
+  }
+  options_.metrics_.Count(Counter::kSnapshots);
+  Log(Part::kStorage,
+      Level::kInfo,
+      Concat("snapshot at entry ",
+             aWritten.index_,
+             " written: ",
+             aWritten.bytes_,
+             " bytes"));
+  replica_->SnapshotWritten(
+    aWritten.index_,
+    aWritten.index_ - options_.settings_.Get(settings::kKeptEntries));
+  RewriteLog();
+}
+
+void
+ReplicaDriver::RewriteLog()
+{
+  const auto& log = replica_->Log();
+  const auto count = static_cast<size_t>(log.LastIndex() - log.BaseIndex());
+  const PendingSync pending = NextSync();
+  storage_->Write({ .frame_ = { replica_->Hard(),
+                                std::nullopt,
+                                log.Slice(log.BaseIndex() + 1, count) },
+                    .rewrite_ = true,
+                    .token_ = pending.token_ });
+  syncs_.push_back(pending);
+}
+
+bool
+ReplicaDriver::Install(const ledger::ReceivedSnapshot& aSnapshot)
+{
+  ledger::Ledger fresh;
+  const auto header = ledger::StoreReceivedSnapshot(
+    directory_, aSnapshot.bytes_, aSnapshot.lastIndex_, fresh);
+  if (!header.ok()) {
+    Log(Part::kStorage,
+        Level::kWarning,
+        Concat("the leader's snapshot is not whole: ",
+               std::string(header.status().message())));
+    return false;
+  }
+  // The writer of own snapshots goes first: both use the same file.
+  snapshots_.reset();
+  const auto installed = ledger::InstallReceivedSnapshot(directory_);
+  if (!installed.ok()) {
+    options_.onFatal_(installed);
+    return false;
+  }
+  ledger_ = fresh;
+  applied_ = header->lastIndex_;
+  replica_->SnapshotInstalled({ .snapshotIndex_ = header->lastIndex_,
+                                .snapshotTerm_ = header->lastTerm_,
+                                .snapshotTimeMs_ = header->lastTimeMs_,
+                                .members_ = header->members_ });
+  StartSnapshots(std::move(fresh), *header);
+  RewriteLog();
+  Log(Part::kStorage,
+      Level::kInfo,
+      Concat("installed the leader's snapshot at entry ", applied_));
+  options_.onInstalled_();
+  return true;
+}
+
+} // namespace cactuswick::control
--- a/tests/system/platform_run.py
+++ b/tests/system/platform_run.py
@@ -9,6 +9,8 @@
 from deployment import BIN, Deployment, HttpAnswer, request, wait_for
 
 HOST = "shop.example"
+# Makes a process's disk misbehave; built with the tests.
+FAULTY_DISK = BIN.parent / "lib" / "libfaulty_disk.so"
 KEY = "key-of-w"
 
 
@@ -140,7 +142,31 @@
                         "endpoint_heartbeat_ms": 200,
                         "election_ms": 300},
             "log": {"format": "json"}})
-        self.start(f"c{number}", BIN / "cactuswickd", "--config", settings)
+        self.start(f"c{number}", BIN / "cactuswickd", "--config", settings,
+                   env={"LD_PRELOAD": str(FAULTY_DISK),
+                        "FAULTY_DISK": str(self.disk_state(number))})
+
+    def disk_state(self, number):
+        return self.directory / f"c{number}.disk"
+
+    def set_disk(self, number, state):
+        """Makes a replica's disk "full" or "stalled", or sound with ""."""
+        self.disk_state(number).write_text(state)
+
+    def leader(self):
+        """Number of the replica that leads, or None."""
+        for number in range(1, self.controls + 1):
+            try:
+                answer = request(self.control_api(number), "GET",
+                                 "/cactuswick/Config.Read", timeout=2)
+            except OSError:
+                continue
+            if answer.status == 200:
+                return number
+            if answer.status == 307:
+                host = answer.headers["Location"].split("/")[2].split(":")[0]
+                return int(host.split(".")[-1])
+        return None
 
     def start_forwarder(self, number):
         settings = self.write_settings(f"r{number}", {
--- a/tests/system/test_platform.py
+++ b/tests/system/test_platform.py
@@ -12,8 +12,10 @@
 from platform_run import HOST, PlatformRun, Runner
 
 
-# A valid change is acknowledged within this time in a calm stretch (AckMs).
+# A valid change is acknowledged within this time in a calm stretch (AckMs),
+# and this much later at most after a disturbance (StretchMaxMs).
 ACK_SECONDS = 4
+STRETCH_SECONDS = 5
 
 
 @pytest.fixture
@@ -226,3 +228,38 @@
     for router in (1, 2):
         wait_for(lambda r=router: run.ask("/call/x", r).status == 200, 5,
                  "served again")
+
+
+@pytest.mark.parametrize("state", ["stalled", "full"])
+@pytest.mark.parametrize("who", ["leader", "follower"])
+def test_one_bad_disk_holds_up_nothing_and_comes_back(run, state, who):
+    leader = wait_for(run.leader, 5, "a replica leads")
+    bad = leader if who == "leader" else leader % 3 + 1
+    run.set_disk(bad, state)
+    wait_for(lambda: run.declare(2).status == 200,
+             ACK_SECONDS + STRETCH_SECONDS, "the others acknowledge")
+    assert run.ask("/call/x").status == 200
+    assert run.ask("/stream/x", router=2).status == 200
+    run.set_disk(bad, "")
+    time.sleep(3)
+    assert run.processes[f"c{bad}"].poll() is None
+    run.kill(f"c{bad % 3 + 1}")
+    wait_for(lambda: run.declare(4).status == 200,
+             ACK_SECONDS + STRETCH_SECONDS,
+             "the replica whose disk is sound again is part of a quorum")
+    read = wait_for(
+        lambda: run.control_call("GET", "/cactuswick/Config.Read"), 5, "read")
+    assert read.json()["Version"] == 4
+
+
+def test_full_disks_everywhere_refuse_and_lose_nothing(run):
+    assert run.declare(2).status == 200
+    for number in (1, 2, 3):
+        run.set_disk(number, "full")
+    assert run.declare(3).status not in (200, 400)
+    for router in (1, 2):
+        assert run.ask("/call/x", router).status == 200
+    for number in (1, 2, 3):
+        run.set_disk(number, "")
+    wait_for(lambda: run.declare(3).status == 200,
+             ACK_SECONDS + STRETCH_SECONDS, "acknowledged")
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -169,10 +169,11 @@
 
     # Processes.
 
-    def start(self, name, *command):
+    def start(self, name, *command, env=None):
+        """Starts a process; `env` is added to the environment."""
         self.processes[name] = subprocess.Popen(
             [str(part) for part in command], stdin=subprocess.DEVNULL,
-            stdout=self.log, stderr=self.log)
+            stdout=self.log, stderr=self.log, env={**os.environ, **(env or {})})
 
     def start_control(self, number, make="bootstrap"):
         settings = self.control_settings(number)
