A fault soak over the real programs: overlapping faults, checked by what callers and endpoints saw

tests/system/soak.py SEED... runs control replicas, routers and stand-in endpoints with a forwarder in every link: kills, pauses, SIGTERM, SIGHUP, cuts one way, delays, resets, silent links, full and stalled disks, endpoints that refuse, reset, break off and leave.

--- a/tests/system/forwarder.py
+++ b/tests/system/forwarder.py
@@ -5,6 +5,7 @@
 """
 
 import socket
+import struct
 import threading
 import time
 
@@ -14,7 +15,8 @@
 
     def __init__(self):
         self.blocked = set()
-        self.silent = set()
+        # Seconds by which what a process sends or gets is late.
+        self.delays = {}
         self.lock = threading.Lock()
         self.pairs = []
         self.listeners = []
@@ -40,15 +42,29 @@
 
     def cut_from(self, *names):
         """Nothing that these send arrives."""
-        self.change(self.blocked, [(name, "*") for name in names])
+        return self.block([(name, "*") for name in names])
 
     def cut_to(self, *names):
         """Nothing that others send to these arrives."""
-        self.change(self.blocked, [("*", name) for name in names])
+        return self.block([("*", name) for name in names])
 
     def cut_between(self, one, other):
         """Cuts the links of two processes, both ways."""
-        self.change(self.blocked, [(one, other), (other, one)])
+        return self.block([(one, other), (other, one)])
+
+    def reset(self, *names):
+        """Resets the open connections from and to these."""
+        with self.lock:
+            pairs = [pair for pair in self.pairs
+                     if not pair["ends"].isdisjoint(names)]
+        now = struct.pack("ii", 1, 0)
+        for pair in pairs:
+            for end in pair["sockets"]:
+                try:
+                    end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, now)
+                    end.close()
+                except OSError:
+                    pass
 
     def silence_existing(self):
         """Open connections go silent for good; new ones work."""
@@ -60,9 +76,15 @@
         with self.lock:
             self.blocked.clear()
 
-    def change(self, where, pairs):
+    def block(self, pairs):
+        """Blocks these ways; returns what undoes it."""
         with self.lock:
-            where.update(pairs)
+            self.blocked.update(pairs)
+
+        def undo():
+            with self.lock:
+                self.blocked.difference_update(pairs)
+        return undo
 
     def is_blocked(self, source, target):
         with self.lock:
@@ -87,7 +109,8 @@
                 continue
             for end in (client, server):
                 end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            pair = {"silent": False}
+            pair = {"silent": False, "ends": {source, name},
+                    "sockets": (client, server)}
             with self.lock:
                 self.pairs.append(pair)
             for ends in ((client, server, source, name),
@@ -102,6 +125,10 @@
                 data = receive.recv(65536)
                 if not data:
                     break
+                delay = max(self.delays.get(source, 0),
+                            self.delays.get(target, 0))
+                if delay:
+                    time.sleep(delay)
                 if not pair["silent"] and not self.is_blocked(source, target):
                     send.sendall(data)
                 elif not pair["silent"]:
--- a/tests/system/platform_run.py
+++ b/tests/system/platform_run.py
@@ -27,6 +27,9 @@
         self.state = "ready"
         self.seen = []
         self.events = 5
+        # Seconds that a call takes, and between the events of a stream.
+        self.work_s = 0
+        self.gap_s = 0
         # How the next requests end: "", "refuse", "reset" or "break".
         self.fault = ""
         host, port = self.address.split(":")
@@ -47,6 +50,8 @@
         self.server = socketserver.ThreadingTCPServer((host, int(port)),
                                                       Handler)
         self.server.daemon_threads = True
+        # Routers that die or hang up leave handlers with broken pipes.
+        self.server.handle_error = lambda *_: None
         threading.Thread(target=self.server.serve_forever,
                          daemon=True).start()
         self.stopped = threading.Event()
@@ -56,7 +61,8 @@
         length = int(call.headers.get("Content-Length", 0))
         body = call.rfile.read(length)
         self.seen.append({"path": call.path, "body": body,
-                          "headers": dict(call.headers)})
+                          "headers": dict(call.headers),
+                          "ran": self.fault != "refuse"})
         if self.fault == "reset":
             call.close_connection = True
             call.connection.close()
@@ -73,6 +79,7 @@
         if call.path.startswith("/stream/"):
             self.stream(call)
             return
+        time.sleep(self.work_s)
         answer = f"{self.id} {call.path}".encode()
         call.send_header("Content-Length", str(len(answer)))
         call.end_headers()
@@ -84,6 +91,7 @@
         call.end_headers()
         first = int(call.headers.get("Last-Event-Id", 0)) + 1
         for number in range(first, self.events + 1):
+            time.sleep(self.gap_s)
             piece = f"id: {number}\ndata: e{number}\n\n".encode()
             if self.fault == "break" and number == 3:
                 call.wfile.write(b"5\r\nid: 3\r\n")
@@ -97,10 +105,14 @@
         while not self.stopped.wait(0.2):
             self.tell()
 
+    def announced_address(self):
+        return self.address
+
     def tell(self):
         self.sequence += 1
         body = json.dumps({
-            "Service": self.service, "Address": self.address, "Zone": "a",
+            "Service": self.service, "Address": self.announced_address(),
+            "Zone": "a",
             "Version": "v1", "Slots": 8, "State": self.state,
             "ColdLeftMs": 0, "Sequence": self.sequence, "born": self.born})
         return self.run.control_call(
@@ -115,6 +127,8 @@
 class PlatformRun(Deployment):
     """Control replicas that found themselves, and forwarding routers."""
 
+    tenants = [{"Name": "w", "ApiKeys": [KEY], "Prepaid": 10000}]
+
     def control_api(self, number):
         return f"{self.net}.0.{number}:7010"
 
@@ -143,8 +157,11 @@
                         "election_ms": 300},
             "log": {"format": "json"}})
         self.start(f"c{number}", BIN / "cactuswickd", "--config", settings,
-                   env={"LD_PRELOAD": str(FAULTY_DISK),
-                        "FAULTY_DISK": str(self.disk_state(number))})
+                   env=self.disk_environment(number))
+
+    def disk_environment(self, number):
+        return {"LD_PRELOAD": str(FAULTY_DISK),
+                "FAULTY_DISK": str(self.disk_state(number))}
 
     def disk_state(self, number):
         return self.directory / f"c{number}.disk"
@@ -215,7 +232,7 @@
                 {"Name": "desk", "HealthPath": "/healthz"},
                 {"Name": "engine", "HealthPath": "/healthz",
                  "Engine": {"Slots": 8, "KvCapacity": 100000, "Stride": 4}}],
-            "Tenants": [{"Name": "w", "ApiKeys": [KEY], "Prepaid": 10000}]}
+            "Tenants": self.tenants}
         document.update(changes)
         return self.control_call("POST", "/cactuswick/Config.Replace",
                                  json.dumps(document))
--- /dev/null
+++ b/tests/system/soak.py
@@ -0,0 +1,526 @@
+#!/usr/bin/python3
+"""A fault soak: the real programs, real sockets, and faults from outside.
+
+    /usr/bin/python3 tests/system/soak.py [--seconds N] [--jobs N] SEED...
+
+Each seed starts control replicas, routers and stand-in endpoints with a
+forwarder in every link between processes, lets callers and an operator work,
+and causes faults in overlapping series. What callers and endpoints saw is
+checked against the promises at the end. A seed fixes the series of faults; the
+system's own timing differs from run to run.
+"""
+
+import argparse
+import http.client
+import json
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import threading
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "tools"))
+
+from bench import CutDeployment  # noqa: E402
+from deployment import BIN, request, wait_for  # noqa: E402
+from platform_run import HOST, KEY, PlatformRun, Runner  # noqa: E402
+
+CONTROLS = 3
+ROUTERS = 3
+CALLERS = 12
+PREPAID = 60_000
+TOKENS_PER_EVENT = 4
+# Everything is served again this long after the last fault (RecoverS).
+RECOVER_SECONDS = 12
+# Largest memory of a router and of a replica on the users' VMs.
+MEMORY_KB = {"r": 88 * 1024, "c": 256 * 1024}
+
+
+class SoakRun(CutDeployment, PlatformRun):
+    """Forwarding routers and control replicas, each link with a forwarder."""
+
+    def control_settings(self, number):
+        replicas = ", ".join(
+            f"c{n}@{self.control_address('', n)}@{self.domain(n)}"
+            for n in range(1, self.controls + 1))
+        return self.write_settings(f"c{number}", {
+            "process": {"vm": f"c{number}", "roles": "control",
+                        "failure_domain": self.domain(number)},
+            "control": {"listen": self.control_listen(number),
+                        "data_dir": self.directory / f"c{number}.data",
+                        "replicas": replicas,
+                        "api_listen": self.control_api(number),
+                        "entry_listen": self.entry_address(number),
+                        "endpoint_heartbeat_ms": 200,
+                        "election_ms": 300},
+            "log": {"format": "json"}})
+
+    def start_replica(self, number, founds="false"):
+        settings = self.control_settings(number)
+        if not (self.directory / f"c{number}.data" / "identity").exists():
+            subprocess.run([BIN / "cactuswickd", "--config", settings,
+                            "--bootstrap", "first"], check=True)
+        self.start(f"c{number}", BIN / "cactuswickd", "--config", settings,
+                   env=self.disk_environment(number))
+
+    def start_forwarder(self, number):
+        control = ", ".join(self.control_address("", n)
+                            for n in range(1, self.controls + 1))
+        settings = self.write_settings(f"r{number}", {
+            "process": {"vm": f"r{number}", "roles": "router",
+                        "failure_domain": self.domain(number)},
+            "router": {"peer_listen": self.router_peer_listen(number),
+                       "peer_advertise": self.router_peer_address(number),
+                       "control": control},
+            "forward": {"listen": self.forward_address(number),
+                        "ready_listen": self.ready_address(number),
+                        "leave_ms": 500, "grace_s": 4},
+            "log": {"format": "json"}})
+        self.start(f"r{number}", BIN / "cactuswickd", "--config", settings)
+
+    def start_again(self, name):
+        number = int(name[1:])
+        if name[0] == "c":
+            self.start_replica(number)
+        else:
+            self.start_forwarder(number)
+
+
+class SoakRunner(Runner):
+    """An endpoint behind a forwarder, whose work takes some time."""
+
+    def __init__(self, run, number, service):
+        super().__init__(run, number, service)
+        self.events = 8
+        self.work_s = 0.02 * number
+        self.gap_s = 0.02
+
+    def announced_address(self):
+        host, port = self.address.split(":")
+        return f"{host.replace('.2.', '.5.')}:{port}"
+
+
+class Record:
+    """What one caller's request was and how it ended for the caller."""
+
+    def __init__(self, name, path, prompt, most):
+        self.name = name
+        self.path = path
+        self.prompt = prompt
+        self.most = most
+        self.status = 0
+        self.whole = False
+        self.body = ""
+
+    def events(self):
+        return self.body.count("\n\n")
+
+
+class Callers:
+    """Threads that keep their connections for as long as these work."""
+
+    def __init__(self, run, choice):
+        self.run = run
+        self.records = []
+        self.lock = threading.Lock()
+        self.stopping = False
+        self.threads = [
+            threading.Thread(target=self.work,
+                             args=(number, random.Random(choice.random())))
+            for number in range(CALLERS)]
+        for thread in self.threads:
+            thread.start()
+
+    def work(self, number, choice):
+        connection = None
+        count = 0
+        while not self.stopping:
+            count += 1
+            kind = choice.choice(["call", "once", "stream"])
+            name = f"s{number}-{count}"
+            record = Record(name, f"/{kind}/{name}", choice.randint(20, 400),
+                            choice.randint(4, 40))
+            with self.lock:
+                self.records.append(record)
+            if connection is None:
+                address = self.run.forward_address(
+                    choice.randint(1, ROUTERS))
+                connection = http.client.HTTPConnection(address, timeout=8)
+            if not self.ask(connection, record) or choice.random() < 0.02:
+                connection.close()
+                connection = None
+            time.sleep(choice.uniform(0.01, 0.08))
+        if connection is not None:
+            connection.close()
+
+    @staticmethod
+    def ask(connection, record):
+        """Sends one request; False when the connection is not to be kept."""
+        try:
+            connection.request(
+                "POST", record.path, record.name, {
+                    "Host": HOST, "X-Request-Id": record.name,
+                    "Authorization": f"Token {KEY}",
+                    **({"X-Token-Count": f"{record.prompt},{record.most}"}
+                       if record.path.startswith("/stream/") else {})})
+            answer = connection.getresponse()
+            record.status = answer.status
+            try:
+                record.body = answer.read().decode()
+                record.whole = True
+            except http.client.IncompleteRead as cut:
+                record.body = cut.partial.decode()
+            return record.whole and not answer.will_close
+        except (OSError, http.client.HTTPException):
+            return False
+
+    def stop(self):
+        self.stopping = True
+        for thread in self.threads:
+            thread.join()
+        return self.records
+
+
+class Operator:
+    """Sends versions all the time and remembers which were acknowledged."""
+
+    def __init__(self, run):
+        self.run = run
+        self.version = 1
+        self.acknowledged = 1
+        self.stopping = False
+        self.older = []
+        self.thread = threading.Thread(target=self.work)
+        self.thread.start()
+
+    def work(self):
+        while not self.stopping:
+            self.version += 1
+            try:
+                if self.run.declare(self.version).status == 200:
+                    self.acknowledged = self.version
+                known = self.acknowledged
+                read = self.run.control_call("GET", "/cactuswick/Config.Read")
+                if read.status == 200 and read.json()["Version"] < known:
+                    self.older.append((known, read.json()["Version"]))
+            except (OSError, http.client.HTTPException):
+                pass
+            time.sleep(0.3)
+
+    def stop(self):
+        self.stopping = True
+        self.thread.join()
+
+
+class Faults:
+    """Series of faults that overlap, each undone after a while."""
+
+    def __init__(self, run, choice, seconds):
+        self.run = run
+        self.choice = choice
+        self.seconds = seconds
+        self.history = []
+        self.start = time.monotonic()
+        self.busy = set()
+        self.lock = threading.Lock()
+
+    def note(self, text):
+        with self.lock:
+            self.history.append(f"{time.monotonic() - self.start:6.2f} {text}")
+
+    def cause(self):
+        kinds = [self.kill, self.kill, self.terminate, self.pause, self.pause,
+                 self.cut_one_way, self.cut_one_way, self.cut_between,
+                 self.delay, self.reset, self.silence, self.bad_disk,
+                 self.bad_endpoint, self.leave, self.hang_up]
+        threads = []
+        while time.monotonic() - self.start < self.seconds:
+            kind = self.choice.choice(kinds)
+            seed = self.choice.random()
+            thread = threading.Thread(target=kind, args=(random.Random(seed),))
+            thread.start()
+            threads.append(thread)
+            time.sleep(self.choice.uniform(0.1, 1.2))
+        for thread in threads:
+            thread.join()
+        self.run.forwarder.heal()
+
+    def take(self, choice, names):
+        """A process that no other fault holds, or None."""
+        with self.lock:
+            free = sorted(set(names) - self.busy)
+            name = choice.choice(free) if free else None
+            self.busy.add(name)
+            return name
+
+    def give_back(self, name):
+        with self.lock:
+            self.busy.discard(name)
+
+    @staticmethod
+    def everyone():
+        return ([f"c{n}" for n in range(1, CONTROLS + 1)] +
+                [f"r{n}" for n in range(1, ROUTERS + 1)])
+
+    def kill(self, choice):
+        if name := self.take(choice, self.everyone()):
+            self.note(f"kill {name}")
+            self.run.kill(name)
+            time.sleep(choice.uniform(0, 3))
+            self.run.start_again(name)
+            self.give_back(name)
+
+    def terminate(self, choice):
+        if name := self.take(choice, self.everyone()):
+            self.note(f"terminate {name}")
+            self.run.stop(name)
+            self.run.start_again(name)
+            self.give_back(name)
+
+    def pause(self, choice):
+        if name := self.take(choice, self.everyone()):
+            self.note(f"pause {name}")
+            self.run.send_signal(name, signal.SIGSTOP)
+            time.sleep(choice.uniform(0.1, 4))
+            self.run.send_signal(name, signal.SIGCONT)
+            self.give_back(name)
+
+    def hang_up(self, choice):
+        if name := self.take(choice, self.everyone()):
+            self.note(f"SIGHUP {name}")
+            self.run.send_signal(name, signal.SIGHUP)
+            self.give_back(name)
+
+    def cut_one_way(self, choice):
+        name = choice.choice(self.everyone())
+        way = choice.choice(["cut_from", "cut_to"])
+        self.note(f"{way} {name}")
+        undo = getattr(self.run.forwarder, way)(name)
+        time.sleep(choice.uniform(0.2, 4))
+        undo()
+
+    def cut_between(self, choice):
+        one, other = choice.sample(self.everyone(), 2)
+        self.note(f"cut {one} {other}")
+        undo = self.run.forwarder.cut_between(one, other)
+        time.sleep(choice.uniform(0.2, 4))
+        undo()
+
+    def delay(self, choice):
+        name = choice.choice(self.everyone())
+        self.note(f"delay {name}")
+        self.run.forwarder.delays[name] = choice.uniform(0.005, 0.1)
+        time.sleep(choice.uniform(0.5, 4))
+        self.run.forwarder.delays.pop(name, None)
+
+    def reset(self, choice):
+        name = choice.choice(self.everyone())
+        self.note(f"reset {name}")
+        self.run.forwarder.reset(name)
+
+    def silence(self, choice):
+        del choice
+        self.note("silence open links")
+        self.run.forwarder.silence_existing()
+
+    def bad_disk(self, choice):
+        number = choice.randint(1, CONTROLS)
+        state = choice.choice(["full", "stalled"])
+        self.note(f"disk of c{number} {state}")
+        self.run.set_disk(number, state)
+        time.sleep(choice.uniform(0.2, 4))
+        self.run.set_disk(number, "")
+
+    def bad_endpoint(self, choice):
+        runner = choice.choice(self.run.runners)
+        fault = choice.choice(["refuse", "reset", "break"])
+        self.note(f"endpoint {runner.id} {fault}")
+        runner.fault = fault
+        time.sleep(choice.uniform(0.2, 3))
+        runner.fault = ""
+
+    def leave(self, choice):
+        runner = choice.choice(self.run.runners)
+        self.note(f"endpoint {runner.id} leaves and starts again")
+        runner.state = "draining"
+        time.sleep(choice.uniform(0.3, 2))
+        runner.born = int(time.time() * 1000)
+        runner.sequence = 0
+        runner.state = "ready"
+
+
+def check_records(run, records):
+    """What callers were told against what endpoints ran."""
+    runs = {}
+    for runner in run.runners:
+        for call in runner.seen:
+            if call["ran"]:
+                name = call["headers"]["X-Request-Id"]
+                runs.setdefault(name, []).append(call)
+    broken = []
+    spent = 0
+    for record in records:
+        ran = len(runs.get(record.name, []))
+        safe = not record.path.startswith("/once/")
+        if not safe and ran > 1:
+            broken.append(f"{record.name} ran {ran} times")
+        if not safe and record.status in (429, 503) and ran > 0:
+            broken.append(f"{record.name} ran, and was said not to have run")
+        if record.status in (400, 401, 403, 404):
+            broken.append(f"{record.name} was denied: {record.status}")
+        if record.path.startswith("/stream/"):
+            # Events that came are in order, and all of them if it ended well.
+            came = "".join(f"id: {n}\ndata: e{n}\n\n"
+                           for n in range(1, record.events() + 1))
+            whole = record.status == 200 and record.whole
+            if record.status == 200 and not record.body.startswith(came):
+                broken.append(f"{record.name} got mixed events")
+            if whole and record.events() != run.runners[0].events:
+                broken.append(f"{record.name} looks whole and is not")
+            if record.status == 200 and record.events() > 0:
+                spent += record.prompt + min(
+                    record.most, TOKENS_PER_EVENT * record.events())
+        elif record.status == 200 and record.whole and \
+                not record.body.endswith(record.path):
+            broken.append(f"{record.name} got {record.body!r}")
+    if spent > PREPAID:
+        broken.append(f"{spent} tokens delivered of {PREPAID}")
+    return broken, spent
+
+
+def check_memory(run):
+    broken = []
+    for name, process in run.processes.items():
+        try:
+            status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+        except OSError:
+            continue
+        peak = next((int(line.split()[1]) for line in status.splitlines()
+                     if line.startswith("VmHWM")), 0)
+        if peak > MEMORY_KB[name[0]]:
+            broken.append(f"{name} used {peak} KB")
+    return broken
+
+
+def check_recovery(run, operator):
+    """Everything is served again, and nothing acknowledged is gone."""
+    def served(router, path):
+        answer = run.ask(path, router, request_id=f"last-{time.time()}")
+        return answer.status == 200
+    end = time.monotonic() + RECOVER_SECONDS
+    for router in range(1, ROUTERS + 1):
+        for path in ("/call/last", "/stream/last"):
+            left = max(0.1, end - time.monotonic())
+            wait_for(lambda r=router, p=path: served(r, p), left,
+                     f"router {router} serves {path} again")
+    read = wait_for(
+        lambda: (answer := run.control_call(
+            "GET", "/cactuswick/Config.Read")).status == 200 and answer,
+        RECOVER_SECONDS, "the deployment can be read")
+    if read.json()["Version"] < operator.acknowledged:
+        return [f"version {operator.acknowledged} was acknowledged, "
+                f"{read.json()['Version']} is left"]
+    return []
+
+
+def soak(seed, seconds=12):
+    """Runs one seed; returns what is broken, the faults and some figures."""
+    choice = random.Random(seed)
+    run = SoakRun(controls=CONTROLS, routers=ROUTERS)
+    run.runners = []
+    broken = []
+    faults = Faults(run, choice, seconds)
+    records = []
+    spent = 0
+    try:
+        for number in range(1, CONTROLS + 1):
+            run.start_replica(number)
+        for number in range(1, ROUTERS + 1):
+            run.start_forwarder(number)
+        run.tenants = [{"Name": "w", "ApiKeys": [KEY], "Prepaid": PREPAID}]
+        wait_for(lambda: run.declare(1).status == 200, 15, "a deployment")
+        for number, service in ((1, "desk"), (2, "desk"), (3, "engine"),
+                                (4, "engine")):
+            run.runners.append(SoakRunner(run, number, service))
+            run.forwarder.forward(f"e{number}",
+                                  run.runners[-1].announced_address(),
+                                  run.runners[-1].address)
+        run.wait_ready(range(1, ROUTERS + 1))
+        for router in range(1, ROUTERS + 1):
+            wait_for(lambda r=router: run.ask("/call/first", r).status == 200,
+                     10, "served")
+        faults.start = time.monotonic()
+        operator = Operator(run)
+        callers = Callers(run, choice)
+        try:
+            faults.cause()
+        finally:
+            operator.stop()
+            records = callers.stop()
+        broken += check_recovery(run, operator)
+        broken += [f"read {read} after {known} had been acknowledged"
+                   for known, read in operator.older]
+        found, spent = check_records(run, records)
+        broken += found + check_memory(run)
+    except AssertionError as error:
+        broken.append(str(error))
+    finally:
+        for runner in run.runners:
+            runner.stop()
+        if broken:
+            keep = f"soak-{seed}.log"
+            pathlib.Path(keep).write_bytes(
+                (run.directory / "log").read_bytes())
+        ended = run.close()
+    broken += [f"{name} ended by itself" for name in ended]
+    served = sum(record.status == 200 for record in records)
+    return broken, faults.history, \
+        f"{len(records)} requests, {served} served, {spent} tokens"
+
+
+def run_apart(seeds, seconds, jobs):
+    """One process a seed, as each deployment takes a network of its own."""
+    waiting = list(seeds)
+    running = {}
+    failed = []
+    while waiting or running:
+        while waiting and len(running) < jobs:
+            seed = waiting.pop(0)
+            running[seed] = subprocess.Popen(
+                [sys.executable, __file__, "--alone", "--seconds",
+                 str(seconds), str(seed)])
+        time.sleep(0.2)
+        for seed, process in list(running.items()):
+            if process.poll() is not None:
+                del running[seed]
+                if process.returncode != 0:
+                    failed.append(seed)
+    return failed
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("seeds", nargs="+", type=int, metavar="SEED")
+    parser.add_argument("--seconds", type=float, default=12)
+    parser.add_argument("--jobs", type=int,
+                        default=max(1, (os.cpu_count() or 2) // 2))
+    parser.add_argument("--alone", action="store_true",
+                        help=argparse.SUPPRESS)
+    options = parser.parse_args()
+    if not options.alone:
+        failed = run_apart(options.seeds, options.seconds, options.jobs)
+        print(f"{len(options.seeds)} seeds, failed: {failed}")
+        return 1 if failed else 0
+    (seed,) = options.seeds
+    broken, history, figures = soak(seed, options.seconds)
+    print(json.dumps({"seed": seed, "figures": figures, "broken": broken,
+                      **({"faults": history} if broken else {})}))
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/system/test_soak.py
@@ -0,0 +1,17 @@
+"""Some seeds of the fault soak; soak.py runs more by hand."""
+
+import pytest
+
+from soak import run_apart
+
+SEEDS = [1, 2]
+
+# Seeds that failed once, each with its cause.
+REGRESSIONS = {}
+
+SECONDS = 8
+
+
+@pytest.mark.parametrize("seed", SEEDS + list(REGRESSIONS))
+def test_promises_hold_while_faults_overlap(seed):
+    assert run_apart([seed], SECONDS, 1) == []
