Callers whose budget is used up or lost are not told to come back at once

What dead routers hold has a kind of its own now, budget_held_for_good. Test: test_a_budget_is_spent_to_its_end_and_not_beyond asks for Retry-After.

--- a/packages/control/src/process/ControlTask.cpp
+++ b/packages/control/src/process/ControlTask.cpp
@@ -61,10 +61,10 @@
         [this](const std::vector<ledger::Envelope>& aMessages) {
           links_->SendAll(aMessages);
         },
-      .onApplied_ = [this](const ledger::Entry& aEntry,
-                           const ledger::Reply& aReply) {
-        OnApplied(aEntry, aReply);
-      },
+      .onApplied_ =
+        [this](const ledger::Entry& aEntry, const ledger::Reply& aReply) {
+          OnApplied(aEntry, aReply);
+        },
       .onCommitted_ = [this] { service_->PushConfig(); },
       .onInstalled_ = [this] { TakeRetired(); },
       .onRead_ =
@@ -89,8 +89,7 @@
     MakeService();
     MakeMembership();
     TakeRetired();
-    status =
-      listener_->Listen(settings_.GetAddress(settings::kControlListen));
+    status = listener_->Listen(settings_.GetAddress(settings::kControlListen));
     if (status.ok() &&
         !settings_.Get(settings::kControlMetricsListen).empty()) {
       status = metricsServer_.Listen(
@@ -453,9 +452,10 @@
 std::vector<std::string>
 ControlTask::EntryAddresses(const std::string& aFailureDomain) const
 {
-  return control::EntryAddresses({ .routers_ = state_->driver_.Ledger().Routers(),
-                                   .connected_ = state_->ConnectedRouters(),
-                                   .failureDomain_ = aFailureDomain });
+  return control::EntryAddresses(
+    { .routers_ = state_->driver_.Ledger().Routers(),
+      .connected_ = state_->ConnectedRouters(),
+      .failureDomain_ = aFailureDomain });
 }
 
 } // namespace cactuswick::control
--- a/packages/control/src/process/ReplicaDriver.cpp
+++ b/packages/control/src/process/ReplicaDriver.cpp
@@ -40,8 +40,7 @@
   : loop_(aLoop)
   , options_(std::move(aOptions))
   , directory_(options_.settings_.Get(settings::kControlDataDir))
-  , synced_(aLoop,
-            [this](const StorageSynced& aSynced) { OnSynced(aSynced); })
+  , synced_(aLoop, [this](const StorageSynced& aSynced) { OnSynced(aSynced); })
   , snapshotWritten_(aLoop, [this](const SnapshotWritten& aWritten) {
     OnSnapshotWritten(aWritten);
   })
@@ -243,9 +242,9 @@
              " written: ",
              aWritten.bytes_,
              " bytes"));
-  replica_->SnapshotWritten(
-    aWritten.index_,
-    aWritten.index_ - options_.settings_.Get(settings::kKeptEntries));
+  replica_->SnapshotWritten(aWritten.index_,
+                            aWritten.index_ -
+                              options_.settings_.Get(settings::kKeptEntries));
   RewriteLog();
 }
 
--- a/packages/model/include/cactuswick/model/process/Error.h
+++ b/packages/model/include/cactuswick/model/process/Error.h
@@ -22,6 +22,8 @@
   kKeyReused,
   kBudgetExhausted,
   kBudgetHeldElsewhere,
+  /// Held by routers that died: only a top-up helps.
+  kBudgetHeldForGood,
   kControlUnreachable,
   kNotLeader,
   kNoSettlementPath,
--- a/packages/model/src/process/Error.cpp
+++ b/packages/model/src/process/Error.cpp
@@ -35,6 +35,7 @@
   KindTraits{ "key_reused", 422, StatusCode::kAlreadyExists, false },
   KindTraits{ "budget_exhausted", 402, StatusCode::kResourceExhausted, false },
   KindTraits{ "budget_held_elsewhere", 503, StatusCode::kUnavailable, true },
+  KindTraits{ "budget_held_for_good", 503, StatusCode::kUnavailable, false },
   KindTraits{ "control_unreachable", 503, StatusCode::kUnavailable, true },
   KindTraits{ "not_leader", 503, StatusCode::kUnavailable, true },
   KindTraits{ "no_settlement_path", 503, StatusCode::kUnavailable, true },
--- a/packages/router/src/connection/ForwardErrors.cpp
+++ b/packages/router/src/connection/ForwardErrors.cpp
@@ -1,6 +1,5 @@
 #include "connection/ForwardErrors.h"
 
-#include "cactuswick/model/process/Error.h"
 #include "cactuswick/model/process/Text.h"
 #include "connection/HttpErrors.h"
 
@@ -35,6 +34,13 @@
   }
 }
 
+bool
+NeedsTopUp(model::ErrorKind aKind)
+{
+  return aKind == model::ErrorKind::kBudgetExhausted ||
+         aKind == model::ErrorKind::kBudgetHeldForGood;
+}
+
 void
 ReplyForwardError(transport::HttpExchange& aExchange,
                   const absl::Status& aStatus,
--- a/packages/router/src/connection/ForwardErrors.h
+++ b/packages/router/src/connection/ForwardErrors.h
@@ -4,6 +4,7 @@
 
 #include <absl/status/status.h>
 
+#include "cactuswick/model/process/Error.h"
 #include "cactuswick/transport/connection/HttpExchange.h"
 
 namespace cactuswick::router {
@@ -20,6 +21,10 @@
 int
 ForwardStatusOf(const absl::Status& aStatus, RunState aRunState);
 
+/// Whether only a larger budget helps, so that a retry soon is in vain.
+bool
+NeedsTopUp(model::ErrorKind aKind);
+
 /// Answers a forwarded request that failed here. @p aRetryAfterMs above 0
 /// says when a retry may succeed.
 void
--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -307,7 +307,12 @@
                 MakeError(ErrorKind::kBudgetExhausted,
                           "budget",
                           "the budget does not cover the request"));
-    } else if (hopeless || ++first.tries_ >= options_.maxTries_) {
+    } else if (hopeless) {
+      FailFirst(aBudget,
+                MakeError(ErrorKind::kBudgetHeldForGood,
+                          "budget",
+                          "the rest of the budget is held by dead routers"));
+    } else if (++first.tries_ >= options_.maxTries_) {
       FailFirst(aBudget,
                 MakeError(ErrorKind::kBudgetHeldElsewhere,
                           "budget",
--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -15,7 +15,6 @@
 using model::ErrorKind;
 using model::MakeError;
 using routing::AttemptOutcome;
-using telemetry::Counter;
 using transport::EventLoop;
 
 constexpr int kHttpMisdirected = 421;
@@ -30,6 +29,8 @@
 /// Bytes that a slow caller may leave in the router.
 constexpr size_t kMaxPendingBytes = size_t{ 256 } << 10;
 constexpr int64_t kSlowCallerMs = 20;
+/// Callers whose budget is used up come back when it may have been raised.
+constexpr int64_t kTopUpWaitMs = 30'000;
 
 /// What the record keeps of a forwarded request. There may be too many
 /// workspaces to keep objectives for each of them.
@@ -312,8 +313,7 @@
 ForwardExchange::OnAttemptFailed(const absl::Status& aStatus, bool aArrived)
 {
   events_.DropRest();
-  const bool harmless =
-    plan_.route_.IsIdempotent() || !attempts_.MayHaveRun();
+  const bool harmless = plan_.route_.IsIdempotent() || !attempts_.MayHaveRun();
   const bool resumable = !started_ || (IsStream() && plan_.route_.resumable_);
   if (harmless && resumable && MayRepeat(aArrived)) {
     Enqueue();
@@ -404,17 +404,16 @@
     return;
   }
   const bool mayHaveRun = attempts_.MayHaveRun();
-  const RunState state =
-    mayHaveRun ? RunState::kMayHaveRun : RunState::kNotRun;
+  const RunState state = mayHaveRun ? RunState::kMayHaveRun : RunState::kNotRun;
   const int status = ForwardStatusOf(aStatus, state);
-  ReplyForwardError(
-    *exchange_, aStatus, state, mayHaveRun ? 0 : plan_.retryAfterMs_());
+  const int64_t retryAfter =
+    NeedsTopUp(model::KindOf(aStatus)) ? kTopUpWaitMs : plan_.retryAfterMs_();
+  ReplyForwardError(*exchange_, aStatus, state, mayHaveRun ? 0 : retryAfter);
   if (mayHaveRun) {
     record_.EndUnknown(aStatus, EndWith(status));
   } else {
-    record_.EndRefused(aStatus,
-                       services_.dispatcher_.Serves(plan_.service_),
-                       EndWith(status));
+    record_.EndRefused(
+      aStatus, services_.dispatcher_.Serves(plan_.service_), EndWith(status));
   }
   onEnd_();
 }
--- a/packages/router/src/request/ModelExchange.cpp
+++ b/packages/router/src/request/ModelExchange.cpp
@@ -14,7 +14,6 @@
 using model::MakeError;
 using routing::AttemptOutcome;
 using telemetry::Counter;
-using transport::EventLoop;
 
 constexpr int kHttpTooManyRequests = 429;
 constexpr int kHttpUnavailable = 503;
@@ -316,10 +315,9 @@
   }
   services_.biller_.Release(Info().budget_, reserved_);
   ReplyError(*exchange_, aStatus, Outcome::kRefused);
-  record_.EndRefused(
-    aStatus,
-    services_.dispatcher_.Serves(request_.model_),
-    EndWith(model::HttpStatusOf(model::KindOf(aStatus))));
+  record_.EndRefused(aStatus,
+                     services_.dispatcher_.Serves(request_.model_),
+                     EndWith(model::HttpStatusOf(model::KindOf(aStatus))));
   End();
 }
 
--- a/packages/router/src/request/RequestRecord.cpp
+++ b/packages/router/src/request/RequestRecord.cpp
@@ -25,6 +25,7 @@
 {
   switch (aKind) {
     case model::ErrorKind::kBudgetHeldElsewhere:
+    case model::ErrorKind::kBudgetHeldForGood:
     case model::ErrorKind::kControlUnreachable:
     case model::ErrorKind::kNoSettlementPath:
     case model::ErrorKind::kUpstreamFailed:
@@ -106,8 +107,7 @@
 void
 RequestRecord::CountDeadline(bool aWhole)
 {
-  Burn(Objective::kDeadline,
-       aWhole && EventLoop::NowMs() <= info_.deadlineMs_);
+  Burn(Objective::kDeadline, aWhole && EventLoop::NowMs() <= info_.deadlineMs_);
   metrics_.Observe(
     Summary::kTotalMs, static_cast<double>(TotalMs()), info_.rank_.name_);
 }
@@ -168,15 +168,12 @@
 void
 RequestRecord::LogEnd(std::string_view aOutcome, const RequestEnd& aEnd) const
 {
-  LogRequest(Part::kCaller,
-             aOutcome == "whole" ? Level::kInfo : Level::kWarning,
-             info_.logId_,
-             model::Concat("outcome=",
-                           aOutcome,
-                           " status=",
-                           aEnd.httpStatus_,
-                           " ",
-                           aEnd.inputs_));
+  LogRequest(
+    Part::kCaller,
+    aOutcome == "whole" ? Level::kInfo : Level::kWarning,
+    info_.logId_,
+    model::Concat(
+      "outcome=", aOutcome, " status=", aEnd.httpStatus_, " ", aEnd.inputs_));
 }
 
 ledger::Settle
--- a/packages/router/src/request/ServiceExchange.cpp
+++ b/packages/router/src/request/ServiceExchange.cpp
@@ -337,8 +337,8 @@
   Resolve(ledger::ClaimState::kUnknown);
   services_.biller_.Release(Info().budget_, std::exchange(reserved_, 0));
   ReplyError(*exchange_, aStatus, Outcome::kUnknown);
-  record_.EndUnknown(
-    aStatus, EndWith(model::HttpStatusOf(ErrorKind::kOutcomeUnknown)));
+  record_.EndUnknown(aStatus,
+                     EndWith(model::HttpStatusOf(ErrorKind::kOutcomeUnknown)));
   End();
 }
 
--- a/tests/router/connection/ForwardErrorsTest.cpp
+++ b/tests/router/connection/ForwardErrorsTest.cpp
@@ -37,6 +37,7 @@
     { ErrorKind::kNoEndpoint, 503 },
     { ErrorKind::kQueueFull, 503 },
     { ErrorKind::kBudgetHeldElsewhere, 503 },
+    { ErrorKind::kBudgetHeldForGood, 503 },
     { ErrorKind::kControlUnreachable, 503 },
   };
   for (const auto& one : cases) {
@@ -47,5 +48,13 @@
   }
 }
 
+TEST(ForwardErrors, OnlyBudgetsThatAreUsedUpOrLostWaitForATopUp)
+{
+  EXPECT_TRUE(NeedsTopUp(ErrorKind::kBudgetExhausted));
+  EXPECT_TRUE(NeedsTopUp(ErrorKind::kBudgetHeldForGood));
+  EXPECT_FALSE(NeedsTopUp(ErrorKind::kBudgetHeldElsewhere));
+  EXPECT_FALSE(NeedsTopUp(ErrorKind::kControlUnreachable));
+}
+
 } // namespace
 } // namespace cactuswick::router
--- a/tests/system/faulty_disk.cpp
+++ b/tests/system/faulty_disk.cpp
@@ -61,37 +61,37 @@
 extern "C" ssize_t
 write(int aHandle, const void* aData, size_t aSize)
 {
-  static const auto next = Next(&write, "write");
+  static const auto kNext = Next(&write, "write");
   if (IsFullFor(aHandle)) {
     errno = ENOSPC;
     return -1;
   }
-  return next(aHandle, aData, aSize);
+  return kNext(aHandle, aData, aSize);
 }
 
 extern "C" ssize_t
 writev(int aHandle, const iovec* aParts, int aCount)
 {
-  static const auto next = Next(&writev, "writev");
+  static const auto kNext = Next(&writev, "writev");
   if (IsFullFor(aHandle)) {
     errno = ENOSPC;
     return -1;
   }
-  return next(aHandle, aParts, aCount);
+  return kNext(aHandle, aParts, aCount);
 }
 
 extern "C" int
 fdatasync(int aHandle)
 {
-  static const auto next = Next(&fdatasync, "fdatasync");
+  static const auto kNext = Next(&fdatasync, "fdatasync");
   WaitWhileStalled();
-  return next(aHandle);
+  return kNext(aHandle);
 }
 
 extern "C" int
 fsync(int aHandle)
 {
-  static const auto next = Next(&fsync, "fsync");
+  static const auto kNext = Next(&fsync, "fsync");
   WaitWhileStalled();
-  return next(aHandle);
+  return kNext(aHandle);
 }
--- a/tests/system/test_platform.py
+++ b/tests/system/test_platform.py
@@ -86,6 +86,10 @@
                  for i in range(14))
     # 900 tokens of prompt and 5 events of up to 4 tokens each.
     assert 9 <= served <= 10000 // 920
+    refused = run.ask("/stream/x", X_Token_Count="9000,100")
+    assert refused.status == 402
+    # In vain until a top-up, so not to be tried again soon.
+    assert float(refused.headers["Retry-After"]) >= 30
 
 
 def test_an_answer_of_which_nothing_came_is_not_billed(run):
