Order and renewal of announcements stand once; work that was done twice goes

PromptPlace had a field that nobody reads. The status of a refusal was worked out twice. - Daemon's watch read a changed file twice.

--- a/packages/control/src/process/EndpointDirectory.cpp
+++ b/packages/control/src/process/EndpointDirectory.cpp
@@ -1,7 +1,6 @@
 #include "process/EndpointDirectory.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace cactuswick::control {
 
@@ -10,24 +9,6 @@
 /// How long the last announcement of a lost endpoint is remembered.
 constexpr int64_t kLostKeptMs = 10LL * 60 * 1'000;
 
-/// The same in all that routers use.
-bool
-IsRenewal(const model::Announcement& aNew, model::Announcement aOld)
-{
-  aOld.sequence_ = aNew.sequence_;
-  aOld.inFlight_ = aNew.inFlight_;
-  return aNew == aOld;
-}
-
-bool
-IsOlder(const model::Announcement& aNew, const model::Announcement& aOld)
-{
-  if (aNew.incarnation_ != aOld.incarnation_) {
-    return aNew.incarnation_ < aOld.incarnation_;
-  }
-  return aNew.sequence_ <= aOld.sequence_;
-}
-
 } // namespace
 
 bool
@@ -54,13 +35,16 @@
 }
 
 bool
-EndpointDirectory::WasHeardBeforeItsLoss(
-  const model::Announcement& aAnnouncement) const
+EndpointDirectory::IsOver(const model::Announcement& aAnnouncement) const
 {
-  const auto found = lost_.find(aAnnouncement.endpoint_);
-  return found != lost_.end() &&
-         std::pair(aAnnouncement.incarnation_, aAnnouncement.sequence_) <=
-           std::pair(found->second.incarnation_, found->second.sequence_);
+  const auto retired = retired_.find(aAnnouncement.endpoint_);
+  if (retired != retired_.end() &&
+      aAnnouncement.incarnation_ <= retired->second) {
+    return true;
+  }
+  const auto lost = lost_.find(aAnnouncement.endpoint_);
+  return lost != lost_.end() &&
+         model::OrderOf(aAnnouncement) <= lost->second.last_;
 }
 
 Hearing
@@ -68,26 +52,29 @@
                         int64_t aAgeMs,
                         int64_t aNowMs)
 {
-  const auto retired = retired_.find(aAnnouncement.endpoint_);
-  const bool left =
-    retired != retired_.end() && aAnnouncement.incarnation_ <= retired->second;
-  if (left || AddressIsTaken(aAnnouncement) ||
-      WasHeardBeforeItsLoss(aAnnouncement)) {
+  const auto found = endpoints_.find(aAnnouncement.endpoint_);
+  const bool isKnown = found != endpoints_.end();
+  // Nobody else has the address of an endpoint that is known at it.
+  const bool keepsAddress =
+    isKnown && found->second.announcement_.address_ == aAnnouncement.address_;
+  if (IsOver(aAnnouncement) ||
+      (!keepsAddress && AddressIsTaken(aAnnouncement))) {
     return Hearing::kStale;
   }
-  const auto found = endpoints_.find(aAnnouncement.endpoint_);
   const int64_t heardMs = aNowMs - aAgeMs;
-  if (found == endpoints_.end()) {
+  if (!isKnown) {
     DropOthersAt(aAnnouncement);
     endpoints_[aAnnouncement.endpoint_] = { aAnnouncement, heardMs };
     return Hearing::kNews;
   }
   Known& known = found->second;
-  if (IsOlder(aAnnouncement, known.announcement_)) {
+  if (model::OrderOf(aAnnouncement) <= model::OrderOf(known.announcement_)) {
     return Hearing::kStale;
   }
-  DropOthersAt(aAnnouncement);
-  const bool renewal = IsRenewal(aAnnouncement, known.announcement_);
+  if (!keepsAddress) {
+    DropOthersAt(aAnnouncement);
+  }
+  const bool renewal = model::IsRenewal(aAnnouncement, known.announcement_);
   known = { aAnnouncement, std::max(known.heardMs_, heardMs) };
   return renewal ? Hearing::kRenewal : Hearing::kNews;
 }
@@ -118,9 +105,7 @@
     const Known& known = aPair.second;
     const bool silent = aNowMs - known.heardMs_ > known.announcement_.leaseMs_;
     if (silent) {
-      lost_[aPair.first] = { known.announcement_.incarnation_,
-                             known.announcement_.sequence_,
-                             aNowMs };
+      lost_[aPair.first] = { model::OrderOf(known.announcement_), aNowMs };
       lost.push_back(
         { known.announcement_.endpoint_, known.announcement_.incarnation_ });
     }
--- a/packages/control/src/process/EndpointDirectory.h
+++ b/packages/control/src/process/EndpointDirectory.h
@@ -50,15 +50,15 @@
     int64_t heardMs_ = 0;
   };
 
-  /// The last announcement of an endpoint that was lost.
   struct Lost
   {
-    int64_t incarnation_ = 0;
-    int64_t sequence_ = 0;
+    /// The last announcement before the loss.
+    model::AnnouncementOrder last_;
     int64_t lostMs_ = 0;
   };
 
-  bool WasHeardBeforeItsLoss(const model::Announcement& aAnnouncement) const;
+  /// Whether the endpoint left or was lost after this announcement.
+  bool IsOver(const model::Announcement& aAnnouncement) const;
   bool AddressIsTaken(const model::Announcement& aAnnouncement) const;
   void DropOthersAt(const model::Announcement& aAnnouncement);
 
--- a/packages/daemon/src/process/Daemon.cpp
+++ b/packages/daemon/src/process/Daemon.cpp
@@ -121,7 +121,7 @@
     , terminate_(loop_, SIGTERM, [this] { OnSignal(); })
     , interrupt_(loop_, SIGINT, [this] { OnSignal(); })
     , hangUp_(loop_, SIGHUP, [this] { Reload(); })
-    , watch_(loop_, [this] { OnWatch(); })
+    , watch_(loop_, [this] { Reload(); })
   {
     // A peer that is gone is noticed by the write's error.
     std::signal(SIGPIPE, SIG_IGN);
@@ -198,14 +198,7 @@
     return routerThread_->StartStatus();
   }
 
-  /// The file may change without a signal.
-  void OnWatch()
-  {
-    if (ReadText(path_) != text_) {
-      Reload();
-    }
-  }
-
+  /// Also called without a signal: the file may have changed all the same.
   void Reload()
   {
     std::string text = ReadText(path_);
--- a/packages/ledger/include/cactuswick/ledger/version/Command.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Command.h
@@ -5,7 +5,7 @@
 #include <variant>
 #include <vector>
 
-#include "cactuswick/ledger/request/RouterOp.h"
+#include "cactuswick/ledger/request/OpResult.h"
 
 /// Commands of the replicated log and the ledger's replies to them.
 namespace cactuswick::ledger {
--- a/packages/model/include/cactuswick/model/version/Announcement.h
+++ b/packages/model/include/cactuswick/model/version/Announcement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <array>
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -44,6 +45,24 @@
   bool operator==(const Announcement&) const = default;
 };
 
+/// Place of an announcement among all of its endpoint: later lives and, in one
+/// life, later announcements come after.
+struct AnnouncementOrder
+{
+  int64_t incarnation_ = 0;
+  int64_t sequence_ = 0;
+
+  auto operator<=>(const AnnouncementOrder&) const = default;
+};
+
+AnnouncementOrder
+OrderOf(const Announcement& aAnnouncement);
+
+/// Whether @p aNew says the same as @p aOld in all that placement looks at,
+/// except load.
+bool
+IsRenewal(const Announcement& aNew, const Announcement& aOld);
+
 constexpr std::array<std::string_view, 2>
 EnumNames(const EndpointType*)
 {
--- /dev/null
+++ b/packages/model/src/version/Announcement.cpp
@@ -0,0 +1,20 @@
+#include "cactuswick/model/version/Announcement.h"
+
+namespace cactuswick::model {
+
+AnnouncementOrder
+OrderOf(const Announcement& aAnnouncement)
+{
+  return { aAnnouncement.incarnation_, aAnnouncement.sequence_ };
+}
+
+bool
+IsRenewal(const Announcement& aNew, const Announcement& aOld)
+{
+  Announcement renewed = aOld;
+  renewed.sequence_ = aNew.sequence_;
+  renewed.inFlight_ = aNew.inFlight_;
+  return aNew == renewed;
+}
+
+} // namespace cactuswick::model
--- a/packages/router/src/connection/ForwardApi.cpp
+++ b/packages/router/src/connection/ForwardApi.cpp
@@ -101,7 +101,6 @@
   if (!status.ok()) {
     return status;
   }
-  SetBound(plan);
   RetriesOf(plan.service_).OnRequest();
   plan.tryRepeat_ = [this, service = plan.service_] {
     return RetriesOf(service).TryTake();
@@ -132,6 +131,7 @@
   if (workspace != nullptr) {
     aPlan.workspace_ = workspace->name_;
     aPlan.priority_ = workspace->priority_.value_or(aPlan.priority_);
+    SetBound(aPlan, *workspace);
     return absl::OkStatus();
   }
   if (aPlan.route_.public_) {
@@ -174,16 +174,14 @@
 }
 
 void
-ForwardApi::SetBound(ForwardPlan& aPlan) const
+ForwardApi::SetBound(ForwardPlan& aPlan,
+                     const model::ForwardWorkspace& aWorkspace)
 {
-  const auto* workspace = deployment_->FindByKey(aPlan.request_.apiKey_);
-  if (workspace == nullptr || !workspace->prepaidTokens_ ||
-      !aPlan.request_.promptTokens_) {
-    return;
+  const auto& request = aPlan.request_;
+  if (aWorkspace.prepaidTokens_ && request.promptTokens_) {
+    aPlan.budget_ = model::PrepaidBudgetOf(aWorkspace.name_);
+    aPlan.bound_ = *request.promptTokens_ + request.maxOutputTokens_;
   }
-  aPlan.budget_ = model::PrepaidBudgetOf(workspace->name_);
-  aPlan.bound_ =
-    *aPlan.request_.promptTokens_ + aPlan.request_.maxOutputTokens_;
 }
 
 void
@@ -198,8 +196,7 @@
   }
   const int64_t now = EventLoop::NowMs();
   const bool transient = model::IsTransient(kind);
-  const int status = ForwardStatusOf(aStatus, RunState::kNotRun);
-  ReplyForwardError(
+  const int status = ReplyForwardError(
     aExchange,
     aStatus,
     RunState::kNotRun,
@@ -223,7 +220,10 @@
 routing::RetryBudget&
 ForwardApi::RetriesOf(const std::string& aService)
 {
-  return retries_.try_emplace(aService, options_.retries_()).first->second;
+  const auto found = retries_.find(aService);
+  return found != retries_.end()
+           ? found->second
+           : retries_.try_emplace(aService, options_.retries_()).first->second;
 }
 
 int64_t
--- a/packages/router/src/connection/ForwardApi.h
+++ b/packages/router/src/connection/ForwardApi.h
@@ -45,7 +45,8 @@
   absl::Status FindCaller(ForwardPlan& aPlan) const;
   absl::Status ChooseService(ForwardPlan& aPlan);
   void SetTimes(ForwardPlan& aPlan) const;
-  void SetBound(ForwardPlan& aPlan) const;
+  static void SetBound(ForwardPlan& aPlan,
+                       const model::ForwardWorkspace& aWorkspace);
   void Refuse(transport::HttpExchange& aExchange,
               const std::string& aId,
               const absl::Status& aStatus);
--- a/packages/router/src/connection/ForwardErrors.cpp
+++ b/packages/router/src/connection/ForwardErrors.cpp
@@ -41,7 +41,7 @@
          aKind == model::ErrorKind::kBudgetHeldForGood;
 }
 
-void
+int
 ReplyForwardError(transport::HttpExchange& aExchange,
                   const absl::Status& aStatus,
                   RunState aRunState,
@@ -54,8 +54,9 @@
     const double seconds = static_cast<double>(aRetryAfterMs) / kMsPerSecond;
     headers.push_back({ "Retry-After", model::Concat(seconds) });
   }
-  aExchange.Reply(
-    ForwardStatusOf(aStatus, aRunState), headers, ErrorBody(aStatus, outcome));
+  const int status = ForwardStatusOf(aStatus, aRunState);
+  aExchange.Reply(status, headers, ErrorBody(aStatus, outcome));
+  return status;
 }
 
 } // namespace cactuswick::router
--- a/packages/router/src/connection/ForwardErrors.h
+++ b/packages/router/src/connection/ForwardErrors.h
@@ -26,8 +26,8 @@
 NeedsTopUp(model::ErrorKind aKind);
 
 /// Answers a forwarded request that failed here. @p aRetryAfterMs above 0
-/// says when a retry may succeed.
-void
+/// says when a retry may succeed. Returns the status that was sent.
+int
 ReplyForwardError(transport::HttpExchange& aExchange,
                   const absl::Status& aStatus,
                   RunState aRunState,
--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -64,7 +64,7 @@
     }
   }
   for (const auto& [budget, queue] : queues_) {
-    if (options_.borrows_ && !queue.waiters_.empty() &&
+    if (options_.reportsUse_ && !queue.waiters_.empty() &&
         now - queue.waiters_.front().sinceMs_ >= kBorrowAfterMs) {
       Borrow(budget, now);
     }
@@ -208,7 +208,7 @@
   const auto queue = queues_.find(aBudget);
   const bool others = queue != queues_.end() && !queue->second.waiters_.empty();
   if (!others && grants_.Reserve(aBudget, aAmount, now)) {
-    if (!options_.asksTogether_) {
+    if (!options_.reportsUse_) {
       AskAhead(aBudget);
     }
     aHook(absl::OkStatus());
@@ -250,11 +250,9 @@
 Biller::AskAhead(const std::string& aBudget)
 {
   const auto ask = grants_.Refill(aBudget, EventLoop::NowMs());
-  BudgetQueue& queue = queues_[aBudget];
-  if (!ask || queue.asking_) {
-    return;
+  if (ask && !queues_[aBudget].asking_) {
+    AskFor(*ask);
   }
-  AskFor(*ask);
 }
 
 void
@@ -292,11 +290,10 @@
     // nothing to wait for where the rest does not cover the request.
     const ledger::Tokens unbilled =
       aResult.available_ + aResult.elsewhere_ + grants_.Granted(aBudget);
-    const bool exhausted =
-      (aResult.elsewhere_ == 0 && reservedHere == 0) ||
-      (options_.expiresAlways_ && unbilled < first.amount_);
+    const bool exhausted = (aResult.elsewhere_ == 0 && reservedHere == 0) ||
+                           (options_.reportsUse_ && unbilled < first.amount_);
     const bool hopeless =
-      options_.expiresAlways_ && unbilled - aResult.held_ < first.amount_;
+      options_.reportsUse_ && unbilled - aResult.held_ < first.amount_;
     if (!aResult.budgetExists_) {
       FailFirst(aBudget,
                 MakeError(ErrorKind::kUnknownResource,
@@ -350,7 +347,7 @@
 Biller::ExpireReserves(int64_t aNowMs)
 {
   const bool reachable = options_.control_.IsReachable();
-  if (reachable && !options_.expiresAlways_) {
+  if (reachable && !options_.reportsUse_) {
     return;
   }
   // Cut off from control, a router refuses only what its grants do not cover.
--- a/packages/router/src/process/Biller.h
+++ b/packages/router/src/process/Biller.h
@@ -32,12 +32,10 @@
   int64_t reserveTimeoutMs_ = 3'000;
   /// Times a grant is asked for while others may still return tokens.
   int64_t maxTries_ = 20;
-  /// Whether waiting ends after its time also while control answers.
-  bool expiresAlways_ = false;
-  /// Whether grants are asked for ahead together, at intervals.
-  bool asksTogether_ = false;
-  /// Whether other routers are asked while control is unreachable.
-  bool borrows_ = false;
+  /// Requests are not settled one by one; what they used is reported at
+  /// intervals. Then grants are asked for ahead together, other routers are
+  /// asked while control is unreachable, and every wait ends after its time.
+  bool reportsUse_ = false;
   /// Own IP number to connect from.
   std::string from_;
   routing::GrantBookOptions grants_;
--- a/packages/router/src/process/ForwardRole.cpp
+++ b/packages/router/src/process/ForwardRole.cpp
@@ -33,10 +33,30 @@
 /// Retry budgets of routers that started anew overlap with those of before.
 constexpr double kSlackSafety = 0.5;
 constexpr double kRatioSafety = 0.75;
+/// Longest wait of a forwarded request for a grant.
+constexpr int64_t kReserveMs = 400;
+constexpr int64_t kMaxTries = 3;
+/// Time for which a router that is cut off can spend on.
+constexpr int64_t kHorizonMs = 9'000;
+constexpr int64_t kRefillPercent = 85;
+constexpr int64_t kMarginPercent = 140;
 constexpr int kHttpUnavailable = 503;
 
 } // namespace
 
+void
+SetForwardBilling(BillerOptions& aOptions, const settings::Settings& aSettings)
+{
+  aOptions.reserveTimeoutMs_ = kReserveMs;
+  aOptions.maxTries_ = kMaxTries;
+  aOptions.reportsUse_ = true;
+  aOptions.from_ = aSettings.GetAddress(settings::kRouterPeerListen).host_;
+  aOptions.grants_ = { .horizonMs_ = kHorizonMs,
+                       .extrapolates_ = true,
+                       .refillPercent_ = kRefillPercent,
+                       .marginPercent_ = kMarginPercent };
+}
+
 ForwardRole::ForwardRole(ForwardRoleOptions aOptions)
   : options_(std::move(aOptions))
   , pool_(options_.loop_)
@@ -157,11 +177,12 @@
   if (!HasDeployment()) {
     return;
   }
+  const int64_t routers = ServingRouters();
   for (const auto& workspace : api_.Deployment()->Spec().workspaces_) {
     if (workspace.prepaidTokens_) {
       const std::string budget = model::PrepaidBudgetOf(workspace.name_);
-      const ledger::Tokens floor = *workspace.prepaidTokens_ * kFloorPercent /
-                                   (kPercent * ServingRouters());
+      const ledger::Tokens floor =
+        *workspace.prepaidTokens_ * kFloorPercent / (kPercent * routers);
       options_.biller_.SetFloor(budget, floor);
       options_.biller_.Provide(budget, floor);
     }
--- a/packages/router/src/process/ForwardRole.h
+++ b/packages/router/src/process/ForwardRole.h
@@ -25,6 +25,11 @@
   std::function<bool()> refusesNew_;
 };
 
+/// Sets how forwarded requests are billed: what they used is reported, and
+/// grants cover some seconds without control.
+void
+SetForwardBilling(BillerOptions& aOptions, const settings::Settings& aSettings);
+
 /// The part of a router that forwards requests by declared routes.
 class ForwardRole
 {
--- a/packages/router/src/process/RouterTask.cpp
+++ b/packages/router/src/process/RouterTask.cpp
@@ -9,11 +9,9 @@
 #include "cactuswick/model/process/Hash.h"
 #include "cactuswick/telemetry/process/Log.h"
 #include "connection/CallerApi.h"
-#include "connection/EndpointApi.h"
 #include "connection/OperatorApi.h"
 #include "process/ForwardRole.h"
-#include "process/HealthChecker.h"
-#include "process/OrderRunner.h"
+#include "process/OwnEndpoints.h"
 
 namespace cactuswick::router {
 
@@ -33,13 +31,6 @@
 constexpr size_t kBodyMargin = 4;
 /// Longest wait for the goodbye to be committed.
 constexpr int64_t kGoodbyeMs = 3'000;
-/// Longest wait of a forwarded request for a grant.
-constexpr int64_t kForwardReserveMs = 400;
-constexpr int64_t kForwardMaxTries = 3;
-/// Time for which a router that is cut off can spend on.
-constexpr int64_t kForwardHorizonMs = 9'000;
-constexpr int64_t kForwardRefillPercent = 85;
-constexpr int64_t kForwardMarginPercent = 140;
 /// Time kept back from the end of the grace for the last steps.
 constexpr int64_t kGraceMarginMs = 900;
 constexpr int64_t kMsPerSecond = 1'000;
@@ -55,18 +46,6 @@
   kStopped,
 };
 
-RouterLimits
-LimitsOf(const settings::Settings& aSettings)
-{
-  return { .queueLimit_ = aSettings.Get(settings::kQueueLimit),
-           .maxInFlight_ = aSettings.Get(settings::kMaxInFlight),
-           .maxAnswerBytes_ = aSettings.Get(settings::kMaxAnswerBytes),
-           .connectTimeoutMs_ = aSettings.Get(settings::kConnectTimeoutMs),
-           .firstByteTimeoutMs_ = aSettings.Get(settings::kFirstByteTimeoutMs),
-           .progressTimeoutMs_ = aSettings.Get(settings::kProgressTimeoutMs),
-           .settleTimeoutMs_ = aSettings.Get(settings::kSettleTimeoutMs) };
-}
-
 } // namespace
 
 struct RouterTask::State
@@ -84,10 +63,13 @@
                   { .failureDomain_ = aSettings.Get(settings::kFailureDomain),
                     .firstTokenLimitMs_ =
                       aSettings.Get(settings::kEndpointFirstTokenMs) })
-    , endpointApi_(aSettings.Get(settings::kEndpointKeySha256),
-                   [this](const model::Announcement& aAnnouncement) {
-                     OnAnnounced(aAnnouncement);
-                   })
+    , ownEndpoints_({ .loop_ = aLoop,
+                      .dispatcher_ = dispatcher_,
+                      .keySha256_ = aSettings.Get(settings::kEndpointKeySha256),
+                      .onNews_ =
+                        [this](const transport::EndpointNews& aNews) {
+                          peers_->Spread(aNews);
+                        } })
     , metricsServer_(aLoop, [this] { return ExposeMetrics(); })
     , tick_(aLoop, [this] { OnTick(); })
   {
@@ -139,7 +121,7 @@
           [this](ledger::Incarnation aKeeper) {
             biller_->OnKeeperLost(aKeeper);
           },
-        .endpoints_ = [this] { return HeardHere(); },
+        .endpoints_ = [this] { return ownEndpoints_.News(); },
         .load_ = [this] { return callers_ ? callers_->InFlight() : 0; } });
   }
 
@@ -258,16 +240,7 @@
                            .settleTimeoutMs_ =
                              settings_.Get(settings::kSettleTimeoutMs) };
     if (Forwards()) {
-      billing.reserveTimeoutMs_ = kForwardReserveMs;
-      billing.maxTries_ = kForwardMaxTries;
-      billing.expiresAlways_ = true;
-      billing.asksTogether_ = true;
-      billing.borrows_ = true;
-      billing.from_ = settings_.GetAddress(settings::kRouterPeerListen).host_;
-      billing.grants_ = { .horizonMs_ = kForwardHorizonMs,
-                          .extrapolates_ = true,
-                          .refillPercent_ = kForwardRefillPercent,
-                          .marginPercent_ = kForwardMarginPercent };
+      SetForwardBilling(billing, settings_);
     }
     biller_ = std::make_unique<Biller>(loop_, billing);
   }
@@ -300,18 +273,7 @@
         [this](ledger::Incarnation aRouter) {
           return peers_->LoadOf(aRouter);
         } });
-    const auto endpoints = [this] { return AnnouncedHere(); };
-    orders_ = std::make_unique<OrderRunner>(
-      loop_,
-      OrderRunnerOptions{
-        .control_ = *control_, .config_ = config_, .endpoints_ = endpoints });
-    health_ = std::make_unique<HealthChecker>(
-      loop_,
-      HealthCheckerOptions{
-        .endpoints_ = endpoints,
-        .onUnhealthy_ = [this](const std::string& aEndpoint) {
-          dispatcher_.Endpoints().OnUnhealthy(aEndpoint, EventLoop::NowMs());
-        } });
+    ownEndpoints_.Start(*control_, config_);
     operators_ = std::make_unique<OperatorApi>(OperatorApiOptions{
       .loop_ = loop_,
       .control_ = *control_,
@@ -344,7 +306,7 @@
       return;
     }
     auto rest = callers_->Handle(std::move(aExchange));
-    rest = rest ? endpointApi_.Handle(std::move(rest)) : nullptr;
+    rest = rest ? ownEndpoints_.Handle(std::move(rest)) : nullptr;
     rest = rest ? operators_->Handle(std::move(rest)) : nullptr;
     if (!rest) {
       return;
@@ -358,43 +320,6 @@
                  model::ErrorKind::kUnknownResource, "path", "no such path"));
   }
 
-  void OnAnnounced(const model::Announcement& aAnnouncement)
-  {
-    const int64_t now = EventLoop::NowMs();
-    heardHere_[aAnnouncement.endpoint_] = now;
-    if (dispatcher_.Hear(aAnnouncement, 0)) {
-      Log(Part::kEndpoint,
-          Level::kInfo,
-          Concat(aAnnouncement.endpoint_,
-                 aAnnouncement.leaving_ ? " leaves" : " announced itself"));
-      peers_->Spread({ aAnnouncement, 0 });
-    }
-  }
-
-  /// Endpoints that announce themselves to this router: it vouches for them.
-  std::vector<transport::EndpointNews> HeardHere()
-  {
-    const int64_t now = EventLoop::NowMs();
-    std::vector<transport::EndpointNews> news;
-    std::erase_if(heardHere_, [&](const auto& aPair) {
-      const auto* known = dispatcher_.Endpoints().Find(aPair.first);
-      if (known != nullptr) {
-        news.push_back({ *known, now - aPair.second });
-      }
-      return known == nullptr || now - aPair.second > known->leaseMs_;
-    });
-    return news;
-  }
-
-  std::vector<model::Announcement> AnnouncedHere()
-  {
-    std::vector<model::Announcement> announcements;
-    for (const auto& news : HeardHere()) {
-      announcements.push_back(news.announcement_);
-    }
-    return announcements;
-  }
-
   void OnConfig(const ledger::ConfigDelta& aDelta)
   {
     const int64_t before = config_.Revision();
@@ -528,16 +453,12 @@
   std::unique_ptr<Biller> biller_;
   std::optional<RouterServices> services_;
   std::unique_ptr<CallerApi> callers_;
-  EndpointApi endpointApi_;
+  OwnEndpoints ownEndpoints_;
   std::unique_ptr<OperatorApi> operators_;
-  std::unique_ptr<OrderRunner> orders_;
-  std::unique_ptr<HealthChecker> health_;
   std::unique_ptr<ForwardRole> forward_;
   control::MetricsServer metricsServer_;
   transport::Timer tick_;
 
-  /// When endpoints were last heard by this router itself.
-  std::map<std::string, int64_t> heardHere_;
   int64_t neededRevision_ = 0;
   int64_t lastHeartbeatMs_ = 0;
   bool heartbeatOpen_ = false;
--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -405,10 +405,10 @@
   }
   const bool mayHaveRun = attempts_.MayHaveRun();
   const RunState state = mayHaveRun ? RunState::kMayHaveRun : RunState::kNotRun;
-  const int status = ForwardStatusOf(aStatus, state);
   const int64_t retryAfter =
     NeedsTopUp(model::KindOf(aStatus)) ? kTopUpWaitMs : plan_.retryAfterMs_();
-  ReplyForwardError(*exchange_, aStatus, state, mayHaveRun ? 0 : retryAfter);
+  const int status =
+    ReplyForwardError(*exchange_, aStatus, state, mayHaveRun ? 0 : retryAfter);
   if (mayHaveRun) {
     record_.EndUnknown(aStatus, EndWith(status));
   } else {
--- a/packages/router/src/request/RouterServices.cpp
+++ b/packages/router/src/request/RouterServices.cpp
@@ -2,6 +2,18 @@
 
 namespace cactuswick::router {
 
+RouterLimits
+LimitsOf(const settings::Settings& aSettings)
+{
+  return { .queueLimit_ = aSettings.Get(settings::kQueueLimit),
+           .maxInFlight_ = aSettings.Get(settings::kMaxInFlight),
+           .maxAnswerBytes_ = aSettings.Get(settings::kMaxAnswerBytes),
+           .connectTimeoutMs_ = aSettings.Get(settings::kConnectTimeoutMs),
+           .firstByteTimeoutMs_ = aSettings.Get(settings::kFirstByteTimeoutMs),
+           .progressTimeoutMs_ = aSettings.Get(settings::kProgressTimeoutMs),
+           .settleTimeoutMs_ = aSettings.Get(settings::kSettleTimeoutMs) };
+}
+
 AttemptsOptions
 AttemptsOf(RouterServices& aServices, const RequestInfo& aInfo)
 {
--- a/packages/router/src/request/RouterServices.h
+++ b/packages/router/src/request/RouterServices.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 
+#include "cactuswick/settings/process/Settings.h"
 #include "cactuswick/telemetry/process/BurnTable.h"
 #include "cactuswick/telemetry/process/Metrics.h"
 #include "process/Biller.h"
@@ -25,6 +26,9 @@
   int64_t settleTimeoutMs_ = 0;
 };
 
+RouterLimits
+LimitsOf(const settings::Settings& aSettings);
+
 /// What a request needs of the router that serves it.
 struct RouterServices
 {
--- a/packages/routing/include/cactuswick/routing/process/EndpointTable.h
+++ b/packages/routing/include/cactuswick/routing/process/EndpointTable.h
@@ -53,7 +53,6 @@
   /// Tokens that the engine is expected to read.
   ledger::Tokens toRead_ = 0;
   /// The engine is expected to have the shared part.
-  bool hasPrefix_ = false;
 };
 
 /// The endpoints that one router knows, their load, limits and health.
--- a/packages/routing/src/process/EndpointTable.cpp
+++ b/packages/routing/src/process/EndpointTable.cpp
@@ -36,24 +36,6 @@
 /// How fast an engine's delay is forgotten.
 constexpr double kDelayFadesMs = 4'000;
 
-bool
-IsNewer(const model::Announcement& aNew, const model::Announcement& aOld)
-{
-  if (aNew.incarnation_ != aOld.incarnation_) {
-    return aNew.incarnation_ > aOld.incarnation_;
-  }
-  return aNew.sequence_ > aOld.sequence_;
-}
-
-/// Same in all that placement looks at, except load.
-bool
-IsRenewal(const model::Announcement& aNew, model::Announcement aOld)
-{
-  aOld.sequence_ = aNew.sequence_;
-  aOld.inFlight_ = aNew.inFlight_;
-  return aNew == aOld;
-}
-
 } // namespace
 
 EndpointTable::EndpointTable(EndpointTableOptions aOptions)
@@ -79,11 +61,11 @@
     return true;
   }
   Endpoint& endpoint = found->second;
-  if (!IsNewer(aAnnouncement, endpoint.announcement_)) {
+  if (model::OrderOf(aAnnouncement) <= model::OrderOf(endpoint.announcement_)) {
     return false;
   }
   DropOthersAt(aAnnouncement);
-  const bool renewal = IsRenewal(aAnnouncement, endpoint.announcement_);
+  const bool renewal = model::IsRenewal(aAnnouncement, endpoint.announcement_);
   if (aAnnouncement.incarnation_ != endpoint.announcement_.incarnation_) {
     endpoint.failures_ = 0;
     endpoint.ejectedUntilMs_ = 0;
@@ -264,7 +246,7 @@
     if (best == nullptr || cost < bestCost || tieGoesHere) {
       best = endpoint;
       bestCost = cost;
-      place = { endpoint->announcement_.endpoint_, toRead, hasPrefix };
+      place = { endpoint->announcement_.endpoint_, toRead };
     }
   }
   ++best->inFlight_;
--- a/tests/system/faulty_disk.cpp
+++ b/tests/system/faulty_disk.cpp
@@ -39,13 +39,18 @@
   return length > 0 && strncmp(state, aState, strlen(aState)) == 0;
 }
 
+/// Whether a write there has to fail, with errno set.
 bool
-IsFullFor(int aHandle)
+Refuses(int aHandle)
 {
   struct stat status
   {};
-  return fstat(aHandle, &status) == 0 && S_ISREG(status.st_mode) &&
-         DiskIs("full");
+  const bool refuses =
+    fstat(aHandle, &status) == 0 && S_ISREG(status.st_mode) && DiskIs("full");
+  if (refuses) {
+    errno = ENOSPC;
+  }
+  return refuses;
 }
 
 void
@@ -62,22 +67,14 @@
 write(int aHandle, const void* aData, size_t aSize)
 {
   static const auto kNext = Next(&write, "write");
-  if (IsFullFor(aHandle)) {
-    errno = ENOSPC;
-    return -1;
-  }
-  return kNext(aHandle, aData, aSize);
+  return Refuses(aHandle) ? -1 : kNext(aHandle, aData, aSize);
 }
 
 extern "C" ssize_t
 writev(int aHandle, const iovec* aParts, int aCount)
 {
   static const auto kNext = Next(&writev, "writev");
-  if (IsFullFor(aHandle)) {
-    errno = ENOSPC;
-    return -1;
-  }
-  return kNext(aHandle, aParts, aCount);
+  return Refuses(aHandle) ? -1 : kNext(aHandle, aParts, aCount);
 }
 
 extern "C" int
--- a/tests/system/platform_run.py
+++ b/tests/system/platform_run.py
@@ -157,9 +157,9 @@
                         "election_ms": 300},
             "log": {"format": "json"}})
         self.start(f"c{number}", BIN / "cactuswickd", "--config", settings,
-                   env=self.disk_environment(number))
+                   env=self.control_environment(number))
 
-    def disk_environment(self, number):
+    def control_environment(self, number):
         return {"LD_PRELOAD": str(FAULTY_DISK),
                 "FAULTY_DISK": str(self.disk_state(number))}
 
@@ -185,12 +185,17 @@
                 return int(host.split(".")[-1])
         return None
 
+    def router_control(self):
+        """How routers find control."""
+        return {"control": self.seeds(), "control_port": 7001}
+
     def start_forwarder(self, number):
         settings = self.write_settings(f"r{number}", {
             "process": {"vm": f"r{number}", "roles": "router",
                         "failure_domain": self.domain(number)},
             "router": {"peer_listen": self.router_peer_listen(number),
-                       "control": self.seeds(), "control_port": 7001},
+                       "peer_advertise": self.router_peer_address(number),
+                       **self.router_control()},
             "forward": {"listen": self.forward_address(number),
                         "ready_listen": self.ready_address(number),
                         "leave_ms": 500, "grace_s": 4},
--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -26,7 +26,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "tools"))
 
 from bench import CutDeployment  # noqa: E402
-from deployment import BIN, request, wait_for  # noqa: E402
+from deployment import wait_for  # noqa: E402
 from platform_run import HOST, KEY, PlatformRun, Runner  # noqa: E402
 
 CONTROLS = 3
@@ -43,49 +43,20 @@
 class SoakRun(CutDeployment, PlatformRun):
     """Forwarding routers and control replicas, each link with a forwarder."""
 
-    def control_settings(self, number):
-        replicas = ", ".join(
-            f"c{n}@{self.control_address('', n)}@{self.domain(n)}"
-            for n in range(1, self.controls + 1))
-        return self.write_settings(f"c{number}", {
-            "process": {"vm": f"c{number}", "roles": "control",
-                        "failure_domain": self.domain(number)},
-            "control": {"listen": self.control_listen(number),
-                        "data_dir": self.directory / f"c{number}.data",
-                        "replicas": replicas,
-                        "api_listen": self.control_api(number),
-                        "entry_listen": self.entry_address(number),
-                        "endpoint_heartbeat_ms": 200,
-                        "election_ms": 300},
-            "log": {"format": "json"}})
-
-    def start_replica(self, number, founds="false"):
-        settings = self.control_settings(number)
-        if not (self.directory / f"c{number}.data" / "identity").exists():
-            subprocess.run([BIN / "cactuswickd", "--config", settings,
-                            "--bootstrap", "first"], check=True)
-        self.start(f"c{number}", BIN / "cactuswickd", "--config", settings,
-                   env=self.disk_environment(number))
-
-    def start_forwarder(self, number):
-        control = ", ".join(self.control_address("", n)
-                            for n in range(1, self.controls + 1))
-        settings = self.write_settings(f"r{number}", {
-            "process": {"vm": f"r{number}", "roles": "router",
-                        "failure_domain": self.domain(number)},
-            "router": {"peer_listen": self.router_peer_listen(number),
-                       "peer_advertise": self.router_peer_address(number),
-                       "control": control},
-            "forward": {"listen": self.forward_address(number),
-                        "ready_listen": self.ready_address(number),
-                        "leave_ms": 500, "grace_s": 4},
-            "log": {"format": "json"}})
-        self.start(f"r{number}", BIN / "cactuswickd", "--config", settings)
+    def control_settings(self, number, **more):
+        return super().control_settings(
+            number, api_listen=self.control_api(number),
+            entry_listen=self.entry_address(number),
+            endpoint_heartbeat_ms=200, election_ms=300, **more)
+
+    def router_control(self):
+        return {"control": ", ".join(self.control_address("", n)
+                                     for n in range(1, self.controls + 1))}
 
     def start_again(self, name):
         number = int(name[1:])
         if name[0] == "c":
-            self.start_replica(number)
+            self.start_control(number)
         else:
             self.start_forwarder(number)
 
@@ -430,7 +401,8 @@
 def soak(seed, seconds=12):
     """Runs one seed; returns what is broken, the faults and some figures."""
     choice = random.Random(seed)
-    run = SoakRun(controls=CONTROLS, routers=ROUTERS)
+    run = SoakRun(controls=CONTROLS, routers=ROUTERS,
+                  settings={"log": {"format": "json"}})
     run.runners = []
     broken = []
     faults = Faults(run, choice, seconds)
@@ -438,7 +410,7 @@
     spent = 0
     try:
         for number in range(1, CONTROLS + 1):
-            run.start_replica(number)
+            run.start_control(number)
         for number in range(1, ROUTERS + 1):
             run.start_forwarder(number)
         run.tenants = [{"Name": "w", "ApiKeys": [KEY], "Prepaid": PREPAID}]
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -136,7 +136,7 @@
         path.write_text("\n".join(lines) + "\n")
         return path
 
-    def control_settings(self, number):
+    def control_settings(self, number, **more):
         replicas = ", ".join(
             f"c{n}@{self.control_address(number, n)}@{self.domain(n)}"
             for n in range(1, self.controls + 1))
@@ -146,9 +146,14 @@
             "control": {"listen": self.control_listen(number),
                         "metrics_listen": f"{self.net}.0.{number}:7003",
                         "data_dir": self.directory / f"c{number}.data",
-                        "replicas": replicas},
+                        "replicas": replicas, **more},
             "log": {}})
 
+    def control_environment(self, number):
+        """What is added to the environment of a control replica."""
+        del number
+        return {}
+
     def router_settings(self, number):
         return self.write_settings(f"r{number}", {
             "process": {"vm": f"r{number}", "roles": "router",
@@ -183,7 +188,8 @@
                    else ["--bootstrap", "first"])
             subprocess.run([BIN / "cactuswickd", "--config", settings, *how],
                            check=True)
-        self.start(f"c{number}", BIN / "cactuswickd", "--config", settings)
+        self.start(f"c{number}", BIN / "cactuswickd", "--config", settings,
+                   env=self.control_environment(number))
 
     def start_router(self, number):
         self.start(f"r{number}", BIN / "cactuswickd", "--config",
