--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -148,6 +148,7 @@
   toRead_ = aToRead;
   answer_ = {};
   body_.clear();
+  continuesAfter_ = started_ ? events_.LastId() : "";
   const int64_t left =
     std::max(int64_t{ 1 }, plan_.deadlineMs_ - EventLoop::NowMs());
   const auto address = transport::ParseAddress("address", aEndpoint.address_);
@@ -390,7 +391,20 @@
   if (attempts_.IsAtEndpoint()) {
     NotePromptRead();
   }
-  attempts_.Leave(aOutcome, aWhat);
+  attempts_.Leave(aOutcome, DescribeEnd(aWhat));
+}
+
+std::string
+ForwardExchange::DescribeEnd(std::string_view aWhat) const
+{
+  std::string text(aWhat);
+  if (answer_.status_ != 0) {
+    model::AppendTo(text, "/", answer_.status_);
+  }
+  if (!continuesAfter_.empty()) {
+    model::AppendTo(text, "@", continuesAfter_);
+  }
+  return text;
 }
 
 void
--- a/packages/router/src/request/ForwardExchange.h
+++ b/packages/router/src/request/ForwardExchange.h
@@ -89,6 +89,9 @@
   void NotePromptRead();
   void NoteDispatched();
   void LeaveEndpoint(routing::AttemptOutcome aOutcome, std::string_view aWhat);
+  /// How an attempt ended, with the answer's status, and the event after
+  /// which it was to go on.
+  std::string DescribeEnd(std::string_view aWhat) const;
   void Fail(const absl::Status& aStatus);
   /// Lets go of all that the request holds and notes what it used.
   void Settle();
@@ -110,6 +113,8 @@
   EventSplitter events_;
   /// Prompt tokens that the endpoint is taken to read until its first event.
   ledger::Tokens toRead_ = 0;
+  /// Last event that the caller had when this attempt began; empty for none.
+  std::string continuesAfter_;
   /// The answer to the caller has begun.
   bool started_ = false;
   /// An answer that is no stream has gone to the caller, whole or in part.
