--- a/tests/system/platform_run.py
+++ b/tests/system/platform_run.py
@@ -30,7 +30,8 @@
         # Seconds that a call takes, and between the events of a stream.
         self.work_s = 0
         self.gap_s = 0
-        # How the next requests end: "", "refuse", "reset" or "break".
+        # How the next requests end: "", "refuse", "reset", "break" (off in the
+        # middle of the third event) or "fail".
         self.fault = ""
         host, port = self.address.split(":")
         runner = self
@@ -61,17 +62,15 @@
         length = int(call.headers.get("Content-Length", 0))
         body = call.rfile.read(length)
         self.seen.append({"path": call.path, "body": body,
+                          "at": time.monotonic(), "runner": self,
                           "headers": dict(call.headers),
                           "ran": self.fault != "refuse"})
         if self.fault == "reset":
             call.close_connection = True
             call.connection.close()
             return
-        if self.fault == "refuse":
-            call.send_response(503)
-            call.send_header("X-Not-Executed", "1")
-            call.send_header("Content-Length", "0")
-            call.end_headers()
+        if self.fault in ("refuse", "fail"):
+            self.answer_error(call)
             return
         call.send_response(200)
         call.send_header("X-Request-Id", call.headers["X-Request-Id"])
@@ -85,6 +84,20 @@
         call.end_headers()
         call.wfile.write(answer)
 
+    def answer_error(self, call):
+        """Says that the request did not run, or that it failed."""
+        body = b"no event of any stream\n\n"
+        if self.fault == "refuse":
+            call.send_response(503)
+            call.send_header("X-Not-Executed", "1")
+        else:
+            call.send_response(500)
+            call.send_header("X-Response-Stamp", f"stamp-{self.id}")
+        call.send_header("X-Request-Id", call.headers["X-Request-Id"])
+        call.send_header("Content-Length", str(len(body)))
+        call.end_headers()
+        call.wfile.write(body)
+
     def stream(self, call):
         call.send_header("Content-Type", "text/event-stream")
         call.send_header("Transfer-Encoding", "chunked")
