A failure or a refusal is never the end of a stream that has begun

A stream framed as complete that is not, with the body of another endpoint's answer behind its last event.

Cause: when a stream breaks off, the request goes on at another endpoint. The end of that attempt was judged by itself: a 500 that is whole by its framing was "whole", so the stream to the caller was ended as complete, and the bytes of any answer that is no success were sent on because the answer "had begun". The class: an attempt is judged without what earlier attempts have already given the caller.

Now a pure decision, EndOfAnswer, is told whether the caller already has events: a failure then counts as a failed attempt, which goes on elsewhere or cuts the stream; what a refusal or a failure says is dropped. An answer without a length that is closed inside an event counts as cut, too.

--- a/packages/router/src/request/EventSplitter.h
+++ b/packages/router/src/request/EventSplitter.h
@@ -16,6 +16,8 @@
 
   /// Forgets a half event, before the stream goes on elsewhere.
   void DropRest() { rest_.clear(); }
+  /// There are bytes behind the last whole event.
+  bool HasRest() const { return !rest_.empty(); }
   /// Bytes behind the last whole event.
   std::string TakeRest();
 
--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -6,6 +6,7 @@
 #include "cactuswick/model/process/Error.h"
 #include "cactuswick/model/process/Hash.h"
 #include "cactuswick/telemetry/process/Log.h"
+#include "request/AnswerEnd.h"
 
 namespace cactuswick::router {
 
@@ -18,7 +19,6 @@
 using transport::EventLoop;
 
 constexpr int kHttpMisdirected = 421;
-constexpr int kHttpServerError = 500;
 /// Longest wait for a connection to an endpoint.
 constexpr int64_t kConnectMs = 700;
 /// An attempt with less time than this left is not worth making.
@@ -102,6 +102,12 @@
                             });
 }
 
+bool
+ForwardExchange::ContinuesStream() const
+{
+  return IsStream() && events_.Count() > 0;
+}
+
 std::optional<routing::PromptLoad>
 ForwardExchange::Prompt() const
 {
@@ -193,11 +199,6 @@
                          "the answer belongs to another request"));
     return;
   }
-  // A resumed stream keeps the head of its first answer.
-  const bool keepsHead = started_ && answer.IsSuccess();
-  if (keepsHead) {
-    answer.headers_ = std::move(answer_.headers_);
-  }
   answer_ = std::move(answer);
 }
 
@@ -211,6 +212,10 @@
     OnEvents(events_.Feed(aData));
     return;
   }
+  if (ContinuesStream()) {
+    // What a refusal or a failure says is no part of the stream.
+    return;
+  }
   if (!started_) {
     body_.append(aData);
   }
@@ -263,32 +268,64 @@
   }
   const bool sent = call_->WasDispatched();
   attempts_.NoteEnd(sent);
-  const bool whole = aStatus.ok() && answer_.status_ != 0;
-  if (whole && answer_.notRun_) {
-    OnNotRun();
-    return;
+  const AnswerEnd end =
+    EndOfAnswer({ .framingIsWhole_ = aStatus.ok(),
+                  .endsByClose_ = call_->EndsByClose(),
+                  .status_ = answer_.status_,
+                  .notRun_ = answer_.notRun_,
+                  .continuesStream_ = ContinuesStream(),
+                  .hasHalfEvent_ = IsStream() && events_.HasRest() });
+  switch (end) {
+    case AnswerEnd::kNotRun:
+      OnNotRun();
+      return;
+    case AnswerEnd::kWhole:
+      OnWholeAnswer();
+      return;
+    case AnswerEnd::kServerError:
+      OnServerError();
+      return;
+    case AnswerEnd::kCannotFollow:
+      OnRanInVain("server_error",
+                  MakeError(ErrorKind::kUpstreamFailed,
+                            attempts_.Endpoint().endpoint_,
+                            "the endpoint did not go on with the stream"),
+                  sent);
+      return;
+    case AnswerEnd::kCut:
+      OnRanInVain(sent ? "cut" : "unreached",
+                  aStatus.ok() ? MakeError(ErrorKind::kUpstreamFailed,
+                                           attempts_.Endpoint().endpoint_,
+                                           "the answer broke off")
+                               : aStatus,
+                  sent);
   }
-  const bool ownFailure =
-    answer_.status_ >= kHttpServerError && plan_.route_.IsIdempotent();
-  const bool repeats = whole && ownFailure && !started_ && MayRepeat(true);
-  if (whole && !repeats) {
+}
+
+void
+ForwardExchange::OnServerError()
+{
+  const bool repeats =
+    plan_.route_.IsIdempotent() && !started_ && MayRepeat(true);
+  if (!repeats) {
     OnWholeAnswer();
     return;
   }
-  if (sent) {
+  attempts_.NoteMayHaveRun();
+  LeaveEndpoint(AttemptOutcome::kFailed, "server_error");
+  Enqueue();
+}
+
+void
+ForwardExchange::OnRanInVain(std::string_view aWhat,
+                             const absl::Status& aStatus,
+                             bool aArrived)
+{
+  if (aArrived) {
     attempts_.NoteMayHaveRun();
   }
-  LeaveEndpoint(AttemptOutcome::kFailed,
-                whole ? "server_error" : (sent ? "cut" : "unreached"));
-  if (repeats) {
-    Enqueue();
-    return;
-  }
-  OnAttemptFailed(aStatus.ok() ? MakeError(ErrorKind::kUpstreamFailed,
-                                           attempts_.Endpoint().endpoint_,
-                                           "no answer")
-                               : aStatus,
-                  sent);
+  LeaveEndpoint(AttemptOutcome::kFailed, aWhat);
+  OnAttemptFailed(aStatus, aArrived);
 }
 
 void
--- a/packages/router/src/request/ForwardExchange.h
+++ b/packages/router/src/request/ForwardExchange.h
@@ -76,6 +76,11 @@
   void OnEvents(const std::string& aEvents);
   void OnCallDone(const absl::Status& aStatus);
   void OnNotRun();
+  void OnServerError();
+  /// The attempt brought nothing that the caller can use.
+  void OnRanInVain(std::string_view aWhat,
+                   const absl::Status& aStatus,
+                   bool aArrived);
   void OnWholeAnswer();
   /// @p aArrived says that the endpoint may have read the request.
   void OnAttemptFailed(const absl::Status& aStatus, bool aArrived);
@@ -85,6 +90,8 @@
   void OnSlowCaller();
 
   bool IsStream() const;
+  /// The caller already has events, of whichever attempt.
+  bool ContinuesStream() const;
   std::optional<routing::PromptLoad> Prompt() const;
   void NotePromptRead();
   void NoteDispatched();
--- a/packages/transport/include/cactuswick/transport/connection/HttpCall.h
+++ b/packages/transport/include/cactuswick/transport/connection/HttpCall.h
@@ -54,6 +54,9 @@
   /// False while not one byte can have reached the endpoint.
   bool WasDispatched() const;
 
+  /// The head of the answer says neither a length nor chunks.
+  bool EndsByClose() const;
+
   /// Stops or resumes reading the answer, while its taker is slow.
   void SetReading(bool aReading);
 
--- a/packages/transport/src/connection/HttpCall.cpp
+++ b/packages/transport/src/connection/HttpCall.cpp
@@ -188,8 +188,8 @@
   {
     auto* self = static_cast<State*>(aSelf);
     evkeyvalq* input = evhttp_request_get_input_headers(aRequest);
-    self->endless_ =
-      !self->options_.acceptsUnframed_ && !SaysWhereItEnds(input);
+    self->endsByClose_ = !SaysWhereItEnds(input);
+    self->endless_ = !self->options_.acceptsUnframed_ && self->endsByClose_;
     self->idleMs_ = IdleMsOf(input);
     if (self->finished_ || self->endless_) {
       return -1;
@@ -251,6 +251,7 @@
   evhttp_request* request_ = nullptr;
   int64_t idleMs_ = 0;
   bool dispatched_ = false;
+  bool endsByClose_ = false;
   bool endless_ = false;
   bool tooLong_ = false;
   bool finished_ = false;
@@ -292,4 +293,10 @@
   return state_->dispatched_;
 }
 
+bool
+HttpCall::EndsByClose() const
+{
+  return state_->endsByClose_;
+}
+
 } // namespace cactuswick::transport
