An endpoint's answer without an end is given up before it fills the memory

What callers would see: an endpoint that sends bytes without an end, in the head or where a chunk, its size or a trailer is due, was read until the deadline, and all that it sent was kept (up to 64 MiB for an announced chunk, any amount otherwise); interim answers without an end kept the call busy. Cause: evhttp's limit of a head was never set, and it has none for a line with a chunk's size, for a chunk that is not whole, for interim answers, and for bytes that come while the request is still being written. Now a head has at most 64 KiB, and the bytes since the last piece of the answer at most 1 MiB, whatever evhttp waits for; there are at most 16 interim answers, and they are no part of the answer. Beyond that the call ends at once with kTooLarge and its connection is closed. Tests: all 12 cases of HttpCallEndless failed before: the server sent its cap of 16 MiB each time, and the call ended only with the server's own close. They pass now. HttpCallSlowTaker passes before and after: data stops when it is told to.

--- a/packages/transport/src/connection/HttpCall.cpp
+++ b/packages/transport/src/connection/HttpCall.cpp
@@ -24,6 +24,14 @@
 /// A kept connection is left this long before its server closes it.
 constexpr int64_t kIdleMarginMs = 600;
 constexpr int64_t kMsPerSecond = 1'000;
+/// Most bytes of an answer's head, and with it of its trailers.
+constexpr size_t kMaxHeadBytes = size_t{ 64 } << 10;
+/// Most bytes that come without a piece of the answer's body among them, such
+/// as those of a chunk that is not whole. evhttp holds them.
+constexpr size_t kMaxUnparsedBytes = size_t{ 1 } << 20;
+/// Most interim answers before the answer.
+constexpr int kMaxInterimAnswers = 16;
+constexpr int kHttpContinue = 100;
 
 evhttp_cmd_type
 ToCommand(const std::string& aMethod)
@@ -98,8 +106,11 @@
     }
     evhttp_connection_set_max_body_size(
       connection_.get(), static_cast<ev_ssize_t>(options_.maxBodyBytes_));
+    evhttp_connection_set_max_headers_size(
+      connection_.get(), static_cast<ev_ssize_t>(kMaxHeadBytes));
     bufferevent* stream = evhttp_connection_get_bufferevent(connection_.get());
     evbuffer_add_cb(bufferevent_get_output(stream), &OnOutput, this);
+    evbuffer_add_cb(bufferevent_get_input(stream), &OnInput, this);
     request_ = evhttp_request_new(&OnComplete, this);
     evhttp_request_set_header_cb(request_, &OnHeaders);
     evhttp_request_set_chunked_cb(request_, &OnData);
@@ -146,11 +157,12 @@
   {
     bufferevent* stream = evhttp_connection_get_bufferevent(connection_.get());
     evbuffer* output = bufferevent_get_output(stream);
+    evbuffer* input = bufferevent_get_input(stream);
     evbuffer_remove_cb(output, &OnOutput, this);
-    const bool clean =
-      bufferevent_getfd(stream) >= 0 && idleMs_ > 0 &&
-      evbuffer_get_length(bufferevent_get_input(stream)) == 0 &&
-      evbuffer_get_length(output) == 0;
+    evbuffer_remove_cb(input, &OnInput, this);
+    const bool clean = bufferevent_getfd(stream) >= 0 && idleMs_ > 0 &&
+                       evbuffer_get_length(input) == 0 &&
+                       evbuffer_get_length(output) == 0;
     if (options_.pool_ != nullptr && clean) {
       options_.pool_->Give(options_.address_, std::move(connection_), idleMs_);
     }
@@ -184,10 +196,45 @@
     }
   }
 
+  /// Bounds what evhttp holds, whatever it waits for.
+  static void OnInput(evbuffer*, const evbuffer_cb_info* aInfo, void* aSelf)
+  {
+    auto* self = static_cast<State*>(aSelf);
+    self->unparsedBytes_ += aInfo->n_added;
+    if (self->unparsedBytes_ > kMaxUnparsedBytes && !self->finished_) {
+      self->GiveUp();
+    }
+  }
+
+  /// evhttp is in the middle of the bytes that are too many.
+  void GiveUp()
+  {
+    if (!std::exchange(tooLong_, true)) {
+      loop_.Defer([this] { FinishTooLarge(); });
+    }
+  }
+
+  void FinishTooLarge()
+  {
+    Finish(ErrorKind::kTooLarge, "the answer is too large");
+  }
+
+  /// evhttp adds the headers of interim answers to those of the answer.
+  bool TakeInterim(evkeyvalq* aHeaders)
+  {
+    evhttp_clear_headers(aHeaders);
+    tooLong_ |= ++interimAnswers_ > kMaxInterimAnswers;
+    return !tooLong_ && !finished_;
+  }
+
   static int OnHeaders(evhttp_request* aRequest, void* aSelf)
   {
     auto* self = static_cast<State*>(aSelf);
     evkeyvalq* input = evhttp_request_get_input_headers(aRequest);
+    if (evhttp_request_get_response_code(aRequest) == kHttpContinue) {
+      return self->TakeInterim(input) ? 0 : -1;
+    }
+    self->unparsedBytes_ = 0;
     self->endless_ =
       !self->options_.acceptsUnframed_ && !SaysWhereItEnds(input);
     self->idleMs_ = IdleMsOf(input);
@@ -216,6 +263,7 @@
     if (self->finished_) {
       return;
     }
+    self->unparsedBytes_ = 0;
     self->timer_.StartOnce(self->options_.progressTimeoutMs_);
     if (self->options_.onData_) {
       self->options_.onData_(data);
@@ -224,7 +272,11 @@
 
   static void OnError(evhttp_request_error aError, void* aSelf)
   {
-    static_cast<State*>(aSelf)->tooLong_ = aError == EVREQ_HTTP_DATA_TOO_LONG;
+    auto* self = static_cast<State*>(aSelf);
+    // To evhttp a head that is too long is an invalid one.
+    const bool longHead = aError == EVREQ_HTTP_INVALID_HEADER &&
+                          self->unparsedBytes_ > kMaxHeadBytes;
+    self->tooLong_ |= longHead || aError == EVREQ_HTTP_DATA_TOO_LONG;
   }
 
   static void OnComplete(evhttp_request* aRequest, void* aSelf)
@@ -237,7 +289,7 @@
       self->KeepConnection();
       self->Finish(absl::OkStatus());
     } else if (self->tooLong_) {
-      self->Finish(ErrorKind::kTooLarge, "the answer is too large");
+      self->FinishTooLarge();
     } else {
       self->Finish(ErrorKind::kUpstreamFailed,
                    self->dispatched_ ? "the answer was cut" : "cannot connect");
@@ -250,6 +302,9 @@
   HttpConnectionPointer connection_;
   evhttp_request* request_ = nullptr;
   int64_t idleMs_ = 0;
+  /// Bytes read since the last piece of the answer.
+  size_t unparsedBytes_ = 0;
+  int interimAnswers_ = 0;
   bool dispatched_ = false;
   bool endless_ = false;
   bool tooLong_ = false;
