A caller's bytes that cannot be taken are bounded by the limit of a request

A caller that sent a chunk-size line without an end, or went on sending behind a request that was being answered by a stream, filled the memory of the router: evhttp reads on in both cases and has no limit for either. Now a connection that holds more than a whole request of the largest size, and 64 KiB, is closed. Tests: HttpServerEndless/ChunkSizeLine and /BytesBehindARequest failed before (the server read the caller's cap of 16 MiB) and pass now; heads, chunks and trailers were bounded already, and so were messages between routers (PeerListenerEndless passes before and after).

--- a/packages/transport/src/connection/HttpServer.cpp
+++ b/packages/transport/src/connection/HttpServer.cpp
@@ -3,6 +3,8 @@
 #include <filesystem>
 #include <iterator>
 
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/listener.h>
 
@@ -15,6 +17,8 @@
 constexpr int64_t kMsPerSecond = 1'000;
 constexpr int64_t kUsPerMs = 1'000;
 constexpr int64_t kLimitCheckMs = 100;
+/// Bytes that a caller may have sent beyond a whole request.
+constexpr size_t kMoreInputBytes = size_t{ 64 } << 10;
 
 size_t
 CountDescriptors()
@@ -24,6 +28,20 @@
   return error ? 0 : static_cast<size_t>(std::distance(begin(open), end(open)));
 }
 
+/// Closes a connection whose caller sends more than its limit while nothing
+/// of it can be taken, as behind a request that is still being answered.
+void
+OnInput(evbuffer* aInput, const evbuffer_cb_info* aInfo, void* aStream)
+{
+  auto* stream = static_cast<bufferevent*>(aStream);
+  size_t most = 0;
+  bufferevent_getwatermark(stream, EV_READ, nullptr, &most);
+  if (aInfo->n_added > 0 && evbuffer_get_length(aInput) >= most) {
+    bufferevent_trigger_event(
+      stream, BEV_EVENT_READING | BEV_EVENT_EOF, BEV_TRIG_DEFER_CALLBACKS);
+  }
+}
+
 struct HttpDeleter
 {
   void operator()(evhttp* aServer) const { evhttp_free(aServer); }
@@ -39,6 +57,19 @@
   evhttp_bound_socket* socket_ = nullptr;
   std::unique_ptr<Timer> limitCheck_;
 
+  static bufferevent* OnConnection(event_base* aBase, void* aSelf)
+  {
+    const HttpLimits& limits = static_cast<State*>(aSelf)->options_.limits_;
+    bufferevent* stream = bufferevent_socket_new(aBase, -1, 0);
+    bufferevent_setwatermark(stream,
+                             EV_READ,
+                             0,
+                             limits.maxHeaderBytes_ + limits.maxBodyBytes_ +
+                               kMoreInputBytes);
+    evbuffer_add_cb(bufferevent_get_input(stream), &OnInput, stream);
+    return stream;
+  }
+
   static void OnRequest(evhttp_request* aRequest, void* aSelf)
   {
     auto* self = static_cast<State*>(aSelf);
@@ -58,6 +89,7 @@
                              EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
                                EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD |
                                EVHTTP_REQ_PATCH | EVHTTP_REQ_OPTIONS);
+  evhttp_set_bevcb(server, &State::OnConnection, state_.get());
   evhttp_set_gencb(server, &State::OnRequest, state_.get());
 }
 
@@ -84,6 +116,7 @@
 HttpServer::SetLimits(const HttpLimits& aLimits)
 {
   evhttp* server = state_->server_.get();
+  state_->options_.limits_ = aLimits;
   evhttp_set_max_headers_size(server,
                               static_cast<ev_ssize_t>(aLimits.maxHeaderBytes_));
   evhttp_set_max_body_size(server,
--- a/tests/transport/connection/HttpServerTest.cpp
+++ b/tests/transport/connection/HttpServerTest.cpp
@@ -1,8 +1,14 @@
 #include "cactuswick/transport/connection/HttpServer.h"
 
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
 #include <gtest/gtest.h>
 
-#include "connection/LoopbackCaller.h"
+#include "connection/EndlessCaller.h"
 
 namespace cactuswick::transport {
 namespace {
@@ -35,5 +41,76 @@
   EXPECT_LT(closedAfterMs, 5 * kIdleMs);
 }
 
+class HttpServerEndless : public testing::TestWithParam<EndlessCase>
+{};
+
+TEST_P(HttpServerEndless, ReadsOnlySoMuchOfACaller)
+{
+  constexpr size_t kCapBytes = size_t{ 16 } << 20;
+  // The limits of head and body, and what the system holds.
+  constexpr size_t kMostBytes = size_t{ 8 } << 20;
+  EventLoop loop;
+  std::vector<std::unique_ptr<HttpExchange>> answered;
+  HttpServer server(loop, { .onRequest_ = [&](auto aExchange) {
+                      aExchange->StartStream(200, {});
+                      aExchange->SendChunk("begun");
+                      answered.push_back(std::move(aExchange));
+                    } });
+  ASSERT_TRUE(server.Listen({ OwnHost(), kPort }).ok());
+  size_t sent = 0;
+  Waker done(loop, [&] { loop.Stop(); });
+  std::thread caller([&] {
+    sent = SendWithoutEnd(kPort, GetParam(), kCapBytes);
+    done.Wake();
+  });
+  loop.Run();
+  caller.join();
+  EXPECT_LT(sent, kMostBytes);
+}
+
+TEST(HttpServer, TakesABodyOfTheLargestSize)
+{
+  const HttpLimits limits;
+  EventLoop loop;
+  size_t bodyBytes = 0;
+  HttpServer server(loop,
+                    { .limits_ = limits, .onRequest_ = [&](auto aExchange) {
+                       bodyBytes = aExchange->Body().size();
+                       loop.Stop();
+                     } });
+  ASSERT_TRUE(server.Listen({ OwnHost(), kPort }).ok());
+  const EndlessCase request{ "Largest",
+                             "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                               std::to_string(limits.maxBodyBytes_) +
+                               "\r\n\r\n",
+                             "a" };
+  std::thread caller(
+    [&] { SendWithoutEnd(kPort, request, limits.maxBodyBytes_); });
+  Timer late(loop, [&] { loop.Stop(); });
+  late.StartOnce(10'000);
+  loop.Run();
+  caller.join();
+  EXPECT_EQ(bodyBytes, limits.maxBodyBytes_);
+}
+
+const std::string kChunked =
+  "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+  Requests,
+  HttpServerEndless,
+  testing::Values(EndlessCase{ "RequestLine", "GET /", "a" },
+                  EndlessCase{ "HeaderLine", "GET / HTTP/1.1\r\nX-A: ", "a" },
+                  EndlessCase{ "Headers", "GET / HTTP/1.1\r\n", "X-A: a\r\n" },
+                  EndlessCase{ "ChunkSizeLine", kChunked, "0" },
+                  EndlessCase{ "Chunks", kChunked, "4\r\naaaa\r\n" },
+                  EndlessCase{ "Chunk", kChunked + "3000000\r\n", "a" },
+                  EndlessCase{ "TrailerLine", kChunked + "0\r\nX-A: ", "a" },
+                  EndlessCase{ "Trailers", kChunked + "0\r\n", "X-A: a\r\n" },
+                  EndlessCase{ "BytesBehindARequest",
+                               "GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+                               "a" }),
+  [](const auto& aInfo) { return aInfo.param.name_; });
+
 } // namespace
 } // namespace cactuswick::transport
--- /dev/null
+++ b/tests/transport/connection/PeerListenerTest.cpp
@@ -0,0 +1,67 @@
+#include "cactuswick/transport/connection/PeerListener.h"
+
+#include <string>
+#include <thread>
+
+#include <gtest/gtest.h>
+
+#include "connection/EndlessCaller.h"
+
+namespace cactuswick::transport {
+namespace {
+
+constexpr uint16_t kPort = 18'961;
+
+const std::string kHandshake =
+  "GET /peer HTTP/1.1\r\nHost: cactuswick\r\nUpgrade: websocket\r\n"
+  "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+  "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
+
+/// A frame of 4 KiB, masked with zeros, that does not end its message.
+std::string
+Fragment(char aOpcode)
+{
+  constexpr size_t kFragmentBytes = size_t{ 4 } << 10;
+  return aOpcode + std::string("\xfe\x10\0\0\0\0\0", 7) +
+         std::string(kFragmentBytes, 'a');
+}
+
+class PeerListenerEndless : public testing::TestWithParam<EndlessCase>
+{};
+
+TEST_P(PeerListenerEndless, ClosesTheLinkBeforeItFillsTheMemory)
+{
+  constexpr size_t kCapBytes = size_t{ 64 } << 20;
+  // The longest message, and what the system holds.
+  constexpr size_t kMostBytes = size_t{ 40 } << 20;
+  EventLoop loop;
+  int closed = 0;
+  PeerListener listener(loop,
+                        { .onMessage_ = [](LinkId, const PeerMessage&) {},
+                          .onDown_ = [&](LinkId) { ++closed; } });
+  ASSERT_TRUE(listener.Listen({ OwnHost(), kPort }).ok());
+  size_t sent = 0;
+  Waker done(loop, [&] { loop.Stop(); });
+  std::thread caller([&] {
+    sent = SendWithoutEnd(kPort, GetParam(), kCapBytes);
+    done.Wake();
+  });
+  loop.Run();
+  caller.join();
+  EXPECT_LT(sent, kMostBytes);
+  EXPECT_EQ(closed, 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Bytes,
+  PeerListenerEndless,
+  testing::Values(
+    EndlessCase{ "Handshake", "GET /peer HTTP/1.1\r\nX-A: ", "a" },
+    EndlessCase{ "Frame",
+                 kHandshake + std::string("\x82\xff\0\0\0\0\x7f\0\0\0mask", 14),
+                 "a" },
+    EndlessCase{ "Fragments", kHandshake + Fragment(2), Fragment(0) }),
+  [](const auto& aInfo) { return aInfo.param.name_; });
+
+} // namespace
+} // namespace cactuswick::transport
