A stream's small pieces that wait for the caller count as the memory they take

Test: HttpExchange.ManySmallPiecesThatWaitCountAsTheMemoryThatTheyTake failed before (60129 counted for 10000 pieces) and passes now.

--- a/packages/transport/include/cactuswick/transport/connection/HttpExchange.h
+++ b/packages/transport/include/cactuswick/transport/connection/HttpExchange.h
@@ -51,7 +51,7 @@
   /// Starts a chunked answer.
   void StartStream(int aStatus, const Headers& aHeaders);
   void SendChunk(std::string_view aData);
-  /// Bytes of a stream that the caller has not taken yet.
+  /// Memory of a stream that the caller has not taken yet.
   size_t PendingBytes() const;
   void EndStream();
   /// Sends a last chunk, then cuts the connection without a clean end.
--- a/packages/transport/src/connection/HttpExchange.cpp
+++ b/packages/transport/src/connection/HttpExchange.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+/// What a piece takes at least while it waits, however short it is.
+constexpr size_t kPieceBytes = 512;
+
 struct BufferDeleter
 {
   void operator()(evbuffer* aBuffer) const { evbuffer_free(aBuffer); }
@@ -260,7 +263,10 @@
   }
   bufferevent* stream =
     evhttp_connection_get_bufferevent(evhttp_request_get_connection(request_));
-  return evbuffer_get_length(bufferevent_get_output(stream));
+  evbuffer* output = bufferevent_get_output(stream);
+  const int pieces = evbuffer_peek(output, -1, nullptr, nullptr, 0);
+  return evbuffer_get_length(output) +
+         static_cast<size_t>(pieces) * kPieceBytes;
 }
 
 void
--- a/tests/transport/connection/HttpExchangeTest.cpp
+++ b/tests/transport/connection/HttpExchangeTest.cpp
@@ -10,9 +10,9 @@
 constexpr uint16_t kPort = 18'931;
 
 int
-ConnectAndAsk()
+ConnectAndAsk(uint16_t aPort = kPort)
 {
-  const int handle = ConnectTo(kPort);
+  const int handle = ConnectTo(aPort);
   const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
   EXPECT_EQ(write(handle, request.data(), request.size()),
             static_cast<ssize_t>(request.size()));
@@ -56,6 +56,28 @@
   EXPECT_GT(rounds, 20);
 }
 
+TEST(HttpExchange, ManySmallPiecesThatWaitCountAsTheMemoryThatTheyTake)
+{
+  constexpr size_t kPieces = 10'000;
+  constexpr size_t kLeastPerPiece = 512;
+  EventLoop loop;
+  size_t pending = 0;
+  HttpServer server(
+    loop, { .onRequest_ = [&](std::unique_ptr<HttpExchange> aExchange) {
+      aExchange->StartStream(200, {});
+      for (size_t i = 0; i < kPieces; ++i) {
+        aExchange->SendChunk("a");
+      }
+      pending = aExchange->PendingBytes();
+      loop.Stop();
+    } });
+  ASSERT_TRUE(server.Listen({ OwnHost(), kPort + 2 }).ok());
+  const int handle = ConnectAndAsk(kPort + 2);
+  loop.Run();
+  close(handle);
+  EXPECT_GE(pending, kPieces * kLeastPerPiece);
+}
+
 TEST(HttpExchange, KeepsUriAndHeadersAsTheyWereSent)
 {
   EventLoop loop;
