A stream whose event never ends is given up; each byte is looked at once

What callers would see: an endpoint that sends one event without an end held the caller until the deadline, and the router kept all of it and looked through all of it at each piece. Events that came together in one large piece were looked through again for each event. Now an event has at most 256 KiB. Beyond that the attempt has failed as one that broke off: the endpoint counts as failed, the stream goes on elsewhere or the caller gets 502, and the request's line says `endless` (so for every kTooLarge). Tests: the Overlong tests of EventSplitter and AnswerMeter failed before (with a stub of IsOverlong that says what was true: never); the SmallPieces tests did not end within 30 s (AnswerMeter) and over a minute (EventSplitter) before, and take 21 and 9 ms now.

--- a/packages/router/src/request/AnswerMeter.cpp
+++ b/packages/router/src/request/AnswerMeter.cpp
@@ -38,7 +38,8 @@
   buffer_.append(aData);
   std::string ready;
   size_t start = 0;
-  for (size_t end = buffer_.find(kEventEnd); end != std::string::npos;
+  for (size_t end = buffer_.find(kEventEnd, searchFrom_);
+       end != std::string::npos;
        end = buffer_.find(kEventEnd, start)) {
     end += kEventEnd.size();
     const auto event = std::string_view(buffer_).substr(start, end - start);
@@ -48,6 +49,8 @@
     start = end;
   }
   buffer_.erase(0, start);
+  // The break may have begun with the last byte.
+  searchFrom_ = buffer_.empty() ? 0 : buffer_.size() - 1;
   return ready;
 }
 
--- a/packages/router/src/request/EventSplitter.cpp
+++ b/packages/router/src/request/EventSplitter.cpp
@@ -7,15 +7,18 @@
 
 namespace {
 
-/// End of the first whole event, or npos.
+/// End of the first whole event, or npos. None ends at or before @p aFrom.
 size_t
-EndOfEvent(std::string_view aBytes)
+EndOfEvent(std::string_view aBytes, size_t aFrom)
 {
-  const auto endAfter = [&](std::string_view aBreak) {
-    const auto at = aBytes.find(aBreak);
-    return at == std::string_view::npos ? at : at + aBreak.size();
-  };
-  return std::min(endAfter("\n\n"), endAfter("\r\n\r\n"));
+  for (size_t at = aBytes.find('\n', aFrom); at != std::string_view::npos;
+       at = aBytes.find('\n', at + 1)) {
+    const std::string_view line = aBytes.substr(0, at);
+    if (line.ends_with('\n') || line.ends_with("\r\n\r")) {
+      return at + 1;
+    }
+  }
+  return std::string_view::npos;
 }
 
 /// Value of a line "id: value", or an empty view.
@@ -44,20 +47,32 @@
   rest_.append(aBytes);
   std::string_view left = rest_;
   size_t whole = 0;
-  for (size_t end = EndOfEvent(left); end != std::string_view::npos;
-       end = EndOfEvent(left)) {
+  for (size_t end = EndOfEvent(left, searched_); end != std::string_view::npos;
+       end = EndOfEvent(left, 0)) {
     OnEvent(left.substr(0, end));
     left.remove_prefix(end);
     whole += end;
+    searched_ = 0;
+  }
+  searched_ = left.size();
+  if (whole == 0) {
+    return {};
   }
   std::string events = rest_.substr(0, whole);
   rest_.erase(0, whole);
   return events;
 }
 
+void
+EventSplitter::DropRest()
+{
+  TakeRest();
+}
+
 std::string
 EventSplitter::TakeRest()
 {
+  searched_ = 0;
   return std::exchange(rest_, {});
 }
 
--- a/packages/router/src/request/EventSplitter.h
+++ b/packages/router/src/request/EventSplitter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -7,15 +8,22 @@
 namespace cactuswick::router {
 
 /// Cuts the bytes of an event stream into whole events, so that a stream that
-/// breaks off is never passed on with half an event. Pure.
+/// breaks off is never passed on with half an event. Pure. Answers the load of
+/// streams whose events come in many small pieces, or never end: each byte is
+/// looked at once, and the owner ends a stream that is overlong.
 class EventSplitter
 {
 public:
+  /// Most bytes of one event.
+  static constexpr size_t kMaxEventBytes = size_t{ 256 } << 10;
+
   /// Takes bytes; returns those of the events that they complete.
   std::string Feed(std::string_view aBytes);
 
   /// Forgets a half event, before the stream goes on elsewhere.
-  void DropRest() { rest_.clear(); }
+  void DropRest();
+  /// More bytes than an event may have are behind the last whole event.
+  bool IsOverlong() const { return rest_.size() > kMaxEventBytes; }
   /// Bytes behind the last whole event.
   std::string TakeRest();
 
@@ -29,6 +37,8 @@
   void OnEvent(std::string_view aEvent);
 
   std::string rest_;
+  /// Bytes of the rest in which no event ends.
+  size_t searched_ = 0;
   std::string lastId_;
   int64_t count_ = 0;
 };
--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -32,6 +32,16 @@
 /// Callers whose budget is used up come back when it may have been raised.
 constexpr int64_t kTopUpWaitMs = 30'000;
 
+/// How an attempt that brought no whole answer stands in the history.
+std::string_view
+NameOfCut(const absl::Status& aStatus, bool aSent)
+{
+  if (model::KindOf(aStatus) == ErrorKind::kTooLarge) {
+    return "endless";
+  }
+  return aSent ? "cut" : "unreached";
+}
+
 /// What the record keeps of a forwarded request. There may be too many
 /// workspaces to keep objectives for each of them.
 RequestInfo
@@ -208,6 +218,11 @@
   }
   if (IsStream() && answer_.IsSuccess()) {
     OnEvents(events_.Feed(aData));
+    if (events_.IsOverlong()) {
+      OnCallDone(MakeError(ErrorKind::kTooLarge,
+                           attempts_.Endpoint().endpoint_,
+                           "an event of the stream does not end"));
+    }
     return;
   }
   if (!started_) {
@@ -278,7 +293,7 @@
     attempts_.NoteMayHaveRun();
   }
   LeaveEndpoint(AttemptOutcome::kFailed,
-                whole ? "server_error" : (sent ? "cut" : "unreached"));
+                whole ? "server_error" : NameOfCut(aStatus, sent));
   if (repeats) {
     Enqueue();
     return;
--- a/packages/router/src/request/ModelExchange.cpp
+++ b/packages/router/src/request/ModelExchange.cpp
@@ -123,6 +123,11 @@
   }
   if (httpStatus_ == kHttpOk && request_.stream_) {
     Forward(meter_.Feed(aData));
+    if (!ended_ && meter_.IsOverlong()) {
+      OnDone(MakeError(ErrorKind::kTooLarge,
+                       attempts_.Endpoint().endpoint_,
+                       "an event of the stream does not end"));
+    }
     return;
   }
   if (body_.size() + aData.size() <=
--- a/tests/router/request/AnswerMeterTest.cpp
+++ b/tests/router/request/AnswerMeterTest.cpp
@@ -1,3 +1,5 @@
+#include <chrono>
+
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
@@ -34,6 +36,28 @@
   EXPECT_FALSE(meter.IsWhole());
 }
 
+TEST(AnswerMeter, AnEventWithoutAnEndIsOverlongBeforeItFillsTheMemory)
+{
+  AnswerMeter meter;
+  meter.Feed(kToken);
+  meter.Feed(std::string(AnswerMeter::kMaxEventBytes, 'a'));
+  EXPECT_FALSE(meter.IsOverlong());
+  meter.Feed("a");
+  EXPECT_TRUE(meter.IsOverlong());
+}
+
+TEST(AnswerMeter, AnEventInSmallPiecesIsNotLookedThroughAgainAndAgain)
+{
+  constexpr auto kMost = std::chrono::seconds(1);
+  const auto start = std::chrono::steady_clock::now();
+  AnswerMeter meter;
+  for (size_t i = 0; i < AnswerMeter::kMaxEventBytes; ++i) {
+    meter.Feed(i % 2 == 0 ? "a" : "\n");
+  }
+  EXPECT_LT(std::chrono::steady_clock::now() - start, kMost);
+  EXPECT_EQ(meter.Feed("\n").size(), AnswerMeter::kMaxEventBytes + 1);
+}
+
 RC_GTEST_PROP(AnswerMeterProperty, AnySplitGivesTheSameAnswer, ())
 {
   std::string answer;
--- a/tests/router/request/EventSplitterTest.cpp
+++ b/tests/router/request/EventSplitterTest.cpp
@@ -1,3 +1,5 @@
+#include <chrono>
+
 #include <gtest/gtest.h>
 
 #include "request/EventSplitter.h"
@@ -49,5 +51,41 @@
   }
 }
 
+TEST(EventSplitter, AnEventWithoutAnEndIsOverlongBeforeItFillsTheMemory)
+{
+  EventSplitter events;
+  EXPECT_EQ(events.Feed("id: 1\n\ndata: "), "id: 1\n\n");
+  events.Feed(std::string(EventSplitter::kMaxEventBytes / 2, 'a'));
+  EXPECT_FALSE(events.IsOverlong());
+  events.Feed(std::string(EventSplitter::kMaxEventBytes / 2, 'a'));
+  EXPECT_TRUE(events.IsOverlong());
+  events.DropRest();
+  EXPECT_FALSE(events.IsOverlong());
+  EXPECT_EQ(events.Feed("id: 2\n\n"), "id: 2\n\n");
+}
+
+TEST(EventSplitter, ManyWholeEventsAtOnceAreNotOverlong)
+{
+  std::string whole;
+  while (whole.size() <= 2 * EventSplitter::kMaxEventBytes) {
+    whole += "data: a\n\n";
+  }
+  EventSplitter events;
+  EXPECT_EQ(events.Feed(whole), whole);
+  EXPECT_FALSE(events.IsOverlong());
+}
+
+TEST(EventSplitter, AnEventInSmallPiecesIsNotLookedThroughAgainAndAgain)
+{
+  constexpr auto kMost = std::chrono::seconds(1);
+  const auto start = std::chrono::steady_clock::now();
+  EventSplitter events;
+  for (size_t i = 0; i < EventSplitter::kMaxEventBytes; ++i) {
+    events.Feed(i % 2 == 0 ? "a" : "\n");
+  }
+  EXPECT_LT(std::chrono::steady_clock::now() - start, kMost);
+  EXPECT_EQ(events.Feed("\n").size(), EventSplitter::kMaxEventBytes + 1);
+}
+
 } // namespace
 } // namespace cactuswick::router
