A health answer without an end is not read on

The router needs only the status of its own calls to endpoints, but read up to 64 MiB of their bodies. Now 64 KiB are enough, beyond that the check has failed. Test: EndpointCalls.AHealthAnswerWithoutAnEndIsNotReadOn failed before (read to the test's cap of 8 MiB) and passes now.

--- a/packages/router/src/process/EndpointCalls.cpp
+++ b/packages/router/src/process/EndpointCalls.cpp
@@ -4,6 +4,13 @@
 
 namespace cactuswick::router {
 
+namespace {
+
+/// Most bytes of an answer, of which only the status is of use.
+constexpr size_t kMaxAnswerBytes = size_t{ 64 } << 10;
+
+} // namespace
+
 EndpointCalls::EndpointCalls(transport::EventLoop& aLoop,
                              EndpointCallsOptions aOptions)
   : loop_(aLoop)
@@ -32,6 +39,7 @@
       .connectTimeoutMs_ = options_.timeoutMs_,
       .firstByteTimeoutMs_ = options_.timeoutMs_,
       .progressTimeoutMs_ = options_.timeoutMs_,
+      .maxBodyBytes_ = kMaxAnswerBytes,
       .onHeaders_ =
         [this, name](int aStatus, const transport::Headers&) {
           running_[name].httpStatus_ = aStatus;
