System tests of answers without an end, of all kinds, on real processes

An endpoint's head, interim answers, chunk size, chunk, trailers, body or event comes without an end, 8 calls at once at one router. Other requests at the same router are served meanwhile, its resident memory stays under the 88 MB of the smallest routers, and the callers of the bad endpoint get another endpoint's answer, as far as the retry budget goes, or 502, or a cut body.

--- a/tests/system/platform_run.py
+++ b/tests/system/platform_run.py
@@ -6,6 +6,7 @@
 import threading
 import time
 
+import endless
 from deployment import BIN, Deployment, HttpAnswer, request, wait_for
 
 HOST = "shop.example"
@@ -30,7 +31,8 @@
         # Seconds that a call takes, and between the events of a stream.
         self.work_s = 0
         self.gap_s = 0
-        # How the next requests end: "", "refuse", "reset" or "break".
+        # How the next requests end: "", "refuse", "reset", "break" or one of
+        # endless.ENDLESS.
         self.fault = ""
         host, port = self.address.split(":")
         runner = self
@@ -67,6 +69,11 @@
             call.close_connection = True
             call.connection.close()
             return
+        if self.fault in endless.ENDLESS:
+            call.close_connection = True
+            endless.pour(self.fault, call.connection,
+                         call.headers["X-Request-Id"])
+            return
         if self.fault == "refuse":
             call.send_response(503)
             call.send_header("X-Not-Executed", "1")
@@ -255,6 +262,10 @@
         return request(self.ready_address(router), "GET",
                        "/cactuswick/readyz").status == 200
 
+    def log_lines(self):
+        """What all processes have logged so far."""
+        return (self.directory / "log").read_text().splitlines()
+
     def wait_ready(self, routers=(1, 2)):
         for router in routers:
             wait_for(lambda r=router: self.is_ready(r), 15,
--- a/tests/system/test_platform.py
+++ b/tests/system/test_platform.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+import endless
 from deployment import request, wait_for
 from platform_run import HOST, PlatformRun, Runner
 
@@ -16,6 +17,12 @@
 # and this much later at most after a disturbance (StretchMaxMs).
 ACK_SECONDS = 4
 STRETCH_SECONDS = 5
+# Memory of the smallest routers that users have, and calls at an endpoint at
+# once, as many as it has slots.
+ROUTER_KB = 88 << 10
+BAD_CALLS = 8
+# Sends that one of two routers may repeat at once: half of retry_slack, shared.
+REPEATS = 5
 
 
 @pytest.fixture
@@ -163,6 +170,88 @@
             f"id: {i}\ndata: e{i}\n\n" for i in range(1, 6))
 
 
+def ask_bad_ones(run, path):
+    """Answers to many requests at once, and what else happens meanwhile.
+
+    Returns the answers, the statuses of requests to a sound service at the
+    same router, and the most memory that the router held.
+    """
+    others, most_kb = [], 0
+    with concurrent.futures.ThreadPoolExecutor(BAD_CALLS + 1) as pool:
+        bad = [pool.submit(run.ask, f"{path}{number}", request_id=f"b{number}")
+               for number in range(BAD_CALLS)]
+        good_path = "/call/good" if path == "/stream/" else "/stream/good"
+        good = pool.submit(run.ask, good_path)
+        while not all(future.done() for future in bad):
+            if good.done():
+                others.append(good.result())
+                good = pool.submit(run.ask, good_path)
+            most_kb = max(most_kb, endless.resident_kb(run.processes["r1"]))
+            time.sleep(0.002)
+        others.append(good.result())
+    return [future.result() for future in bad], others, most_kb
+
+
+def attempts_of(run):
+    return [line for line in run.log_lines() if "attempts=" in line]
+
+
+def check_repeated(bad, answers, is_right):
+    """As many as may be are repeated elsewhere, and the rest has failed."""
+    assert bad.seen
+    assert all(a.whole for a in answers)
+    served = [a for a in answers if a.status == 200]
+    assert all(is_right(a) for a in served)
+    failed = [a.status for a in answers if a.status != 200]
+    assert set(failed) <= {502}
+    assert len(failed) <= max(0, len(bad.seen) - REPEATS)
+
+
+@pytest.mark.parametrize("kind", [*endless.HEADS, *endless.PARTS])
+def test_an_answer_without_an_end_is_given_up_and_asked_for_elsewhere(
+        run, kind):
+    run.runners[0].fault = kind
+    answers, others, most_kb = ask_bad_ones(run, "/call/")
+    check_repeated(run.runners[0], answers,
+                   lambda a: a.body.startswith("i-2 /call/"))
+    assert {a.status for a in others} == {200}
+    assert most_kb < ROUTER_KB
+    assert any("i-1:endless" in line for line in attempts_of(run))
+
+
+@pytest.mark.parametrize("kind", [*endless.HEADS, *endless.PARTS])
+def test_an_answer_without_an_end_may_have_run_and_fills_no_memory(run, kind):
+    run.runners[0].fault = run.runners[1].fault = kind
+    answers, others, most_kb = ask_bad_ones(run, "/once/")
+    assert {a.status for a in answers} <= {502, 503}
+    ran = [call["path"] for runner in run.runners[:2] for call in runner.seen]
+    failed = [a for a in answers if a.status == 502]
+    assert failed and len(failed) == len(ran) == len(set(ran))
+    assert {a.status for a in others} == {200}
+    assert most_kb < ROUTER_KB
+
+
+@pytest.mark.parametrize("kind", endless.BODIES)
+def test_a_body_without_an_end_is_cut_and_fills_no_memory(run, kind):
+    run.runners[0].fault = run.runners[1].fault = kind
+    answers, others, most_kb = ask_bad_ones(run, "/call/")
+    # Never a whole answer: cut off, failed, or not run at all.
+    assert all(not a.whole or a.status >= 500 for a in answers)
+    assert {a.status for a in others} == {200}
+    assert most_kb < ROUTER_KB
+
+
+@pytest.mark.parametrize("kind", [*endless.EVENTS, *endless.HEADS])
+def test_a_stream_whose_event_never_ends_goes_on_elsewhere(run, kind):
+    run.runners[2].fault = kind
+    answers, others, most_kb = ask_bad_ones(run, "/stream/")
+    whole = "".join(f"id: {i}\ndata: e{i}\n\n" for i in range(1, 6))
+    check_repeated(run.runners[2], answers, lambda a: a.body == whole)
+    assert {a.status for a in others} == {200}
+    assert most_kb < ROUTER_KB
+    assert any("i-3:endless" in line for line in attempts_of(run))
+
+
 def test_a_leaving_endpoint_gets_nothing_new(run):
     run.runners[0].state = "draining"
     assert run.runners[0].tell().status == 200
