--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -32,6 +32,16 @@
 /// Callers whose budget is used up come back when it may have been raised.
 constexpr int64_t kTopUpWaitMs = 30'000;
 
+/// How an attempt that brought no whole answer stands in the history.
+std::string_view
+NameOfCut(const absl::Status& aStatus, bool aSent)
+{
+  if (model::KindOf(aStatus) == ErrorKind::kTooLarge) {
+    return "endless";
+  }
+  return aSent ? "cut" : "unreached";
+}
+
 /// What the record keeps of a forwarded request. There may be too many
 /// workspaces to keep objectives for each of them.
 RequestInfo
@@ -210,6 +220,11 @@
   }
   if (IsStream() && answer_.IsSuccess()) {
     OnEvents(events_.Feed(aData));
+    if (events_.IsOverlong()) {
+      OnCallDone(MakeError(ErrorKind::kTooLarge,
+                           attempts_.Endpoint().endpoint_,
+                           "an event of the stream does not end"));
+    }
     return;
   }
   if (ContinuesStream()) {
@@ -293,7 +308,7 @@
                   sent);
       return;
     case AnswerEnd::kCut:
-      OnRanInVain(sent ? "cut" : "unreached",
+      OnRanInVain(NameOfCut(aStatus, sent),
                   aStatus.ok() ? MakeError(ErrorKind::kUpstreamFailed,
                                            attempts_.Endpoint().endpoint_,
                                            "the answer broke off")
