Control says why a leader steps down and with what a turn stood

- "leads no more" says which of the two it was, from whom a newer term came and how long each member has not been heard.
- A turn that stands over a quarter of the election timeout gets one line, at most one a second: time, processor time, messages by kind, sends and bytes.
- One line for each lost and regained link between replicas.

--- a/packages/control/src/connection/MemberLinks.cpp
+++ b/packages/control/src/connection/MemberLinks.cpp
@@ -3,8 +3,24 @@
 #include <algorithm>
 #include <utility>
 
+#include "cactuswick/model/process/Text.h"
+#include "cactuswick/telemetry/process/Log.h"
+
 namespace cactuswick::control {
 
+namespace {
+
+void
+LogLink(std::string_view aWhat, const transport::Address& aAddress)
+{
+  telemetry::Log(
+    telemetry::Part::kControl,
+    telemetry::Level::kInfo,
+    model::Concat(aWhat, " link to replica address=", aAddress.ToString()));
+}
+
+} // namespace
+
 MemberLinks::MemberLinks(transport::EventLoop& aLoop,
                          MemberLinksOptions aOptions)
   : loop_(aLoop)
@@ -18,10 +34,18 @@
 {
   return std::make_unique<transport::PeerDialer>(
     loop_,
-    transport::PeerDialerOptions{ .address_ = aAddress,
-                                  .from_ = options_.from_,
-                                  .onUp_ = std::move(aOnUp),
-                                  .onMessage_ = options_.onMessage_ });
+    transport::PeerDialerOptions{
+      .address_ = aAddress,
+      .from_ = options_.from_,
+      .onUp_ =
+        [aAddress, onUp = std::move(aOnUp)] {
+          LogLink("has", aAddress);
+          if (onUp) {
+            onUp();
+          }
+        },
+      .onMessage_ = options_.onMessage_,
+      .onDown_ = [aAddress] { LogLink("lost", aAddress); } });
 }
 
 void
--- a/packages/control/src/process/ControlTask.cpp
+++ b/packages/control/src/process/ControlTask.cpp
@@ -1,5 +1,7 @@
 #include "cactuswick/control/process/ControlTask.h"
 
+#include <chrono>
+#include <ctime>
 #include <optional>
 #include <set>
 #include <utility>
@@ -8,12 +10,14 @@
 #include "cactuswick/control/process/MetricsServer.h"
 #include "cactuswick/telemetry/process/Log.h"
 #include "cactuswick/telemetry/process/Metrics.h"
+#include "cactuswick/transport/connection/PeerMessageFields.h"
 #include "connection/ControlService.h"
 #include "connection/LocalCalls.h"
 #include "connection/MemberLinks.h"
 #include "process/EndpointRelay.h"
 #include "process/Membership.h"
 #include "process/ReplicaDriver.h"
+#include "process/TurnWatch.h"
 #include "version/EntryList.h"
 
 namespace cactuswick::control {
@@ -26,6 +30,7 @@
 using telemetry::Level;
 using telemetry::Log;
 using telemetry::Part;
+using telemetry::Summary;
 using transport::EventLoop;
 
 constexpr int64_t kTickMs = 20;
@@ -34,6 +39,20 @@
 /// A leader's word on connected routers counts for this long; a new leader
 /// waits as long before it has one.
 constexpr int64_t kLivenessValidMs = 2'500;
+/// A turn is long that takes this part of the shortest election timeout.
+constexpr int64_t kLongTurnsPerElection = 4;
+
+/// Processor time that this thread has used.
+int64_t
+ProcessorMs()
+{
+  timespec used{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::seconds(used.tv_sec) +
+           std::chrono::nanoseconds(used.tv_nsec))
+    .count();
+}
 
 } // namespace
 
@@ -45,6 +64,9 @@
     : loop_(aLoop)
     , settings_(aSettings)
     , onFatal_(std::move(aOnFatal))
+    , turns_({ .intervalMs_ = kTickMs,
+               .longMs_ =
+                 aSettings.Get(settings::kElectionMs) / kLongTurnsPerElection })
     , tick_(aLoop, [this] { OnTick(); })
     , metricsServer_(aLoop, [this] { return ExposeMetrics(); })
     , driver_(aLoop, DriverOptions())
@@ -215,6 +237,7 @@
   void OnTick()
   {
     const int64_t now = EventLoop::NowMs();
+    WatchTurn(now);
     driver_.Replica().Tick(now);
     DialMembers();
     membership_->OnTick(now);
@@ -227,6 +250,21 @@
     }
   }
 
+  void WatchTurn(int64_t aNowMs)
+  {
+    const auto report = turns_.OnTick(aNowMs, ProcessorMs());
+    metrics_.Observe(Summary::kTurnMs,
+                     static_cast<double>(turns_.LastStoodMs()));
+    if (report) {
+      Log(Part::kControl,
+          Level::kWarning,
+          Concat("turn stood long ",
+                 Describe(*report),
+                 " leads=",
+                 driver_.Leads() ? 1 : 0));
+    }
+  }
+
   void SpreadLiveness()
   {
     if (driver_.Leads()) {
@@ -250,14 +288,27 @@
     return std::nullopt;
   }
 
+  /// Messages of the log; notes who ends this replica's lead.
+  void OnRaft(LinkId aLink, const transport::RaftEnvelope& aMessage)
+  {
+    links_->NoteSender(aMessage.message_, aLink);
+    const ledger::Term before = driver_.Replica().CurrentTerm();
+    driver_.Replica().Receive(aMessage.message_, EventLoop::NowMs());
+    if (driver_.Replica().CurrentTerm() > before) {
+      newTermFrom_ = std::visit([](const auto& aOne) { return aOne.from_; },
+                                aMessage.message_);
+    }
+    driver_.ScheduleFlush();
+  }
+
   void OnMessage(LinkId aLink, const transport::PeerMessage& aMessage)
   {
+    turns_.Handled(
+      std::visit([](const auto& aOne) { return TypeNameOf(&aOne); }, aMessage));
     if (const auto* raft = std::get_if<transport::RaftEnvelope>(&aMessage)) {
       // A folder made anew at the same address is another replica.
       if (raft->to_ == driver_.Id()) {
-        links_->NoteSender(raft->message_, aLink);
-        driver_.Replica().Receive(raft->message_, EventLoop::NowMs());
-        driver_.ScheduleFlush();
+        OnRaft(aLink, *raft);
       }
       return;
     }
@@ -287,17 +338,36 @@
   void OnLeadershipChange()
   {
     metrics_.Count(Counter::kElections);
+    const ledger::Term term = driver_.Replica().CurrentTerm();
     Log(Part::kControl,
         Level::kInfo,
-        Concat(driver_.Leads() ? "leads" : "leads no more",
-               " in term ",
-               driver_.Replica().CurrentTerm()));
+        driver_.Leads()
+          ? Concat("leads in term ", term)
+          : Concat("leads no more in term ", term, WhyNoMore(term)));
     leadsSinceMs_ = EventLoop::NowMs();
-    if (!driver_.Leads()) {
+    if (driver_.Leads()) {
+      ledTerm_ = term;
+    } else {
       service_->OnLeadershipLost();
     }
   }
 
+  std::string WhyNoMore(ledger::Term aTerm)
+  {
+    const ledger::Replica& replica = driver_.Replica();
+    std::string why = aTerm > ledTerm_
+                        ? Concat(": a newer term came from=", newTermFrom_)
+                        : ": no quorum was heard";
+    model::AppendTo(why, " led_term=", ledTerm_, " silent_ms=");
+    std::string_view separator;
+    for (const auto& member : replica.Members()) {
+      model::AppendTo(
+        why, separator, member.id_, ":", replica.SilenceOf(member.id_));
+      separator = ",";
+    }
+    return why;
+  }
+
   void OnApplied(const ledger::Entry& aEntry, const ledger::Reply& aReply)
   {
     service_->OnApplied(aEntry, aReply);
@@ -355,6 +425,9 @@
   std::function<void(absl::Status)> onFatal_;
   telemetry::Metrics metrics_;
 
+  TurnWatch turns_;
+  ledger::Term ledTerm_ = 0;
+  std::string newTermFrom_;
   int64_t lastLivenessMs_ = 0;
   int64_t leadsSinceMs_ = 0;
   std::vector<ledger::Incarnation> liveness_;
--- a/packages/telemetry/include/cactuswick/telemetry/process/Metrics.h
+++ b/packages/telemetry/include/cactuswick/telemetry/process/Metrics.h
@@ -30,6 +30,7 @@
   kLogSyncs,
   kElections,
   kSnapshots,
+  kPushedBytes,
 };
 
 /// Quantities whose distribution is estimated (P-square, Jain and Chlamtac);
@@ -43,6 +44,7 @@
   kCommitMs,
   kSyncMs,
   kWritesPerSync,
+  kTurnMs,
 };
 
 /// Values that go up and down.
--- a/packages/telemetry/src/process/Metrics.cpp
+++ b/packages/telemetry/src/process/Metrics.cpp
@@ -49,6 +49,7 @@
   Name{ "log_syncs_total" },
   Name{ "elections_total" },
   Name{ "snapshots_total" },
+  Name{ "pushed_bytes_total" },
 };
 constexpr std::array kSummaryNames = {
   Name{ "first_token_ms", "rank" },
@@ -58,6 +59,7 @@
   Name{ "commit_ms" },
   Name{ "sync_ms" },
   Name{ "writes_per_sync" },
+  Name{ "turn_ms" },
 };
 constexpr std::array kGaugeNames = {
   Name{ "in_flight" },
@@ -72,9 +74,9 @@
 };
 
 static_assert(kCounterNames.size() ==
-              static_cast<size_t>(Counter::kSnapshots) + 1);
+              static_cast<size_t>(Counter::kPushedBytes) + 1);
 static_assert(kSummaryNames.size() ==
-              static_cast<size_t>(Summary::kWritesPerSync) + 1);
+              static_cast<size_t>(Summary::kTurnMs) + 1);
 static_assert(kGaugeNames.size() ==
               static_cast<size_t>(Gauge::kSettledKeys) + 1);
 
