A router's start no longer costs control the cube of the number of routers

Cause as read in the code and shown by the test: each start or end of a router sent the list of all routers to every router, encoded anew for each, at once; a newcomer got the announcements of all endpoints, encoded for it alone. 72 starts are 72 lists of 72 records encoded 72 times, within the turns in which heartbeats are due.

- A delta holds the routers that are new or changed (a revision for each record) and, once one was forgotten, the incarnations that are left.
- EncodedMessage: pushes, news, recalls, messages to all replicas and the list of endpoints are encoded once for all links.
- PushPlan: changes within 100 ms share a push; newcomers first and at once; at most 16 pushes or 2 MB in a turn, after the heartbeats.

--- a/packages/control/src/connection/ControlService.cpp
+++ b/packages/control/src/connection/ControlService.cpp
@@ -146,10 +146,9 @@
     Redirect(aLink, 0);
     return;
   }
-  subscribers_[aLink] = { aMessage.incarnation_, aMessage.revision_ };
+  subscribers_[aLink] = { .incarnation_ = aMessage.incarnation_,
+                          .revision_ = aMessage.revision_ };
   PushConfig();
-  options_.send_(aLink, Members());
-  options_.send_(aLink, options_.endpoints_());
 }
 
 void
@@ -238,12 +237,15 @@
 ControlService::RecallFrom(const std::string& aBudget,
                            ledger::Incarnation aExcept) const
 {
+  std::set<ledger::Incarnation> holders;
   for (const auto& share : options_.ledger_.GrantsOf(aBudget)) {
-    for (const auto& [link, subscriber] : subscribers_) {
-      if (subscriber.incarnation_ == share.holder_ &&
-          share.holder_ != aExcept) {
-        options_.send_(link, transport::RecallGrant{ aBudget });
-      }
+    holders.insert(share.holder_);
+  }
+  holders.erase(aExcept);
+  const EncodedMessage recall(transport::RecallGrant{ aBudget });
+  for (const auto& [link, subscriber] : subscribers_) {
+    if (holders.contains(subscriber.incarnation_)) {
+      options_.sendEncoded_(link, recall);
     }
   }
 }
@@ -271,22 +273,75 @@
 void
 ControlService::PushConfig()
 {
-  const int64_t revision = options_.ledger_.Revision();
-  for (auto& [link, subscriber] : subscribers_) {
-    if (subscriber.revision_ < revision) {
-      options_.send_(link,
-                     transport::ConfigPush{
-                       options_.ledger_.ConfigSince(subscriber.revision_) });
-      subscriber.revision_ = revision;
+  if (allowance_.IsSpent()) {
+    return;
+  }
+  const auto due =
+    DuePushes(subscribers_, options_.ledger_.Revision(), options_.nowMs_());
+  for (const LinkId link : due) {
+    if (allowance_.IsSpent()) {
+      return;
     }
+    allowance_.Spend(PushTo(link, subscribers_[link]));
+  }
+}
+
+void
+ControlService::OnTurn()
+{
+  allowance_ = {};
+  PushConfig();
+}
+
+int64_t
+ControlService::PushTo(LinkId aLink, Subscriber& aSubscriber)
+{
+  std::vector<EncodedMessage> messages;
+  const int64_t revision = options_.ledger_.Revision();
+  if (aSubscriber.revision_ < revision) {
+    messages.push_back(DeltaSince(aSubscriber.revision_));
+    aSubscriber.revision_ = revision;
+    aSubscriber.pushedMs_ = options_.nowMs_();
+  }
+  if (!std::exchange(aSubscriber.greeted_, true)) {
+    messages.emplace_back(Members());
+    messages.push_back(options_.endpoints_());
   }
+  int64_t bytes = 0;
+  for (const auto& message : messages) {
+    options_.sendEncoded_(aLink, message);
+    bytes += static_cast<int64_t>(message.Bytes().size());
+  }
+  return bytes;
+}
+
+EncodedMessage
+ControlService::DeltaSince(int64_t aRevision)
+{
+  const int64_t revision = options_.ledger_.Revision();
+  if (std::exchange(deltasRevision_, revision) != revision) {
+    deltas_.clear();
+  }
+  const auto found = deltas_.find(aRevision);
+  if (found != deltas_.end()) {
+    return found->second;
+  }
+  return deltas_
+    .emplace(aRevision,
+             EncodedMessage(transport::ConfigPush{
+               options_.ledger_.ConfigSince(aRevision) }))
+    .first->second;
 }
 
 void
 ControlService::PushToRouters(const transport::PeerMessage& aMessage) const
 {
+  if (subscribers_.empty()) {
+    return;
+  }
+  const EncodedMessage message(aMessage);
   for (const auto& [link, subscriber] : subscribers_) {
-    options_.send_(link, aMessage);
+    options_.sendEncoded_(link, message);
   }
 }
 
@@ -330,6 +385,7 @@
   for (const auto& [link, subscriber] : std::exchange(subscribers_, {})) {
     Redirect(link, 0);
   }
+  deltas_.clear();
 }
 
 transport::QueryReply
--- a/packages/control/src/connection/ControlService.h
+++ b/packages/control/src/connection/ControlService.h
@@ -9,10 +9,12 @@
 #include "cactuswick/ledger/version/Ledger.h"
 #include "cactuswick/ledger/version/Replica.h"
 #include "cactuswick/transport/connection/PeerListener.h"
+#include "version/PushPlan.h"
 
 namespace cactuswick::control {
 
 using transport::CallId;
+using transport::EncodedMessage;
 using transport::LinkId;
 
 struct ControlServiceOptions
@@ -20,12 +22,14 @@
   const ledger::Ledger& ledger_;
   ledger::Replica& replica_;
   std::function<void(LinkId, const transport::PeerMessage&)> send_;
+  std::function<void(LinkId, const EncodedMessage&)> sendEncoded_;
   /// Asks for the effects of the replica to be carried out.
   std::function<void()> flush_;
   /// Replicas that asked to be added.
   std::function<std::vector<ledger::Member>()> waiting_;
   /// Endpoints known here, for a router that has just connected.
-  std::function<transport::Gossip()> endpoints_;
+  std::function<EncodedMessage()> endpoints_;
+  std::function<int64_t()> nowMs_ = &transport::EventLoop::NowMs;
 };
 
 /// Serves routers and operators at a control replica: proposals, reads
@@ -45,8 +49,11 @@
   void OnApplied(const ledger::Entry& aEntry, const ledger::Reply& aReply);
   void OnReadReady(ledger::ReadId aRead);
   void OnReadFailed(ledger::ReadId aRead);
-  /// Sends configuration to every subscriber that is behind.
+  /// Sends configuration to subscribers that are behind, as far as this turn
+  /// of the loop allows; later turns go on.
   void PushConfig();
+  /// Begins a turn of the loop.
+  void OnTurn();
   /// Sends a message to every subscriber.
   void PushToRouters(const transport::PeerMessage& aMessage) const;
   /// Tells subscribers of a changed set of replicas.
@@ -70,14 +77,12 @@
     transport::QueryRequest query_;
   };
 
-  struct Subscriber
-  {
-    ledger::Incarnation incarnation_ = 0;
-    int64_t revision_ = 0;
-  };
-
   void Redirect(LinkId aLink, CallId aCall);
   void Reject(LinkId aLink, CallId aCall, const absl::Status& aStatus);
+  /// The configuration since a revision, encoded once for all who have that.
+  EncodedMessage DeltaSince(int64_t aRevision);
+  /// Sends what a subscriber lacks; its size.
+  int64_t PushTo(LinkId aLink, Subscriber& aSubscriber);
   transport::QueryReply Answer(const transport::QueryRequest& aQuery) const;
   transport::ControlStatus Status() const;
   transport::ControlMembers Members() const;
@@ -94,6 +99,10 @@
   ledger::ReadId lastRead_ = 0;
   std::map<ledger::ReadId, PendingQuery> queries_;
   std::map<LinkId, Subscriber> subscribers_;
+  PushAllowance allowance_;
+  /// Encoded configuration up to @c deltasRevision_, by where it starts.
+  std::map<int64_t, EncodedMessage> deltas_;
+  int64_t deltasRevision_ = 0;
   transport::ControlMembers pushedMembers_;
 };
 
--- a/packages/control/src/connection/MemberLinks.cpp
+++ b/packages/control/src/connection/MemberLinks.cpp
@@ -95,8 +95,9 @@
 void
 MemberLinks::SendToAll(const transport::PeerMessage& aMessage)
 {
+  const transport::EncodedMessage message(aMessage);
   for (const auto& [id, dialer] : dialers_) {
-    dialer->Send(aMessage);
+    dialer->Send(message);
   }
 }
 
--- a/packages/control/src/process/ControlTask.cpp
+++ b/packages/control/src/process/ControlTask.cpp
@@ -177,6 +177,10 @@
         [this](LinkId aLink, const transport::PeerMessage& aMessage) {
           Answer(aLink, aMessage);
         },
+      .sendEncoded_ =
+        [this](LinkId aLink, const transport::EncodedMessage& aMessage) {
+          Push(aLink, aMessage);
+        },
       .flush_ = [this] { driver_.ScheduleFlush(); },
       .waiting_ = [this] { return membership_->Waiting(EventLoop::NowMs()); },
       .endpoints_ = [this] { return relay_->All(EventLoop::NowMs()); } });
@@ -224,6 +228,14 @@
     return seeds;
   }
 
+  void Push(LinkId aLink, const transport::EncodedMessage& aMessage)
+  {
+    const auto bytes = static_cast<int64_t>(aMessage.Bytes().size());
+    turns_.Sent(bytes);
+    metrics_.Count(Counter::kPushedBytes, bytes);
+    listener_->Send(aLink, aMessage);
+  }
+
   void Answer(LinkId aLink, const transport::PeerMessage& aMessage)
   {
     if (aLink != kLocalLink) {
@@ -239,11 +251,13 @@
     const int64_t now = EventLoop::NowMs();
     WatchTurn(now);
     driver_.Replica().Tick(now);
+    // Heartbeats go out before pushes.
+    driver_.ScheduleFlush();
     DialMembers();
     membership_->OnTick(now);
     relay_->OnTick(driver_.Leads(), now);
     local_.Expire(now);
-    driver_.ScheduleFlush();
+    loop_.Defer([this] { service_->OnTurn(); });
     if (now - lastLivenessMs_ >= kLivenessMs) {
       lastLivenessMs_ = now;
       SpreadLiveness();
--- a/packages/control/src/process/EndpointRelay.cpp
+++ b/packages/control/src/process/EndpointRelay.cpp
@@ -14,6 +14,8 @@
 using telemetry::Part;
 
 constexpr int64_t kFlushMs = 100;
+/// How much older than said an announcement in the list of all may be.
+constexpr int64_t kAllKeptMs = 1'000;
 /// A replica that has just begun to lead, or that stood still, gives
 /// endpoints this long to be heard before it calls any lost.
 constexpr int64_t kGraceMs = 6'000;
@@ -61,6 +63,7 @@
   const Hearing hearing = directory_.Hear(announcement, aNews.ageMs_, aNowMs);
   if (hearing == Hearing::kNews) {
     news_.endpoints_.push_back(aNews);
+    all_.reset();
     Log(
       Part::kEndpoint,
       Level::kInfo,
@@ -79,6 +82,7 @@
 EndpointRelay::OnRetired(const ledger::RetireEndpoint& aRetired)
 {
   directory_.Retire(aRetired.endpoint_, aRetired.incarnation_);
+  all_.reset();
   Log(Part::kEndpoint,
       Level::kInfo,
       Concat("leaves endpoint=",
@@ -106,6 +110,7 @@
                  lost.incarnation_,
                  ": not heard for its lease"));
       news_.lost_.push_back(std::move(lost));
+      all_.reset();
     }
   }
   if (aNowMs - lastFlushMs_ >= kFlushMs) {
@@ -127,10 +132,14 @@
   }
 }
 
-transport::Gossip
-EndpointRelay::All(int64_t aNowMs) const
+transport::EncodedMessage
+EndpointRelay::All(int64_t aNowMs)
 {
-  return { .endpoints_ = directory_.All(aNowMs) };
+  if (!all_ || aNowMs - allMadeMs_ >= kAllKeptMs) {
+    all_.emplace(transport::Gossip{ .endpoints_ = directory_.All(aNowMs) });
+    allMadeMs_ = aNowMs;
+  }
+  return *all_;
 }
 
 } // namespace cactuswick::control
--- a/packages/control/src/process/EndpointRelay.h
+++ b/packages/control/src/process/EndpointRelay.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <vector>
 
 #include "cactuswick/ledger/version/Records.h"
+#include "cactuswick/transport/connection/EncodedMessage.h"
 #include "process/EndpointDirectory.h"
 
 namespace cactuswick::control {
@@ -32,8 +34,9 @@
   /// Passes on what was heard and, at the leader, finds lost endpoints.
   void OnTick(bool aLeads, int64_t aNowMs);
 
-  /// Everything known, for a router that has just connected.
-  transport::Gossip All(int64_t aNowMs) const;
+  /// Everything known, for a router that has just connected; made anew after
+  /// a change, and otherwise once a second.
+  transport::EncodedMessage All(int64_t aNowMs);
   std::optional<int64_t> KnownIncarnation(const std::string& aEndpoint) const
   {
     return directory_.KnownIncarnation(aEndpoint);
@@ -47,6 +50,8 @@
   EndpointDirectory directory_;
   std::vector<transport::EndpointNews> heardHere_;
   transport::Gossip news_;
+  std::optional<transport::EncodedMessage> all_;
+  int64_t allMadeMs_ = 0;
   bool led_ = false;
   int64_t lastTickMs_ = 0;
   int64_t lastFlushMs_ = 0;
--- /dev/null
+++ b/packages/control/src/version/PushPlan.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "cactuswick/transport/connection/PeerListener.h"
+
+namespace cactuswick::control {
+
+/// Shortest time between two pushes of configuration to one subscriber.
+inline constexpr int64_t kPushIntervalMs = 100;
+/// Most that is pushed in one turn of the loop; one push always fits. At a
+/// turn each 20 ms, 340 subscribers get 400 KB each within 2 s.
+inline constexpr int64_t kTurnPushes = 16;
+inline constexpr int64_t kTurnPushBytes = int64_t{ 2 } << 20;
+
+/// A router that wants configuration.
+struct Subscriber
+{
+  int64_t incarnation_ = 0;
+  int64_t revision_ = 0;
+  /// Whether it was told all that a newcomer needs.
+  bool greeted_ = false;
+  int64_t pushedMs_ = -kPushIntervalMs;
+
+  bool operator==(const Subscriber&) const = default;
+};
+
+/// What may still be pushed in this turn.
+struct PushAllowance
+{
+  int64_t pushes_ = kTurnPushes;
+  int64_t bytes_ = kTurnPushBytes;
+
+  bool IsSpent() const { return pushes_ <= 0 || bytes_ <= 0; }
+  void Spend(int64_t aBytes);
+  bool operator==(const PushAllowance&) const = default;
+};
+
+/// Subscribers that are behind @p aRevision and may be sent to now: newcomers
+/// first, then whoever was sent to longest ago.
+std::vector<transport::LinkId>
+DuePushes(const std::map<transport::LinkId, Subscriber>& aSubscribers,
+          int64_t aRevision,
+          int64_t aNowMs);
+
+} // namespace cactuswick::control
--- a/packages/ledger/include/cactuswick/ledger/version/Ledger.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Ledger.h
@@ -151,7 +151,9 @@
   void Confirm(Incarnation aDead, Incarnation aWitness, bool aLost);
   void ConfirmEverywhere(Incarnation aWitness, bool aLost);
   void Reclaim(Incarnation aDead);
-  void RoutersChanged();
+  /// Routers are to hear of a change of this one.
+  void RouterChanged(RouterRecord& aRouter);
+  void ForgetRouter(Incarnation aIncarnation);
 
   void Expire();
   void ForgetKeys();
--- a/packages/ledger/include/cactuswick/ledger/version/Records.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Records.h
@@ -67,6 +67,8 @@
   LogTimeMs settledBeforeMs_ = 0;
   LogTimeMs lastSeenMs_ = 0;
   bool reportsLate_ = false;
+  /// When routers last had to hear of it.
+  int64_t revision_ = 0;
 
   bool operator==(const RouterRecord&) const = default;
 };
@@ -98,9 +100,11 @@
   int64_t revision_ = 0;
   LogTimeMs timeMs_ = 0;
   std::vector<model::Resource> resources_;
-  /// All routers, when any of them changed.
   bool routersChanged_ = false;
+  /// Routers that are new or changed.
   std::vector<RouterRecord> routers_;
+  /// All routers that are known, when any was forgotten; others are.
+  std::optional<std::vector<Incarnation>> knownRouters_;
   /// The deployment, when it changed.
   std::optional<DeploymentRecord> deployment_;
   std::vector<RetiredRecord> retired_;
@@ -193,6 +197,8 @@
 {
   int64_t revision_ = 0;
   int64_t routersRevision_ = 0;
+  /// When a router was last forgotten.
+  int64_t forgottenRevision_ = 0;
   Incarnation lastIncarnation_ = 0;
   LogTimeMs timeMs_ = 0;
   LogTimeMs forgottenThroughMs_ = -1;
@@ -309,7 +315,8 @@
     model::Field{ "applied_revision", &RouterRecord::appliedRevision_ },
     model::Field{ "settled_before_ms", &RouterRecord::settledBeforeMs_ },
     model::Field{ "last_seen_ms", &RouterRecord::lastSeenMs_ },
-    model::Field{ "reports_late", &RouterRecord::reportsLate_ });
+    model::Field{ "reports_late", &RouterRecord::reportsLate_ },
+    model::Field{ "revision", &RouterRecord::revision_ });
 }
 constexpr auto
 FieldsOf(const DeploymentRecord*)
@@ -337,6 +344,7 @@
     model::Field{ "resources", &ConfigDelta::resources_ },
     model::Field{ "routers_changed", &ConfigDelta::routersChanged_ },
     model::Field{ "routers", &ConfigDelta::routers_ },
+    model::Field{ "known_routers", &ConfigDelta::knownRouters_ },
     model::Field{ "deployment", &ConfigDelta::deployment_ },
     model::Field{ "retired", &ConfigDelta::retired_ });
 }
@@ -409,6 +417,7 @@
   return model::MakeFields(
     model::Field{ "revision", &CountersRecord::revision_ },
     model::Field{ "routers_revision", &CountersRecord::routersRevision_ },
+    model::Field{ "forgotten_revision", &CountersRecord::forgottenRevision_ },
     model::Field{ "last_incarnation", &CountersRecord::lastIncarnation_ },
     model::Field{ "time_ms", &CountersRecord::timeMs_ },
     model::Field{ "forgotten_through_ms",
--- a/packages/ledger/src/version/LedgerRouters.cpp
+++ b/packages/ledger/src/version/LedgerRouters.cpp
@@ -13,9 +13,18 @@
 } // namespace
 
 void
-Ledger::RoutersChanged()
+Ledger::RouterChanged(RouterRecord& aRouter)
 {
   counters_.routersRevision_ = ++counters_.revision_;
+  aRouter.revision_ = counters_.revision_;
+}
+
+void
+Ledger::ForgetRouter(Incarnation aIncarnation)
+{
+  routers_.erase(aIncarnation);
+  counters_.routersRevision_ = ++counters_.revision_;
+  counters_.forgottenRevision_ = counters_.revision_;
 }
 
 Reply
@@ -52,7 +61,7 @@
                   .settledBeforeMs_ = counters_.timeMs_,
                   .lastSeenMs_ = counters_.timeMs_,
                   .reportsLate_ = aCommand.reportsLate_ };
-  RoutersChanged();
+  RouterChanged(routers_[incarnation]);
   return Registered{ incarnation, counters_.revision_, counters_.timeMs_ };
 }
 
@@ -92,7 +101,7 @@
   }
   // Copies that the dead router held for others are lost with it.
   ConfirmEverywhere(aIncarnation, true);
-  RoutersChanged();
+  RouterChanged(dead);
   for (auto& [incarnation, router] : routers_) {
     if (router.state_ != RouterState::kEnded) {
       router.copiesLost_ = true;
@@ -159,8 +168,7 @@
     *share = 0;
     DropEmptyShare(budget, aDead);
   }
-  routers_.erase(aDead);
-  RoutersChanged();
+  ForgetRouter(aDead);
 }
 
 OpResult
@@ -204,8 +212,9 @@
 OpResult
 Ledger::OnOp(Incarnation aRouter, const SetDraining&)
 {
-  routers_[aRouter].state_ = RouterState::kDraining;
-  RoutersChanged();
+  RouterRecord& router = routers_[aRouter];
+  router.state_ = RouterState::kDraining;
+  RouterChanged(router);
   return Done{};
 }
 
--- a/packages/ledger/src/version/LedgerSnapshot.cpp
+++ b/packages/ledger/src/version/LedgerSnapshot.cpp
@@ -19,7 +19,15 @@
   delta.routersChanged_ = counters_.routersRevision_ > aRevision;
   if (delta.routersChanged_) {
     for (const auto& [incarnation, router] : routers_) {
-      delta.routers_.push_back(router);
+      if (router.revision_ > aRevision) {
+        delta.routers_.push_back(router);
+      }
+    }
+  }
+  if (counters_.forgottenRevision_ > aRevision) {
+    delta.knownRouters_.emplace();
+    for (const auto& [incarnation, router] : routers_) {
+      delta.knownRouters_->push_back(incarnation);
     }
   }
   if (deployment_.revision_ > aRevision) {
@@ -106,7 +114,14 @@
   }
   void operator()(const RouterRecord& aRecord) const
   {
-    ledger_.routers_[aRecord.incarnation_] = aRecord;
+    RouterRecord& router = ledger_.routers_[aRecord.incarnation_];
+    router = aRecord;
+    // From a snapshot that does not say what changed when.
+    if (router.revision_ == 0) {
+      auto& counters = ledger_.counters_;
+      router.revision_ = counters.routersRevision_;
+      counters.forgottenRevision_ = counters.routersRevision_;
+    }
   }
   void operator()(const SessionRecord& aRecord) const
   {
--- a/packages/router/src/version/ConfigView.cpp
+++ b/packages/router/src/version/ConfigView.cpp
@@ -1,7 +1,46 @@
 #include "version/ConfigView.h"
 
+#include <algorithm>
+
 namespace cactuswick::router {
 
+void
+ConfigView::TakeRouters(const ledger::ConfigDelta& aDelta)
+{
+  if (aDelta.knownRouters_) {
+    const auto& known = *aDelta.knownRouters_;
+    std::erase_if(routers_, [&](const ledger::RouterRecord& aRouter) {
+      return !std::binary_search(
+        known.begin(), known.end(), aRouter.incarnation_);
+    });
+  }
+  for (const auto& router : aDelta.routers_) {
+    const auto place =
+      std::lower_bound(routers_.begin(),
+                       routers_.end(),
+                       router.incarnation_,
+                       [](const ledger::RouterRecord& aOne, auto aIncarnation) {
+                         return aOne.incarnation_ < aIncarnation;
+                       });
+    if (place != routers_.end() && place->incarnation_ == router.incarnation_) {
+      *place = router;
+    } else {
+      routers_.insert(place, router);
+    }
+  }
+}
+
+void
+ConfigView::TakeKeys()
+{
+  workspaceOfKey_.clear();
+  for (const auto& [key, resource] : resources_) {
+    if (const auto* apiKey = std::get_if<model::ApiKey>(&resource.spec_)) {
+      workspaceOfKey_[apiKey->sha256_] = apiKey->workspace_;
+    }
+  }
+}
+
 void
 ConfigView::Apply(const ledger::ConfigDelta& aDelta)
 {
@@ -17,14 +56,9 @@
       resources_[key] = resource;
     }
   }
-  if (aDelta.routersChanged_) {
-    routers_ = aDelta.routers_;
-  }
-  workspaceOfKey_.clear();
-  for (const auto& [key, resource] : resources_) {
-    if (const auto* apiKey = std::get_if<model::ApiKey>(&resource.spec_)) {
-      workspaceOfKey_[apiKey->sha256_] = apiKey->workspace_;
-    }
+  TakeRouters(aDelta);
+  if (!aDelta.resources_.empty()) {
+    TakeKeys();
   }
 }
 
--- a/packages/router/src/version/ConfigView.h
+++ b/packages/router/src/version/ConfigView.h
@@ -39,9 +39,13 @@
   /// The rank with that name; without a name the least urgent one.
   const model::Rank* FindRank(const std::string& aName) const;
 
+  /// Ordered by incarnation.
   const std::vector<ledger::RouterRecord>& Routers() const { return routers_; }
 
 private:
+  void TakeRouters(const ledger::ConfigDelta& aDelta);
+  void TakeKeys();
+
   int64_t revision_ = 0;
   std::map<std::string, model::Resource> resources_;
   std::map<std::string, std::string> workspaceOfKey_;
--- a/packages/transport/include/cactuswick/transport/connection/PeerDialer.h
+++ b/packages/transport/include/cactuswick/transport/connection/PeerDialer.h
@@ -32,6 +32,7 @@
 
   /// Sends on the open link; lost while there is none.
   void Send(const PeerMessage& aMessage);
+  void Send(const EncodedMessage& aMessage);
   bool IsUp() const;
   const Address& Target() const;
 
--- a/packages/transport/include/cactuswick/transport/connection/PeerLink.h
+++ b/packages/transport/include/cactuswick/transport/connection/PeerLink.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 
+#include "cactuswick/transport/connection/EncodedMessage.h"
 #include "cactuswick/transport/connection/PeerMessage.h"
 #include "cactuswick/transport/process/Address.h"
 #include "cactuswick/transport/process/EventLoop.h"
@@ -53,6 +54,7 @@
 
   /// Queues a message; lost when the link is not open.
   void Send(const PeerMessage& aMessage);
+  void Send(const EncodedMessage& aMessage);
   bool IsOpen() const;
 
 private:
--- a/packages/transport/include/cactuswick/transport/connection/PeerListener.h
+++ b/packages/transport/include/cactuswick/transport/connection/PeerListener.h
@@ -33,6 +33,7 @@
 
   /// Sends on an accepted link; lost when it is gone.
   void Send(LinkId aLink, const PeerMessage& aMessage);
+  void Send(LinkId aLink, const EncodedMessage& aMessage);
 
 private:
   struct State;
--- a/packages/transport/src/connection/PeerDialer.cpp
+++ b/packages/transport/src/connection/PeerDialer.cpp
@@ -70,6 +70,14 @@
   }
 }
 
+void
+PeerDialer::Send(const EncodedMessage& aMessage)
+{
+  if (state_->link_) {
+    state_->link_->Send(aMessage);
+  }
+}
+
 bool
 PeerDialer::IsUp() const
 {
--- a/packages/transport/src/connection/PeerLink.cpp
+++ b/packages/transport/src/connection/PeerLink.cpp
@@ -115,16 +115,16 @@
       return;
     }
     if (open_ && !sentSinceTimer_) {
-      Send(KeepAlive{});
+      Send(EncodedMessage(KeepAlive{}));
     }
     sentSinceTimer_ = false;
   }
 
-  void Send(const PeerMessage& aMessage)
+  void Send(const EncodedMessage& aMessage)
   {
     if (open_ && !closed_) {
       sentSinceTimer_ = true;
-      session_.Send(model::EncodeCbor(aMessage));
+      session_.Send(aMessage.Bytes());
     }
   }
 
@@ -222,6 +222,15 @@
 
 void
 PeerLink::Send(const PeerMessage& aMessage)
+{
+  // Nothing is encoded for a link that would lose it.
+  if (IsOpen()) {
+    state_->Send(EncodedMessage(aMessage));
+  }
+}
+
+void
+PeerLink::Send(const EncodedMessage& aMessage)
 {
   state_->Send(aMessage);
 }
--- a/packages/transport/src/connection/PeerListener.cpp
+++ b/packages/transport/src/connection/PeerListener.cpp
@@ -100,4 +100,13 @@
   }
 }
 
+void
+PeerListener::Send(LinkId aLink, const EncodedMessage& aMessage)
+{
+  const auto found = state_->links_.find(aLink);
+  if (found != state_->links_.end()) {
+    found->second->Send(aMessage);
+  }
+}
+
 } // namespace cactuswick::transport
--- /dev/null
+++ b/tests/control/connection/ControlServiceTest.cpp
@@ -0,0 +1,212 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "connection/ControlService.h"
+
+namespace cactuswick::control {
+namespace {
+
+constexpr int64_t kTurnMs = 20;
+/// A deployment is in force everywhere this long after its acknowledgement.
+constexpr int64_t kInForceMs = 2'000;
+/// What a router's start may cost another router: its own record, and a few
+/// bytes for each router that is known.
+constexpr int64_t kStartBytes = 1'024;
+constexpr int64_t kStartBytesPerRouter = 8;
+constexpr int64_t kDocumentBytes = 400 * 1'024;
+/// What stands in one turn beside one push that always fits.
+constexpr int64_t kTurnBytes = kTurnPushBytes + kDocumentBytes + 4'096;
+
+/// A service that leads alone, with routers that subscribe.
+class Fleet
+{
+public:
+  explicit Fleet(int aRouters)
+    : replica_({ .id_ = "r1" }, { .members_ = { { "r1", "a", "d", true } } })
+    , service_(
+        { .ledger_ = ledger_,
+          .replica_ = replica_,
+          .send_ = [](LinkId, const transport::PeerMessage&) {},
+          .sendEncoded_ =
+            [this](LinkId aLink, const EncodedMessage& aMessage) {
+              OnSent(aLink, aMessage);
+            },
+          .flush_ = [] {},
+          .waiting_ = [] { return std::vector<ledger::Member>{}; },
+          .endpoints_ = [] { return EncodedMessage(transport::Gossip{}); },
+          .nowMs_ = [this] { return nowMs_; } })
+  {
+    replica_.Tick(kElectedMs);
+    replica_.Take();
+    replica_.Persisted(replica_.Log().LastIndex(), replica_.CurrentTerm());
+    for (int i = 1; i <= aRouters; ++i) {
+      Subscribe(i, Start(i), 0);
+    }
+    Settle();
+  }
+
+  /// Registers the router at a VM anew; its incarnation.
+  ledger::Incarnation Start(int aVm)
+  {
+    const auto reply = ledger_.Apply(
+      ledger::RegisterRouter{ .nonce_ = "nonce-" +
+                                        std::to_string(++nonces_ + 10'000'000),
+                              .vm_ = "router-" + std::to_string(aVm),
+                              .failureDomain_ = "domain-a",
+                              .region_ = "north",
+                              .address_ = "10.10.10.10:8001",
+                              .peerAddress_ = "10.10.10.10:8002",
+                              .reportsLate_ = true },
+      ++logTimeMs_);
+    service_.PushConfig();
+    return std::get<ledger::Registered>(reply).incarnation_;
+  }
+
+  void Subscribe(LinkId aLink, ledger::Incarnation aRouter, int64_t aRevision)
+  {
+    service_.On(aLink, transport::Subscribe{ aRouter, aRevision });
+  }
+
+  void Deploy(int64_t aVersion)
+  {
+    ledger_.Apply(ledger::ReplaceDeployment{ .version_ = aVersion,
+                                             .document_ = { std::string(
+                                               kDocumentBytes, 'x') } },
+                  ++logTimeMs_);
+    service_.PushConfig();
+  }
+
+  void Turn()
+  {
+    nowMs_ += kTurnMs;
+    turnBytes_ = 0;
+    service_.OnTurn();
+    mostTurnBytes_ = std::max(mostTurnBytes_, turnBytes_);
+  }
+
+  /// Turns until nothing is sent any more.
+  void Settle()
+  {
+    const int64_t end = nowMs_ + 2 * kInForceMs;
+    while (nowMs_ < end) {
+      Turn();
+    }
+  }
+
+  void Forget()
+  {
+    sent_.clear();
+    encodings_.clear();
+    mostTurnBytes_ = 0;
+  }
+
+  ledger::Ledger ledger_;
+  /// Bytes, by link.
+  std::map<LinkId, int64_t> sent_;
+  /// Distinct encodings that were sent.
+  std::vector<EncodedMessage> encodings_;
+  int64_t mostTurnBytes_ = 0;
+  int64_t nowMs_ = kElectedMs;
+
+private:
+  static constexpr int64_t kElectedMs = 10'000;
+
+  void OnSent(LinkId aLink, const EncodedMessage& aMessage)
+  {
+    const auto size = static_cast<int64_t>(aMessage.Bytes().size());
+    sent_[aLink] += size;
+    turnBytes_ += size;
+    if (std::find(encodings_.begin(), encodings_.end(), aMessage) ==
+        encodings_.end()) {
+      encodings_.push_back(aMessage);
+    }
+  }
+
+  int64_t turnBytes_ = 0;
+  int64_t nonces_ = 0;
+  ledger::LogTimeMs logTimeMs_ = 0;
+  ledger::Replica replica_;
+  ControlService service_;
+};
+
+class ControlServiceOf : public testing::TestWithParam<int>
+{};
+
+INSTANTIATE_TEST_SUITE_P(Routers, ControlServiceOf, testing::Values(72, 340));
+
+TEST_P(ControlServiceOf, ARoutersStartSentTheWholeListToEveryOther)
+{
+  Fleet fleet(GetParam());
+  fleet.Forget();
+  fleet.Start(1);
+  fleet.Settle();
+  ASSERT_EQ(fleet.sent_.size(), static_cast<size_t>(GetParam()));
+  const int64_t most = kStartBytes + GetParam() * kStartBytesPerRouter;
+  for (const auto& [link, bytes] : fleet.sent_) {
+    EXPECT_LE(bytes, most) << link;
+  }
+}
+
+TEST_P(ControlServiceOf, AChangeWasEncodedOnceForEverySubscriber)
+{
+  Fleet fleet(GetParam());
+  fleet.Forget();
+  fleet.Start(1);
+  fleet.Settle();
+  EXPECT_EQ(fleet.sent_.size(), static_cast<size_t>(GetParam()));
+  EXPECT_EQ(fleet.encodings_.size(), 1U);
+}
+
+TEST_P(ControlServiceOf, AllRoutersStartingCostTheSquareOfTheirNumberInPushes)
+{
+  const int routers = GetParam();
+  Fleet fleet(routers);
+  fleet.Forget();
+  // All restart within a second.
+  for (int i = 1; i <= routers; ++i) {
+    fleet.Start(i);
+    if (i % std::max(1, routers / 50) == 0) {
+      fleet.Turn();
+    }
+  }
+  fleet.Settle();
+  const int64_t pushes = 1'000 / kPushIntervalMs + 2;
+  const int64_t records = int64_t{ 300 } * 2 * routers;
+  const int64_t most =
+    records + pushes * (kStartBytes + routers * kStartBytesPerRouter);
+  for (const auto& [link, bytes] : fleet.sent_) {
+    EXPECT_LE(bytes, most) << link;
+  }
+}
+
+TEST_P(ControlServiceOf, ADeploymentStoodTheLoopUntilAllHadIt)
+{
+  Fleet fleet(GetParam());
+  fleet.Forget();
+  fleet.Deploy(1);
+  const int64_t end = fleet.nowMs_ + kInForceMs;
+  while (fleet.nowMs_ < end) {
+    fleet.Turn();
+  }
+  // In force at all of them in time, and no turn sent all of it.
+  ASSERT_EQ(fleet.sent_.size(), static_cast<size_t>(GetParam()));
+  for (const auto& [link, bytes] : fleet.sent_) {
+    EXPECT_GE(bytes, kDocumentBytes) << link;
+  }
+  EXPECT_LE(fleet.mostTurnBytes_, kTurnBytes);
+  EXPECT_EQ(fleet.encodings_.size(), 1U);
+}
+
+TEST(ControlService, AFirstPushDoesNotWait)
+{
+  Fleet fleet(1);
+  fleet.Turn();
+  fleet.Forget();
+  const auto router = fleet.Start(2);
+  fleet.Subscribe(2, router, 0);
+  EXPECT_GT(fleet.sent_[2], 0);
+}
+
+} // namespace
+} // namespace cactuswick::control
--- /dev/null
+++ b/tests/control/process/EndpointRelayTest.cpp
@@ -0,0 +1,45 @@
+#include <gtest/gtest.h>
+
+#include "process/EndpointRelay.h"
+
+namespace cactuswick::control {
+namespace {
+
+model::Announcement
+AnnouncementOf(int aNumber)
+{
+  return { .endpoint_ = "e" + std::to_string(aNumber),
+           .address_ = "10.0.0." + std::to_string(aNumber) + ":80",
+           .incarnation_ = 1,
+           .sequence_ = 1,
+           .leaseMs_ = 3'000 };
+}
+
+EndpointRelayOptions
+Nowhere()
+{
+  return { .toReplicas_ = [](const transport::PeerMessage&) {},
+           .toRouters_ = [](const transport::PeerMessage&) {} };
+}
+
+TEST(EndpointRelay, TheListOfAllWasEncodedForEachRouter)
+{
+  EndpointRelay relay(Nowhere());
+  relay.OnAnnouncement(AnnouncementOf(1), 0);
+  EXPECT_EQ(relay.All(10), relay.All(500));
+}
+
+TEST(EndpointRelay, TheListOfAllHasWhatHasJustComeOrGone)
+{
+  EndpointRelay relay(Nowhere());
+  relay.OnAnnouncement(AnnouncementOf(1), 0);
+  const auto one = relay.All(10);
+  relay.OnAnnouncement(AnnouncementOf(2), 20);
+  const auto two = relay.All(30);
+  EXPECT_NE(two, one);
+  relay.OnRetired({ "e1", 1 });
+  EXPECT_NE(relay.All(40), two);
+}
+
+} // namespace
+} // namespace cactuswick::control
--- /dev/null
+++ b/tests/control/version/PushPlanTest.cpp
@@ -0,0 +1,47 @@
+#include <gtest/gtest.h>
+
+#include "version/PushPlan.h"
+
+namespace cactuswick::control {
+namespace {
+
+using Links = std::vector<transport::LinkId>;
+
+TEST(PushPlan, NewcomersComeFirstThenWhoWaitedLongest)
+{
+  const std::map<transport::LinkId, Subscriber> subscribers{
+    { 1, { .revision_ = 4, .greeted_ = true, .pushedMs_ = 500 } },
+    { 2, { .revision_ = 4, .greeted_ = true, .pushedMs_ = 300 } },
+    { 3, { .revision_ = 0 } },
+    { 4, { .revision_ = 5, .greeted_ = true, .pushedMs_ = 100 } }
+  };
+  EXPECT_EQ(DuePushes(subscribers, 5, 1'000), (Links{ 3, 2, 1 }));
+}
+
+TEST(PushPlan, ChangesWithinTheIntervalShareAPush)
+{
+  const std::map<transport::LinkId, Subscriber> subscribers{
+    { 1, { .revision_ = 4, .greeted_ = true, .pushedMs_ = 500 } }
+  };
+  EXPECT_EQ(DuePushes(subscribers, 5, 500 + kPushIntervalMs - 1), Links{});
+  EXPECT_EQ(DuePushes(subscribers, 5, 500 + kPushIntervalMs), Links{ 1 });
+}
+
+TEST(PushPlan, ANewcomerThatIsUpToDateIsGreeted)
+{
+  const std::map<transport::LinkId, Subscriber> subscribers{
+    { 1, { .revision_ = 5 } }
+  };
+  EXPECT_EQ(DuePushes(subscribers, 5, 0), Links{ 1 });
+}
+
+TEST(PushPlan, OnePushAlwaysFits)
+{
+  PushAllowance allowance;
+  EXPECT_FALSE(allowance.IsSpent());
+  allowance.Spend(kTurnPushBytes);
+  EXPECT_TRUE(allowance.IsSpent());
+}
+
+} // namespace
+} // namespace cactuswick::control
--- a/tests/ledger/version/LedgerTest.cpp
+++ b/tests/ledger/version/LedgerTest.cpp
@@ -336,6 +336,59 @@
   EXPECT_TRUE(ledger_.ConfigSince(ledger_.Revision()).resources_.empty());
 }
 
+TEST_F(LedgerTest, ADeltaHoldsOnlyTheRouterThatChanged)
+{
+  const int64_t before = ledger_.Revision();
+  const auto third = Register("vm3", "nonce-three");
+  const auto started = ledger_.ConfigSince(before);
+  EXPECT_TRUE(started.routersChanged_);
+  ASSERT_EQ(started.routers_.size(), 1U);
+  EXPECT_EQ(started.routers_[0].incarnation_, third);
+  EXPECT_FALSE(started.knownRouters_.has_value());
+  const int64_t later = ledger_.Revision();
+  Op(first_, SetDraining{});
+  const auto draining = ledger_.ConfigSince(later);
+  ASSERT_EQ(draining.routers_.size(), 1U);
+  EXPECT_EQ(draining.routers_[0].state_, RouterState::kDraining);
+}
+
+TEST_F(LedgerTest, ADeltaSaysWhichRoutersAreLeftOnceOneIsForgotten)
+{
+  const int64_t before = ledger_.Revision();
+  Op(first_, Goodbye{});
+  const auto delta = ledger_.ConfigSince(before);
+  EXPECT_TRUE(delta.routersChanged_);
+  EXPECT_TRUE(delta.routers_.empty());
+  EXPECT_EQ(delta.knownRouters_, std::vector<Incarnation>{ second_ });
+  EXPECT_FALSE(
+    ledger_.ConfigSince(ledger_.Revision()).knownRouters_.has_value());
+}
+
+TEST_F(LedgerTest, ASnapshotKeepsWhatADeltaIsMadeOf)
+{
+  const int64_t before = ledger_.Revision();
+  Register("vm3", "nonce-three");
+  Op(first_, Goodbye{});
+  Ledger copy;
+  ledger_.Save([&](const SnapshotRecord& aRecord) { copy.Load(aRecord); });
+  EXPECT_EQ(copy.ConfigSince(before), ledger_.ConfigSince(before));
+  EXPECT_EQ(copy.ConfigSince(0), ledger_.ConfigSince(0));
+}
+
+TEST_F(LedgerTest, AnOlderSnapshotSendsAllRoutersOnce)
+{
+  Ledger copy;
+  ledger_.Save([&](SnapshotRecord aRecord) {
+    if (auto* router = std::get_if<RouterRecord>(&aRecord)) {
+      router->revision_ = 0;
+    }
+    copy.Load(aRecord);
+  });
+  const auto delta = copy.ConfigSince(ledger_.Revision() - 1);
+  EXPECT_EQ(delta.routers_.size(), 2U);
+  EXPECT_EQ(delta.knownRouters_, (std::vector{ first_, second_ }));
+}
+
 TEST_F(LedgerTest, AGoodbyeFreesWhatIsLeft)
 {
   Grant(first_, 100);
--- a/tests/router/version/ConfigViewTest.cpp
+++ b/tests/router/version/ConfigViewTest.cpp
@@ -58,5 +58,45 @@
   EXPECT_EQ(view.FindRank("none"), nullptr);
 }
 
+std::vector<ledger::Incarnation>
+IncarnationsOf(const ConfigView& aView)
+{
+  std::vector<ledger::Incarnation> incarnations;
+  for (const auto& router : aView.Routers()) {
+    incarnations.push_back(router.incarnation_);
+  }
+  return incarnations;
+}
+
+using Incarnations = std::vector<ledger::Incarnation>;
+
+TEST(ConfigView, ADeltaOfRoutersLeavesTheOthers)
+{
+  ConfigView view;
+  view.Apply({ .revision_ = 1,
+               .routersChanged_ = true,
+               .routers_ = { { .incarnation_ = 1 }, { .incarnation_ = 3 } } });
+  view.Apply({ .revision_ = 2,
+               .routersChanged_ = true,
+               .routers_ = { { .incarnation_ = 2 },
+                             { .incarnation_ = 3,
+                               .state_ = ledger::RouterState::kDraining } } });
+  EXPECT_EQ(IncarnationsOf(view), (Incarnations{ 1, 2, 3 }));
+  EXPECT_EQ(view.Routers()[2].state_, ledger::RouterState::kDraining);
+}
+
+TEST(ConfigView, ARouterThatControlForgotIsForgotten)
+{
+  ConfigView view;
+  view.Apply({ .revision_ = 1,
+               .routersChanged_ = true,
+               .routers_ = { { .incarnation_ = 1 }, { .incarnation_ = 2 } } });
+  view.Apply({ .revision_ = 2,
+               .routersChanged_ = true,
+               .routers_ = { { .incarnation_ = 3 } },
+               .knownRouters_ = Incarnations{ 2, 3 } });
+  EXPECT_EQ(IncarnationsOf(view), (Incarnations{ 2, 3 }));
+}
+
 } // namespace
 } // namespace cactuswick::router
