--- a/packages/control/src/process/ControlTask.cpp
+++ b/packages/control/src/process/ControlTask.cpp
@@ -1,5 +1,6 @@
 #include "cactuswick/control/process/ControlTask.h"
 
+#include <algorithm>
 #include <optional>
 #include <set>
 #include <utility>
@@ -179,6 +180,11 @@
       .send_ =
         [this](const std::string& aId, const transport::PeerMessage& aMessage) {
           links_->Send(aId, aMessage);
+        },
+      .onCaughtUp_ =
+        [this](int64_t aMs) {
+          metrics_.Observe(telemetry::Summary::kCatchUpMs,
+                           static_cast<double>(aMs));
         } });
   }
 
@@ -341,6 +347,14 @@
 
   std::string ExposeMetrics()
   {
+    const auto& members = driver_.Replica().Members();
+    const auto voters =
+      std::count_if(members.begin(), members.end(), [](const auto& aMember) {
+        return aMember.voter_;
+      });
+    metrics_.Set(Gauge::kVoters, voters);
+    metrics_.Set(Gauge::kLearners,
+                 static_cast<int64_t>(members.size()) - voters);
     metrics_.Set(Gauge::kLeader, driver_.Leads() ? 1 : 0);
     metrics_.Set(Gauge::kTerm, driver_.Replica().CurrentTerm());
     metrics_.Set(Gauge::kCommitIndex, driver_.Replica().CommitIndex());
--- a/packages/control/src/process/Membership.cpp
+++ b/packages/control/src/process/Membership.cpp
@@ -6,6 +6,7 @@
 
 #include "cactuswick/telemetry/process/Log.h"
 #include "version/MembershipPlan.h"
+#include "version/NoteLimit.h"
 
 namespace cactuswick::control {
 
@@ -77,6 +78,7 @@
     return aNowMs - aPair.second.heardMs_ > 2 * kCandidateMs;
   });
   AskToJoin(aNowMs);
+  LogLearners(aNowMs);
   return options_.automatic_ && ProposeNext(aNowMs);
 }
 
@@ -99,6 +101,40 @@
   }
 }
 
+void
+Membership::LogLearners(int64_t aNowMs)
+{
+  if (aNowMs - learnersLoggedMs_ < kNoteIntervalMs) {
+    return;
+  }
+  learnersLoggedMs_ = aNowMs;
+  for (const auto& member : options_.replica_.Members()) {
+    const auto standing = options_.replica_.StandingOf(member.id_);
+    if (!member.voter_ && standing) {
+      Log(Part::kControl, Level::kInfo, TextOf(member.id_, *standing));
+    }
+  }
+}
+
+void
+Membership::LogPromotions(const std::vector<ledger::Member>& aNext) const
+{
+  const auto& now = options_.replica_.Members();
+  for (const auto& member : aNext) {
+    const bool learns =
+      std::any_of(now.begin(), now.end(), [&](const auto& aOne) {
+        return aOne.id_ == member.id_ && !aOne.voter_;
+      });
+    const auto standing = options_.replica_.StandingOf(member.id_);
+    if (learns && member.voter_ && standing) {
+      options_.onCaughtUp_(standing->knownMs_);
+      Log(Part::kControl,
+          Level::kInfo,
+          Concat("gives a vote to ", TextOf(member.id_, *standing)));
+    }
+  }
+}
+
 bool
 Membership::ProposeNext(int64_t aNowMs)
 {
@@ -115,7 +151,11 @@
                                replica.SilenceOf(member.id_) });
   }
   const auto next = NextMembers(input);
-  if (!next || !replica.ProposeMembers(*next, aNowMs).ok()) {
+  if (!next) {
+    return false;
+  }
+  LogPromotions(*next);
+  if (!replica.ProposeMembers(*next, aNowMs).ok()) {
     return false;
   }
   std::string names;
--- a/packages/control/src/process/Membership.h
+++ b/packages/control/src/process/Membership.h
@@ -25,6 +25,8 @@
     askToJoin_;
   std::function<void(const std::string& aId, const transport::PeerMessage&)>
     send_;
+  /// A newcomer gets its vote this long after the leader took it in.
+  std::function<void(int64_t aMs)> onCaughtUp_;
 };
 
 /// Joins this replica to the others and, while it leads, keeps their set.
@@ -51,11 +53,14 @@
   bool IsMember() const;
   void AskToJoin(int64_t aNowMs);
   bool ProposeNext(int64_t aNowMs);
+  void LogLearners(int64_t aNowMs);
+  void LogPromotions(const std::vector<ledger::Member>& aNext) const;
 
   MembershipOptions options_;
   std::map<std::string, Candidate> waiting_;
   int64_t lastAskMs_ = 0;
   int64_t leaderHeardMs_ = 0;
+  int64_t learnersLoggedMs_ = 0;
 };
 
 } // namespace cactuswick::control
--- a/packages/control/src/process/ReplicaDriver.cpp
+++ b/packages/control/src/process/ReplicaDriver.cpp
@@ -130,6 +130,7 @@
   ledger::Effects effects = replica_->Take();
   const bool led =
     std::exchange(leads_, replica_->Role() == ledger::ReplicaRole::kLeader);
+  Report(effects.notes_);
   options_.send_(effects.sendNow_);
   // The snapshot is durable before its receipt is acknowledged.
   if (effects.install_ && !Install(*effects.install_)) {
@@ -151,6 +152,34 @@
   }
 }
 
+void
+ReplicaDriver::Report(const std::vector<ledger::ReplicaNote>& aNotes)
+{
+  auto& metrics = options_.metrics_;
+  for (const auto& note : aNotes) {
+    switch (note.kind_) {
+      case ledger::NoteKind::kTransferStarted:
+        metrics.Count(Counter::kSnapshotTransfers, 1, "first");
+        break;
+      case ledger::NoteKind::kTransferRestarted:
+        metrics.Count(Counter::kSnapshotTransfers, 1, "again");
+        break;
+      case ledger::NoteKind::kVoteDenied:
+        metrics.Count(Counter::kVotesDenied);
+        break;
+      case ledger::NoteKind::kElectionFailed:
+        metrics.Count(Counter::kElectionsFailed);
+        break;
+      case ledger::NoteKind::kTransferDone:
+      case ledger::NoteKind::kSteppedDown:
+        break;
+    }
+    if (noteLimit_.Admits(note, EventLoop::NowMs())) {
+      Log(Part::kControl, Level::kInfo, TextOf(note));
+    }
+  }
+}
+
 ReplicaDriver::PendingSync
 ReplicaDriver::NextSync()
 {
--- a/packages/control/src/process/ReplicaDriver.h
+++ b/packages/control/src/process/ReplicaDriver.h
@@ -14,6 +14,7 @@
 #include "cactuswick/settings/process/Settings.h"
 #include "cactuswick/telemetry/process/Metrics.h"
 #include "cactuswick/transport/process/EventLoop.h"
+#include "version/NoteLimit.h"
 
 namespace cactuswick::control {
 
@@ -80,6 +81,8 @@
   void ApplyCommitted();
   void OnSnapshotWritten(const SnapshotWritten& aWritten);
   void RewriteLog();
+  /// Counts what the replica noted and logs a bounded part of it.
+  void Report(const std::vector<ledger::ReplicaNote>& aNotes);
   /// Replaces the whole state by a snapshot from the leader; false when what
   /// came is not whole.
   bool Install(const ledger::ReceivedSnapshot& aSnapshot);
@@ -95,6 +98,7 @@
   bool flushScheduled_ = false;
   int64_t lastToken_ = 0;
   std::deque<PendingSync> syncs_;
+  NoteLimit noteLimit_;
   transport::Mailbox<StorageSynced> synced_;
   transport::Mailbox<SnapshotWritten> snapshotWritten_;
   /// Declared last: their threads end before the mailboxes they write to.
--- /dev/null
+++ b/packages/control/src/version/NoteLimit.cpp
@@ -0,0 +1,68 @@
+#include "version/NoteLimit.h"
+
+#include "cactuswick/model/process/Text.h"
+
+namespace cactuswick::control {
+
+namespace {
+
+const char*
+WhatOf(ledger::NoteKind aKind)
+{
+  switch (aKind) {
+    case ledger::NoteKind::kTransferStarted:
+      return "sends a snapshot to ";
+    case ledger::NoteKind::kTransferRestarted:
+      return "sends a snapshot from its start again to ";
+    case ledger::NoteKind::kTransferDone:
+      return "a snapshot has arrived at ";
+    case ledger::NoteKind::kVoteDenied:
+      return "denies its vote to ";
+    case ledger::NoteKind::kElectionFailed:
+      return "is not elected";
+    case ledger::NoteKind::kSteppedDown:
+      return "steps down";
+  }
+  return "";
+}
+
+} // namespace
+
+bool
+NoteLimit::Admits(const ledger::ReplicaNote& aNote, int64_t aNowMs)
+{
+  const auto [last, first] =
+    loggedMs_.try_emplace({ aNote.kind_, aNote.member_ }, aNowMs);
+  if (!first && aNowMs - last->second < kNoteIntervalMs) {
+    return false;
+  }
+  last->second = aNowMs;
+  return true;
+}
+
+std::string
+TextOf(const ledger::ReplicaNote& aNote)
+{
+  return model::Concat(WhatOf(aNote.kind_), aNote.member_, ": ", aNote.why_);
+}
+
+std::string
+TextOf(const std::string& aMember, const ledger::MemberStanding& aStanding)
+{
+  return model::Concat("learner=",
+                       aMember,
+                       " match=",
+                       aStanding.match_,
+                       " of=",
+                       aStanding.last_,
+                       " snapshot_bytes=",
+                       aStanding.snapshotBytes_,
+                       " transfers=",
+                       aStanding.transfers_,
+                       " known_ms=",
+                       aStanding.knownMs_,
+                       " silent_ms=",
+                       aStanding.silentMs_);
+}
+
+} // namespace cactuswick::control
--- a/packages/ledger/include/cactuswick/ledger/version/Replica.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Replica.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "cactuswick/ledger/version/RaftLog.h"
+#include "cactuswick/ledger/version/ReplicaNote.h"
 
 namespace cactuswick::ledger {
 
@@ -79,6 +80,8 @@
   /// Reads that must be asked again of another replica.
   std::vector<ReadId> readsFailed_;
   std::optional<ReceivedSnapshot> install_;
+  /// For the log of the process; nothing depends on them.
+  std::vector<ReplicaNote> notes_;
 
   bool NeedsPersisting() const
   {
@@ -143,6 +146,8 @@
   bool IsCaughtUp(const std::string& aMember) const;
   /// How long a member has not been heard; 0 for the replica itself.
   SteadyMs SilenceOf(const std::string& aMember) const;
+  /// Where a member stands; nullopt unless leader.
+  std::optional<MemberStanding> StandingOf(const std::string& aMember) const;
   /// Whether a change of members is not committed yet.
   bool HasOpenChange() const { return membersIndex_ > commit_; }
 
@@ -156,6 +161,10 @@
     /// When the last piece of a snapshot was sent.
     SteadyMs lastChunkMs_ = 0;
     SteadyMs lastProgressMs_ = 0;
+    /// When this leader first knew of it.
+    SteadyMs sinceMs_ = 0;
+    /// Snapshots that were begun for it.
+    int64_t transfers_ = 0;
     /// Snapshot transfer: bytes acknowledged, or -1 when none is open.
     int64_t snapshotOffset_ = -1;
   };
@@ -177,6 +186,12 @@
   size_t Quorum() const;
   bool LogIsCurrent(Index aLastIndex, Term aLastTerm) const;
   void BecomeFollower(Term aTerm, const std::string& aLeader);
+  void Note(NoteKind aKind, const std::string& aMember, std::string aWhy);
+  void NoteFailedElection();
+  std::string SilentMembers() const;
+  std::string DenialOf(const VoteRequest& aMessage,
+                       bool aLeaderIsLive,
+                       bool aCurrent) const;
   void Campaign(bool aPreVote);
   void CountVote(const std::string& aFrom);
   void BecomeLeader();
@@ -193,6 +208,7 @@
   void Replicate();
   void SendAppend(const std::string& aTo, Peer& aPeer, bool aEvenIfEmpty);
   void SendSnapshot(const std::string& aTo, Peer& aPeer);
+  void NoteTransfer(const std::string& aTo, Peer& aPeer);
   void AdvanceCommit();
   void ConfirmReads();
   void FailReads();
--- a/packages/ledger/src/version/Replica.cpp
+++ b/packages/ledger/src/version/Replica.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "cactuswick/model/process/Error.h"
+#include "cactuswick/model/process/Text.h"
 
 namespace cactuswick::ledger {
 
@@ -86,6 +87,90 @@
   return found == peers_.end() ? 0 : nowMs_ - found->second.lastHeardMs_;
 }
 
+std::optional<MemberStanding>
+Replica::StandingOf(const std::string& aMember) const
+{
+  const auto found = peers_.find(aMember);
+  if (role_ != ReplicaRole::kLeader || found == peers_.end()) {
+    return std::nullopt;
+  }
+  const Peer& peer = found->second;
+  return MemberStanding{ .match_ = peer.match_,
+                         .last_ = log_.LastIndex(),
+                         .snapshotBytes_ = peer.snapshotOffset_,
+                         .transfers_ = peer.transfers_,
+                         .knownMs_ = nowMs_ - peer.sinceMs_,
+                         .silentMs_ = nowMs_ - peer.lastHeardMs_ };
+}
+
+void
+Replica::Note(NoteKind aKind, const std::string& aMember, std::string aWhy)
+{
+  effects_.notes_.push_back({ aKind, aMember, std::move(aWhy) });
+}
+
+std::string
+Replica::SilentMembers() const
+{
+  std::string silent;
+  for (const auto& [id, peer] : peers_) {
+    const SteadyMs silence = nowMs_ - peer.lastHeardMs_;
+    if (IsVoter(id) && silence > options_.electionMaxMs_) {
+      model::AppendTo(silent, " ", id, "=", silence, "ms");
+    }
+  }
+  return silent;
+}
+
+void
+Replica::NoteFailedElection()
+{
+  if (votes_.empty()) {
+    return;
+  }
+  std::string from;
+  for (const auto& vote : votes_) {
+    model::AppendTo(from, " ", vote);
+  }
+  Note(NoteKind::kElectionFailed,
+       "",
+       model::Concat(role_ == ReplicaRole::kPreCandidate ? "pre-vote" : "vote",
+                     " in term ",
+                     hardState_.term_,
+                     ": ",
+                     votes_.size(),
+                     " of ",
+                     Quorum(),
+                     " needed, from",
+                     from));
+}
+
+std::string
+Replica::DenialOf(const VoteRequest& aMessage,
+                  bool aLeaderIsLive,
+                  bool aCurrent) const
+{
+  if (aLeaderIsLive) {
+    return model::Concat("leader ", leaderId_, " lives");
+  }
+  if (!aCurrent) {
+    return model::Concat("its log ends at entry ",
+                         aMessage.lastIndex_,
+                         " of term ",
+                         aMessage.lastTerm_,
+                         ", the own at ",
+                         log_.LastIndex(),
+                         " of term ",
+                         log_.LastTerm());
+  }
+  return model::Concat("its term ",
+                       aMessage.term_,
+                       ", the own ",
+                       hardState_.term_,
+                       ", voted for ",
+                       hardState_.votedFor_);
+}
+
 void
 Replica::ResetElectionTimer()
 {
@@ -103,6 +188,9 @@
     return;
   }
   if (nowMs_ >= electionDeadlineMs_ && IsVoter(options_.id_)) {
+    if (role_ != ReplicaRole::kFollower) {
+      NoteFailedElection();
+    }
     Campaign(true);
   }
 }
@@ -113,6 +201,9 @@
   if (nowMs_ >= electionDeadlineMs_) {
     ResetElectionTimer();
     if (!HeardFromQuorum()) {
+      Note(NoteKind::kSteppedDown,
+           "",
+           model::Concat("heard from no quorum, silent:", SilentMembers()));
       BecomeFollower(hardState_.term_, "");
       return;
     }
@@ -149,6 +240,11 @@
   if (aTerm > hardState_.term_) {
     hardState_ = { aTerm, "" };
     effects_.hardState_ = hardState_;
+    if (role_ == ReplicaRole::kLeader) {
+      Note(NoteKind::kSteppedDown,
+           aLeader,
+           model::Concat("term ", aTerm, " has begun"));
+    }
   }
   role_ = ReplicaRole::kFollower;
   leaderId_ = aLeader;
@@ -214,11 +310,17 @@
       !leaderIsLive && current && aMessage.term_ > hardState_.term_;
     if (!reply.granted_) {
       reply.term_ = hardState_.term_;
+      Note(NoteKind::kVoteDenied,
+           aMessage.from_,
+           DenialOf(aMessage, leaderIsLive, current));
     }
     effects_.sendNow_.push_back({ aMessage.from_, reply });
     return;
   }
   if (leaderIsLive) {
+    Note(NoteKind::kVoteDenied,
+         aMessage.from_,
+         DenialOf(aMessage, leaderIsLive, current));
     return;
   }
   if (aMessage.term_ > hardState_.term_) {
@@ -232,6 +334,10 @@
     hardState_.votedFor_ = aMessage.from_;
     effects_.hardState_ = hardState_;
     ResetElectionTimer();
+  } else {
+    Note(NoteKind::kVoteDenied,
+         aMessage.from_,
+         DenialOf(aMessage, leaderIsLive, current));
   }
   effects_.sendAfterSync_.push_back({ aMessage.from_, reply });
 }
@@ -298,8 +404,9 @@
   });
   for (const auto& member : members_) {
     if (member.id_ != options_.id_ && !peers_.contains(member.id_)) {
-      peers_[member.id_] =
-        Peer{ .next_ = log_.LastIndex() + 1, .lastHeardMs_ = nowMs_ };
+      peers_[member.id_] = Peer{ .next_ = log_.LastIndex() + 1,
+                                 .lastHeardMs_ = nowMs_,
+                                 .sinceMs_ = nowMs_ };
     }
   }
 }
--- a/packages/ledger/src/version/ReplicaAppend.cpp
+++ b/packages/ledger/src/version/ReplicaAppend.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "cactuswick/model/process/Error.h"
+#include "cactuswick/model/process/Text.h"
 
 namespace cactuswick::ledger {
 
@@ -295,6 +296,25 @@
   }
 }
 
+void
+Replica::NoteTransfer(const std::string& aTo, Peer& aPeer)
+{
+  if (aPeer.snapshotOffset_ > 0) {
+    return;
+  }
+  const bool again = aPeer.snapshotOffset_ == 0;
+  ++aPeer.transfers_;
+  Note(again ? NoteKind::kTransferRestarted : NoteKind::kTransferStarted,
+       aTo,
+       model::Concat("snapshot of entry ",
+                     snapshotIndex_,
+                     ", its log matches through ",
+                     aPeer.match_,
+                     ", the own begins behind ",
+                     log_.BaseIndex(),
+                     again ? "; no answer, or a newer snapshot" : ""));
+}
+
 void
 Replica::SendSnapshot(const std::string& aTo, Peer& aPeer)
 {
@@ -304,6 +324,7 @@
   if (waiting || !options_.readSnapshot_) {
     return;
   }
+  NoteTransfer(aTo, aPeer);
   aPeer.snapshotOffset_ = std::max(aPeer.snapshotOffset_, int64_t{ 0 });
   SnapshotChunk chunk{ .from_ = options_.id_,
                        .term_ = hardState_.term_,
@@ -360,6 +381,11 @@
     aMessage.lastIndex_ == snapshotIndex_ ? aMessage.offset_ : 0;
   if (aMessage.done_) {
     peer.snapshotOffset_ = -1;
+    Note(
+      NoteKind::kTransferDone,
+      aMessage.from_,
+      model::Concat(
+        "snapshot of entry ", aMessage.lastIndex_, " of ", log_.LastIndex()));
     peer.match_ = std::max(peer.match_, aMessage.lastIndex_);
     peer.next_ = peer.match_ + 1;
   }
--- a/packages/telemetry/include/cactuswick/telemetry/process/Metrics.h
+++ b/packages/telemetry/include/cactuswick/telemetry/process/Metrics.h
@@ -30,6 +30,9 @@
   kLogSyncs,
   kElections,
   kSnapshots,
+  kSnapshotTransfers,
+  kVotesDenied,
+  kElectionsFailed,
 };
 
 /// Quantities whose distribution is estimated (P-square, Jain and Chlamtac);
@@ -43,6 +46,7 @@
   kCommitMs,
   kSyncMs,
   kWritesPerSync,
+  kCatchUpMs,
 };
 
 /// Values that go up and down.
@@ -57,6 +61,8 @@
   kTerm,
   kCommitIndex,
   kSettledKeys,
+  kVoters,
+  kLearners,
 };
 
 /// The numbers of one task; owned and read on that task's loop.
--- a/packages/telemetry/src/process/Metrics.cpp
+++ b/packages/telemetry/src/process/Metrics.cpp
@@ -49,6 +49,9 @@
   Name{ "log_syncs_total" },
   Name{ "elections_total" },
   Name{ "snapshots_total" },
+  Name{ "snapshot_transfers_total", "begin" },
+  Name{ "votes_denied_total" },
+  Name{ "elections_failed_total" },
 };
 constexpr std::array kSummaryNames = {
   Name{ "first_token_ms", "rank" },
@@ -58,6 +61,7 @@
   Name{ "commit_ms" },
   Name{ "sync_ms" },
   Name{ "writes_per_sync" },
+  Name{ "catch_up_ms" },
 };
 constexpr std::array kGaugeNames = {
   Name{ "in_flight" },
@@ -69,14 +73,15 @@
   Name{ "term" },
   Name{ "commit_index" },
   Name{ "settled_keys" },
+  Name{ "voters" },
+  Name{ "learners" },
 };
 
 static_assert(kCounterNames.size() ==
-              static_cast<size_t>(Counter::kSnapshots) + 1);
+              static_cast<size_t>(Counter::kElectionsFailed) + 1);
 static_assert(kSummaryNames.size() ==
-              static_cast<size_t>(Summary::kWritesPerSync) + 1);
-static_assert(kGaugeNames.size() ==
-              static_cast<size_t>(Gauge::kSettledKeys) + 1);
+              static_cast<size_t>(Summary::kCatchUpMs) + 1);
+static_assert(kGaugeNames.size() == static_cast<size_t>(Gauge::kLearners) + 1);
 
 constexpr std::string_view kPrefix = "cactuswick_";
 
--- /dev/null
+++ b/tests/control/version/NoteLimitTest.cpp
@@ -0,0 +1,35 @@
+#include <gtest/gtest.h>
+
+#include "version/NoteLimit.h"
+
+namespace cactuswick::control {
+namespace {
+
+using ledger::NoteKind;
+
+TEST(NoteLimit, LogsOneKindAboutOneMemberOnceASecond)
+{
+  NoteLimit limit;
+  const ledger::ReplicaNote denial{ NoteKind::kVoteDenied, "a", "x" };
+  EXPECT_TRUE(limit.Admits(denial, 0));
+  EXPECT_FALSE(limit.Admits(denial, kNoteIntervalMs - 1));
+  EXPECT_TRUE(limit.Admits({ NoteKind::kVoteDenied, "b", "x" }, 1));
+  EXPECT_TRUE(limit.Admits({ NoteKind::kTransferDone, "a", "x" }, 1));
+  EXPECT_TRUE(limit.Admits(denial, kNoteIntervalMs));
+}
+
+TEST(NoteLimit, SaysWhereALearnerStands)
+{
+  EXPECT_EQ(TextOf("a/1",
+                   { .match_ = 5,
+                     .last_ = 9,
+                     .snapshotBytes_ = -1,
+                     .transfers_ = 2,
+                     .knownMs_ = 700,
+                     .silentMs_ = 20 }),
+            "learner=a/1 match=5 of=9 snapshot_bytes=-1 transfers=2 "
+            "known_ms=700 silent_ms=20");
+}
+
+} // namespace
+} // namespace cactuswick::control
