A new leader exchanges a replica that lost its disk without waiting for silence

Its old identity counts as dead after 3 s of silence or while its successor asks to join. A learner asks no more, and a new leader counts silence from its own beginning, so leaders that follow each other within 3 s never exchange the vote.

That a member behind another in the list has its address stands in the log. It now says that the older one is dead, to every leader at once. Still one change at a time: the learner votes first, then the old vote goes. The two new cases of MembershipPlan.TakesOneStepAtATime failed before (no change proposed).

--- a/packages/control/src/version/MembershipPlan.cpp
+++ b/packages/control/src/version/MembershipPlan.cpp
@@ -35,8 +35,23 @@
   }
 
 private:
+  /// Newer members stand behind older ones in the list.
+  bool IsReplacedByMember(const ledger::Member& aMember) const
+  {
+    const auto own =
+      std::find_if(members_.begin(), members_.end(), [&](const auto& aOne) {
+        return aOne.id_ == aMember.id_;
+      });
+    return std::any_of(own, members_.end(), [&](const auto& aOther) {
+      return aOther.address_ == aMember.address_ && aOther.id_ != aMember.id_;
+    });
+  }
+
   bool LostItsDisk(const ledger::Member& aMember) const
   {
+    if (IsReplacedByMember(aMember)) {
+      return true;
+    }
     return std::any_of(
       input_.waiting_.begin(), input_.waiting_.end(), [&](const auto& aOther) {
         return aOther.address_ == aMember.address_ && aOther.id_ != aMember.id_;
--- a/packages/control/src/version/MembershipPlan.h
+++ b/packages/control/src/version/MembershipPlan.h
@@ -40,7 +40,9 @@
 /// A newcomer copies the log before it votes, and a dead voter goes only once
 /// a newcomer votes in its place, so that the quorum never falls below what
 /// the fault tolerance needs. A member whose address asks to join under
-/// another identity has lost its disk and is dead for good.
+/// another identity, or has joined since, has lost its disk and is dead for
+/// good: that stands in the log, so that a new leader need not wait for
+/// silence to know it.
 std::optional<std::vector<ledger::Member>>
 NextMembers(const MembershipInput& aInput);
 
--- a/tests/control/version/MembershipPlanTest.cpp
+++ b/tests/control/version/MembershipPlanTest.cpp
@@ -17,6 +17,13 @@
   return { { aName + "/1", aName + ":1", "", false }, aCaughtUp, aSilentMs };
 }
 
+/// A learner at the address of @p aName, whose disk was lost.
+MemberHealth
+Successor(const std::string& aName)
+{
+  return { { aName + "/2", aName + ":1", "", false }, true, 0 };
+}
+
 std::string
 NamesOf(const std::optional<std::vector<ledger::Member>>& aMembers)
 {
@@ -68,6 +75,17 @@
       { Voter("a"), Voter("b"), Voter("c", 200) },
       { wiped },
       "a/1 b/1 c/1 c/2? " },
+    { "a new leader, to whom nobody is silent yet, exchanges a lost disk",
+      { Voter("a"), Voter("b"), Voter("c"), Successor("c") },
+      {},
+      "a/1 b/1 c/1 c/2 " },
+    { "and drops its vote next",
+      { Voter("a"),
+        Voter("b"),
+        Voter("c"),
+        { { "c/2", "c:1", "", true }, true, 0 } },
+      {},
+      "a/1 b/1 c/2 " },
     { "the leader is never removed",
       { Voter("a", 9'000), Voter("b"), Voter("c"), Voter("d") },
       {},
