--- a/packages/control/src/process/ReplicaDriver.cpp
+++ b/packages/control/src/process/ReplicaDriver.cpp
@@ -1,6 +1,6 @@
 #include "process/ReplicaDriver.h"
 
-#include <fstream>
+#include <memory>
 #include <optional>
 #include <utility>
 
@@ -20,18 +20,22 @@
 using telemetry::Summary;
 using transport::EventLoop;
 
-/// Reads a range of the snapshot file for a follower.
-std::string
-ReadSnapshotBytes(const std::string& aDirectory,
-                  int64_t aOffset,
-                  int64_t aBytes)
+/// Opens the folder's snapshot for a follower.
+std::optional<ledger::SnapshotSource>
+OpenSnapshot(const std::string& aDirectory)
 {
-  std::ifstream stream(ledger::SnapshotPath(aDirectory), std::ios::binary);
-  stream.seekg(aOffset);
-  std::string bytes(static_cast<size_t>(aBytes), '\0');
-  stream.read(bytes.data(), aBytes);
-  bytes.resize(static_cast<size_t>(stream.gcount()));
-  return bytes;
+  auto opened = ledger::SnapshotReader::Open(aDirectory);
+  if (!opened.ok()) {
+    return std::nullopt;
+  }
+  const auto reader =
+    std::make_shared<ledger::SnapshotReader>(*std::move(opened));
+  return ledger::SnapshotSource{ .lastIndex_ = reader->Header().lastIndex_,
+                                 .lastTerm_ = reader->Header().lastTerm_,
+                                 .read_ = [reader](int64_t aOffset,
+                                                   int64_t aBytes) {
+                                   return reader->Read(aOffset, aBytes);
+                                 } };
 }
 
 } // namespace
@@ -86,10 +90,7 @@
       .electionMaxMs_ = 2 * election,
       .promotesCaughtUp_ = options_.promotesCaughtUp_,
       .seed_ = model::Hash64(id_),
-      .readSnapshot_ =
-        [this](int64_t aOffset, int64_t aBytes) {
-          return ReadSnapshotBytes(directory_, aOffset, aBytes);
-        } },
+      .openSnapshot_ = [this] { return OpenSnapshot(directory_); } },
     ledger::ReplicaStart{ .startMs_ = EventLoop::NowMs(),
                           .hardState_ = aRecovered.hardState_,
                           .snapshotIndex_ = aHeader.lastIndex_,
--- a/packages/ledger/include/cactuswick/ledger/process/FrameFile.h
+++ b/packages/ledger/include/cactuswick/ledger/process/FrameFile.h
@@ -2,6 +2,8 @@
 
 #include <cstdint>
 #include <functional>
+#include <istream>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -53,6 +55,10 @@
 absl::StatusOr<int64_t>
 ReadFrames(const std::string& aPath, const FrameVisitor& aVisitor);
 
+/// Reads the frame at the position of @p aStream; nullopt when none is intact.
+std::optional<std::string>
+ReadFrame(std::istream& aStream);
+
 /// Makes the entries of directory @p aPath durable.
 absl::Status
 SyncDirectory(const std::string& aPath);
--- a/packages/ledger/include/cactuswick/ledger/process/SnapshotFile.h
+++ b/packages/ledger/include/cactuswick/ledger/process/SnapshotFile.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <fstream>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,24 @@
 absl::StatusOr<SnapshotHeader>
 ReadSnapshot(const std::string& aDirectory, Ledger& aLedger);
 
+/// A snapshot file for sending: it reads the file that had the name when it
+/// was opened, also once a newer one has taken the name.
+class SnapshotReader
+{
+public:
+  /// kIo while the folder holds no snapshot.
+  static absl::StatusOr<SnapshotReader> Open(const std::string& aDirectory);
+
+  const SnapshotHeader& Header() const { return header_; }
+
+  /// Bytes of the file from an offset; fewer than asked for at its end.
+  std::string Read(int64_t aOffset, int64_t aBytes);
+
+private:
+  std::ifstream stream_;
+  SnapshotHeader header_;
+};
+
 /// Stores a snapshot received from a leader beside the folder's own and reads
 /// it into an empty ledger. kCorruptStorage when it is damaged or not the one
 /// through @p aLastIndex: the leader may have replaced it while sending.
--- a/packages/ledger/include/cactuswick/ledger/version/Replica.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Replica.h
@@ -19,6 +19,15 @@
 /// Milliseconds of a steady clock local to the process.
 using SteadyMs = int64_t;
 
+/// A snapshot file that stays readable while a newer one takes its name.
+struct SnapshotSource
+{
+  Index lastIndex_ = 0;
+  Term lastTerm_ = 0;
+  /// Bytes of the file from an offset; fewer than asked for at its end.
+  std::function<std::string(int64_t aOffset, int64_t aBytes)> read_;
+};
+
 struct ReplicaOptions
 {
   std::string id_;
@@ -33,8 +42,11 @@
   /// Whether a caught-up newcomer gets its vote without being asked for.
   bool promotesCaughtUp_ = true;
   uint64_t seed_ = 1;
-  /// Reads bytes of the snapshot file from an offset.
-  std::function<std::string(int64_t aOffset, int64_t aBytes)> readSnapshot_;
+  /// Most bytes of log kept for members that catch up; the estimate of an
+  /// entry is its document and kEntryBytes.
+  size_t maxHeldBytes_ = size_t{ 4 } * 1'024 * 1'024;
+  /// Opens the newest snapshot; nullopt when there is none.
+  std::function<std::optional<SnapshotSource>()> openSnapshot_;
 };
 
 /// What a replica starts from.
@@ -142,7 +154,8 @@
   bool CanServe() const;
   /// Last entry known to be at @p aMember; 0 unless leader.
   Index MatchOf(const std::string& aMember) const;
-  /// Whether a member's log is close enough to the leader's for a vote.
+  /// Whether a member follows the leader's log closely enough for a vote: its
+  /// last round of replication was shorter than an election timeout.
   bool IsCaughtUp(const std::string& aMember) const;
   /// How long a member has not been heard; 0 for the replica itself.
   SteadyMs SilenceOf(const std::string& aMember) const;
@@ -165,6 +178,15 @@
     SteadyMs sinceMs_ = 0;
     /// Snapshots that were begun for it.
     int64_t transfers_ = 0;
+    /// The snapshot that it is being sent, until it has it.
+    std::optional<SnapshotSource> source_;
+    /// A round of replication ends once the member holds what the log held
+    /// at its start.
+    Index roundEnd_ = 0;
+    SteadyMs roundStartMs_ = 0;
+    bool caughtUp_ = false;
+    /// When its log was first looked for at the start of the own.
+    std::optional<SteadyMs> soughtMs_;
     /// Snapshot transfer: bytes acknowledged, or -1 when none is open.
     int64_t snapshotOffset_ = -1;
   };
@@ -209,6 +231,11 @@
   void SendAppend(const std::string& aTo, Peer& aPeer, bool aEvenIfEmpty);
   void SendSnapshot(const std::string& aTo, Peer& aPeer);
   void NoteTransfer(const std::string& aTo, Peer& aPeer);
+  void EndRounds(Peer& aPeer);
+  /// The last entry that no member in reach needs any more.
+  Index Unneeded(Index aThrough) const;
+  Index NextAfterRefusal(const std::string& aFrom, Peer& aPeer, Index aIndex);
+  void EndTransfers();
   void AdvanceCommit();
   void ConfirmReads();
   void FailReads();
--- a/packages/ledger/src/process/FrameFile.cpp
+++ b/packages/ledger/src/process/FrameFile.cpp
@@ -22,6 +22,8 @@
 
 constexpr uint32_t kMagic = 0x4b575743;
 constexpr size_t kHeaderBytes = 16;
+/// Longest frame that is read alone: the header of a snapshot is far shorter.
+constexpr uint32_t kMaxFrameBytes = 16U * 1'024 * 1'024;
 constexpr mode_t kFileMode = 0600;
 
 struct Header
@@ -186,6 +188,25 @@
   return static_cast<int64_t>(offset);
 }
 
+std::optional<std::string>
+ReadFrame(std::istream& aStream)
+{
+  std::string frame(kHeaderBytes, '\0');
+  aStream.read(frame.data(), kHeaderBytes);
+  Header header{};
+  std::memcpy(&header, frame.data(), kHeaderBytes);
+  if (!aStream || header.magic_ != kMagic || header.length_ > kMaxFrameBytes) {
+    return std::nullopt;
+  }
+  frame.resize(kHeaderBytes + header.length_);
+  aStream.read(frame.data() + kHeaderBytes, header.length_);
+  std::string_view payload;
+  if (!aStream || !FrameAt(frame, 0, payload)) {
+    return std::nullopt;
+  }
+  return std::string(payload);
+}
+
 absl::Status
 SyncDirectory(const std::string& aPath)
 {
--- a/packages/ledger/src/process/SnapshotFile.cpp
+++ b/packages/ledger/src/process/SnapshotFile.cpp
@@ -140,6 +140,35 @@
   return ReadSnapshotFile(SnapshotPath(aDirectory), aLedger);
 }
 
+absl::StatusOr<SnapshotReader>
+SnapshotReader::Open(const std::string& aDirectory)
+{
+  const std::string path = SnapshotPath(aDirectory);
+  SnapshotReader reader;
+  reader.stream_.open(path, std::ios::binary);
+  const auto frame = ReadFrame(reader.stream_);
+  if (!frame) {
+    return model::MakeError(model::ErrorKind::kIo, path, "no snapshot to read");
+  }
+  auto header = model::DecodeCbor<SnapshotHeader>(*frame);
+  if (!header.ok()) {
+    return header.status();
+  }
+  reader.header_ = *std::move(header);
+  return reader;
+}
+
+std::string
+SnapshotReader::Read(int64_t aOffset, int64_t aBytes)
+{
+  stream_.clear();
+  stream_.seekg(aOffset);
+  std::string bytes(static_cast<size_t>(aBytes), '\0');
+  stream_.read(bytes.data(), aBytes);
+  bytes.resize(static_cast<size_t>(stream_.gcount()));
+  return bytes;
+}
+
 absl::StatusOr<SnapshotHeader>
 StoreReceivedSnapshot(const std::string& aDirectory,
                       std::string_view aBytes,
--- a/packages/ledger/src/version/Replica.cpp
+++ b/packages/ledger/src/version/Replica.cpp
@@ -10,13 +10,6 @@
 
 namespace cactuswick::ledger {
 
-namespace {
-
-/// A new replica votes once it is this close to the leader's log.
-constexpr Index kCaughtUpEntries = 64;
-
-} // namespace
-
 Replica::Replica(ReplicaOptions aOptions, ReplicaStart aStart)
   : options_(std::move(aOptions))
   , hardState_(std::move(aStart.hardState_))
@@ -76,8 +69,13 @@
 bool
 Replica::IsCaughtUp(const std::string& aMember) const
 {
-  return MatchOf(aMember) > 0 &&
-         MatchOf(aMember) + kCaughtUpEntries >= log_.LastIndex();
+  const auto found = peers_.find(aMember);
+  if (found == peers_.end() || !found->second.caughtUp_) {
+    return false;
+  }
+  const Peer& peer = found->second;
+  return peer.match_ >= log_.LastIndex() ||
+         nowMs_ - peer.roundStartMs_ <= options_.electionMaxMs_;
 }
 
 SteadyMs
@@ -246,6 +244,9 @@
            model::Concat("term ", aTerm, " has begun"));
     }
   }
+  if (role_ == ReplicaRole::kLeader) {
+    EndTransfers();
+  }
   role_ = ReplicaRole::kFollower;
   leaderId_ = aLeader;
   FailReads();
@@ -406,7 +407,9 @@
     if (member.id_ != options_.id_ && !peers_.contains(member.id_)) {
       peers_[member.id_] = Peer{ .next_ = log_.LastIndex() + 1,
                                  .lastHeardMs_ = nowMs_,
-                                 .sinceMs_ = nowMs_ };
+                                 .sinceMs_ = nowMs_,
+                                 .roundEnd_ = log_.LastIndex(),
+                                 .roundStartMs_ = nowMs_ };
     }
   }
 }
--- a/packages/ledger/src/version/ReplicaAppend.cpp
+++ b/packages/ledger/src/version/ReplicaAppend.cpp
@@ -20,6 +20,11 @@
   return change == nullptr ? 0 : change->document_.bytes_.size();
 }
 
+/// Estimate of an entry in memory without its document.
+constexpr size_t kEntryBytes = 256;
+/// A member that is silent for longer does not hold the log back.
+constexpr SteadyMs kHoldSilenceMs = 3'000;
+
 /// Drops entries behind the first whose documents pass the limit.
 void
 LimitBytes(std::vector<Entry>& aEntries, size_t aLimit)
@@ -154,10 +159,13 @@
 void
 Replica::SendAppend(const std::string& aTo, Peer& aPeer, bool aEvenIfEmpty)
 {
-  const bool stalled = aPeer.next_ > aPeer.match_ + 1 &&
+  // A silent member gets heartbeats only, until it answers one.
+  const bool silent = nowMs_ - aPeer.lastHeardMs_ > options_.electionMaxMs_;
+  const bool stalled = !silent && aPeer.next_ > aPeer.match_ + 1 &&
                        nowMs_ - aPeer.lastProgressMs_ > options_.electionMinMs_;
   if (stalled) {
-    aPeer.next_ = aPeer.match_ + 1;
+    // Of one that has confirmed nothing yet, its refusal says where to begin.
+    aPeer.next_ = aPeer.match_ == 0 ? log_.LastIndex() + 1 : aPeer.match_ + 1;
     aPeer.lastProgressMs_ = nowMs_;
   }
   if (aPeer.next_ <= log_.BaseIndex()) {
@@ -170,7 +178,7 @@
                          .previousTerm_ = log_.TermAt(previous),
                          .commit_ = commit_,
                          .round_ = round_ };
-  if (aPeer.next_ > log_.BaseIndex()) {
+  if (aPeer.next_ > log_.BaseIndex() && !silent) {
     request.entries_ = log_.Slice(aPeer.next_, options_.maxEntriesPerAppend_);
     LimitBytes(request.entries_, options_.maxBytesPerAppend_);
   }
@@ -211,7 +219,8 @@
   const Index last = previous + static_cast<Index>(aMessage.entries_.size());
   commit_ = std::max(commit_, std::min(aMessage.commit_, last));
   reply.success_ = true;
-  reply.index_ = last;
+  // What is committed here is the same in every leader's log.
+  reply.index_ = std::max(last, commit_);
   effects_.sendAfterSync_.push_back({ aMessage.from_, reply });
 }
 
@@ -265,20 +274,51 @@
   peer.lastHeardMs_ = nowMs_;
   peer.ackedRound_ = std::max(peer.ackedRound_, aMessage.round_);
   if (!aMessage.success_) {
-    peer.next_ =
-      std::max(peer.match_ + 1, std::min(peer.next_, aMessage.index_));
+    peer.next_ = NextAfterRefusal(aMessage.from_, peer, aMessage.index_);
     replicate_ = true;
     return;
   }
+  peer.soughtMs_.reset();
   if (aMessage.index_ > peer.match_) {
     peer.match_ = aMessage.index_;
     peer.lastProgressMs_ = nowMs_;
     peer.next_ = std::max(peer.next_, peer.match_ + 1);
     AdvanceCommit();
   }
+  // The answer to a transfer may be lost on a link that is being opened.
+  if (peer.source_ && peer.match_ >= peer.source_->lastIndex_) {
+    peer.source_.reset();
+    peer.snapshotOffset_ = -1;
+  }
+  EndRounds(peer);
   replicate_ = replicate_ || peer.next_ <= log_.LastIndex();
 }
 
+Index
+Replica::NextAfterRefusal(const std::string& aFrom, Peer& aPeer, Index aIndex)
+{
+  const Index next = std::max(aPeer.match_ + 1, std::min(aPeer.next_, aIndex));
+  if (next > log_.BaseIndex() || !IsVoter(aFrom)) {
+    return next;
+  }
+  // A refusal skips a whole term, maybe past entries that are the same in
+  // both: those at the start of the own log are committed, so a voter that
+  // was away only shortly has them and needs no snapshot.
+  const SteadyMs since = *(aPeer.soughtMs_ = aPeer.soughtMs_.value_or(nowMs_));
+  return nowMs_ - since < options_.electionMinMs_ ? log_.BaseIndex() + 1 : next;
+}
+
+void
+Replica::EndRounds(Peer& aPeer)
+{
+  if (aPeer.match_ == 0 || aPeer.match_ < aPeer.roundEnd_) {
+    return;
+  }
+  aPeer.caughtUp_ = nowMs_ - aPeer.roundStartMs_ <= options_.electionMaxMs_;
+  aPeer.roundEnd_ = log_.LastIndex();
+  aPeer.roundStartMs_ = nowMs_;
+}
+
 void
 Replica::PromoteCaughtUp()
 {
@@ -307,38 +347,55 @@
   Note(again ? NoteKind::kTransferRestarted : NoteKind::kTransferStarted,
        aTo,
        model::Concat("snapshot of entry ",
-                     snapshotIndex_,
+                     aPeer.source_->lastIndex_,
                      ", its log matches through ",
                      aPeer.match_,
                      ", the own begins behind ",
                      log_.BaseIndex(),
-                     again ? "; no answer, or a newer snapshot" : ""));
+                     again ? "; no answer, or it did not arrive whole" : ""));
 }
 
 void
 Replica::SendSnapshot(const std::string& aTo, Peer& aPeer)
 {
-  const bool open = aPeer.snapshotOffset_ >= 0;
+  // One that has not been heard since may still be at the last piece.
   const bool waiting =
-    open && nowMs_ - aPeer.lastChunkMs_ < options_.electionMaxMs_;
-  if (waiting || !options_.readSnapshot_) {
+    aPeer.source_ && (aPeer.lastHeardMs_ <= aPeer.lastChunkMs_ ||
+                      nowMs_ - aPeer.lastChunkMs_ < options_.electionMaxMs_);
+  if (waiting || !options_.openSnapshot_) {
+    return;
+  }
+  if (!aPeer.source_) {
+    aPeer.source_ = options_.openSnapshot_();
+    aPeer.snapshotOffset_ = -1;
+  }
+  if (!aPeer.source_) {
     return;
   }
   NoteTransfer(aTo, aPeer);
   aPeer.snapshotOffset_ = std::max(aPeer.snapshotOffset_, int64_t{ 0 });
   SnapshotChunk chunk{ .from_ = options_.id_,
                        .term_ = hardState_.term_,
-                       .lastIndex_ = snapshotIndex_,
-                       .lastTerm_ = snapshotTerm_,
+                       .lastIndex_ = aPeer.source_->lastIndex_,
+                       .lastTerm_ = aPeer.source_->lastTerm_,
                        .offset_ = aPeer.snapshotOffset_ };
   chunk.bytes_.bytes_ =
-    options_.readSnapshot_(chunk.offset_, options_.snapshotChunkBytes_);
+    aPeer.source_->read_(chunk.offset_, options_.snapshotChunkBytes_);
   chunk.done_ = static_cast<int64_t>(chunk.bytes_.bytes_.size()) <
                 options_.snapshotChunkBytes_;
   aPeer.lastChunkMs_ = nowMs_;
   effects_.sendNow_.push_back({ aTo, std::move(chunk) });
 }
 
+void
+Replica::EndTransfers()
+{
+  for (auto& [id, peer] : peers_) {
+    peer.source_.reset();
+    peer.snapshotOffset_ = -1;
+  }
+}
+
 void
 Replica::On(const SnapshotChunk& aMessage)
 {
@@ -377,9 +434,11 @@
   Peer& peer = found->second;
   peer.lastHeardMs_ = nowMs_;
   peer.lastChunkMs_ = nowMs_ - options_.electionMaxMs_;
-  peer.snapshotOffset_ =
-    aMessage.lastIndex_ == snapshotIndex_ ? aMessage.offset_ : 0;
+  if (peer.source_ && aMessage.lastIndex_ == peer.source_->lastIndex_) {
+    peer.snapshotOffset_ = aMessage.offset_;
+  }
   if (aMessage.done_) {
+    peer.source_.reset();
     peer.snapshotOffset_ = -1;
     Note(
       NoteKind::kTransferDone,
@@ -400,14 +459,36 @@
   }
   snapshotIndex_ = aIndex;
   snapshotTerm_ = log_.TermAt(aIndex);
-  // Transfers of the older file cannot go on from the new one.
-  for (auto& [id, peer] : peers_) {
-    peer.snapshotOffset_ = std::min(peer.snapshotOffset_, int64_t{ 0 });
+  const Index through = Unneeded(aCompactThrough);
+  if (through > log_.BaseIndex() && through <= aIndex) {
+    startMembers_ = MembersThrough(through);
+    log_.CompactThrough(through);
   }
-  if (aCompactThrough > log_.BaseIndex() && aCompactThrough <= aIndex) {
-    startMembers_ = MembersThrough(aCompactThrough);
-    log_.CompactThrough(aCompactThrough);
+}
+
+Index
+Replica::Unneeded(Index aThrough) const
+{
+  if (role_ != ReplicaRole::kLeader || !log_.Has(aThrough)) {
+    return aThrough;
+  }
+  Index needed = aThrough;
+  for (const auto& [id, peer] : peers_) {
+    if (nowMs_ - peer.lastHeardMs_ <= kHoldSilenceMs) {
+      needed =
+        std::min(needed, peer.source_ ? peer.source_->lastIndex_ : peer.match_);
+    }
+  }
+  Index through = aThrough;
+  size_t bytes = 0;
+  while (through > std::max(needed, log_.BaseIndex())) {
+    bytes += kEntryBytes + DocumentBytes(log_.At(through));
+    if (bytes > options_.maxHeldBytes_) {
+      break;
+    }
+    --through;
   }
+  return through;
 }
 
 void
--- /dev/null
+++ b/tests/control/process/MembershipTest.cpp
@@ -0,0 +1,129 @@
+#include <gtest/gtest.h>
+
+#include "ledger/version/SlowCluster.h"
+#include "process/Membership.h"
+
+namespace cactuswick::control {
+namespace {
+
+using ledger::SlowCluster;
+using ledger::SteadyMs;
+
+/// The shortest time that a deployment gives a newcomer to be of use.
+constexpr SteadyMs kCatchUpMs = 4'000;
+/// The shortest bound of an acknowledgement.
+constexpr SteadyMs kAckMs = 4'000;
+
+/// Replicas that keep their set by themselves and bear the loss of two.
+class Fleet
+{
+public:
+  Fleet()
+  {
+    cluster_.onTick_ = [this](SlowCluster::Node& aNode) {
+      Of(aNode).OnTick(cluster_.Now());
+    };
+  }
+
+  SlowCluster& Cluster() { return cluster_; }
+
+  /// A follower loses its disk and is back soon.
+  int Wipe()
+  {
+    cluster_.Run(6'000);
+    const int leader = cluster_.NumberOf(*cluster_.Leader());
+    const int number = (leader + 1) % 5;
+    cluster_.Lose(number);
+    cluster_.Run(1'500);
+    cluster_.StartWiped(number);
+    return number;
+  }
+
+  /// Two of the replicas are lost; says whether the rest acknowledge in time.
+  bool BearsTwoLossesBut(int aKept)
+  {
+    const int leader = cluster_.NumberOf(*cluster_.Leader());
+    int other = 0;
+    while (other == leader || other == aKept) {
+      ++other;
+    }
+    // The leader is a loss like any other.
+    cluster_.Lose(leader == aKept ? (other + 1) % 5 : leader);
+    cluster_.Lose(other);
+    const auto before = cluster_.Committed();
+    cluster_.Run(kAckMs);
+    return cluster_.Leader() != nullptr && cluster_.Committed() > before + 100;
+  }
+
+private:
+  Membership& Of(SlowCluster::Node& aNode)
+  {
+    auto& membership = memberships_[aNode.self_.id_];
+    if (!membership) {
+      membership = std::make_unique<Membership>(MembershipOptions{
+        .replica_ = *aNode.replica_,
+        .self_ = aNode.self_,
+        .wantedVoters_ = 5,
+        .automatic_ = true,
+        .seeds_ = { "0", "1", "2", "3", "4" },
+        .askToJoin_ =
+          [this](const std::string& aAddress, const ledger::Member& aSelf) {
+            const auto node = cluster_.Nodes().find(std::stoi(aAddress));
+            if (node != cluster_.Nodes().end()) {
+              Of(node->second)
+                .On(transport::JoinRequest{ aSelf }, cluster_.Now());
+            }
+          },
+        .send_ =
+          [this](const std::string& aId,
+                 const transport::PeerMessage& aMessage) {
+            const auto& request = std::get<transport::JoinRequest>(aMessage);
+            const auto node = cluster_.Nodes().find(std::stoi(aId));
+            if (node != cluster_.Nodes().end()) {
+              Of(node->second).On(request, cluster_.Now());
+            }
+          },
+        .onCaughtUp_ = [](int64_t) {} });
+    }
+    return *membership;
+  }
+
+  SlowCluster cluster_{
+    { .latencyMs_ = 40, .chunkBytes_ = 16'384, .promotes_ = false }
+  };
+  std::map<std::string, std::unique_ptr<Membership>> memberships_;
+};
+
+TEST(Membership, AWipedVoterThatHasCaughtUpLetsTwoMoreLossesBeBorne)
+{
+  Fleet fleet;
+  const int wiped = fleet.Wipe();
+  fleet.Cluster().Run(kCatchUpMs);
+  EXPECT_TRUE(fleet.Cluster().Votes(wiped));
+  EXPECT_TRUE(fleet.BearsTwoLossesBut(wiped));
+}
+
+TEST(Membership, AWipedVoterIsExchangedThoughLeadersFollowEachOther)
+{
+  Fleet fleet;
+  const int wiped = fleet.Wipe();
+  auto& cluster = fleet.Cluster();
+  cluster.Run(1'000);
+  // It is a learner now, and its request to join is forgotten meanwhile.
+  cluster.Cut(wiped, cluster.Now() + 3'500);
+  // Each leads for less than the silence after which a voter counts as dead.
+  const SteadyMs end = cluster.Now() + 3'500 + 3 * kCatchUpMs;
+  while (cluster.Now() < end) {
+    if (auto* leader = cluster.Leader()) {
+      cluster.Cut(cluster.NumberOf(*leader), cluster.Now() + 1'000);
+    }
+    cluster.Run(3'000);
+  }
+  cluster.RunUntil(kAckMs, [&] { return cluster.Leader() != nullptr; });
+  ASSERT_NE(cluster.Leader(), nullptr);
+  EXPECT_TRUE(cluster.Votes(wiped));
+  EXPECT_TRUE(fleet.BearsTwoLossesBut(wiped));
+}
+
+} // namespace
+} // namespace cactuswick::control
--- /dev/null
+++ b/tests/ledger/version/ReplicaAppendTest.cpp
@@ -0,0 +1,227 @@
+#include <gtest/gtest.h>
+
+#include "SlowCluster.h"
+
+namespace cactuswick::ledger {
+namespace {
+
+/// The shortest time that a deployment gives a newcomer to be of use.
+constexpr SteadyMs kCatchUpMs = 4'000;
+
+/// A cluster that has led and written snapshots for a while, and an empty
+/// replica whose address is that of the last voter.
+void
+StartNewcomer(SlowCluster& aCluster, int aNumber)
+{
+  aCluster.Run(6'000);
+  aCluster.Lose(aNumber);
+  aCluster.Run(500);
+  ASSERT_NE(aCluster.Leader(), nullptr);
+  aCluster.StartWiped(aNumber);
+  ASSERT_TRUE(aCluster.AddLearner(aNumber));
+}
+
+int
+FollowerOf(SlowCluster& aCluster)
+{
+  return aCluster.NumberOf(*aCluster.Leader()) == 4 ? 3 : 4;
+}
+
+TEST(ReplicaAppend, ANewcomerVotesInTimeUnderASteadyRateOfEntries)
+{
+  // Chunks so small that a transfer spans several snapshots of the leader.
+  for (const int64_t chunk : { 16'384, 262'144 }) {
+    for (const SteadyMs latency : { 1, 20, 40 }) {
+      SlowCluster cluster({ .latencyMs_ = latency, .chunkBytes_ = chunk });
+      cluster.Run(6'000);
+      const int number = FollowerOf(cluster);
+      StartNewcomer(cluster, number);
+      EXPECT_LT(
+        cluster.RunUntil(2 * kCatchUpMs, [&] { return cluster.Votes(number); }),
+        kCatchUpMs)
+        << "latency " << latency << " chunk " << chunk;
+    }
+  }
+}
+
+TEST(ReplicaAppend, ANewerSnapshotDoesNotSpoilATransferThatIsUnderWay)
+{
+  SlowCluster cluster({ .latencyMs_ = 40, .chunkBytes_ = 16'384 });
+  cluster.Run(6'000);
+  const int number = FollowerOf(cluster);
+  StartNewcomer(cluster, number);
+  cluster.RunUntil(2 * kCatchUpMs, [&] { return cluster.Votes(number); });
+  EXPECT_EQ(cluster.Nodes().at(number).damaged_, 0);
+  EXPECT_EQ(cluster.Nodes().at(number).installs_, 1);
+}
+
+TEST(ReplicaAppend, ASnapshotThatIsNewerThanTheReplicaKnowsIsSentAsWhatItIs)
+{
+  SlowCluster cluster({ .writtenMs_ = 400 });
+  cluster.Run(6'000);
+  const int number = FollowerOf(cluster);
+  StartNewcomer(cluster, number);
+  cluster.RunUntil(2 * kCatchUpMs, [&] { return cluster.Votes(number); });
+  EXPECT_EQ(cluster.Nodes().at(number).damaged_, 0);
+  EXPECT_EQ(cluster.Nodes().at(number).installs_, 1);
+}
+
+TEST(ReplicaAppend, ALearnerASteadyTimeBehindGetsItsVote)
+{
+  // A round trip of 300 ms holds 150 entries, and less than a silence after
+  // which followers campaign.
+  SlowCluster cluster({ .latencyMs_ = 140, .entriesPerMs_ = 0.5 });
+  cluster.Run(6'000);
+  const int number = FollowerOf(cluster);
+  StartNewcomer(cluster, number);
+  EXPECT_LT(
+    cluster.RunUntil(2 * kCatchUpMs, [&] { return cluster.Votes(number); }),
+    kCatchUpMs);
+}
+
+TEST(ReplicaAppend, AMemberThatNeverAnswersDoesNotHoldTheLogForEver)
+{
+  SlowCluster cluster;
+  cluster.Run(6'000);
+  const int number = FollowerOf(cluster);
+  cluster.Lose(number);
+  cluster.Run(10'000);
+  const auto& log = cluster.Leader()->replica_->Log();
+  EXPECT_LT(log.LastIndex() - log.BaseIndex(), 1'000);
+}
+
+TEST(ReplicaAppend, AMemberThatIsSlowForLongHoldsABoundedLog)
+{
+  constexpr size_t kHeldEntries = 500;
+  SlowCluster cluster({ .snapshotBytes_ = 5'000'000,
+                        .chunkBytes_ = 16'384,
+                        .maxHeldBytes_ = 256 * kHeldEntries });
+  cluster.Run(6'000);
+  const int number = FollowerOf(cluster);
+  StartNewcomer(cluster, number);
+  cluster.Run(6'000);
+  EXPECT_FALSE(cluster.Votes(number));
+  const auto& log = cluster.Leader()->replica_->Log();
+  const SlowClusterOptions options;
+  EXPECT_LE(log.LastIndex() - log.BaseIndex(),
+            static_cast<Index>(kHeldEntries) + options.kept_ +
+              options.snapshotEvery_ + 100);
+}
+
+/// A leader of term 4 whose log begins behind entry 10.
+Replica
+LeaderBehindEntryTen()
+{
+  ReplicaStart start{ .hardState_ = { 3, "" },
+                      .snapshotIndex_ = 10,
+                      .snapshotTerm_ = 2,
+                      .members_ = { { "a", "", "", true },
+                                    { "b", "", "", true },
+                                    { "c", "", "", true } } };
+  for (Index index = 11; index <= 21; ++index) {
+    start.entries_.push_back({ index, index == 21 ? 3 : 2, 0, TopUp{} });
+  }
+  const SnapshotSource source{ .lastIndex_ = 10,
+                               .lastTerm_ = 2,
+                               .read_ = [](int64_t, int64_t) {
+                                 return std::string("whole");
+                               } };
+  Replica leader(
+    { .id_ = "a", .openSnapshot_ = [source] { return std::optional(source); } },
+    std::move(start));
+  leader.Tick(2'000);
+  leader.Receive(
+    VoteReply{ .from_ = "c", .term_ = 4, .granted_ = true, .preVote_ = true },
+    2'000);
+  leader.Receive(VoteReply{ .from_ = "c", .term_ = 4, .granted_ = true },
+                 2'000);
+  return leader;
+}
+
+bool
+HoldsSnapshot(const std::vector<Envelope>& aSent)
+{
+  return std::any_of(aSent.begin(), aSent.end(), [](const auto& aEnvelope) {
+    return std::holds_alternative<SnapshotChunk>(aEnvelope.message_);
+  });
+}
+
+/// Whether the leader sends a snapshot after b refused all it has of a term.
+bool
+SendsSnapshotAfterRefusal(Replica& aLeader, SteadyMs aNowMs)
+{
+  aLeader.Receive(AppendReply{ .from_ = "b", .term_ = 4, .index_ = 1 }, aNowMs);
+  return HoldsSnapshot(aLeader.Take().sendNow_);
+}
+
+TEST(ReplicaAppend, ANewLeaderSendsNoSnapshotBeforeItIsNeeded)
+{
+  Replica leader = LeaderBehindEntryTen();
+  EXPECT_FALSE(HoldsSnapshot(leader.Take().sendNow_));
+  leader.Tick(2'000 + ReplicaOptions{}.heartbeatMs_);
+  EXPECT_FALSE(HoldsSnapshot(leader.Take().sendNow_));
+}
+
+TEST(ReplicaAppend, AMemberThatIsSilentIsSentNeitherSnapshotNorEntries)
+{
+  Replica leader = LeaderBehindEntryTen();
+  SteadyMs now = 2'000;
+  for (; now < 6'000; now += 100) {
+    leader.Tick(now);
+    leader.Receive(
+      AppendReply{ .from_ = "c", .term_ = 4, .success_ = true, .index_ = 22 },
+      now);
+    const auto sent = leader.Take().sendNow_;
+    EXPECT_FALSE(HoldsSnapshot(sent)) << now;
+  }
+  for (int i = 0; i < 20; ++i) {
+    leader.Propose(TopUp{}, now);
+    const auto sent = leader.Take().sendNow_;
+    EXPECT_FALSE(HoldsSnapshot(sent));
+    EXPECT_EQ(sent.size(), 1U);
+    EXPECT_EQ(sent.front().to_, "c");
+  }
+}
+
+TEST(ReplicaAppend, AVoterWhoseTermDivergesLateIsSentNoSnapshotItHolds)
+{
+  Replica leader = LeaderBehindEntryTen();
+  ASSERT_EQ(leader.Role(), ReplicaRole::kLeader);
+  leader.Take();
+  EXPECT_FALSE(SendsSnapshotAfterRefusal(leader, 2'010));
+  leader.Receive(
+    AppendReply{ .from_ = "b", .term_ = 4, .success_ = true, .index_ = 20 },
+    2'020);
+  EXPECT_EQ(leader.MatchOf("b"), 20);
+}
+
+TEST(ReplicaAppend, AVoterThatLacksTheStartOfTheLogIsSentTheSnapshot)
+{
+  Replica leader = LeaderBehindEntryTen();
+  leader.Take();
+  EXPECT_FALSE(SendsSnapshotAfterRefusal(leader, 2'010));
+  EXPECT_TRUE(SendsSnapshotAfterRefusal(leader, 2'900));
+}
+
+TEST(ReplicaAppend, ATransferEndsThoughItsAnswerIsLost)
+{
+  Replica leader = LeaderBehindEntryTen();
+  leader.Take();
+  SendsSnapshotAfterRefusal(leader, 2'010);
+  ASSERT_TRUE(SendsSnapshotAfterRefusal(leader, 2'900));
+  // The follower has the snapshot, and hears a heartbeat for an older entry.
+  Replica follower({ .id_ = "b" }, {});
+  follower.SnapshotInstalled({ .snapshotIndex_ = 12, .snapshotTerm_ = 2 });
+  follower.Receive(
+    AppendRequest{
+      .from_ = "a", .term_ = 4, .previousIndex_ = 10, .previousTerm_ = 2 },
+    2'950);
+  for (const auto& answer : follower.Take().sendAfterSync_) {
+    leader.Receive(answer.message_, 2'960);
+  }
+  EXPECT_EQ(leader.MatchOf("b"), 12);
+  EXPECT_EQ(leader.StandingOf("b")->snapshotBytes_, -1);
+}
+
+} // namespace
+} // namespace cactuswick::ledger
--- a/tests/ledger/version/ReplicaTest.cpp
+++ b/tests/ledger/version/ReplicaTest.cpp
@@ -46,12 +46,7 @@
     replicas_[aNumber] = std::make_unique<Replica>(
       ReplicaOptions{ .id_ = Id(aNumber),
                       .seed_ = static_cast<uint64_t>(aNumber) + 1,
-                      .readSnapshot_ =
-                        [](int64_t aOffset, int64_t aBytes) {
-                          const std::string whole = "a small snapshot";
-                          return whole.substr(
-                            std::min<size_t>(aOffset, whole.size()), aBytes);
-                        } },
+                      .openSnapshot_ = [this] { return snapshot_; } },
       ReplicaStart{ .hardState_ = disk.hardState_,
                     .members_ = members_,
                     .entries_ = disk.entries_ });
@@ -129,6 +124,20 @@
     replicas_[aNumber]->Tick(now_);
   }
 
+  /// The leader's snapshot takes its name, and the leader hears of it.
+  void WriteSnapshot(int aNumber, Index aThrough)
+  {
+    snapshot_ =
+      SnapshotSource{ .lastIndex_ = aThrough,
+                      .lastTerm_ = At(aNumber).Log().TermAt(aThrough),
+                      .read_ = [](int64_t aOffset, int64_t aBytes) {
+                        const std::string whole = "a small snapshot";
+                        return whole.substr(
+                          std::min<size_t>(aOffset, whole.size()), aBytes);
+                      } };
+    At(aNumber).SnapshotWritten(aThrough, aThrough);
+  }
+
   /// Cuts what @p aFrom sends to anyone, or what anyone sends to it.
   void CutFrom(const std::string& aFrom) { cutFrom_.push_back(aFrom); }
   void CutTo(const std::string& aTo) { cutTo_.push_back(aTo); }
@@ -220,6 +229,7 @@
   SteadyMs now_ = 0;
   std::mt19937_64 random_;
   std::vector<Member> members_;
+  std::optional<SnapshotSource> snapshot_;
   std::map<int, Disk> disks_;
   std::map<int, std::unique_ptr<Replica>> replicas_;
   std::map<int, std::vector<Pending>> unsynced_;
@@ -348,7 +358,7 @@
   }
   cluster.Run(10);
   const Index through = cluster.At(leader).CommitIndex();
-  cluster.At(leader).SnapshotWritten(through, through);
+  cluster.WriteSnapshot(leader, through);
   cluster.CutTo(Cluster::Id(3));
   cluster.AddLearner(3);
   cluster.Run(50);
--- /dev/null
+++ b/tests/ledger/version/SlowCluster.h
@@ -0,0 +1,414 @@
+#pragma once
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cactuswick/ledger/version/Replica.h"
+
+namespace cactuswick::ledger {
+
+struct SlowClusterOptions
+{
+  int size_ = 5;
+  SteadyMs latencyMs_ = 5;
+  double linkBytesPerMs_ = 1'250;
+  /// Time of one sync; writes that wait meanwhile share the next.
+  SteadyMs syncMs_ = 10;
+  /// Time in which a replica that loads a snapshot does nothing else.
+  SteadyMs installMs_ = 300;
+  size_t snapshotBytes_ = 200'000;
+  int64_t chunkBytes_ = int64_t{ 256 } * 1'024;
+  Index snapshotEvery_ = 300;
+  Index kept_ = 150;
+  /// From a snapshot's taking its name to the replica's hearing of it.
+  SteadyMs writtenMs_ = 30;
+  double entriesPerMs_ = 0.25;
+  SteadyMs electionMs_ = 400;
+  bool promotes_ = true;
+  size_t maxHeldBytes_ = ReplicaOptions{}.maxHeldBytes_;
+};
+
+/// Replicas that write snapshots, with slow disks and links between them that
+/// carry messages in order, in simulated time and one thread.
+class SlowCluster
+{
+public:
+  struct Snapshot
+  {
+    Index lastIndex_ = 0;
+    Term lastTerm_ = 0;
+    std::string bytes_;
+  };
+
+  struct Node
+  {
+    Member self_;
+    std::unique_ptr<Replica> replica_;
+    std::shared_ptr<const Snapshot> snapshot_;
+    Index applied_ = 0;
+    Index lastSnapshot_ = 0;
+    std::vector<Member> members_;
+    SteadyMs busyUntilMs_ = 0;
+    int installs_ = 0;
+    int damaged_ = 0;
+  };
+
+  explicit SlowCluster(SlowClusterOptions aOptions = {})
+    : options_(aOptions)
+  {
+    for (int i = 0; i < options_.size_; ++i) {
+      founders_.push_back({ Id(i), Address(i), "", true });
+    }
+    for (int i = 0; i < options_.size_; ++i) {
+      Start(i, founders_[static_cast<size_t>(i)], founders_);
+    }
+  }
+
+  static std::string Address(int aNumber) { return std::to_string(aNumber); }
+
+  std::string Id(int aNumber)
+  {
+    return Address(aNumber) + "." + std::to_string(lives_[aNumber]);
+  }
+
+  void Lose(int aNumber) { nodes_.erase(aNumber); }
+
+  /// Starts a replica with an empty disk at the address of @p aNumber.
+  void StartWiped(int aNumber)
+  {
+    ++lives_[aNumber];
+    Start(aNumber, { Id(aNumber), Address(aNumber), "", false }, {});
+  }
+
+  /// Adds the replica at the address of @p aNumber without a vote.
+  bool AddLearner(int aNumber)
+  {
+    Replica& leader = *Leader()->replica_;
+    auto members = leader.Members();
+    members.push_back(nodes_.at(aNumber).self_);
+    return leader.ProposeMembers(members, now_).ok();
+  }
+
+  /// Nothing reaches the replica or leaves it until @p aUntilMs.
+  void Cut(int aNumber, SteadyMs aUntilMs) { cutUntil_[aNumber] = aUntilMs; }
+
+  Node* Leader()
+  {
+    Node* leader = nullptr;
+    for (auto& [number, node] : nodes_) {
+      const bool later = leader == nullptr || node.replica_->CurrentTerm() >
+                                                leader->replica_->CurrentTerm();
+      if (node.replica_->CanServe() && later) {
+        leader = &node;
+      }
+    }
+    return leader;
+  }
+
+  int NumberOf(const Node& aNode) const
+  {
+    return std::stoi(aNode.self_.address_);
+  }
+
+  bool Votes(int aNumber)
+  {
+    Node* leader = Leader();
+    const auto up = nodes_.find(aNumber);
+    if (leader == nullptr || up == nodes_.end()) {
+      return false;
+    }
+    const auto& members = leader->replica_->Members();
+    return !leader->replica_->HasOpenChange() &&
+           std::any_of(members.begin(), members.end(), [&](const auto& aOne) {
+             return aOne.voter_ && aOne.id_ == up->second.self_.id_;
+           });
+  }
+
+  Index Committed()
+  {
+    Index most = 0;
+    for (auto& [number, node] : nodes_) {
+      most = std::max(most, node.replica_->CommitIndex());
+    }
+    return most;
+  }
+
+  std::map<int, Node>& Nodes() { return nodes_; }
+  SteadyMs Now() const { return now_; }
+
+  /// Called for each replica at each step.
+  std::function<void(Node&)> onTick_;
+
+  void Run(SteadyMs aMs)
+  {
+    for (const SteadyMs end = now_ + aMs; now_ < end;) {
+      Step();
+    }
+  }
+
+  /// Runs until @p aDone or for @p aMs; returns the time taken.
+  template<class Done>
+  SteadyMs RunUntil(SteadyMs aMs, Done aDone)
+  {
+    const SteadyMs start = now_;
+    while (now_ - start < aMs && !aDone()) {
+      Step();
+    }
+    return now_ - start;
+  }
+
+private:
+  static constexpr SteadyMs kStepMs = 5;
+  static constexpr size_t kMessageBytes = 100;
+
+  struct Sync
+  {
+    SteadyMs doneMs_ = 0;
+    std::string id_;
+    Index lastIndex_ = 0;
+    Term lastTerm_ = 0;
+    std::vector<Envelope> messages_;
+  };
+
+  struct Delivery
+  {
+    SteadyMs atMs_ = 0;
+    Envelope envelope_;
+  };
+
+  void Start(int aNumber, const Member& aSelf, std::vector<Member> aMembers)
+  {
+    Node& node = nodes_[aNumber];
+    node.self_ = aSelf;
+    node.members_ = aMembers;
+    node.replica_ = std::make_unique<Replica>(
+      ReplicaOptions{
+        .id_ = aSelf.id_,
+        .electionMinMs_ = options_.electionMs_,
+        .electionMaxMs_ = 2 * options_.electionMs_,
+        .snapshotChunkBytes_ = options_.chunkBytes_,
+        .promotesCaughtUp_ = options_.promotes_,
+        .seed_ = static_cast<uint64_t>(aNumber) + 1,
+        .maxHeldBytes_ = options_.maxHeldBytes_,
+        .openSnapshot_ = [this, aNumber]() -> std::optional<SnapshotSource> {
+          const auto file = nodes_.at(aNumber).snapshot_;
+          if (!file) {
+            return std::nullopt;
+          }
+          return SnapshotSource{ .lastIndex_ = file->lastIndex_,
+                                 .lastTerm_ = file->lastTerm_,
+                                 .read_ = [file](int64_t aOffset,
+                                                 int64_t aBytes) {
+                                   return ReadOf(*file, aOffset, aBytes);
+                                 } };
+        } },
+      ReplicaStart{ .startMs_ = now_, .members_ = std::move(aMembers) });
+    syncs_[aNumber].clear();
+  }
+
+  static std::string ReadOf(const Snapshot& aFile,
+                            int64_t aOffset,
+                            int64_t aBytes)
+  {
+    const auto start =
+      std::min(static_cast<size_t>(aOffset), aFile.bytes_.size());
+    return aFile.bytes_.substr(start, static_cast<size_t>(aBytes));
+  }
+
+  void Step()
+  {
+    now_ += kStepMs;
+    Node* leader = Leader();
+    if (leader != nullptr) {
+      due_ += options_.entriesPerMs_ * kStepMs;
+      for (; due_ >= 1; due_ -= 1) {
+        leader->replica_->Propose(TopUp{ .id_ = std::to_string(now_) }, now_);
+      }
+    }
+    for (auto& [number, node] : nodes_) {
+      if (node.busyUntilMs_ <= now_) {
+        Turn(number, node);
+      }
+    }
+  }
+
+  void Turn(int aNumber, Node& aNode)
+  {
+    auto& syncs = syncs_[aNumber];
+    while (!syncs.empty() && syncs.front().doneMs_ <= now_) {
+      const Sync done = std::move(syncs.front());
+      syncs.pop_front();
+      aNode.replica_->Persisted(done.lastIndex_, done.lastTerm_);
+      SendAll(done.messages_);
+    }
+    auto& inbox = inboxes_[aNode.self_.id_];
+    while (!inbox.empty() && inbox.front().atMs_ <= now_ &&
+           aNode.busyUntilMs_ <= now_) {
+      const auto message = std::move(inbox.front().envelope_.message_);
+      inbox.pop_front();
+      aNode.replica_->Receive(message, now_);
+      Carry(aNumber, aNode);
+    }
+    if (aNode.busyUntilMs_ > now_) {
+      return;
+    }
+    aNode.replica_->Tick(now_);
+    if (onTick_) {
+      onTick_(aNode);
+    }
+    WriteSnapshot(aNode);
+    Carry(aNumber, aNode);
+  }
+
+  void Carry(int aNumber, Node& aNode)
+  {
+    Effects effects = aNode.replica_->Take();
+    SendAll(effects.sendNow_);
+    if (effects.install_ && !Install(aNode, *effects.install_)) {
+      std::erase_if(effects.sendAfterSync_, [](const auto& aEnvelope) {
+        return std::holds_alternative<SnapshotReply>(aEnvelope.message_);
+      });
+    }
+    Persist(aNumber, aNode, effects);
+    Apply(aNode);
+  }
+
+  void Persist(int aNumber, Node& aNode, Effects& aEffects)
+  {
+    auto& syncs = syncs_[aNumber];
+    const bool writes = aEffects.NeedsPersisting() || aEffects.install_;
+    if (!writes && syncs.empty()) {
+      SendAll(aEffects.sendAfterSync_);
+      return;
+    }
+    // Writes that wait behind the one under way share the next sync.
+    const bool opens = syncs.empty() || (writes && syncs.size() == 1);
+    if (opens) {
+      const SteadyMs from = syncs.empty() ? now_ : syncs.back().doneMs_;
+      syncs.push_back({ .doneMs_ = from + options_.syncMs_ });
+    }
+    Sync& sync = syncs.back();
+    sync.lastIndex_ = aNode.replica_->Log().LastIndex();
+    sync.lastTerm_ = aNode.replica_->Log().LastTerm();
+    sync.messages_.insert(sync.messages_.end(),
+                          aEffects.sendAfterSync_.begin(),
+                          aEffects.sendAfterSync_.end());
+  }
+
+  void Apply(Node& aNode)
+  {
+    while (aNode.applied_ < aNode.replica_->CommitIndex()) {
+      const Entry& entry = aNode.replica_->Log().At(++aNode.applied_);
+      if (const auto* change = std::get_if<ChangeMembers>(&entry.command_)) {
+        aNode.members_ = change->members_;
+      }
+    }
+  }
+
+  void WriteSnapshot(Node& aNode)
+  {
+    if (aNode.applied_ - aNode.lastSnapshot_ >= options_.snapshotEvery_) {
+      aNode.lastSnapshot_ = aNode.applied_;
+      auto file = std::make_shared<Snapshot>();
+      file->lastIndex_ = aNode.applied_;
+      file->lastTerm_ = aNode.replica_->Log().TermAt(aNode.applied_);
+      membersAt_[aNode.applied_] = aNode.members_;
+      file->bytes_.assign(options_.snapshotBytes_,
+                          static_cast<char>('a' + aNode.applied_ % 26));
+      aNode.snapshot_ = file;
+      writtenAt_[aNode.self_.id_] = now_ + options_.writtenMs_;
+    }
+    const auto written = writtenAt_.find(aNode.self_.id_);
+    if (written != writtenAt_.end() && written->second <= now_) {
+      writtenAt_.erase(written);
+      aNode.replica_->SnapshotWritten(aNode.lastSnapshot_,
+                                      aNode.lastSnapshot_ - options_.kept_);
+    }
+  }
+
+  bool Install(Node& aNode, const ReceivedSnapshot& aReceived)
+  {
+    const bool same =
+      aReceived.bytes_.size() == options_.snapshotBytes_ &&
+      aReceived.bytes_ ==
+        std::string(options_.snapshotBytes_,
+                    static_cast<char>('a' + aReceived.lastIndex_ % 26));
+    if (!same) {
+      ++aNode.damaged_;
+      return false;
+    }
+    ++aNode.installs_;
+    const auto& members = membersAt_.at(aReceived.lastIndex_);
+    aNode.replica_->SnapshotInstalled({ .snapshotIndex_ = aReceived.lastIndex_,
+                                        .snapshotTerm_ = aReceived.lastTerm_,
+                                        .members_ = members });
+    aNode.applied_ = aReceived.lastIndex_;
+    aNode.lastSnapshot_ = aReceived.lastIndex_;
+    aNode.members_ = members;
+    aNode.busyUntilMs_ = now_ + options_.installMs_;
+    return true;
+  }
+
+  static size_t BytesOf(const RaftMessage& aMessage)
+  {
+    if (const auto* chunk = std::get_if<SnapshotChunk>(&aMessage)) {
+      return kMessageBytes + chunk->bytes_.bytes_.size();
+    }
+    const auto* append = std::get_if<AppendRequest>(&aMessage);
+    return kMessageBytes *
+           (1 + (append == nullptr ? 0 : append->entries_.size()));
+  }
+
+  void SendAll(const std::vector<Envelope>& aMessages)
+  {
+    for (const auto& envelope : aMessages) {
+      const auto& from = std::visit(
+        [](const auto& aOne) -> const std::string& { return aOne.from_; },
+        envelope.message_);
+      if (IsCut(from) || IsCut(envelope.to_)) {
+        continue;
+      }
+      auto& busy = links_[{ from, envelope.to_ }];
+      const auto bytes = static_cast<double>(BytesOf(envelope.message_));
+      busy = std::max(busy, static_cast<double>(now_)) +
+             bytes / options_.linkBytesPerMs_;
+      const Delivery delivery{
+        static_cast<SteadyMs>(busy) + options_.latencyMs_, envelope
+      };
+      auto& inbox = inboxes_[envelope.to_];
+      inbox.insert(std::upper_bound(inbox.begin(),
+                                    inbox.end(),
+                                    delivery,
+                                    [](const auto& aLeft, const auto& aRight) {
+                                      return aLeft.atMs_ < aRight.atMs_;
+                                    }),
+                   delivery);
+    }
+  }
+
+  bool IsCut(const std::string& aId) const
+  {
+    const auto cut = cutUntil_.find(std::stoi(aId));
+    return cut != cutUntil_.end() && now_ < cut->second;
+  }
+
+  SlowClusterOptions options_;
+  SteadyMs now_ = 0;
+  double due_ = 0;
+  std::vector<Member> founders_;
+  std::map<int, int> lives_;
+  std::map<int, Node> nodes_;
+  std::map<int, std::deque<Sync>> syncs_;
+  std::map<std::string, std::deque<Delivery>> inboxes_;
+  std::map<std::pair<std::string, std::string>, double> links_;
+  std::map<std::string, SteadyMs> writtenAt_;
+  std::map<int, SteadyMs> cutUntil_;
+  std::map<Index, std::vector<Member>> membersAt_;
+};
+
+} // namespace cactuswick::ledger
