--- a/packages/telemetry/include/cactuswick/telemetry/process/Metrics.h
+++ b/packages/telemetry/include/cactuswick/telemetry/process/Metrics.h
@@ -31,6 +31,9 @@
   kElections,
   kSnapshots,
   kPushedBytes,
+  kSnapshotTransfers,
+  kVotesDenied,
+  kElectionsFailed,
 };
 
 /// Quantities whose distribution is estimated (P-square, Jain and Chlamtac);
@@ -45,6 +48,7 @@
   kSyncMs,
   kWritesPerSync,
   kTurnMs,
+  kCatchUpMs,
 };
 
 /// Values that go up and down.
@@ -59,6 +63,8 @@
   kTerm,
   kCommitIndex,
   kSettledKeys,
+  kVoters,
+  kLearners,
 };
 
 /// The numbers of one task; owned and read on that task's loop.
