Lines of requests that waited for a budget say for what, with its age

Callers of one workspace got budget_held_elsewhere after 400 ms with nothing in the lines that told a slow leader from a full link, a small share or an ask that was made too late.

The outcome line of a request that waited now carries how long it waited, how many waited before it, how long the budget's ask and the router's batch to control have been under way, how long the last answered batch took and how old that answer is. Metrics: control_trip_ms, grant_wait_ms, tokens_borrowed_total, tokens_lent_total.

--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -44,6 +44,7 @@
                },
              .onLent_ =
                [this](const std::string& aBudget, ledger::Tokens aAmount) {
+                 options_.metrics_.Count(Counter::kTokensBorrowed, aAmount);
                  grants_.OnGranted(aBudget, aAmount);
                  ServeWaiters(aBudget);
                },
@@ -130,6 +131,7 @@
   const ledger::Tokens lent =
     grants_.Lend(aRequest.budget_, aRequest.want_, aRequest.minimum_);
   if (lent > 0) {
+    options_.metrics_.Count(Counter::kTokensLent, lent);
     Log(Part::kBilling,
         Level::kInfo,
         model::Concat("lends budget=",
@@ -221,6 +223,19 @@
   }
 }
 
+BudgetWait
+Biller::WaitFor(const std::string& aBudget) const
+{
+  BudgetWait wait{ .control_ = options_.control_.Times() };
+  const auto found = queues_.find(aBudget);
+  if (found != queues_.end()) {
+    const BudgetQueue& queue = found->second;
+    wait.waiting_ = static_cast<int64_t>(queue.waiters_.size());
+    wait.askOpenMs_ = queue.asking_ ? EventLoop::NowMs() - queue.askedMs_ : 0;
+  }
+  return wait;
+}
+
 void
 Biller::CancelReserve(int64_t aOwner)
 {
@@ -236,6 +251,7 @@
 {
   BudgetQueue& queue = queues_[aBudget];
   queue.asking_ = true;
+  queue.askedMs_ = EventLoop::NowMs();
   const auto ask =
     grants_.Ask(aBudget, queue.waiters_.front().amount_, EventLoop::NowMs());
   options_.control_.Submit(
@@ -258,7 +274,9 @@
 void
 Biller::AskFor(const ledger::AcquireGrant& aAsk)
 {
-  queues_[aAsk.budget_].asking_ = true;
+  BudgetQueue& queue = queues_[aAsk.budget_];
+  queue.asking_ = true;
+  queue.askedMs_ = EventLoop::NowMs();
   options_.control_.Submit(
     aAsk, [this, budget = aAsk.budget_](const ledger::OpResult& aResult) {
       queues_[budget].asking_ = false;
--- a/packages/router/src/process/Biller.h
+++ b/packages/router/src/process/Biller.h
@@ -41,6 +41,18 @@
   routing::GrantBookOptions grants_;
 };
 
+/// What a wait for a budget depends on, with its age.
+struct BudgetWait
+{
+  /// Requests that wait for the same budget.
+  int64_t waiting_ = 0;
+  /// Since control was asked for a grant of it; 0 without an open ask.
+  int64_t askOpenMs_ = 0;
+  ControlTimes control_;
+
+  bool operator==(const BudgetWait&) const = default;
+};
+
 /// The money side of a router: reserves from its grants before a request
 /// runs, settles what the request used, and looks after other routers'
 /// copies.
@@ -85,6 +97,8 @@
     return grants_.Free(aBudget);
   }
 
+  BudgetWait WaitFor(const std::string& aBudget) const;
+
   /// Settles @c amount_ out of a reservation of @p aReserved tokens.
   void Settle(const ledger::Settle& aSettle,
               ledger::Tokens aReserved,
@@ -123,6 +137,7 @@
   {
     std::deque<ReserveWaiter> waiters_;
     bool asking_ = false;
+    int64_t askedMs_ = 0;
     int64_t askAgainMs_ = 0;
   };
 
--- a/packages/router/src/process/ControlClient.cpp
+++ b/packages/router/src/process/ControlClient.cpp
@@ -235,6 +235,11 @@
     }
     logTimeMs_ = std::max(logTimeMs_, reply->timeMs_);
     batch_.reset();
+    lastReplyMs_ = EventLoop::NowMs();
+    lastTripMs_ = lastReplyMs_ - batchSinceMs_;
+    if (options_.onTrip_) {
+      options_.onTrip_(lastTripMs_);
+    }
     const std::vector<OpHook> hooks = std::exchange(batchHooks_, {});
     for (size_t i = 0; i < hooks.size() && i < reply->results_.size(); ++i) {
       if (hooks[i]) {
@@ -327,6 +332,7 @@
     if (answered_) {
       lastAnswerMs_ = EventLoop::NowMs();
     }
+    batchSinceMs_ = EventLoop::NowMs();
     batch_ = ledger::RouterBatch{ .incarnation_ = incarnation_,
                                   .sequence_ = ++lastSequence_ };
     while (!queue_.empty() && batch_->ops_.size() < kMaxBatchOps) {
@@ -379,6 +385,10 @@
   std::vector<OpHook> batchHooks_;
   CallId batchCall_ = 0;
   int64_t lastSequence_ = 0;
+  /// First send of the open batch, answer of the last one, and its trip.
+  int64_t batchSinceMs_ = 0;
+  int64_t lastReplyMs_ = 0;
+  int64_t lastTripMs_ = 0;
   bool batchScheduled_ = false;
 };
 
@@ -450,6 +460,15 @@
   return state_->incarnation_ != 0;
 }
 
+ControlTimes
+ControlClient::Times() const
+{
+  const int64_t now = EventLoop::NowMs();
+  return { .lastTripMs_ = state_->lastTripMs_,
+           .answerAgeMs_ = now - state_->lastReplyMs_,
+           .batchOpenMs_ = state_->batch_ ? now - state_->batchSinceMs_ : 0 };
+}
+
 ledger::Incarnation
 ControlClient::Incarnation() const
 {
--- a/packages/router/src/process/ControlClient.h
+++ b/packages/router/src/process/ControlClient.h
@@ -32,10 +32,25 @@
   std::function<void(const std::string& aBudget)> onRecall_;
   /// What control has heard of endpoints.
   std::function<void(const transport::Gossip&)> onEndpoints_;
+  /// A batch was answered so many milliseconds after it was first sent.
+  std::function<void(int64_t)> onTrip_;
   /// The ledger knows this incarnation as ended: it must serve nothing more.
   std::function<void()> onEnded_;
 };
 
+/// Times of a router's talk with control.
+struct ControlTimes
+{
+  /// From the first send of the last answered batch to its answer.
+  int64_t lastTripMs_ = 0;
+  /// Since that answer.
+  int64_t answerAgeMs_ = 0;
+  /// Since the open batch was first sent; 0 without one.
+  int64_t batchOpenMs_ = 0;
+
+  bool operator==(const ControlTimes&) const = default;
+};
+
 /// A router's line to the control leader, whoever that is.
 ///
 /// Operations go in batches, one under way at a time; a batch is sent again
@@ -72,6 +87,7 @@
   /// True while the leader answers.
   bool IsReachable() const;
   bool IsRegistered() const;
+  ControlTimes Times() const;
   ledger::Incarnation Incarnation() const;
   /// The ledger's log time, as far as it is known here.
   ledger::LogTimeMs LogTime() const;
--- a/packages/router/src/process/RouterTask.cpp
+++ b/packages/router/src/process/RouterTask.cpp
@@ -226,6 +226,11 @@
               forward_->OnEndpoints(aNews);
             }
           },
+        .onTrip_ =
+          [this](int64_t aTripMs) {
+            metrics_.Observe(telemetry::Summary::kControlTripMs,
+                             static_cast<double>(aTripMs));
+          },
         .onEnded_ =
           [this] {
             Stop(model::MakeError(
--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -89,10 +89,13 @@
     Enqueue();
     return;
   }
+  const int64_t since = EventLoop::NowMs();
+  const int64_t before = services_.biller_.WaitFor(plan_.budget_).waiting_;
   services_.biller_.Reserve(plan_.budget_,
                             plan_.bound_,
                             plan_.id_,
-                            [this](const absl::Status& aStatus) {
+                            [=, this](const absl::Status& aStatus) {
+                              NoteGrantWait(since, before);
                               if (!aStatus.ok()) {
                                 Fail(aStatus);
                                 return;
@@ -102,6 +105,32 @@
                             });
 }
 
+void
+ForwardExchange::NoteGrantWait(int64_t aSinceMs, int64_t aBefore)
+{
+  const int64_t waited = EventLoop::NowMs() - aSinceMs;
+  services_.metrics_.Observe(telemetry::Summary::kGrantWaitMs,
+                             static_cast<double>(waited));
+  if (waited == 0) {
+    return;
+  }
+  const BudgetWait wait = services_.biller_.WaitFor(plan_.budget_);
+  grantWait_ = Concat(" grant_wait_ms=",
+                      waited,
+                      " before=",
+                      aBefore,
+                      " waiting=",
+                      wait.waiting_,
+                      " ask_open_ms=",
+                      wait.askOpenMs_,
+                      " control_trip_ms=",
+                      wait.control_.lastTripMs_,
+                      " control_answer_age_ms=",
+                      wait.control_.answerAgeMs_,
+                      " control_open_ms=",
+                      wait.control_.batchOpenMs_);
+}
+
 std::optional<routing::PromptLoad>
 ForwardExchange::Prompt() const
 {
@@ -471,7 +500,8 @@
                   " used=",
                   Used(),
                   " grant_left=",
-                  services_.biller_.Free(plan_.budget_)) };
+                  services_.biller_.Free(plan_.budget_),
+                  grantWait_) };
 }
 
 } // namespace cactuswick::router
--- a/packages/router/src/request/ForwardExchange.h
+++ b/packages/router/src/request/ForwardExchange.h
@@ -93,6 +93,8 @@
   /// Lets go of all that the request holds and notes what it used.
   void Settle();
   RequestEnd EndWith(int aStatus) const;
+  /// Notes how long the request waited for its budget, and for what.
+  void NoteGrantWait(int64_t aSinceMs, int64_t aBefore);
   /// Tokens to bill. An answer of which nothing reached the caller is free.
   ledger::Tokens Used() const;
 
@@ -115,6 +117,8 @@
   /// An answer that is no stream has gone to the caller, whole or in part.
   bool answerPassedOn_ = false;
   ledger::Tokens reserved_ = 0;
+  /// Inputs of the line in the log, of a request that waited for its budget.
+  std::string grantWait_;
   bool ended_ = false;
 };
 
