One ask covers all requests that wait for a budget at a router

The router asked for the first waiter's tokens only, one ask at a time, and ahead only every 500 ms, so that it got one request's tokens for each round trip. Those refused came back, each with its body over the same link, which made the trips longer: it never recovered.

An ask now wants the sum of all that wait. What is asked for ahead goes in the same batch, and also between the intervals as soon as the next interval is not covered.

--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -97,10 +97,7 @@
 Biller::Borrow(const std::string& aBudget, int64_t aNowMs)
 {
   const BudgetQueue& queue = queues_[aBudget];
-  ledger::Tokens needed = -grants_.Free(aBudget);
-  for (const auto& waiter : queue.waiters_) {
-    needed += waiter.amount_;
-  }
+  const ledger::Tokens needed = WaitedFor(queue) - grants_.Free(aBudget);
   const ledger::Tokens first =
     queue.waiters_.front().amount_ - grants_.Free(aBudget);
   const ledger::Tokens ahead =
@@ -125,6 +122,16 @@
   ServeWaiters(aBudget);
 }
 
+ledger::Tokens
+Biller::WaitedFor(const BudgetQueue& aQueue)
+{
+  ledger::Tokens sum = 0;
+  for (const auto& waiter : aQueue.waiters_) {
+    sum += waiter.amount_;
+  }
+  return sum;
+}
+
 ledger::Tokens
 Biller::LendTo(const transport::LendRequest& aRequest)
 {
@@ -210,7 +217,9 @@
   const auto queue = queues_.find(aBudget);
   const bool others = queue != queues_.end() && !queue->second.waiters_.empty();
   if (!others && grants_.Reserve(aBudget, aAmount, now)) {
-    if (!options_.reportsUse_) {
+    // Those that report use ask ahead at intervals, and between them once
+    // the next interval is not covered.
+    if (!options_.reportsUse_ || grants_.IsShort(aBudget, kReportMs, now)) {
       AskAhead(aBudget);
     }
     aHook(absl::OkStatus());
@@ -252,14 +261,22 @@
   BudgetQueue& queue = queues_[aBudget];
   queue.asking_ = true;
   queue.askedMs_ = EventLoop::NowMs();
-  const auto ask =
-    grants_.Ask(aBudget, queue.waiters_.front().amount_, EventLoop::NowMs());
+  const auto ask = grants_.Ask(aBudget,
+                               queue.waiters_.front().amount_,
+                               EventLoop::NowMs(),
+                               WaitedFor(queue));
   options_.control_.Submit(
     ask, [this, aBudget](const ledger::OpResult& aResult) {
       if (const auto* grant = std::get_if<ledger::GrantResult>(&aResult)) {
         OnGrant(aBudget, *grant);
       }
     });
+  if (options_.reportsUse_) {
+    // In the same batch, so that those to come don't wait for another trip.
+    if (const auto ahead = grants_.Refill(aBudget, EventLoop::NowMs())) {
+      AskFor(*ahead);
+    }
+  }
 }
 
 void
--- a/packages/router/src/process/Biller.h
+++ b/packages/router/src/process/Biller.h
@@ -157,6 +157,7 @@
   ledger::Tokens LendTo(const transport::LendRequest& aRequest);
   void AskFor(const ledger::AcquireGrant& aAsk);
   void AskNext(const std::string& aBudget);
+  static ledger::Tokens WaitedFor(const BudgetQueue& aQueue);
   void AskAhead(const std::string& aBudget);
   void OnGrant(const std::string& aBudget, const ledger::GrantResult& aResult);
   void ServeWaiters(const std::string& aBudget);
--- a/packages/routing/include/cactuswick/routing/process/GrantBook.h
+++ b/packages/routing/include/cactuswick/routing/process/GrantBook.h
@@ -58,10 +58,17 @@
   /// The budget is near its end: exact sizes from now on, for a while.
   void OnDenied(const std::string& aBudget, int64_t aNowMs);
 
-  /// The next grant to ask for, so that @p aMinimum fits.
+  /// The next grant to ask for, so that @p aMinimum fits, and if it can be
+  /// had @p aAll, the sum of all that wait.
   ledger::AcquireGrant Ask(const std::string& aBudget,
                            Tokens aMinimum,
-                           int64_t aNowMs) const;
+                           int64_t aNowMs,
+                           Tokens aAll = 0) const;
+
+  /// Whether less is free than the recent use comes to in @p aSpanMs.
+  bool IsShort(const std::string& aBudget,
+               int64_t aSpanMs,
+               int64_t aNowMs) const;
 
   /// Least amount that is kept of a budget, whatever the recent use.
   void SetFloor(const std::string& aBudget, Tokens aFloor);
--- a/packages/routing/src/process/GrantBook.cpp
+++ b/packages/routing/src/process/GrantBook.cpp
@@ -73,23 +73,34 @@
 ledger::AcquireGrant
 GrantBook::Ask(const std::string& aBudget,
                Tokens aMinimum,
-               int64_t aNowMs) const
+               int64_t aNowMs,
+               Tokens aAll) const
 {
-  ledger::AcquireGrant ask{ aBudget, aMinimum, aMinimum };
+  ledger::AcquireGrant ask{ aBudget, std::max(aMinimum, aAll), aMinimum };
   const auto found = lines_.find(aBudget);
   if (found == lines_.end()) {
     return ask;
   }
   const Line& line = found->second;
-  ask.minimum_ =
-    std::max(Tokens{ 1 }, aMinimum - (line.granted_ - line.reserved_));
+  const Tokens free = line.granted_ - line.reserved_;
+  ask.minimum_ = std::max(Tokens{ 1 }, aMinimum - free);
+  ask.want_ = std::max(ask.minimum_, aAll - free);
   const bool exact = aNowMs < line.recalledUntilMs_;
-  ask.want_ = exact || options_.extrapolates_
-                ? ask.minimum_
-                : std::max(ask.minimum_, RecentUse(line, aNowMs));
+  if (!exact && !options_.extrapolates_) {
+    ask.want_ = std::max(ask.want_, RecentUse(line, aNowMs));
+  }
   return ask;
 }
 
+bool
+GrantBook::IsShort(const std::string& aBudget,
+                   int64_t aSpanMs,
+                   int64_t aNowMs) const
+{
+  return Free(aBudget) * options_.horizonMs_ <
+         RecentUseOf(aBudget, aNowMs) * aSpanMs;
+}
+
 Tokens
 GrantBook::RecentUse(const Line& aLine, int64_t aNowMs) const
 {
--- a/tests/routing/process/GrantBookTest.cpp
+++ b/tests/routing/process/GrantBookTest.cpp
@@ -70,6 +70,31 @@
   EXPECT_EQ(book.Granted(kBudget), 10);
 }
 
+TEST(GrantBook, OneAskCoversAllRequestsThatWait)
+{
+  GrantBook book({ .extrapolates_ = true });
+  EXPECT_EQ(book.Ask(kBudget, 50, 0, 400).want_, 400);
+  book.OnGranted(kBudget, 30);
+  const auto ask = book.Ask(kBudget, 50, 0, 400);
+  EXPECT_EQ(ask.minimum_, 20);
+  EXPECT_EQ(ask.want_, 370);
+  // Also when nothing more may be held ahead.
+  book.OnDenied(kBudget, 0);
+  EXPECT_EQ(book.Ask(kBudget, 50, 0, 400).want_, 370);
+}
+
+TEST(GrantBook, IsShortWhenTheNextIntervalIsNotCovered)
+{
+  GrantBook book({ .horizonMs_ = 10'000, .extrapolates_ = true });
+  book.OnGranted(kBudget, 1'000);
+  book.Reserve(kBudget, 900, 1'000);
+  book.Spend(kBudget, 900);
+  // 900 in 9 s: 100 are left, for one second.
+  EXPECT_FALSE(book.IsShort(kBudget, 900, 10'000));
+  EXPECT_TRUE(book.IsShort(kBudget, 1'100, 10'000));
+  EXPECT_FALSE(book.IsShort("w/other", 500, 10'000));
+}
+
 RC_GTEST_PROP(GrantBookProperty, ReservationsNeverPassGrants, ())
 {
   const auto moves = *rc::gen::container<std::vector<std::pair<int, int>>>(
