The reserve of a budget stays where it is and can be found: depots

What was kept of each budget for routers that are cut off was gone seconds after the start: a line that had never been used counts as idle since time 0, was returned by the next check, and was forgotten with its floor.

A floor is no longer given back as idle. It is kept by depots, two routers of each failure domain, which every router finds from the list of routers alone; a router that is cut off asks them first.

Cut off, requests for as much as nobody has lent are refused at once for 300 ms, and those that wait for it end together instead of one in each round. The interval of reports follows the number of serving routers: 100 a second for the leader, whatever the fleet.

AFloorThatIsNotUsedYetIsNotReturnedAsIdle failed on the old code.

--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -22,13 +22,22 @@
 /// Wait before a grant that was denied is asked for again.
 constexpr int64_t kAskAgainMs = 100;
 constexpr int64_t kIdleCheckMs = 2'000;
-/// Interval between reports of use.
-constexpr int64_t kReportMs = 500;
+/// Cut off and refused by those who could lend, a router tries again after
+/// this long.
+constexpr int64_t kUnlentMs = 300;
 /// A request waits this long for control before other routers are asked.
 constexpr int64_t kBorrowAfterMs = 60;
 /// Part of the recent use that is borrowed ahead.
 constexpr ledger::Tokens kBorrowDivisor = 4;
 
+absl::Status
+Unlent()
+{
+  return MakeError(ErrorKind::kControlUnreachable,
+                   "budget",
+                   "cut off from control, and no router can lend");
+}
+
 } // namespace
 
 Biller::Biller(EventLoop& aLoop, const BillerOptions& aOptions)
@@ -38,6 +47,10 @@
            { .from_ = aOptions.from_,
              .self_ = [this] { return options_.control_.Incarnation(); },
              .routers_ = [this] { return options_.config_.Routers(); },
+             .depots_ =
+               [this](const std::string& aBudget) {
+                 return routing::DepotsOf(aBudget, options_.config_.Routers());
+               },
              .lend_ =
                [this](const transport::LendRequest& aRequest) {
                  return LendTo(aRequest);
@@ -78,7 +91,7 @@
     lastIdleMs_ = now;
     ReturnIdle(now);
   }
-  if (options_.control_.IsReachable() && now - lastReportMs_ > kReportMs) {
+  if (options_.control_.IsReachable() && now - lastReportMs_ > ReportMs()) {
     lastReportMs_ = now;
     ReportUses();
     AskAheadForAll();
@@ -111,17 +124,35 @@
   if (options_.control_.IsReachable()) {
     return;
   }
-  auto& waiters = queues_[aBudget].waiters_;
-  if (!waiters.empty()) {
-    FailFirst(aBudget,
-              MakeError(ErrorKind::kControlUnreachable,
-                        "budget",
-                        "cut off from control, and no router can lend"));
+  BudgetQueue& queue = queues_[aBudget];
+  if (!queue.waiters_.empty()) {
+    queue.unlent_ = queue.waiters_.front().amount_;
+    queue.unlentUntilMs_ = EventLoop::NowMs() + kUnlentMs;
+    FailUnlent(aBudget);
   }
-  // Smaller requests behind one that failed may still fit.
+  // Smaller requests may still fit.
   ServeWaiters(aBudget);
 }
 
+void
+Biller::FailUnlent(const std::string& aBudget)
+{
+  auto& waiters = queues_[aBudget].waiters_;
+  const ledger::Tokens unlent = queues_[aBudget].unlent_;
+  std::vector<ReserveHook> failed;
+  for (auto waiter = waiters.begin(); waiter != waiters.end();) {
+    if (waiter->amount_ < unlent) {
+      ++waiter;
+      continue;
+    }
+    failed.push_back(std::move(waiter->hook_));
+    waiter = waiters.erase(waiter);
+  }
+  for (const auto& hook : failed) {
+    hook(Unlent());
+  }
+}
+
 ledger::Tokens
 Biller::WaitedFor(const BudgetQueue& aQueue)
 {
@@ -132,6 +163,16 @@
   return sum;
 }
 
+int64_t
+Biller::ReportMs() const
+{
+  const auto& routers = options_.config_.Routers();
+  return routing::ReportIntervalMs(
+    std::count_if(routers.begin(), routers.end(), [](const auto& aOne) {
+      return aOne.state_ == ledger::RouterState::kServing;
+    }));
+}
+
 ledger::Tokens
 Biller::LendTo(const transport::LendRequest& aRequest)
 {
@@ -219,13 +260,18 @@
   if (!others && grants_.Reserve(aBudget, aAmount, now)) {
     // Those that report use ask ahead at intervals, and between them once
     // the next interval is not covered.
-    if (!options_.reportsUse_ || grants_.IsShort(aBudget, kReportMs, now)) {
+    if (!options_.reportsUse_ || grants_.IsShort(aBudget, ReportMs(), now)) {
       AskAhead(aBudget);
     }
     aHook(absl::OkStatus());
     return;
   }
   BudgetQueue& waiting = queues_[aBudget];
+  if (aAmount >= waiting.unlent_ && now < waiting.unlentUntilMs_ &&
+      !options_.control_.IsReachable()) {
+    aHook(Unlent());
+    return;
+  }
   waiting.waiters_.push_back({ aOwner, aAmount, now, 0, std::move(aHook) });
   if (!waiting.asking_) {
     AskNext(aBudget);
--- a/packages/router/src/process/Biller.h
+++ b/packages/router/src/process/Biller.h
@@ -10,6 +10,7 @@
 
 #include <absl/status/status.h>
 
+#include "cactuswick/routing/process/FleetGrants.h"
 #include "cactuswick/routing/process/GrantBook.h"
 #include "cactuswick/routing/process/SettlementBook.h"
 #include "cactuswick/telemetry/process/Metrics.h"
@@ -139,6 +140,9 @@
     bool asking_ = false;
     int64_t askedMs_ = 0;
     int64_t askAgainMs_ = 0;
+    /// Cut off, nobody lent so much; nor will they until then.
+    ledger::Tokens unlent_ = 0;
+    int64_t unlentUntilMs_ = 0;
   };
 
   struct SettleWaiter
@@ -158,6 +162,9 @@
   void AskFor(const ledger::AcquireGrant& aAsk);
   void AskNext(const std::string& aBudget);
   static ledger::Tokens WaitedFor(const BudgetQueue& aQueue);
+  /// Fails those that wait for as much as nobody lends.
+  void FailUnlent(const std::string& aBudget);
+  int64_t ReportMs() const;
   void AskAhead(const std::string& aBudget);
   void OnGrant(const std::string& aBudget, const ledger::GrantResult& aResult);
   void ServeWaiters(const std::string& aBudget);
--- a/packages/router/src/process/ForwardRole.cpp
+++ b/packages/router/src/process/ForwardRole.cpp
@@ -26,7 +26,7 @@
 constexpr int64_t kIdleMarginMs = 5'000;
 /// Control says when an endpoint is lost, so its lease does not end here.
 constexpr int64_t kLeaseMs = 3'600'000;
-/// Part of a budget that all routers together keep at the least, for callers
+/// Part of a budget that its depots together keep at the least, for callers
 /// who come to a router for the first time while it is cut off.
 constexpr ledger::Tokens kFloorPercent = 8;
 constexpr ledger::Tokens kPercent = 100;
@@ -177,14 +177,22 @@
   if (!HasDeployment()) {
     return;
   }
-  const int64_t routers = ServingRouters();
+  const auto& routers = options_.config_.Routers();
+  const auto self = options_.self_();
   for (const auto& workspace : api_.Deployment()->Spec().workspaces_) {
     if (workspace.prepaidTokens_) {
       const std::string budget = model::PrepaidBudgetOf(workspace.name_);
+      const auto depots = routing::DepotsOf(budget, routers);
+      const bool keeps =
+        std::find(depots.begin(), depots.end(), self) != depots.end();
       const ledger::Tokens floor =
-        *workspace.prepaidTokens_ * kFloorPercent / (kPercent * routers);
+        keeps ? *workspace.prepaidTokens_ * kFloorPercent /
+                  (kPercent * static_cast<ledger::Tokens>(depots.size()))
+              : 0;
       options_.biller_.SetFloor(budget, floor);
-      options_.biller_.Provide(budget, floor);
+      if (floor > 0) {
+        options_.biller_.Provide(budget, floor);
+      }
     }
   }
 }
--- a/packages/router/src/process/ForwardRole.h
+++ b/packages/router/src/process/ForwardRole.h
@@ -20,6 +20,7 @@
   telemetry::Metrics& metrics_;
   telemetry::BurnTable& burn_;
   const ConfigView& config_;
+  std::function<ledger::Incarnation()> self_;
   std::function<bool()> isReady_;
   std::function<bool()> isLeaving_;
   std::function<bool()> refusesNew_;
--- a/packages/router/src/process/GrantLoans.cpp
+++ b/packages/router/src/process/GrantLoans.cpp
@@ -21,9 +21,9 @@
 /// A lender that does not answer for this long counts as one that has none.
 constexpr int64_t kAnswerMs = 150;
 constexpr int64_t kIdleMs = 15'000;
-/// Routers asked at the same time, and in one round.
+/// Routers asked at the same time, and in one round beside the depots.
 constexpr int64_t kAskedAtOnce = 2;
-constexpr size_t kAskedInAll = 8;
+constexpr size_t kOthersAsked = 4;
 
 } // namespace
 
@@ -53,8 +53,13 @@
                              .budget_ = aBudget,
                              .want_ = std::max(aWant, aMinimum),
                              .minimum_ = aMinimum } };
+  std::vector<Incarnation> depots = options_.depots_(aBudget);
+  std::erase(depots, options_.self_());
   for (const auto& router : options_.routers_()) {
-    if (router.incarnation_ != options_.self_() &&
+    const bool depot =
+      std::find(depots.begin(), depots.end(), router.incarnation_) !=
+      depots.end();
+    if (!depot && router.incarnation_ != options_.self_() &&
         router.state_ != ledger::RouterState::kEnded) {
       round.untried_.push_back(router.incarnation_);
     }
@@ -62,9 +67,12 @@
   // In another order each time, so that nobody is always asked first.
   std::mt19937_64 random(model::Hash64(aBudget, ++lastCall_));
   std::shuffle(round.untried_.begin(), round.untried_.end(), random);
-  if (round.untried_.size() > kAskedInAll) {
-    round.untried_.resize(kAskedInAll);
+  std::shuffle(depots.begin(), depots.end(), random);
+  if (round.untried_.size() > kOthersAsked) {
+    round.untried_.resize(kOthersAsked);
   }
+  // Taken from the back.
+  round.untried_.insert(round.untried_.end(), depots.begin(), depots.end());
   Round& asked = rounds_[aBudget] = std::move(round);
   AskNext(asked);
 }
--- a/packages/router/src/process/RouterTask.cpp
+++ b/packages/router/src/process/RouterTask.cpp
@@ -181,6 +181,7 @@
       .metrics_ = metrics_,
       .burn_ = burn_,
       .config_ = config_,
+      .self_ = [this] { return control_->Incarnation(); },
       .isReady_ = [this] { return IsReady(); },
       .isLeaving_ = [this] { return phase_ >= Phase::kLeaving; },
       .refusesNew_ = [this] { return phase_ >= Phase::kDraining; } });
--- a/packages/routing/include/cactuswick/routing/process/GrantBook.h
+++ b/packages/routing/include/cactuswick/routing/process/GrantBook.h
@@ -81,7 +81,8 @@
   /// Gives up what is free of a budget that others need.
   std::optional<ledger::ReturnGrant> Recall(const std::string& aBudget,
                                             int64_t aNowMs);
-  /// Gives up what is free of budgets that were not used for long.
+  /// Gives up what is free, beyond the floors, of budgets that were not used
+  /// for long.
   std::vector<ledger::ReturnGrant> CollectIdle(int64_t aNowMs);
   /// Gives up everything that is free.
   std::vector<ledger::ReturnGrant> ReturnAll();
@@ -106,7 +107,9 @@
   };
 
   Tokens RecentUse(const Line& aLine, int64_t aNowMs) const;
-  static ledger::ReturnGrant GiveUp(const std::string& aBudget, Line& aLine);
+  static ledger::ReturnGrant GiveUp(const std::string& aBudget,
+                                    Line& aLine,
+                                    Tokens aKept = 0);
 
   GrantBookOptions options_;
   std::map<std::string, Line> lines_;
--- /dev/null
+++ b/packages/routing/src/process/FleetGrants.cpp
@@ -0,0 +1,52 @@
+#include "cactuswick/routing/process/FleetGrants.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "cactuswick/model/process/Hash.h"
+
+namespace cactuswick::routing {
+
+namespace {
+
+/// Depots of a budget in each failure domain: one may be lost.
+constexpr size_t kDepotsPerDomain = 2;
+constexpr int64_t kShortestReportMs = 500;
+/// Reports of all routers that the leader takes in a second.
+constexpr int64_t kReportsPerSecond = 100;
+constexpr int64_t kMsPerSecond = 1'000;
+
+} // namespace
+
+std::vector<ledger::Incarnation>
+DepotsOf(const std::string& aBudget,
+         const std::vector<ledger::RouterRecord>& aRouters)
+{
+  using Scored = std::pair<uint64_t, ledger::Incarnation>;
+  std::map<std::string, std::vector<Scored>> domains;
+  const uint64_t seed = model::Hash64(aBudget);
+  for (const auto& router : aRouters) {
+    if (router.state_ == ledger::RouterState::kServing) {
+      domains[router.failureDomain_].emplace_back(
+        model::Hash64(router.vm_, seed), router.incarnation_);
+    }
+  }
+  std::vector<ledger::Incarnation> depots;
+  for (auto& [domain, scored] : domains) {
+    std::sort(scored.rbegin(), scored.rend());
+    for (size_t i = 0; i < std::min(kDepotsPerDomain, scored.size()); ++i) {
+      depots.push_back(scored[i].second);
+    }
+  }
+  return depots;
+}
+
+int64_t
+ReportIntervalMs(int64_t aServingRouters)
+{
+  return std::max(kShortestReportMs,
+                  aServingRouters * kMsPerSecond / kReportsPerSecond);
+}
+
+} // namespace cactuswick::routing
--- a/packages/routing/src/process/GrantBook.cpp
+++ b/packages/routing/src/process/GrantBook.cpp
@@ -173,11 +173,12 @@
 }
 
 ledger::ReturnGrant
-GrantBook::GiveUp(const std::string& aBudget, Line& aLine)
+GrantBook::GiveUp(const std::string& aBudget, Line& aLine, Tokens aKept)
 {
-  const Tokens free = aLine.granted_ - aLine.reserved_;
-  aLine.granted_ -= free;
-  return { aBudget, free };
+  const Tokens given =
+    std::max(Tokens{ 0 }, aLine.granted_ - aLine.reserved_ - aKept);
+  aLine.granted_ -= given;
+  return { aBudget, given };
 }
 
 std::optional<ledger::ReturnGrant>
@@ -201,11 +202,13 @@
       ++line;
       continue;
     }
-    const auto one = GiveUp(line->first, line->second);
+    const Tokens floor = line->second.floor_;
+    const auto one = GiveUp(line->first, line->second, floor);
     if (one.amount_ > 0) {
       given.push_back(one);
     }
-    line = line->second.granted_ == 0 ? lines_.erase(line) : std::next(line);
+    const bool empty = line->second.granted_ == 0 && floor == 0;
+    line = empty ? lines_.erase(line) : std::next(line);
   }
   return given;
 }
--- a/tests/routing/process/GrantBookTest.cpp
+++ b/tests/routing/process/GrantBookTest.cpp
@@ -70,6 +70,20 @@
   EXPECT_EQ(book.Granted(kBudget), 10);
 }
 
+TEST(GrantBook, AFloorThatIsNotUsedYetIsNotReturnedAsIdle)
+{
+  GrantBook book({ .extrapolates_ = true });
+  book.SetFloor(kBudget, 70);
+  book.OnGranted(kBudget, 100);
+  ASSERT_EQ(book.CollectIdle(60'000).size(), 1U);
+  EXPECT_EQ(book.Free(kBudget), 70);
+  EXPECT_TRUE(book.CollectIdle(62'000).empty());
+  // Still known, with its floor, after all of it has been lent.
+  book.Lend(kBudget, 70, 70);
+  book.CollectIdle(64'000);
+  EXPECT_EQ(book.Refill(kBudget, 64'000)->want_, 70);
+}
+
 TEST(GrantBook, OneAskCoversAllRequestsThatWait)
 {
   GrantBook book({ .extrapolates_ = true });
