--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -22,13 +22,22 @@
 /// Wait before a grant that was denied is asked for again.
 constexpr int64_t kAskAgainMs = 100;
 constexpr int64_t kIdleCheckMs = 2'000;
-/// Interval between reports of use.
-constexpr int64_t kReportMs = 500;
+/// Cut off and refused by those who could lend, a router tries again after
+/// this long.
+constexpr int64_t kUnlentMs = 300;
 /// A request waits this long for control before other routers are asked.
 constexpr int64_t kBorrowAfterMs = 60;
 /// Part of the recent use that is borrowed ahead.
 constexpr ledger::Tokens kBorrowDivisor = 4;
 
+absl::Status
+Unlent()
+{
+  return MakeError(ErrorKind::kControlUnreachable,
+                   "budget",
+                   "cut off from control, and no router can lend");
+}
+
 } // namespace
 
 Biller::Biller(EventLoop& aLoop, const BillerOptions& aOptions)
@@ -38,12 +47,17 @@
            { .from_ = aOptions.from_,
              .self_ = [this] { return options_.control_.Incarnation(); },
              .routers_ = [this] { return options_.config_.Routers(); },
+             .depots_ =
+               [this](const std::string& aBudget) {
+                 return routing::DepotsOf(aBudget, options_.config_.Routers());
+               },
              .lend_ =
                [this](const transport::LendRequest& aRequest) {
                  return LendTo(aRequest);
                },
              .onLent_ =
                [this](const std::string& aBudget, ledger::Tokens aAmount) {
+                 options_.metrics_.Count(Counter::kTokensBorrowed, aAmount);
                  grants_.OnGranted(aBudget, aAmount);
                  ServeWaiters(aBudget);
                },
@@ -77,7 +91,7 @@
     lastIdleMs_ = now;
     ReturnIdle(now);
   }
-  if (options_.control_.IsReachable() && now - lastReportMs_ > kReportMs) {
+  if (options_.control_.IsReachable() && now - lastReportMs_ > ReportMs()) {
     lastReportMs_ = now;
     ReportUses();
     AskAheadForAll();
@@ -96,10 +110,7 @@
 Biller::Borrow(const std::string& aBudget, int64_t aNowMs)
 {
   const BudgetQueue& queue = queues_[aBudget];
-  ledger::Tokens needed = -grants_.Free(aBudget);
-  for (const auto& waiter : queue.waiters_) {
-    needed += waiter.amount_;
-  }
+  const ledger::Tokens needed = WaitedFor(queue) - grants_.Free(aBudget);
   const ledger::Tokens first =
     queue.waiters_.front().amount_ - grants_.Free(aBudget);
   const ledger::Tokens ahead =
@@ -113,23 +124,62 @@
   if (options_.control_.IsReachable()) {
     return;
   }
-  auto& waiters = queues_[aBudget].waiters_;
-  if (!waiters.empty()) {
-    FailFirst(aBudget,
-              MakeError(ErrorKind::kControlUnreachable,
-                        "budget",
-                        "cut off from control, and no router can lend"));
+  BudgetQueue& queue = queues_[aBudget];
+  if (!queue.waiters_.empty()) {
+    queue.unlent_ = queue.waiters_.front().amount_;
+    queue.unlentUntilMs_ = EventLoop::NowMs() + kUnlentMs;
+    FailUnlent(aBudget);
   }
-  // Smaller requests behind one that failed may still fit.
+  // Smaller requests may still fit.
   ServeWaiters(aBudget);
 }
 
+void
+Biller::FailUnlent(const std::string& aBudget)
+{
+  auto& waiters = queues_[aBudget].waiters_;
+  const ledger::Tokens unlent = queues_[aBudget].unlent_;
+  std::vector<ReserveHook> failed;
+  for (auto waiter = waiters.begin(); waiter != waiters.end();) {
+    if (waiter->amount_ < unlent) {
+      ++waiter;
+      continue;
+    }
+    failed.push_back(std::move(waiter->hook_));
+    waiter = waiters.erase(waiter);
+  }
+  for (const auto& hook : failed) {
+    hook(Unlent());
+  }
+}
+
+ledger::Tokens
+Biller::WaitedFor(const BudgetQueue& aQueue)
+{
+  ledger::Tokens sum = 0;
+  for (const auto& waiter : aQueue.waiters_) {
+    sum += waiter.amount_;
+  }
+  return sum;
+}
+
+int64_t
+Biller::ReportMs() const
+{
+  const auto& routers = options_.config_.Routers();
+  return routing::ReportIntervalMs(
+    std::count_if(routers.begin(), routers.end(), [](const auto& aOne) {
+      return aOne.state_ == ledger::RouterState::kServing;
+    }));
+}
+
 ledger::Tokens
 Biller::LendTo(const transport::LendRequest& aRequest)
 {
   const ledger::Tokens lent =
     grants_.Lend(aRequest.budget_, aRequest.want_, aRequest.minimum_);
   if (lent > 0) {
+    options_.metrics_.Count(Counter::kTokensLent, lent);
     Log(Part::kBilling,
         Level::kInfo,
         model::Concat("lends budget=",
@@ -208,19 +258,39 @@
   const auto queue = queues_.find(aBudget);
   const bool others = queue != queues_.end() && !queue->second.waiters_.empty();
   if (!others && grants_.Reserve(aBudget, aAmount, now)) {
-    if (!options_.reportsUse_) {
+    // Those that report use ask ahead at intervals, and between them once
+    // the next interval is not covered.
+    if (!options_.reportsUse_ || grants_.IsShort(aBudget, ReportMs(), now)) {
       AskAhead(aBudget);
     }
     aHook(absl::OkStatus());
     return;
   }
   BudgetQueue& waiting = queues_[aBudget];
+  if (aAmount >= waiting.unlent_ && now < waiting.unlentUntilMs_ &&
+      !options_.control_.IsReachable()) {
+    aHook(Unlent());
+    return;
+  }
   waiting.waiters_.push_back({ aOwner, aAmount, now, 0, std::move(aHook) });
   if (!waiting.asking_) {
     AskNext(aBudget);
   }
 }
 
+BudgetWait
+Biller::WaitFor(const std::string& aBudget) const
+{
+  BudgetWait wait{ .control_ = options_.control_.Times() };
+  const auto found = queues_.find(aBudget);
+  if (found != queues_.end()) {
+    const BudgetQueue& queue = found->second;
+    wait.waiting_ = static_cast<int64_t>(queue.waiters_.size());
+    wait.askOpenMs_ = queue.asking_ ? EventLoop::NowMs() - queue.askedMs_ : 0;
+  }
+  return wait;
+}
+
 void
 Biller::CancelReserve(int64_t aOwner)
 {
@@ -236,14 +306,23 @@
 {
   BudgetQueue& queue = queues_[aBudget];
   queue.asking_ = true;
-  const auto ask =
-    grants_.Ask(aBudget, queue.waiters_.front().amount_, EventLoop::NowMs());
+  queue.askedMs_ = EventLoop::NowMs();
+  const auto ask = grants_.Ask(aBudget,
+                               queue.waiters_.front().amount_,
+                               EventLoop::NowMs(),
+                               WaitedFor(queue));
   options_.control_.Submit(
     ask, [this, aBudget](const ledger::OpResult& aResult) {
       if (const auto* grant = std::get_if<ledger::GrantResult>(&aResult)) {
         OnGrant(aBudget, *grant);
       }
     });
+  if (options_.reportsUse_) {
+    // In the same batch, so that those to come don't wait for another trip.
+    if (const auto ahead = grants_.Refill(aBudget, EventLoop::NowMs())) {
+      AskFor(*ahead);
+    }
+  }
 }
 
 void
@@ -258,7 +337,9 @@
 void
 Biller::AskFor(const ledger::AcquireGrant& aAsk)
 {
-  queues_[aAsk.budget_].asking_ = true;
+  BudgetQueue& queue = queues_[aAsk.budget_];
+  queue.asking_ = true;
+  queue.askedMs_ = EventLoop::NowMs();
   options_.control_.Submit(
     aAsk, [this, budget = aAsk.budget_](const ledger::OpResult& aResult) {
       queues_[budget].asking_ = false;
--- a/packages/router/src/process/Biller.h
+++ b/packages/router/src/process/Biller.h
@@ -10,6 +10,7 @@
 
 #include <absl/status/status.h>
 
+#include "cactuswick/routing/process/FleetGrants.h"
 #include "cactuswick/routing/process/GrantBook.h"
 #include "cactuswick/routing/process/SettlementBook.h"
 #include "cactuswick/telemetry/process/Metrics.h"
@@ -41,6 +42,18 @@
   routing::GrantBookOptions grants_;
 };
 
+/// What a wait for a budget depends on, with its age.
+struct BudgetWait
+{
+  /// Requests that wait for the same budget.
+  int64_t waiting_ = 0;
+  /// Since control was asked for a grant of it; 0 without an open ask.
+  int64_t askOpenMs_ = 0;
+  ControlTimes control_;
+
+  bool operator==(const BudgetWait&) const = default;
+};
+
 /// The money side of a router: reserves from its grants before a request
 /// runs, settles what the request used, and looks after other routers'
 /// copies.
@@ -85,6 +98,8 @@
     return grants_.Free(aBudget);
   }
 
+  BudgetWait WaitFor(const std::string& aBudget) const;
+
   /// Settles @c amount_ out of a reservation of @p aReserved tokens.
   void Settle(const ledger::Settle& aSettle,
               ledger::Tokens aReserved,
@@ -123,7 +138,11 @@
   {
     std::deque<ReserveWaiter> waiters_;
     bool asking_ = false;
+    int64_t askedMs_ = 0;
     int64_t askAgainMs_ = 0;
+    /// Cut off, nobody lent so much; nor will they until then.
+    ledger::Tokens unlent_ = 0;
+    int64_t unlentUntilMs_ = 0;
   };
 
   struct SettleWaiter
@@ -142,6 +161,10 @@
   ledger::Tokens LendTo(const transport::LendRequest& aRequest);
   void AskFor(const ledger::AcquireGrant& aAsk);
   void AskNext(const std::string& aBudget);
+  static ledger::Tokens WaitedFor(const BudgetQueue& aQueue);
+  /// Fails those that wait for as much as nobody lends.
+  void FailUnlent(const std::string& aBudget);
+  int64_t ReportMs() const;
   void AskAhead(const std::string& aBudget);
   void OnGrant(const std::string& aBudget, const ledger::GrantResult& aResult);
   void ServeWaiters(const std::string& aBudget);
--- a/packages/routing/src/process/GrantBook.cpp
+++ b/packages/routing/src/process/GrantBook.cpp
@@ -73,23 +73,34 @@
 ledger::AcquireGrant
 GrantBook::Ask(const std::string& aBudget,
                Tokens aMinimum,
-               int64_t aNowMs) const
+               int64_t aNowMs,
+               Tokens aAll) const
 {
-  ledger::AcquireGrant ask{ aBudget, aMinimum, aMinimum };
+  ledger::AcquireGrant ask{ aBudget, std::max(aMinimum, aAll), aMinimum };
   const auto found = lines_.find(aBudget);
   if (found == lines_.end()) {
     return ask;
   }
   const Line& line = found->second;
-  ask.minimum_ =
-    std::max(Tokens{ 1 }, aMinimum - (line.granted_ - line.reserved_));
+  const Tokens free = line.granted_ - line.reserved_;
+  ask.minimum_ = std::max(Tokens{ 1 }, aMinimum - free);
+  ask.want_ = std::max(ask.minimum_, aAll - free);
   const bool exact = aNowMs < line.recalledUntilMs_;
-  ask.want_ = exact || options_.extrapolates_
-                ? ask.minimum_
-                : std::max(ask.minimum_, RecentUse(line, aNowMs));
+  if (!exact && !options_.extrapolates_) {
+    ask.want_ = std::max(ask.want_, RecentUse(line, aNowMs));
+  }
   return ask;
 }
 
+bool
+GrantBook::IsShort(const std::string& aBudget,
+                   int64_t aSpanMs,
+                   int64_t aNowMs) const
+{
+  return Free(aBudget) * options_.horizonMs_ <
+         RecentUseOf(aBudget, aNowMs) * aSpanMs;
+}
+
 Tokens
 GrantBook::RecentUse(const Line& aLine, int64_t aNowMs) const
 {
@@ -162,11 +173,12 @@
 }
 
 ledger::ReturnGrant
-GrantBook::GiveUp(const std::string& aBudget, Line& aLine)
+GrantBook::GiveUp(const std::string& aBudget, Line& aLine, Tokens aKept)
 {
-  const Tokens free = aLine.granted_ - aLine.reserved_;
-  aLine.granted_ -= free;
-  return { aBudget, free };
+  const Tokens given =
+    std::max(Tokens{ 0 }, aLine.granted_ - aLine.reserved_ - aKept);
+  aLine.granted_ -= given;
+  return { aBudget, given };
 }
 
 std::optional<ledger::ReturnGrant>
@@ -190,11 +202,13 @@
       ++line;
       continue;
     }
-    const auto one = GiveUp(line->first, line->second);
+    const Tokens floor = line->second.floor_;
+    const auto one = GiveUp(line->first, line->second, floor);
     if (one.amount_ > 0) {
       given.push_back(one);
     }
-    line = line->second.granted_ == 0 ? lines_.erase(line) : std::next(line);
+    const bool empty = line->second.granted_ == 0 && floor == 0;
+    line = empty ? lines_.erase(line) : std::next(line);
   }
   return given;
 }
