--- a/packages/control/src/version/NoteLimit.cpp
+++ b/packages/control/src/version/NoteLimit.cpp
@@ -11,13 +11,13 @@
 {
   switch (aKind) {
     case ledger::NoteKind::kTransferStarted:
-      return "sends a snapshot to ";
+      return "sends a snapshot to";
     case ledger::NoteKind::kTransferRestarted:
-      return "sends a snapshot from its start again to ";
+      return "sends a snapshot from its start again to";
     case ledger::NoteKind::kTransferDone:
-      return "a snapshot has arrived at ";
+      return "a snapshot has arrived at";
     case ledger::NoteKind::kVoteDenied:
-      return "denies its vote to ";
+      return "denies its vote to";
     case ledger::NoteKind::kElectionFailed:
       return "is not elected";
     case ledger::NoteKind::kSteppedDown:
@@ -43,7 +43,9 @@
 std::string
 TextOf(const ledger::ReplicaNote& aNote)
 {
-  return model::Concat(WhatOf(aNote.kind_), aNote.member_, ": ", aNote.why_);
+  const bool named = !aNote.member_.empty();
+  return model::Concat(
+    WhatOf(aNote.kind_), named ? " " : "", aNote.member_, ": ", aNote.why_);
 }
 
 std::string
--- a/tests/control/version/NoteLimitTest.cpp
+++ b/tests/control/version/NoteLimitTest.cpp
@@ -18,6 +18,13 @@
   EXPECT_TRUE(limit.Admits(denial, kNoteIntervalMs));
 }
 
+TEST(NoteLimit, SetsTheMemberApart)
+{
+  EXPECT_EQ(TextOf({ NoteKind::kSteppedDown, "a/1", "x" }),
+            "steps down a/1: x");
+  EXPECT_EQ(TextOf({ NoteKind::kSteppedDown, "", "x" }), "steps down: x");
+}
+
 TEST(NoteLimit, SaysWhereALearnerStands)
 {
   EXPECT_EQ(TextOf("a/1",
