A long failure that broke off is never continued by another endpoint's answer

What callers saw: status 500 framed as complete, whose body is the first endpoint's cut failure followed by a whole stream, or by the failure, of another endpoint.

Cause: an answer of over 256 KB that is no success is passed on before its end, so that the answer to the caller has begun. When it broke off, a resumable stream route went on at another endpoint, though there was no stream to go on with: "has begun" stood for "the caller has events".

Now only a caller who has events gets more of another attempt; any other answer that has begun is cut.

--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -352,7 +352,8 @@
 {
   events_.DropRest();
   const bool harmless = plan_.route_.IsIdempotent() || !attempts_.MayHaveRun();
-  const bool resumable = !started_ || (IsStream() && plan_.route_.resumable_);
+  const bool resumable =
+    !started_ || (ContinuesStream() && plan_.route_.resumable_);
   if (harmless && resumable && MayRepeat(aArrived)) {
     Enqueue();
     return;
--- a/tests/system/platform_run.py
+++ b/tests/system/platform_run.py
@@ -31,7 +31,8 @@
         self.work_s = 0
         self.gap_s = 0
         # How the next requests end: "", "refuse", "reset", "break" (off in the
-        # middle of the third event) or "fail".
+        # middle of the third event), "fail" or "break_failure" (off in the
+        # middle of a long failure).
         self.fault = ""
         host, port = self.address.split(":")
         runner = self
@@ -69,7 +70,7 @@
             call.close_connection = True
             call.connection.close()
             return
-        if self.fault in ("refuse", "fail"):
+        if self.fault in ("refuse", "fail", "break_failure"):
             self.answer_error(call)
             return
         call.send_response(200)
@@ -94,8 +95,13 @@
             call.send_response(500)
             call.send_header("X-Response-Stamp", f"stamp-{self.id}")
         call.send_header("X-Request-Id", call.headers["X-Request-Id"])
+        if self.fault == "break_failure":
+            body = b"x" * 600_000
+            call.close_connection = True
         call.send_header("Content-Length", str(len(body)))
         call.end_headers()
+        if self.fault == "break_failure":
+            body = body[:400_000]
         call.wfile.write(body)
 
     def stream(self, call):
--- a/tests/system/test_platform.py
+++ b/tests/system/test_platform.py
@@ -180,6 +180,23 @@
     pytest.fail("no stream broke off at the first endpoint")
 
 
+@pytest.mark.parametrize("second", ["", "fail"])
+def test_no_stream_follows_a_long_failure_that_broke_off(run, second):
+    first, other = run.runners[2:]
+    first.fault, other.fault = "break_failure", second
+    for number in range(12):
+        path = f"/stream/long{number}"
+        answer = run.ask(path, request_id=f"l{number}")
+        attempts = sorted(seen(run, path), key=lambda call: call["at"])
+        if attempts and attempts[0]["runner"] is first:
+            assert not (answer.status == 500 and answer.whole), (
+                f"{len(answer.body)} bytes, ends {answer.body[-80:]!r}")
+            assert answer.body.strip("x") == ""
+            return
+        time.sleep(0.3)
+    pytest.fail("no request reached the first endpoint first")
+
+
 def test_a_leaving_endpoint_gets_nothing_new(run):
     run.runners[0].state = "draining"
     assert run.runners[0].tell().status == 200
