What a replica writes until a sync is one record: a power loss leaves no gap in its log

Cause: group commit wrote one record for each append and synced once behind them. After a loss of power each write since the last sync may be there, torn or missing by itself; a missing one with an intact one behind it is rightly refused as damage in the middle of the log. Nothing acknowledged was in that part.

The appends that share a sync are now joined into one record, with one sum: it is there whole or is a torn tail, which is cut as before. Damage in the middle is still refused at every byte (RefusesADamagedMiddleAtEveryByte).

--- a/packages/control/src/process/StorageTask.cpp
+++ b/packages/control/src/process/StorageTask.cpp
@@ -18,6 +18,26 @@
 
 constexpr std::chrono::milliseconds kRefusedWriteWait(100);
 
+/// Joins what is appended until the next sync. After a loss of power any
+/// record that was not synced may be missing while later ones are there; a
+/// single one leaves no gap.
+std::vector<StorageWrite>
+OneRecordPerSync(const std::vector<StorageWrite>& aWrites)
+{
+  std::vector<StorageWrite> joined;
+  for (const auto& write : aWrites) {
+    const bool appends =
+      !joined.empty() && !joined.back().rewrite_ && !write.rewrite_;
+    if (appends) {
+      joined.back().frame_ =
+        ledger::Joined(std::move(joined.back().frame_), write.frame_);
+    } else {
+      joined.push_back(write);
+    }
+  }
+  return joined;
+}
+
 } // namespace
 
 struct StorageTask::State
@@ -35,7 +55,7 @@
   {
     const auto start = std::chrono::steady_clock::now();
     absl::Status status;
-    for (const auto& write : aWrites) {
+    for (const auto& write : OneRecordPerSync(aWrites)) {
       if (status.ok()) {
         status = WriteOne(write);
       }
--- a/packages/ledger/include/cactuswick/ledger/process/LogStore.h
+++ b/packages/ledger/include/cactuswick/ledger/process/LogStore.h
@@ -23,6 +23,10 @@
   bool operator==(const LogFrame&) const = default;
 };
 
+/// Makes one frame that does what @p aFirst and then @p aSecond do.
+LogFrame
+Joined(LogFrame aFirst, const LogFrame& aSecond);
+
 /// Who a data folder belongs to.
 struct Identity
 {
--- a/packages/ledger/src/process/LogStore.cpp
+++ b/packages/ledger/src/process/LogStore.cpp
@@ -1,6 +1,8 @@
 #include "cactuswick/ledger/process/LogStore.h"
 
+#include <algorithm>
 #include <filesystem>
+#include <vector>
 
 #include "cactuswick/model/process/Codec.h"
 #include "cactuswick/model/process/Error.h"
@@ -53,6 +55,24 @@
 
 } // namespace
 
+LogFrame
+Joined(LogFrame aFirst, const LogFrame& aSecond)
+{
+  if (aSecond.hardState_) {
+    aFirst.hardState_ = aSecond.hardState_;
+  }
+  auto& entries = aFirst.entries_;
+  if (const auto from = aSecond.truncateFrom_) {
+    aFirst.truncateFrom_ =
+      std::min(aFirst.truncateFrom_.value_or(*from), *from);
+    std::erase_if(
+      entries, [from](const Entry& aEntry) { return aEntry.index_ >= *from; });
+  }
+  entries.insert(
+    entries.end(), aSecond.entries_.begin(), aSecond.entries_.end());
+  return aFirst;
+}
+
 absl::Status
 LogStore::Format(const std::string& aDirectory, const Identity& aIdentity)
 {
--- a/tests/ledger/process/LogStoreTest.cpp
+++ b/tests/ledger/process/LogStoreTest.cpp
@@ -93,6 +93,36 @@
   EXPECT_EQ(again.entries_[1].term_, 4);
 }
 
+TEST_F(LogStoreTest, AJoinedFrameDoesWhatItsPartsDo)
+{
+  const std::vector<LogFrame> frames = {
+    { .hardState_ = HardState{ 1, "vm/x" },
+      .entries_ = { Entry{ 1, 1 }, Entry{ 2, 1 }, Entry{ 3, 1 } } },
+    { .truncateFrom_ = 3, .entries_ = { Entry{ 3, 2 }, Entry{ 4, 2 } } },
+    { .hardState_ = HardState{ 3, "vm/y" }, .truncateFrom_ = 2 },
+    { .entries_ = { Entry{ 2, 3 } } },
+  };
+  const auto recover = [this](const std::vector<LogFrame>& aFrames) {
+    std::filesystem::remove(LogPath());
+    Recovered recovered;
+    auto store = LogStore::Open(directory_, recovered);
+    for (const auto& frame : aFrames) {
+      EXPECT_TRUE(store->Append(frame).ok());
+    }
+    Recovered again;
+    EXPECT_TRUE(LogStore::Open(directory_, again).ok());
+    return again;
+  };
+  LogFrame joined = frames.front();
+  for (size_t i = 1; i < frames.size(); ++i) {
+    joined = Joined(std::move(joined), frames[i]);
+  }
+  const Recovered apart = recover(frames);
+  const Recovered together = recover({ joined });
+  EXPECT_EQ(apart.entries_, together.entries_);
+  EXPECT_EQ(apart.hardState_, together.hardState_);
+}
+
 TEST_F(LogStoreTest, CutsATornTailAtEveryLength)
 {
   Write({ 1, 2 });
