--- a/packages/router/src/request/ServiceExchange.cpp
+++ b/packages/router/src/request/ServiceExchange.cpp
@@ -164,6 +164,7 @@
 ServiceExchange::Call()
 {
   httpStatus_ = 0;
+  contentType_.clear();
   body_.clear();
   const auto& limits = services_.limits_;
   const auto address =
