Versions in quick succession do not pile up in front of a link that is full

Each version was pushed whatever was still under way on the link, so that a router got them one after the other, ever later. A link that is still taking its last push now waits, and is then sent the newest state at once: what lies before it is skipped.

ALinkThatStillTakesTheLastPushIsNotSentAnother failed with the check taken out.

--- a/packages/control/src/connection/ControlService.cpp
+++ b/packages/control/src/connection/ControlService.cpp
@@ -276,8 +276,10 @@
   if (allowance_.IsSpent()) {
     return;
   }
-  const auto due =
-    DuePushes(subscribers_, options_.ledger_.Revision(), options_.nowMs_());
+  const auto due = DuePushes(subscribers_,
+                             options_.ledger_.Revision(),
+                             options_.nowMs_(),
+                             options_.pendingBytes_);
   for (const LinkId link : due) {
     if (allowance_.IsSpent()) {
       return;
--- a/packages/control/src/connection/ControlService.h
+++ b/packages/control/src/connection/ControlService.h
@@ -29,6 +29,8 @@
   std::function<std::vector<ledger::Member>()> waiting_;
   /// Endpoints known here, for a router that has just connected.
   std::function<EncodedMessage()> endpoints_;
+  /// Bytes that a link has not taken yet.
+  std::function<size_t(LinkId)> pendingBytes_;
   std::function<int64_t()> nowMs_ = &transport::EventLoop::NowMs;
 };
 
--- a/packages/control/src/process/ControlTask.cpp
+++ b/packages/control/src/process/ControlTask.cpp
@@ -184,7 +184,9 @@
         },
       .flush_ = [this] { driver_.ScheduleFlush(); },
       .waiting_ = [this] { return membership_->Waiting(EventLoop::NowMs()); },
-      .endpoints_ = [this] { return relay_->All(EventLoop::NowMs()); } });
+      .endpoints_ = [this] { return relay_->All(EventLoop::NowMs()); },
+      .pendingBytes_ =
+        [this](LinkId aLink) { return listener_->PendingBytes(aLink); } });
   }
 
   void MakeMembership()
--- a/packages/control/src/version/PushPlan.cpp
+++ b/packages/control/src/version/PushPlan.cpp
@@ -15,14 +15,16 @@
 std::vector<transport::LinkId>
 DuePushes(const std::map<transport::LinkId, Subscriber>& aSubscribers,
           int64_t aRevision,
-          int64_t aNowMs)
+          int64_t aNowMs,
+          const std::function<size_t(transport::LinkId)>& aPendingBytes)
 {
   using Order = std::tuple<bool, int64_t, transport::LinkId>;
   std::vector<Order> due;
   for (const auto& [link, subscriber] : aSubscribers) {
     const bool rested = aNowMs - subscriber.pushedMs_ >= kPushIntervalMs;
     const bool behind = subscriber.revision_ < aRevision && rested;
-    if (behind || !subscriber.greeted_) {
+    const bool wants = behind || !subscriber.greeted_;
+    if (wants && aPendingBytes(link) <= kBusyLinkBytes) {
       due.emplace_back(subscriber.greeted_, subscriber.pushedMs_, link);
     }
   }
--- a/packages/control/src/version/PushPlan.h
+++ b/packages/control/src/version/PushPlan.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <cstddef>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <vector>
 
@@ -39,11 +41,17 @@
   bool operator==(const PushAllowance&) const = default;
 };
 
+/// A link with more bytes than this under way is still taking what it was sent.
+inline constexpr size_t kBusyLinkBytes = size_t{ 32 } << 10;
+
 /// Subscribers that are behind @p aRevision and may be sent to now: newcomers
-/// first, then whoever was sent to longest ago.
+/// first, then whoever was sent to longest ago. A link that is still taking the
+/// last push waits, and is then sent the newest state at once. Answers the load
+/// of large configurations that follow each other faster than links carry.
 std::vector<transport::LinkId>
 DuePushes(const std::map<transport::LinkId, Subscriber>& aSubscribers,
           int64_t aRevision,
-          int64_t aNowMs);
+          int64_t aNowMs,
+          const std::function<size_t(transport::LinkId)>& aPendingBytes);
 
 } // namespace cactuswick::control
--- a/packages/transport/include/cactuswick/transport/connection/PeerLink.h
+++ b/packages/transport/include/cactuswick/transport/connection/PeerLink.h
@@ -55,6 +55,8 @@
   /// Queues a message; lost when the link is not open.
   void Send(const PeerMessage& aMessage);
   void Send(const EncodedMessage& aMessage);
+  /// Bytes that the system has not taken yet.
+  size_t PendingBytes() const;
   bool IsOpen() const;
 
 private:
--- a/packages/transport/include/cactuswick/transport/connection/PeerListener.h
+++ b/packages/transport/include/cactuswick/transport/connection/PeerListener.h
@@ -34,6 +34,8 @@
   /// Sends on an accepted link; lost when it is gone.
   void Send(LinkId aLink, const PeerMessage& aMessage);
   void Send(LinkId aLink, const EncodedMessage& aMessage);
+  /// Bytes sent on a link that the system has not taken yet.
+  size_t PendingBytes(LinkId aLink) const;
 
 private:
   struct State;
--- a/packages/transport/src/connection/PeerLink.cpp
+++ b/packages/transport/src/connection/PeerLink.cpp
@@ -235,6 +235,12 @@
   state_->Send(aMessage);
 }
 
+size_t
+PeerLink::PendingBytes() const
+{
+  return evbuffer_get_length(bufferevent_get_output(state_->stream_.get()));
+}
+
 bool
 PeerLink::IsOpen() const
 {
--- a/packages/transport/src/connection/PeerListener.cpp
+++ b/packages/transport/src/connection/PeerListener.cpp
@@ -109,4 +109,11 @@
   }
 }
 
+size_t
+PeerListener::PendingBytes(LinkId aLink) const
+{
+  const auto found = state_->links_.find(aLink);
+  return found == state_->links_.end() ? 0 : found->second->PendingBytes();
+}
+
 } // namespace cactuswick::transport
--- a/tests/control/connection/ControlServiceTest.cpp
+++ b/tests/control/connection/ControlServiceTest.cpp
@@ -35,6 +35,10 @@
           .flush_ = [] {},
           .waiting_ = [] { return std::vector<ledger::Member>{}; },
           .endpoints_ = [] { return EncodedMessage(transport::Gossip{}); },
+          .pendingBytes_ =
+            [this](LinkId aLink) {
+              return static_cast<size_t>(pending_[aLink]);
+            },
           .nowMs_ = [this] { return nowMs_; } })
   {
     replica_.Tick(kElectedMs);
@@ -81,6 +85,9 @@
   {
     nowMs_ += kTurnMs;
     turnBytes_ = 0;
+    for (auto& [link, bytes] : pending_) {
+      bytes -= std::min(bytes, linkBytesPerTurn_);
+    }
     service_.OnTurn();
     mostTurnBytes_ = std::max(mostTurnBytes_, turnBytes_);
   }
@@ -107,6 +114,9 @@
   /// Distinct encodings that were sent.
   std::vector<EncodedMessage> encodings_;
   int64_t mostTurnBytes_ = 0;
+  /// Bytes that a link has not taken yet, and what it takes in a turn.
+  std::map<LinkId, int64_t> pending_;
+  int64_t linkBytesPerTurn_ = int64_t{ 1 } << 40;
   int64_t nowMs_ = kElectedMs;
 
 private:
@@ -116,6 +126,7 @@
   {
     const auto size = static_cast<int64_t>(aMessage.Bytes().size());
     sent_[aLink] += size;
+    pending_[aLink] += size;
     turnBytes_ += size;
     if (std::find(encodings_.begin(), encodings_.end(), aMessage) ==
         encodings_.end()) {
@@ -198,6 +209,27 @@
   EXPECT_EQ(fleet.encodings_.size(), 1U);
 }
 
+TEST(ControlService, VersionsInQuickSuccessionPileUpInFrontOfNoSlowLink)
+{
+  constexpr int kVersions = 20;
+  constexpr int kTurnsPerVersion = 12;
+  Fleet fleet(1);
+  fleet.Forget();
+  // A link of 6 Mbit/s.
+  fleet.linkBytesPerTurn_ = 15'000;
+  for (int version = 1; version <= kVersions; ++version) {
+    fleet.Deploy(version);
+    for (int turn = 0; turn < kTurnsPerVersion; ++turn) {
+      fleet.Turn();
+    }
+  }
+  const int64_t end = fleet.nowMs_ + kInForceMs;
+  while (fleet.nowMs_ < end) {
+    fleet.Turn();
+  }
+  EXPECT_EQ(fleet.pending_[1], 0);
+}
+
 TEST(ControlService, AFirstPushDoesNotWait)
 {
   Fleet fleet(1);
--- a/tests/control/version/PushPlanTest.cpp
+++ b/tests/control/version/PushPlanTest.cpp
@@ -7,6 +7,13 @@
 
 using Links = std::vector<transport::LinkId>;
 
+/// All links have taken what they were sent.
+size_t
+Nothing(transport::LinkId)
+{
+  return 0;
+}
+
 TEST(PushPlan, NewcomersComeFirstThenWhoWaitedLongest)
 {
   const std::map<transport::LinkId, Subscriber> subscribers{
@@ -15,7 +22,7 @@
     { 3, { .revision_ = 0 } },
     { 4, { .revision_ = 5, .greeted_ = true, .pushedMs_ = 100 } }
   };
-  EXPECT_EQ(DuePushes(subscribers, 5, 1'000), (Links{ 3, 2, 1 }));
+  EXPECT_EQ(DuePushes(subscribers, 5, 1'000, &Nothing), (Links{ 3, 2, 1 }));
 }
 
 TEST(PushPlan, ChangesWithinTheIntervalShareAPush)
@@ -23,8 +30,10 @@
   const std::map<transport::LinkId, Subscriber> subscribers{
     { 1, { .revision_ = 4, .greeted_ = true, .pushedMs_ = 500 } }
   };
-  EXPECT_EQ(DuePushes(subscribers, 5, 500 + kPushIntervalMs - 1), Links{});
-  EXPECT_EQ(DuePushes(subscribers, 5, 500 + kPushIntervalMs), Links{ 1 });
+  EXPECT_EQ(DuePushes(subscribers, 5, 500 + kPushIntervalMs - 1, &Nothing),
+            Links{});
+  EXPECT_EQ(DuePushes(subscribers, 5, 500 + kPushIntervalMs, &Nothing),
+            Links{ 1 });
 }
 
 TEST(PushPlan, ANewcomerThatIsUpToDateIsGreeted)
@@ -32,7 +41,19 @@
   const std::map<transport::LinkId, Subscriber> subscribers{
     { 1, { .revision_ = 5 } }
   };
-  EXPECT_EQ(DuePushes(subscribers, 5, 0), Links{ 1 });
+  EXPECT_EQ(DuePushes(subscribers, 5, 0, &Nothing), Links{ 1 });
+}
+
+TEST(PushPlan, ALinkThatStillTakesTheLastPushIsNotSentAnother)
+{
+  const std::map<transport::LinkId, Subscriber> subscribers{
+    { 1, { .revision_ = 4, .greeted_ = true, .pushedMs_ = 0 } },
+    { 2, { .revision_ = 4, .greeted_ = true, .pushedMs_ = 1 } }
+  };
+  const auto pending = [](transport::LinkId aLink) {
+    return aLink == 1 ? kBusyLinkBytes + 1 : kBusyLinkBytes;
+  };
+  EXPECT_EQ(DuePushes(subscribers, 5, 1'000, pending), Links{ 2 });
 }
 
 TEST(PushPlan, OnePushAlwaysFits)
