A router says why it leaves a replica of control, and what had come in until then

On-call saw control_unreachable at some routers while the leader answered others, and no line said why their connections to control ended. 'lost control' names the reason, the age of the last answer, the time since the last bytes and how many had come; 'reached control' ends it. No logic changes.

--- a/packages/router/src/process/ControlClient.cpp
+++ b/packages/router/src/process/ControlClient.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "cactuswick/model/process/Error.h"
+#include "cactuswick/model/process/Text.h"
 #include "cactuswick/telemetry/process/Log.h"
 
 namespace cactuswick::router {
@@ -24,6 +25,31 @@
 constexpr int64_t kMinSwitchMs = 100;
 constexpr size_t kMaxBatchOps = 512;
 
+/// Why a router leaves a replica.
+enum class LeaveReason
+{
+  kNotConnected,
+  kNoAnswer,
+  kRedirected,
+  kClosed,
+};
+
+std::string_view
+NameOf(LeaveReason aReason)
+{
+  switch (aReason) {
+    case LeaveReason::kNotConnected:
+      return "not_connected";
+    case LeaveReason::kNoAnswer:
+      return "no_answer";
+    case LeaveReason::kRedirected:
+      return "redirected";
+    case LeaveReason::kClosed:
+      return "closed";
+  }
+  return "";
+}
+
 /// An operator's question that has not been answered.
 struct OpenCall
 {
@@ -67,7 +93,7 @@
           [this](transport::PeerMessage aMessage) {
             std::visit([this](const auto& aOne) { On(aOne); }, aMessage);
           },
-        .onDown_ = [this] { ScheduleSwitch(""); } });
+        .onDown_ = [this] { ScheduleSwitch(LeaveReason::kClosed, ""); } });
   }
 
   /// Replicas that the settings name, and those that control told of.
@@ -92,11 +118,12 @@
   }
 
   /// Leaves the current replica from the loop, never from inside its call.
-  void ScheduleSwitch(const std::string& aLeader)
+  void ScheduleSwitch(LeaveReason aReason, const std::string& aLeader)
   {
     if (std::exchange(switching_, true)) {
       return;
     }
+    LogLeave(aReason);
     answered_ = false;
     const int64_t since = EventLoop::NowMs() - lastSwitchMs_;
     switchTo_ = aLeader;
@@ -105,6 +132,30 @@
     }
   }
 
+  void LogLeave(LeaveReason aReason) const
+  {
+    const int64_t now = EventLoop::NowMs();
+    const transport::LinkActivity activity = dialer_->Activity();
+    Log(Part::kRouter,
+        Level::kInfo,
+        model::Concat("lost control address=",
+                      dialer_->Target().ToString(),
+                      " why=",
+                      NameOf(aReason),
+                      " answered=",
+                      answered_ ? 1 : 0,
+                      " dialed_ms=",
+                      now - lastSwitchMs_,
+                      " answer_age_ms=",
+                      now - lastAnswerMs_,
+                      " quiet_ms=",
+                      activity.quietMs_,
+                      " heard_bytes=",
+                      activity.heardBytes_,
+                      " batch_open_ms=",
+                      batch_ ? now - batchSinceMs_ : 0));
+  }
+
   void Switch()
   {
     if (!std::exchange(switching_, false)) {
@@ -153,8 +204,10 @@
       !dialer_->IsUp() && now - lastSwitchMs_ > kConnectMs;
     if (switching_) {
       Switch();
-    } else if (unanswered || unconnected) {
-      ScheduleSwitch("");
+    } else if (unconnected) {
+      ScheduleSwitch(LeaveReason::kNotConnected, "");
+    } else if (unanswered) {
+      ScheduleSwitch(LeaveReason::kNoAnswer, "");
     }
     ExpireCalls(now);
   }
@@ -186,7 +239,14 @@
   void NoteAnswer()
   {
     lastAnswerMs_ = EventLoop::NowMs();
-    answered_ = true;
+    if (!std::exchange(answered_, true)) {
+      Log(Part::kRouter,
+          Level::kInfo,
+          model::Concat("reached control address=",
+                        dialer_->Target().ToString(),
+                        " after_ms=",
+                        lastAnswerMs_ - lastSwitchMs_));
+    }
   }
 
   void On(const transport::ProposeReply& aMessage)
@@ -262,7 +322,7 @@
 
   void On(const transport::Redirect& aMessage)
   {
-    ScheduleSwitch(aMessage.leader_);
+    ScheduleSwitch(LeaveReason::kRedirected, aMessage.leader_);
   }
 
   void On(const transport::ConfigPush& aMessage)
--- a/packages/transport/include/cactuswick/transport/connection/PeerDialer.h
+++ b/packages/transport/include/cactuswick/transport/connection/PeerDialer.h
@@ -34,6 +34,8 @@
   void Send(const PeerMessage& aMessage);
   void Send(const EncodedMessage& aMessage);
   bool IsUp() const;
+  /// Of the current connection, or of none.
+  LinkActivity Activity() const;
   const Address& Target() const;
 
 private:
--- a/packages/transport/include/cactuswick/transport/connection/PeerLink.h
+++ b/packages/transport/include/cactuswick/transport/connection/PeerLink.h
@@ -30,6 +30,16 @@
   std::function<void()> onClosed_;
 };
 
+/// What has come in on a link.
+struct LinkActivity
+{
+  /// Since the last bytes, or since the link was made.
+  int64_t quietMs_ = 0;
+  int64_t heardBytes_ = 0;
+
+  bool operator==(const LinkActivity&) const = default;
+};
+
 /// One connection between two of the system's processes.
 ///
 /// Messages are typed, in order and at most once; those under way when a link
@@ -57,6 +67,7 @@
   void Send(const EncodedMessage& aMessage);
   /// Bytes that the system has not taken yet.
   size_t PendingBytes() const;
+  LinkActivity Activity() const;
   bool IsOpen() const;
 
 private:
--- a/packages/transport/src/connection/PeerDialer.cpp
+++ b/packages/transport/src/connection/PeerDialer.cpp
@@ -84,6 +84,12 @@
   return state_->link_ && state_->link_->IsOpen();
 }
 
+LinkActivity
+PeerDialer::Activity() const
+{
+  return state_->link_ ? state_->link_->Activity() : LinkActivity{};
+}
+
 const Address&
 PeerDialer::Target() const
 {
--- a/packages/transport/src/connection/PeerLink.cpp
+++ b/packages/transport/src/connection/PeerLink.cpp
@@ -154,6 +154,7 @@
     self->lastHeardMs_ = EventLoop::NowMs();
     evbuffer* input = bufferevent_get_input(aStream);
     std::string bytes(evbuffer_get_length(input), '\0');
+    self->heardBytes_ += static_cast<int64_t>(bytes.size());
     evbuffer_remove(input, bytes.data(), bytes.size());
     self->session_.Feed(bytes.data(), bytes.size());
   }
@@ -176,6 +177,7 @@
   WebSocketSession session_;
   Timer timer_;
   int64_t lastHeardMs_;
+  int64_t heardBytes_ = 0;
   bool open_ = false;
   bool closed_ = false;
   bool sentSinceTimer_ = false;
@@ -241,6 +243,13 @@
   return evbuffer_get_length(bufferevent_get_output(state_->stream_.get()));
 }
 
+LinkActivity
+PeerLink::Activity() const
+{
+  return { .quietMs_ = EventLoop::NowMs() - state_->lastHeardMs_,
+           .heardBytes_ = state_->heardBytes_ };
+}
+
 bool
 PeerLink::IsOpen() const
 {
