An answer of control that comes behind pushes is waited for

Cause: a router counted only answers as signs of life. Where pushes of a large configuration fill its link, the answer stands behind them; after 1.2 s the router left, dialled again, and was sent the whole configuration from its old revision on: work that was under way was taken for silence, and the retry repeated it, for all routers at once.

Ruled out: dead links (quiet_ms is short), the router's own loop (the bytes were read).

A link now says since when nothing but keep-alives came. While other bytes come, an answer is waited for up to 4 s, what 10 Mbit/s take for the largest configuration; a leader that only keeps the link alive is left after 1.2 s as before.

ControlClient.WaitsForAnAnswerThatComesBehindPushes failed before (three subscriptions and no answer within 3 s); the two tests beside it hold what must stay.

--- a/packages/router/src/process/ControlClient.cpp
+++ b/packages/router/src/process/ControlClient.cpp
@@ -20,6 +20,9 @@
 constexpr int64_t kTickMs = 100;
 /// Without an answer for this long the next replica is tried.
 constexpr int64_t kAnswerTimeoutMs = 1'200;
+/// Longest wait for an answer while other messages come: what a link of
+/// 10 Mbit/s takes for the largest configuration, 4 MiB.
+constexpr int64_t kAnswerBehindPushesMs = 4'000;
 /// Without a connection for this long the next replica is tried.
 constexpr int64_t kConnectMs = 400;
 constexpr int64_t kMinSwitchMs = 100;
@@ -150,6 +153,8 @@
                       now - lastAnswerMs_,
                       " quiet_ms=",
                       activity.quietMs_,
+                      " idle_ms=",
+                      activity.idleMs_,
                       " heard_bytes=",
                       activity.heardBytes_,
                       " batch_open_ms=",
@@ -199,7 +204,7 @@
   {
     const int64_t now = EventLoop::NowMs();
     const bool waits = batch_ || incarnation_ == 0 || !calls_.empty();
-    const bool unanswered = waits && now - lastAnswerMs_ > kAnswerTimeoutMs;
+    const bool unanswered = waits && IsOverdue(now);
     const bool unconnected =
       !dialer_->IsUp() && now - lastSwitchMs_ > kConnectMs;
     if (switching_) {
@@ -212,6 +217,15 @@
     ExpireCalls(now);
   }
 
+  /// An answer that is on its way behind pushes is not overdue: to leave would
+  /// have control send them all again.
+  bool IsOverdue(int64_t aNowMs) const
+  {
+    const int64_t waitedMs = aNowMs - lastAnswerMs_;
+    const bool idle = dialer_->Activity().idleMs_ > kAnswerTimeoutMs;
+    return waitedMs > (idle ? kAnswerTimeoutMs : kAnswerBehindPushesMs);
+  }
+
   void ExpireCalls(int64_t aNowMs)
   {
     std::vector<CallId> expired;
--- a/packages/transport/src/connection/PeerLink.cpp
+++ b/packages/transport/src/connection/PeerLink.cpp
@@ -73,6 +73,7 @@
                  .onClosed_ = [this] { Close(); } })
     , timer_(aLoop, [this] { OnTimer(); })
     , lastHeardMs_(EventLoop::NowMs())
+    , lastPayloadMs_(lastHeardMs_)
   {
     bufferevent_setcb(stream_.get(), &OnRead, nullptr, &OnEvent, this);
     bufferevent_enable(stream_.get(), EV_READ | EV_WRITE);
@@ -103,7 +104,12 @@
       Close();
       return;
     }
-    if (!closed_ && !std::holds_alternative<KeepAlive>(*message)) {
+    if (std::holds_alternative<KeepAlive>(*message)) {
+      lastPayloadMs_ = payloadBeforeReadMs_;
+      return;
+    }
+    payloadBeforeReadMs_ = lastPayloadMs_;
+    if (!closed_) {
       hooks_.onMessage_(*std::move(message));
     }
   }
@@ -152,6 +158,10 @@
   {
     auto* self = static_cast<State*>(aSelf);
     self->lastHeardMs_ = EventLoop::NowMs();
+    // Bytes of a message that is not whole yet count; a keep-alive takes it
+    // back.
+    self->payloadBeforeReadMs_ =
+      std::exchange(self->lastPayloadMs_, self->lastHeardMs_);
     evbuffer* input = bufferevent_get_input(aStream);
     std::string bytes(evbuffer_get_length(input), '\0');
     self->heardBytes_ += static_cast<int64_t>(bytes.size());
@@ -177,6 +187,8 @@
   WebSocketSession session_;
   Timer timer_;
   int64_t lastHeardMs_;
+  int64_t lastPayloadMs_;
+  int64_t payloadBeforeReadMs_ = 0;
   int64_t heardBytes_ = 0;
   bool open_ = false;
   bool closed_ = false;
@@ -246,7 +258,9 @@
 LinkActivity
 PeerLink::Activity() const
 {
-  return { .quietMs_ = EventLoop::NowMs() - state_->lastHeardMs_,
+  const int64_t now = EventLoop::NowMs();
+  return { .quietMs_ = now - state_->lastHeardMs_,
+           .idleMs_ = now - state_->lastPayloadMs_,
            .heardBytes_ = state_->heardBytes_ };
 }
 
--- /dev/null
+++ b/tests/router/process/ControlClientTest.cpp
@@ -0,0 +1,168 @@
+#include "process/ControlClient.h"
+
+#include <string>
+#include <utility>
+#include <variant>
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include "cactuswick/transport/connection/PeerListener.h"
+
+namespace cactuswick::router {
+namespace {
+
+using transport::EventLoop;
+using transport::LinkId;
+using transport::PeerMessage;
+using transport::Timer;
+
+constexpr uint16_t kPort = 18'981;
+
+transport::Address
+OwnAddress()
+{
+  constexpr int kPerByte = 250;
+  const int id = getpid();
+  return { "127.79." + std::to_string(id / kPerByte % kPerByte) + "." +
+             std::to_string(id % kPerByte + 1),
+           kPort };
+}
+
+/// A control leader that answers batches late and pushes meanwhile.
+struct SlowLeader
+{
+  struct Options
+  {
+    int64_t answerAfterMs_ = 0;
+    bool pushes_ = false;
+  };
+
+  SlowLeader(EventLoop& aLoop, Options aOptions)
+    : options_(aOptions)
+    , listener_(aLoop,
+                { .onMessage_ =
+                    [this](LinkId aLink, PeerMessage aMessage) {
+                      std::visit([&](const auto& aOne) { On(aLink, aOne); },
+                                 aMessage);
+                    } })
+    , push_(aLoop, [this] { Push(); })
+    , answer_(aLoop, [this] { Answer(); })
+  {
+    EXPECT_TRUE(listener_.Listen(OwnAddress()).ok());
+  }
+
+  void On(LinkId aLink, const transport::ProposeRequest& aRequest)
+  {
+    if (std::holds_alternative<ledger::RegisterRouter>(aRequest.command_)) {
+      listener_.Send(
+        aLink,
+        transport::ProposeReply{ aRequest.call_,
+                                 ledger::Registered{ .incarnation_ = 1 } });
+      return;
+    }
+    const auto& batch = std::get<ledger::RouterBatch>(aRequest.command_);
+    link_ = aLink;
+    reply_ = { aRequest.call_,
+               ledger::BatchReply{ .sequence_ = batch.sequence_,
+                                   .results_ = { ledger::GrantResult{} } } };
+    if (++batches_ == 1) {
+      answer_.StartOnce(options_.answerAfterMs_);
+    }
+  }
+
+  void On(LinkId aLink, const transport::Subscribe&)
+  {
+    ++subscriptions_;
+    link_ = aLink;
+    if (options_.pushes_) {
+      constexpr int64_t kPushMs = 100;
+      push_.StartRepeating(kPushMs);
+    }
+  }
+
+  template<class Other>
+  void On(LinkId, const Other&)
+  {
+  }
+
+  void Push()
+  {
+    constexpr size_t kDocumentBytes = size_t{ 64 } << 10;
+    ledger::ConfigDelta delta{ .revision_ = ++revision_ };
+    delta.deployment_ = { .version_ = revision_,
+                          .document_ = { std::string(kDocumentBytes, 'a') } };
+    listener_.Send(link_, transport::ConfigPush{ std::move(delta) });
+  }
+
+  void Answer() { listener_.Send(link_, reply_); }
+
+  Options options_;
+  transport::PeerListener listener_;
+  Timer push_;
+  Timer answer_;
+  LinkId link_ = 0;
+  transport::ProposeReply reply_;
+  int64_t revision_ = 0;
+  int batches_ = 0;
+  int subscriptions_ = 0;
+};
+
+/// A router's line to that leader, with one operation under way.
+struct Talk
+{
+  explicit Talk(SlowLeader::Options aOptions)
+    : leader_(loop_, aOptions)
+    , control_(loop_,
+               { .replicas_ = { OwnAddress() },
+                 .from_ = OwnAddress().host_,
+                 .onRegistered_ =
+                   [this](const ledger::Registered&) {
+                     control_.Submit(
+                       ledger::AcquireGrant{ .budget_ = "b", .minimum_ = 1 },
+                       [this](const ledger::OpResult&) { answered_ = true; });
+                   },
+                 .onConfig_ = [](const ledger::ConfigDelta&) {} })
+    , end_(loop_, [this] { loop_.Stop(); })
+  {
+  }
+
+  void RunFor(int64_t aMs)
+  {
+    end_.StartOnce(aMs);
+    loop_.Run();
+  }
+
+  EventLoop loop_;
+  bool answered_ = false;
+  SlowLeader leader_;
+  ControlClient control_;
+  Timer end_;
+};
+
+TEST(ControlClient, WaitsForAnAnswerThatComesBehindPushes)
+{
+  Talk talk({ .answerAfterMs_ = 2'500, .pushes_ = true });
+  talk.RunFor(3'000);
+  EXPECT_TRUE(talk.answered_);
+  EXPECT_EQ(talk.leader_.subscriptions_, 1);
+}
+
+TEST(ControlClient, LeavesALeaderThatOnlyKeepsTheLinkAlive)
+{
+  Talk talk({ .answerAfterMs_ = 60'000 });
+  talk.RunFor(2'500);
+  EXPECT_FALSE(talk.answered_);
+  EXPECT_GE(talk.leader_.subscriptions_, 2);
+}
+
+TEST(ControlClient, LeavesALeaderThatPushesForGoodAndAnswersNothing)
+{
+  Talk talk({ .answerAfterMs_ = 60'000, .pushes_ = true });
+  talk.RunFor(6'000);
+  EXPECT_FALSE(talk.answered_);
+  EXPECT_GE(talk.leader_.subscriptions_, 2);
+}
+
+} // namespace
+} // namespace cactuswick::router
