Declared deployments are kept and sent packed

Reads give back the bytes that were sent. Documents that earlier versions stored are read as they are; damaged bytes and lengths beyond 64 MiB are typed errors.

--- a/packages/ledger/include/cactuswick/ledger/version/Command.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Command.h
@@ -126,7 +126,8 @@
 struct ReplaceDeployment
 {
   int64_t version_ = 0;
-  /// The document as the operator sent it; the ledger does not look inside.
+  /// The document as the operator sent it, packed; the ledger does not look
+  /// inside.
   model::Blob document_;
   std::vector<DeclaredBudget> budgets_;
 
--- a/packages/ledger/include/cactuswick/ledger/version/Records.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Records.h
@@ -77,6 +77,7 @@
 struct DeploymentRecord
 {
   int64_t version_ = 0;
+  /// Packed.
   model::Blob document_;
   int64_t revision_ = 0;
 
--- a/packages/router/src/process/ForwardRole.cpp
+++ b/packages/router/src/process/ForwardRole.cpp
@@ -5,6 +5,7 @@
 
 #include "cactuswick/model/process/Error.h"
 #include "cactuswick/model/process/Hash.h"
+#include "cactuswick/model/process/Pack.h"
 #include "cactuswick/telemetry/process/Log.h"
 #include "connection/HttpErrors.h"
 
@@ -142,8 +143,10 @@
   if (current != nullptr && aRecord.version_ <= current->Spec().version_) {
     return;
   }
-  auto deployment =
-    options_.dialect_.decodeDeployment_(aRecord.document_.bytes_);
+  const auto document = model::Unpack(aRecord.document_);
+  auto deployment = document.ok()
+                      ? options_.dialect_.decodeDeployment_(*document)
+                      : document.status();
   if (!deployment.ok()) {
     Log(Part::kRouter,
         Level::kError,
--- a/scripts/install-dependencies.sh
+++ b/scripts/install-dependencies.sh
@@ -12,6 +12,6 @@
   clang-format clang-tidy \
   libevent-dev libwebsocketpp-dev nlohmann-json3-dev libabsl-dev \
   libboost-dev libboost-log-dev libboost-thread-dev libboost-filesystem-dev \
-  libtclap-dev libinih-dev libxxhash-dev libssl-dev \
+  libtclap-dev libinih-dev libxxhash-dev libssl-dev zlib1g-dev \
   libgtest-dev librapidcheck-dev \
   python3 python3-pytest python3-pytest-xdist python3-pytest-timeout >/dev/null
