A version that the operator sends again is no entry of the log again

Version 49 was in force at 41.11 s and was proposed, put in force and acknowledged again at 44.66 s.

A version that is in force, or an older one, is acknowledged at once: it is committed. One that is under way waits for the entry that is there. AVersionThatIsSentAgainIsNoEntryOfTheLogAgain failed before (an entry for each call).

--- a/packages/control/src/connection/ControlService.cpp
+++ b/packages/control/src/connection/ControlService.cpp
@@ -79,12 +79,44 @@
                             "members are changed by their own request"));
     return;
   }
+  const auto* deployment =
+    std::get_if<ledger::ReplaceDeployment>(&aMessage.command_);
+  Waiter waiter{ .link_ = aLink,
+                 .call_ = aMessage.call_,
+                 .term_ = options_.replica_.CurrentTerm(),
+                 .version_ = deployment == nullptr ? 0 : deployment->version_ };
+  if (deployment != nullptr && AnswersResend(waiter)) {
+    return;
+  }
   const auto index =
     options_.replica_.Propose(aMessage.command_, transport::EventLoop::NowMs());
-  waiters_[*index] = { aLink, aMessage.call_, options_.replica_.CurrentTerm() };
+  waiters_.emplace(*index, waiter);
   options_.flush_();
 }
 
+bool
+ControlService::AnswersResend(const Waiter& aWaiter)
+{
+  const int64_t inForce = options_.ledger_.Deployment().version_;
+  if (aWaiter.version_ <= inForce) {
+    options_.send_(
+      aWaiter.link_,
+      transport::ProposeReply{
+        aWaiter.call_,
+        ledger::Accepted{ inForce, options_.ledger_.Revision() } });
+    return true;
+  }
+  const auto open =
+    std::find_if(waiters_.begin(), waiters_.end(), [&](const auto& aOne) {
+      return aOne.second.version_ == aWaiter.version_;
+    });
+  if (open == waiters_.end()) {
+    return false;
+  }
+  waiters_.emplace(open->first, aWaiter);
+  return true;
+}
+
 void
 ControlService::On(LinkId aLink, const transport::MembersRequest& aMessage)
 {
@@ -121,9 +153,10 @@
     Reject(aLink, aMessage.call_, status);
     return;
   }
-  waiters_[options_.replica_.Log().LastIndex()] = {
-    aLink, aMessage.call_, options_.replica_.CurrentTerm()
-  };
+  waiters_.emplace(options_.replica_.Log().LastIndex(),
+                   Waiter{ .link_ = aLink,
+                           .call_ = aMessage.call_,
+                           .term_ = options_.replica_.CurrentTerm() });
   options_.flush_();
 }
 
@@ -161,8 +194,8 @@
 ControlService::OnApplied(const ledger::Entry& aEntry,
                           const ledger::Reply& aReply)
 {
-  const auto found = waiters_.find(aEntry.index_);
-  if (found != waiters_.end()) {
+  for (auto found = waiters_.find(aEntry.index_); found != waiters_.end();
+       found = waiters_.find(aEntry.index_)) {
     const Waiter waiter = found->second;
     waiters_.erase(found);
     // Another leader's entry may have taken this place in the log.
--- a/packages/control/src/connection/ControlService.h
+++ b/packages/control/src/connection/ControlService.h
@@ -71,6 +71,8 @@
     LinkId link_ = 0;
     CallId call_ = 0;
     ledger::Term term_ = 0;
+    /// Of the deployment that was proposed; 0 for other commands.
+    int64_t version_ = 0;
   };
 
   struct PendingQuery
@@ -81,6 +83,9 @@
 
   void Redirect(LinkId aLink, CallId aCall);
   void Reject(LinkId aLink, CallId aCall, const absl::Status& aStatus);
+  /// Answers a deployment whose version is in force already, or has it wait
+  /// for the entry that is under way.
+  bool AnswersResend(const Waiter& aWaiter);
   /// The configuration since a revision, encoded once for all who have that.
   EncodedMessage DeltaSince(int64_t aRevision);
   /// Sends what a subscriber lacks; its size.
@@ -97,7 +102,7 @@
                   ledger::Incarnation aExcept) const;
 
   ControlServiceOptions options_;
-  std::map<ledger::Index, Waiter> waiters_;
+  std::multimap<ledger::Index, Waiter> waiters_;
   ledger::ReadId lastRead_ = 0;
   std::map<ledger::ReadId, PendingQuery> queries_;
   std::map<LinkId, Subscriber> subscribers_;
--- a/tests/control/connection/ControlServiceTest.cpp
+++ b/tests/control/connection/ControlServiceTest.cpp
@@ -27,7 +27,13 @@
     , service_(
         { .ledger_ = ledger_,
           .replica_ = replica_,
-          .send_ = [](LinkId, const transport::PeerMessage&) {},
+          .send_ =
+            [this](LinkId aLink, const transport::PeerMessage& aMessage) {
+              if (const auto* reply =
+                    std::get_if<transport::ProposeReply>(&aMessage)) {
+                replies_.emplace_back(aLink, *reply);
+              }
+            },
           .sendEncoded_ =
             [this](LinkId aLink, const EncodedMessage& aMessage) {
               OnSent(aLink, aMessage);
@@ -108,7 +114,24 @@
     mostTurnBytes_ = 0;
   }
 
+  /// Proposes a deployment as an operator's call; the log's length then.
+  ledger::Index Propose(LinkId aLink, CallId aCall, int64_t aVersion)
+  {
+    service_.On(aLink,
+                transport::ProposeRequest{
+                  aCall, ledger::ReplaceDeployment{ .version_ = aVersion } });
+    return replica_.Log().LastIndex();
+  }
+
+  /// Applies the last entry of the log.
+  void ApplyLast()
+  {
+    const auto& entry = replica_.Log().At(replica_.Log().LastIndex());
+    service_.OnApplied(entry, ledger_.Apply(entry.command_, ++logTimeMs_));
+  }
+
   ledger::Ledger ledger_;
+  std::vector<std::pair<LinkId, transport::ProposeReply>> replies_;
   /// Bytes, by link.
   std::map<LinkId, int64_t> sent_;
   /// Distinct encodings that were sent.
@@ -230,6 +253,27 @@
   EXPECT_EQ(fleet.pending_[1], 0);
 }
 
+TEST(ControlService, AVersionThatIsSentAgainIsNoEntryOfTheLogAgain)
+{
+  Fleet fleet(1);
+  const auto first = fleet.Propose(7, 1, 49);
+  EXPECT_EQ(fleet.Propose(8, 2, 49), first);
+  EXPECT_TRUE(fleet.replies_.empty());
+  fleet.ApplyLast();
+  EXPECT_EQ(fleet.Propose(9, 3, 49), first);
+  EXPECT_EQ(fleet.Propose(9, 4, 48), first);
+  std::vector<std::pair<LinkId, CallId>> answered;
+  for (const auto& [link, reply] : fleet.replies_) {
+    EXPECT_TRUE(std::holds_alternative<ledger::Accepted>(reply.reply_));
+    answered.emplace_back(link, reply.call_);
+  }
+  const std::vector<std::pair<LinkId, CallId>> all{
+    { 7, 1 }, { 8, 2 }, { 9, 3 }, { 9, 4 }
+  };
+  EXPECT_EQ(answered, all);
+  EXPECT_EQ(fleet.Propose(9, 5, 50), first + 1);
+}
+
 TEST(ControlService, AFirstPushDoesNotWait)
 {
   Fleet fleet(1);
