A router that is back at control is not cut off until it happens to ask

Cause: only an answer showed that a replica leads, and the time that an answer had taken was counted from the dial as long as none had come, though nothing had been asked. What only a leader sends to subscribers, members and configuration, now shows it as well.

ControlClient.AFirstQuestionAfterAPauseIsNotOverdue failed before (left and subscribed a third time).

--- a/packages/router/src/process/ControlClient.cpp
+++ b/packages/router/src/process/ControlClient.cpp
@@ -96,7 +96,7 @@
   void Dial(const transport::Address& aAddress)
   {
     lastAnswerMs_ = EventLoop::NowMs();
-    answered_ = false;
+    serves_ = false;
     line_.Dial(aAddress);
   }
 
@@ -128,7 +128,7 @@
       return;
     }
     LogLeave(aReason);
-    answered_ = false;
+    serves_ = false;
     const int64_t since = EventLoop::NowMs() - line_.DialedMs();
     switchTo_ = aLeader;
     if (since >= kMinSwitchMs) {
@@ -146,8 +146,8 @@
                       line_.Target().ToString(),
                       " why=",
                       NameOf(aReason),
-                      " answered=",
-                      answered_ ? 1 : 0,
+                      " served=",
+                      serves_ ? 1 : 0,
                       " dialed_ms=",
                       now - line_.DialedMs(),
                       " answer_age_ms=",
@@ -257,13 +257,18 @@
   void NoteAnswer()
   {
     lastAnswerMs_ = EventLoop::NowMs();
-    if (!std::exchange(answered_, true)) {
+    NoteServing();
+  }
+
+  void NoteServing()
+  {
+    if (!std::exchange(serves_, true)) {
       Log(Part::kRouter,
           Level::kInfo,
           model::Concat("reached control address=",
                         line_.Target().ToString(),
                         " after_ms=",
-                        lastAnswerMs_ - line_.DialedMs()));
+                        EventLoop::NowMs() - line_.DialedMs()));
     }
   }
 
@@ -345,6 +350,7 @@
 
   void On(const transport::ConfigPush& aMessage)
   {
+    NoteServing();
     logTimeMs_ = std::max(logTimeMs_, aMessage.delta_.timeMs_);
     options_.onConfig_(aMessage.delta_);
   }
@@ -363,6 +369,7 @@
 
   void On(const transport::ControlMembers& aMessage)
   {
+    NoteServing();
     std::vector<transport::Address> learned;
     for (const auto& text : aMessage.addresses_) {
       const auto address = transport::ParseAddress("", text);
@@ -407,7 +414,7 @@
 
   void TakeBatch()
   {
-    if (answered_) {
+    if (serves_) {
       lastAnswerMs_ = EventLoop::NowMs();
     }
     batchSinceMs_ = EventLoop::NowMs();
@@ -424,7 +431,7 @@
   {
     const CallId call = ++lastCall_;
     aCall.deadlineMs_ = EventLoop::NowMs() + options_.callTimeoutMs_;
-    if (calls_.empty() && !batch_ && answered_) {
+    if (calls_.empty() && !batch_ && serves_) {
       lastAnswerMs_ = EventLoop::NowMs();
     }
     std::visit(
@@ -447,8 +454,8 @@
   bool switching_ = false;
   std::string switchTo_;
   int64_t lastAnswerMs_ = 0;
-  /// The current replica has answered as a leader.
-  bool answered_ = false;
+  /// The current replica has answered or pushed, as only a leader does.
+  bool serves_ = false;
 
   ledger::Incarnation incarnation_ = 0;
   ledger::LogTimeMs logTimeMs_ = 0;
@@ -527,7 +534,7 @@
 {
   const int64_t silence = EventLoop::NowMs() - state_->lastAnswerMs_;
   const bool waits = state_->batch_ || !state_->calls_.empty();
-  return state_->answered_ && state_->line_.IsUp() &&
+  return state_->serves_ && state_->line_.IsUp() &&
          (!waits || silence <= state_->options_.reachableMs_);
 }
 
--- a/tests/router/process/ControlClientTest.cpp
+++ b/tests/router/process/ControlClientTest.cpp
@@ -41,7 +41,8 @@
   };
 
   SlowLeader(EventLoop& aLoop, Options aOptions)
-    : options_(aOptions)
+    : answerAfterMs_(aOptions.answerAfterMs_)
+    , pushes_(aOptions.pushes_)
     , listener_(aLoop,
                 { .onMessage_ =
                     [this](LinkId aLink, PeerMessage aMessage) {
@@ -68,8 +69,8 @@
     reply_ = { aRequest.call_,
                ledger::BatchReply{ .sequence_ = batch.sequence_,
                                    .results_ = { ledger::GrantResult{} } } };
-    if (++batches_ == 1) {
-      answer_.StartOnce(options_.answerAfterMs_);
+    if (batch.sequence_ > std::exchange(sequence_, batch.sequence_)) {
+      answer_.StartOnce(answerAfterMs_);
     }
   }
 
@@ -77,7 +78,8 @@
   {
     ++subscriptions_;
     link_ = aLink;
-    if (options_.pushes_) {
+    listener_.Send(aLink, transport::ControlMembers{});
+    if (pushes_) {
       constexpr int64_t kPushMs = 100;
       push_.StartRepeating(kPushMs);
     }
@@ -99,14 +101,15 @@
 
   void Answer() { listener_.Send(link_, reply_); }
 
-  Options options_;
+  int64_t answerAfterMs_;
+  bool pushes_;
   transport::PeerListener listener_;
   Timer push_;
   Timer answer_;
   LinkId link_ = 0;
   transport::ProposeReply reply_;
   int64_t revision_ = 0;
-  int batches_ = 0;
+  int64_t sequence_ = 0;
   int subscriptions_ = 0;
 };
 
@@ -118,17 +121,19 @@
     , control_(loop_,
                { .replicas_ = { OwnAddress() },
                  .from_ = OwnAddress().host_,
-                 .onRegistered_ =
-                   [this](const ledger::Registered&) {
-                     control_.Submit(
-                       ledger::AcquireGrant{ .budget_ = "b", .minimum_ = 1 },
-                       [this](const ledger::OpResult&) { answered_ = true; });
-                   },
+                 .onRegistered_ = [this](const ledger::Registered&) { Ask(); },
                  .onConfig_ = [](const ledger::ConfigDelta&) {} })
     , end_(loop_, [this] { loop_.Stop(); })
   {
   }
 
+  void Ask()
+  {
+    answered_ = false;
+    control_.Submit(ledger::AcquireGrant{ .budget_ = "b", .minimum_ = 1 },
+                    [this](const ledger::OpResult&) { answered_ = true; });
+  }
+
   void RunFor(int64_t aMs)
   {
     end_.StartOnce(aMs);
@@ -166,6 +171,21 @@
   EXPECT_GE(talk.leader_.subscriptions_, 2);
 }
 
+TEST(ControlClient, AFirstQuestionAfterAPauseIsNotOverdue)
+{
+  Talk talk({});
+  talk.RunFor(200);
+  ASSERT_TRUE(talk.answered_);
+  talk.leader_.listener_.Send(talk.leader_.link_, transport::Redirect{});
+  talk.RunFor(2'000);
+  ASSERT_EQ(talk.leader_.subscriptions_, 2);
+  talk.leader_.answerAfterMs_ = 300;
+  talk.Ask();
+  talk.RunFor(600);
+  EXPECT_TRUE(talk.answered_);
+  EXPECT_EQ(talk.leader_.subscriptions_, 2);
+}
+
 TEST(ControlClient, ReachesALeaderThatTakesLongToConnect)
 {
   static constexpr int64_t kTurnMs = 500;
