A lender whose answer takes a round trip of a full link is waited for

Callers were refused as control_unreachable at a router cut off from control while others were lending it tokens.

Cause: a lender that had not answered after 150 ms counted as one that has none, and a refusal that came late was counted against the lenders asked after it, so that a round ended as refused with answers still under way; all waiting requests fail then, and all like them for 300 ms. A round trip of the router that all callers of a workspace use takes 450 ms on the grown sites.

After 150 ms others are asked as well; a round ends when all have refused, or 400 ms, the longest wait of a request, after the last was asked. Answers are matched by their call. GrantLoans.LateRefusalsOfSomeAreNoRefusalOfAll and AnAnswerThatTakesARoundTripOfAFullLinkIsWaitedFor failed before.

--- a/packages/router/src/process/GrantLoans.cpp
+++ b/packages/router/src/process/GrantLoans.cpp
@@ -18,8 +18,11 @@
 using transport::EventLoop;
 
 constexpr int64_t kTickMs = 50;
-/// A lender that does not answer for this long counts as one that has none.
-constexpr int64_t kAnswerMs = 150;
+/// Without an answer for this long others are asked as well.
+constexpr int64_t kHedgeMs = 150;
+/// Those asked last count as having none after this long: the longest wait of
+/// a request for its tokens.
+constexpr int64_t kAnswerMs = 400;
 constexpr int64_t kIdleMs = 15'000;
 /// Routers asked at the same time, and in one round beside the depots.
 constexpr int64_t kAskedAtOnce = 2;
@@ -74,18 +77,18 @@
   // Taken from the back.
   round.untried_.insert(round.untried_.end(), depots.begin(), depots.end());
   Round& asked = rounds_[aBudget] = std::move(round);
-  AskNext(asked);
+  AskSome(asked, kAskedAtOnce);
 }
 
 void
-GrantLoans::AskNext(Round& aRound)
+GrantLoans::AskSome(Round& aRound, int64_t aCount)
 {
   aRound.lastAskMs_ = EventLoop::NowMs();
-  while (aRound.open_ < kAskedAtOnce && !aRound.untried_.empty()) {
+  for (int64_t i = 0; i < aCount && !aRound.untried_.empty(); ++i) {
     const Incarnation lender = aRound.untried_.back();
     aRound.untried_.pop_back();
-    ++aRound.open_;
     aRound.request_.call_ = ++lastCall_;
+    aRound.open_.insert(lastCall_);
     SendTo(lender, aRound.request_);
   }
 }
@@ -148,13 +151,16 @@
     return;
   }
   Round& round = found->second;
-  round.open_ = std::max(int64_t{ 0 }, round.open_ - 1);
-  if (round.open_ == 0 && round.untried_.empty()) {
+  // Refusals of an earlier round say nothing about this one.
+  if (round.open_.erase(aReply.call_) == 0) {
+    return;
+  }
+  if (!round.untried_.empty()) {
+    AskSome(round, 1);
+  } else if (round.open_.empty()) {
     rounds_.erase(found);
     options_.onRefused_(aReply.budget_);
-    return;
   }
-  AskNext(round);
 }
 
 void
@@ -163,14 +169,11 @@
   const int64_t now = EventLoop::NowMs();
   std::vector<std::string> refused;
   for (auto& [budget, round] : rounds_) {
-    if (now - round.lastAskMs_ < kAnswerMs) {
-      continue;
-    }
-    round.open_ = 0;
-    if (round.untried_.empty()) {
+    const int64_t waitedMs = now - round.lastAskMs_;
+    if (waitedMs >= kHedgeMs && !round.untried_.empty()) {
+      AskSome(round, kAskedAtOnce);
+    } else if (waitedMs >= kAnswerMs) {
       refused.push_back(budget);
-    } else {
-      AskNext(round);
     }
   }
   for (const auto& budget : refused) {
--- a/packages/router/src/process/GrantLoans.h
+++ b/packages/router/src/process/GrantLoans.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -59,10 +60,11 @@
     transport::LendRequest request_;
     std::vector<ledger::Incarnation> untried_;
     int64_t lastAskMs_ = 0;
-    int64_t open_ = 0;
+    /// Requests that were not answered yet.
+    std::set<transport::CallId> open_;
   };
 
-  void AskNext(Round& aRound);
+  void AskSome(Round& aRound, int64_t aCount);
   void SendTo(ledger::Incarnation aLender,
               const transport::LendRequest& aRequest);
   void On(const transport::LendReply& aReply);
