Asks for those that wait and asks ahead are told apart

Callers who came while a router asked ahead for their budget were not asked for: they waited for that answer, then up to 50 ms for the next tick, and only then for a trip of their own, of the 400 ms that a forwarded request may wait for a grant. `ask_open_ms` in their line was the age of the ask ahead. Where a full batch (512 operations) parted the two asks of a budget, the answer to the first one let the router ask ahead a second time while the other answer was still to come.

One flag and one time stood for both kinds of asks of a budget: an ask of either kind kept the other from being sent, and an answer to either ended both.

Each kind is now tracked by itself and goes out when none of its kind is under way. One ask still covers all that wait, with what is asked ahead in the same batch, and it does not count on an ask ahead, which the ledger may cut or deny. What is asked ahead counts what the open ask brings beyond the need of those that wait (`GrantBook::Refill`), such as the tokens for requests that left meanwhile.

BillerTest plays the leader's side over a link. On the old code four of its five tests fail: a second ask ahead while one is under way; no ask for a request in the batch after the one with the ask ahead; ask_open_ms of 100 for a request that has just come; an ask for 930 instead of 1,000, since it was made after the other answer. The fifth, one ask at a time for those that wait, holds for old and new.

--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -73,8 +73,8 @@
 {
   const int64_t now = EventLoop::NowMs();
   for (auto& [budget, queue] : queues_) {
-    if (!queue.waiters_.empty() && !queue.asking_ && now >= queue.askAgainMs_) {
-      AskNext(budget);
+    if (!queue.waiters_.empty() && now >= queue.askAgainMs_) {
+      AskForWaiters(budget);
     }
   }
   for (const auto& [budget, queue] : queues_) {
@@ -231,8 +231,10 @@
 void
 Biller::Provide(const std::string& aBudget, ledger::Tokens aWant)
 {
-  if (grants_.Granted(aBudget) == 0 && !queues_[aBudget].asking_) {
-    AskFor({ aBudget, aWant, 1, true });
+  const ledger::Tokens want = aWant - ComingFree(aBudget);
+  if (grants_.Granted(aBudget) == 0 && want > 0 &&
+      !queues_[aBudget].asksAhead_) {
+    SubmitAhead({ aBudget, want, 1, true });
   }
 }
 
@@ -244,7 +246,8 @@
     options_.control_.Submit(idle);
   }
   std::erase_if(queues_, [](const auto& aPair) {
-    return aPair.second.waiters_.empty() && !aPair.second.asking_;
+    const BudgetQueue& queue = aPair.second;
+    return queue.waiters_.empty() && !queue.openAsk_ && !queue.asksAhead_;
   });
 }
 
@@ -273,9 +276,7 @@
     return;
   }
   waiting.waiters_.push_back({ aOwner, aAmount, now, 0, std::move(aHook) });
-  if (!waiting.asking_) {
-    AskNext(aBudget);
-  }
+  AskForWaiters(aBudget);
 }
 
 BudgetWait
@@ -286,7 +287,8 @@
   if (found != queues_.end()) {
     const BudgetQueue& queue = found->second;
     wait.waiting_ = static_cast<int64_t>(queue.waiters_.size());
-    wait.askOpenMs_ = queue.asking_ ? EventLoop::NowMs() - queue.askedMs_ : 0;
+    wait.askOpenMs_ =
+      queue.openAsk_ ? EventLoop::NowMs() - queue.openAsk_->sinceMs_ : 0;
   }
   return wait;
 }
@@ -302,62 +304,79 @@
 }
 
 void
-Biller::AskNext(const std::string& aBudget)
+Biller::AskForWaiters(const std::string& aBudget)
 {
   BudgetQueue& queue = queues_[aBudget];
-  queue.asking_ = true;
-  queue.askedMs_ = EventLoop::NowMs();
-  const auto ask = grants_.Ask(aBudget,
-                               queue.waiters_.front().amount_,
-                               EventLoop::NowMs(),
-                               WaitedFor(queue));
+  if (queue.openAsk_) {
+    return;
+  }
+  const int64_t now = EventLoop::NowMs();
+  const auto ask =
+    grants_.Ask(aBudget, queue.waiters_.front().amount_, now, WaitedFor(queue));
+  queue.openAsk_ = { .want_ = ask.want_, .sinceMs_ = now };
   options_.control_.Submit(
     ask, [this, aBudget](const ledger::OpResult& aResult) {
+      queues_[aBudget].openAsk_.reset();
       if (const auto* grant = std::get_if<ledger::GrantResult>(&aResult)) {
         OnGrant(aBudget, *grant);
       }
     });
   if (options_.reportsUse_) {
     // In the same batch, so that those to come don't wait for another trip.
-    if (const auto ahead = grants_.Refill(aBudget, EventLoop::NowMs())) {
-      AskFor(*ahead);
-    }
+    AskAhead(aBudget);
+  }
+}
+
+ledger::Tokens
+Biller::ComingFree(const std::string& aBudget) const
+{
+  const auto found = queues_.find(aBudget);
+  if (found == queues_.end() || !found->second.openAsk_) {
+    return 0;
   }
+  const BudgetQueue& queue = found->second;
+  const ledger::Tokens needed =
+    std::max(ledger::Tokens{ 0 }, WaitedFor(queue) - grants_.Free(aBudget));
+  return std::max(ledger::Tokens{ 0 }, queue.openAsk_->want_ - needed);
 }
 
 void
 Biller::AskAhead(const std::string& aBudget)
 {
-  const auto ask = grants_.Refill(aBudget, EventLoop::NowMs());
-  if (ask && !queues_[aBudget].asking_) {
-    AskFor(*ask);
+  const auto ask =
+    grants_.Refill(aBudget, EventLoop::NowMs(), ComingFree(aBudget));
+  if (ask && !queues_[aBudget].asksAhead_) {
+    SubmitAhead(*ask);
   }
 }
 
 void
-Biller::AskFor(const ledger::AcquireGrant& aAsk)
+Biller::SubmitAhead(const ledger::AcquireGrant& aAsk)
 {
-  BudgetQueue& queue = queues_[aAsk.budget_];
-  queue.asking_ = true;
-  queue.askedMs_ = EventLoop::NowMs();
+  queues_[aAsk.budget_].asksAhead_ = true;
   options_.control_.Submit(
     aAsk, [this, budget = aAsk.budget_](const ledger::OpResult& aResult) {
-      queues_[budget].asking_ = false;
       const auto* grant = std::get_if<ledger::GrantResult>(&aResult);
-      if (grant != nullptr && grant->granted_ > 0) {
-        grants_.OnGranted(budget, grant->granted_);
-      } else {
-        grants_.OnDenied(budget, EventLoop::NowMs());
-      }
-      ServeWaiters(budget);
+      OnGrantAhead(budget, grant == nullptr ? 0 : grant->granted_);
     });
 }
 
+void
+Biller::OnGrantAhead(const std::string& aBudget, ledger::Tokens aGranted)
+{
+  queues_[aBudget].asksAhead_ = false;
+  if (aGranted > 0) {
+    grants_.OnGranted(aBudget, aGranted);
+  } else {
+    grants_.OnDenied(aBudget, EventLoop::NowMs());
+  }
+  ServeWaiters(aBudget);
+}
+
 void
 Biller::OnGrant(const std::string& aBudget, const ledger::GrantResult& aResult)
 {
   BudgetQueue& queue = queues_[aBudget];
-  queue.asking_ = false;
   if (aResult.granted_ > 0) {
     options_.metrics_.Count(Counter::kGrantsAcquired);
     grants_.OnGranted(aBudget, aResult.granted_);
--- a/packages/router/src/process/Biller.h
+++ b/packages/router/src/process/Biller.h
@@ -47,7 +47,7 @@
 {
   /// Requests that wait for the same budget.
   int64_t waiting_ = 0;
-  /// Since control was asked for a grant of it; 0 without an open ask.
+  /// Since control was asked for them; 0 without an open ask.
   int64_t askOpenMs_ = 0;
   ControlTimes control_;
 
@@ -134,12 +134,21 @@
     ReserveHook hook_;
   };
 
+  /// An ask that control has not answered yet.
+  struct OpenAsk
+  {
+    ledger::Tokens want_ = 0;
+    int64_t sinceMs_ = 0;
+  };
+
   struct BudgetQueue
   {
     std::deque<ReserveWaiter> waiters_;
-    bool asking_ = false;
-    int64_t askedMs_ = 0;
+    /// For those that wait.
+    std::optional<OpenAsk> openAsk_;
     int64_t askAgainMs_ = 0;
+    /// An ask ahead of need is under way.
+    bool asksAhead_ = false;
     /// Cut off, nobody lent so much; nor will they until then.
     ledger::Tokens unlent_ = 0;
     int64_t unlentUntilMs_ = 0;
@@ -159,13 +168,18 @@
   void Borrow(const std::string& aBudget, int64_t aNowMs);
   void OnNobodyLends(const std::string& aBudget);
   ledger::Tokens LendTo(const transport::LendRequest& aRequest);
-  void AskFor(const ledger::AcquireGrant& aAsk);
-  void AskNext(const std::string& aBudget);
+  /// Asks for all that wait, unless such an ask is under way.
+  void AskForWaiters(const std::string& aBudget);
   static ledger::Tokens WaitedFor(const BudgetQueue& aQueue);
+  /// What the open ask brings beyond what those that wait need.
+  ledger::Tokens ComingFree(const std::string& aBudget) const;
   /// Fails those that wait for as much as nobody lends.
   void FailUnlent(const std::string& aBudget);
   int64_t ReportMs() const;
+  /// Asks for what is short, unless an ask ahead is under way.
   void AskAhead(const std::string& aBudget);
+  void SubmitAhead(const ledger::AcquireGrant& aAsk);
+  void OnGrantAhead(const std::string& aBudget, ledger::Tokens aGranted);
   void OnGrant(const std::string& aBudget, const ledger::GrantResult& aResult);
   void ServeWaiters(const std::string& aBudget);
   void FailFirst(const std::string& aBudget, const absl::Status& aStatus);
--- a/packages/routing/include/cactuswick/routing/process/GrantBook.h
+++ b/packages/routing/include/cactuswick/routing/process/GrantBook.h
@@ -75,8 +75,10 @@
 
   /// A grant to ask for ahead of need, when less than half of the recent use
   /// is left: a router that is cut off then has something to spend.
+  /// @p aComing was asked for already and counts as left.
   std::optional<ledger::AcquireGrant> Refill(const std::string& aBudget,
-                                             int64_t aNowMs) const;
+                                             int64_t aNowMs,
+                                             Tokens aComing = 0) const;
 
   /// Gives up what is free of a budget that others need.
   std::optional<ledger::ReturnGrant> Recall(const std::string& aBudget,
--- a/packages/routing/src/process/GrantBook.cpp
+++ b/packages/routing/src/process/GrantBook.cpp
@@ -119,7 +119,9 @@
 }
 
 std::optional<ledger::AcquireGrant>
-GrantBook::Refill(const std::string& aBudget, int64_t aNowMs) const
+GrantBook::Refill(const std::string& aBudget,
+                  int64_t aNowMs,
+                  Tokens aComing) const
 {
   const auto found = lines_.find(aBudget);
   if (found == lines_.end() || aNowMs < found->second.recalledUntilMs_) {
@@ -127,12 +129,12 @@
   }
   const Line& line = found->second;
   const Tokens recent = RecentUse(line, aNowMs);
-  const Tokens free = line.granted_ - line.reserved_;
-  if (kPercent * free >= options_.refillPercent_ * recent) {
+  const Tokens left = line.granted_ - line.reserved_ + aComing;
+  if (kPercent * left >= options_.refillPercent_ * recent) {
     return std::nullopt;
   }
   // What is left counts where the whole horizon is to be covered at all times.
-  const Tokens want = options_.extrapolates_ ? recent - free : recent;
+  const Tokens want = options_.extrapolates_ ? recent - left : recent;
   return ledger::AcquireGrant{ aBudget, want, 1, true };
 }
 
--- /dev/null
+++ b/tests/router/process/BillerTest.cpp
@@ -0,0 +1,266 @@
+#include "process/Biller.h"
+
+#include <chrono>
+#include <string>
+#include <thread>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include "cactuswick/transport/connection/PeerListener.h"
+
+namespace cactuswick::router {
+namespace {
+
+using ledger::AcquireGrant;
+using ledger::Tokens;
+using transport::EventLoop;
+using transport::LinkId;
+using transport::Timer;
+
+constexpr const char* kBudget = "w/prepaid";
+constexpr uint16_t kPort = 18'972;
+constexpr int64_t kTimeoutMs = 30'000;
+constexpr int64_t kHorizonMs = 9'000;
+/// Operations that a router sends to control in one batch.
+constexpr size_t kBatchOps = 512;
+
+transport::Address
+OwnAddress()
+{
+  constexpr int kPerByte = 250;
+  const int id = getpid();
+  return { "127.79." + std::to_string(id / kPerByte % kPerByte) + "." +
+             std::to_string(id % kPerByte + 1),
+           kPort };
+}
+
+/// A biller that talks to a control leader whose answers the test gives.
+class BillerTest : public testing::Test
+{
+protected:
+  BillerTest()
+    : leader_(loop_,
+              { .onMessage_ =
+                  [this](LinkId aLink, const transport::PeerMessage& aMessage) {
+                    const auto* request =
+                      std::get_if<transport::ProposeRequest>(&aMessage);
+                    if (request != nullptr) {
+                      OnRequest(aLink, *request);
+                    }
+                  } })
+    , listening_(leader_.Listen(OwnAddress()))
+    , control_(loop_,
+               { .replicas_ = { OwnAddress() },
+                 .reachableMs_ = kTimeoutMs,
+                 .onRegistered_ = [](const ledger::Registered&) {} })
+    , peers_(loop_, {})
+    , biller_(
+        loop_,
+        { .control_ = control_,
+          .peers_ = peers_,
+          .config_ = config_,
+          .metrics_ = metrics_,
+          .reserveTimeoutMs_ = kTimeoutMs,
+          .reportsUse_ = true,
+          .grants_ = { .horizonMs_ = kHorizonMs, .extrapolates_ = true } })
+    , expiry_(loop_, [this] { Expire(); })
+  {
+    expiry_.StartOnce(kTimeoutMs);
+  }
+
+  /// Runs the loop until the leader has a batch that is not answered.
+  ledger::RouterBatch NextBatch()
+  {
+    while (batch_.sequence_ <= answered_ && !expired_) {
+      loop_.Run();
+    }
+    return batch_;
+  }
+
+  /// Answers the open batch: each ask is granted @p aGranted tokens.
+  void Answer(Tokens aGranted)
+  {
+    ledger::BatchReply reply{ .sequence_ = batch_.sequence_ };
+    for (const auto& op : batch_.ops_) {
+      if (std::holds_alternative<AcquireGrant>(op)) {
+        reply.results_.emplace_back(
+          ledger::GrantResult{ .granted_ = aGranted });
+      } else {
+        reply.results_.emplace_back(ledger::Done{});
+      }
+    }
+    answered_ = batch_.sequence_;
+    leader_.Send(link_, transport::ProposeReply{ call_, std::move(reply) });
+  }
+
+  /// Reserves, and counts the reservation once it is granted.
+  void Reserve(Tokens aAmount, int64_t aOwner = 0)
+  {
+    biller_.Reserve(
+      kBudget, aAmount, aOwner, [this](const absl::Status& aStatus) {
+        granted_ += aStatus.ok() ? 1 : 0;
+        loop_.Stop();
+      });
+  }
+
+  void RunUntilGranted(int aCount)
+  {
+    while (granted_ < aCount && !expired_) {
+      loop_.Run();
+    }
+  }
+
+  static std::vector<AcquireGrant> AsksIn(const ledger::RouterBatch& aBatch,
+                                          bool aAlsoAhead = true)
+  {
+    std::vector<AcquireGrant> asks;
+    for (const auto& op : aBatch.ops_) {
+      const auto* ask = std::get_if<AcquireGrant>(&op);
+      if (ask != nullptr && (aAlsoAhead || !ask->ahead_)) {
+        asks.push_back(*ask);
+      }
+    }
+    return asks;
+  }
+
+  EventLoop loop_;
+  telemetry::Metrics metrics_;
+  ConfigView config_;
+  transport::PeerListener leader_;
+  absl::Status listening_;
+  ControlClient control_;
+  RouterPeers peers_;
+  Biller biller_;
+  bool expired_ = false;
+
+private:
+  void OnRequest(LinkId aLink, const transport::ProposeRequest& aRequest)
+  {
+    if (std::holds_alternative<ledger::RegisterRouter>(aRequest.command_)) {
+      leader_.Send(aLink,
+                   transport::ProposeReply{
+                     aRequest.call_, ledger::Registered{ .incarnation_ = 1 } });
+    }
+    if (const auto* batch =
+          std::get_if<ledger::RouterBatch>(&aRequest.command_)) {
+      link_ = aLink;
+      call_ = aRequest.call_;
+      batch_ = *batch;
+      loop_.Stop();
+    }
+  }
+
+  void Expire()
+  {
+    expired_ = true;
+    ADD_FAILURE() << "timed out";
+    loop_.Stop();
+  }
+
+  int granted_ = 0;
+  LinkId link_ = 0;
+  transport::CallId call_ = 0;
+  ledger::RouterBatch batch_;
+  int64_t answered_ = 0;
+  Timer expiry_;
+};
+
+TEST_F(BillerTest, IsAskedAheadOnceThoughTheOtherAskIsAnsweredFirst)
+{
+  ASSERT_TRUE(listening_.ok());
+  Reserve(100);
+  EXPECT_EQ(AsksIn(NextBatch()).size(), 1U);
+  Answer(100);
+  RunUntilGranted(1);
+  biller_.Use(kBudget, 100, 100);
+  // Fills the batch, so that what is asked ahead goes in the next one.
+  for (size_t i = 1; i < kBatchOps; ++i) {
+    control_.Submit(ledger::Heartbeat{});
+  }
+  Reserve(100);
+  ASSERT_EQ(NextBatch().ops_.size(), kBatchOps);
+  EXPECT_FALSE(AsksIn(NextBatch()).at(0).ahead_);
+  Answer(100);
+  RunUntilGranted(2);
+  ASSERT_EQ(AsksIn(NextBatch()).size(), 1U);
+  EXPECT_TRUE(AsksIn(NextBatch()).at(0).ahead_);
+  // The ask ahead is under way; another request comes.
+  Reserve(100);
+  Answer(10'000);
+  const auto asks = AsksIn(NextBatch());
+  ASSERT_EQ(asks.size(), 1U);
+  EXPECT_FALSE(asks.at(0).ahead_);
+}
+
+TEST_F(BillerTest, ThoseThatWaitAreAskedForWhileAnAskAheadIsUnderWay)
+{
+  ASSERT_TRUE(listening_.ok());
+  biller_.Provide(kBudget, 70);
+  EXPECT_TRUE(AsksIn(NextBatch()).at(0).ahead_);
+  Reserve(100);
+  control_.Submit(ledger::Heartbeat{});
+  Answer(10);
+  // In the next batch, before what was submitted later.
+  const auto batch = NextBatch();
+  ASSERT_EQ(batch.ops_.size(), 2U);
+  const auto* ask = std::get_if<AcquireGrant>(batch.ops_.data());
+  ASSERT_NE(ask, nullptr);
+  EXPECT_FALSE(ask->ahead_);
+  EXPECT_EQ(ask->want_, 100);
+}
+
+TEST_F(BillerTest, OneAskForThoseThatWaitIsUnderWayAtATime)
+{
+  ASSERT_TRUE(listening_.ok());
+  Reserve(100);
+  EXPECT_EQ(AsksIn(NextBatch(), false).size(), 1U);
+  Reserve(200);
+  Reserve(300);
+  control_.Submit(ledger::Heartbeat{});
+  Answer(100);
+  EXPECT_TRUE(AsksIn(NextBatch(), false).empty());
+  // Those that came meanwhile are asked for together.
+  Reserve(400);
+  Answer(0);
+  const auto asks = AsksIn(NextBatch(), false);
+  ASSERT_EQ(asks.size(), 1U);
+  EXPECT_EQ(asks.at(0).want_, 900);
+}
+
+TEST_F(BillerTest, AnAskAheadIsNoAskForThoseThatWait)
+{
+  constexpr std::chrono::milliseconds kAge(100);
+  ASSERT_TRUE(listening_.ok());
+  biller_.Provide(kBudget, 70);
+  NextBatch();
+  std::this_thread::sleep_for(kAge);
+  const int64_t came = EventLoop::NowMs();
+  Reserve(100);
+  const int64_t open = biller_.WaitFor(kBudget).askOpenMs_;
+  EXPECT_LE(open, EventLoop::NowMs() - came);
+}
+
+TEST_F(BillerTest, WhatIsAskedAheadCountsWhatTheOtherAskBrings)
+{
+  constexpr int64_t kOwner = 5;
+  ASSERT_TRUE(listening_.ok());
+  biller_.Provide(kBudget, 70);
+  NextBatch();
+  Reserve(1'000, kOwner);
+  Answer(70);
+  ASSERT_EQ(AsksIn(NextBatch()).size(), 1U);
+  EXPECT_EQ(AsksIn(NextBatch()).at(0).want_, 1'000);
+  biller_.CancelReserve(kOwner);
+  // Leaves less than the next interval needs, but for the 1,000 to come.
+  Reserve(65);
+  control_.Submit(ledger::Heartbeat{});
+  Answer(1'000);
+  EXPECT_TRUE(AsksIn(NextBatch()).empty());
+}
+
+} // namespace
+} // namespace cactuswick::router
--- a/tests/routing/process/GrantBookTest.cpp
+++ b/tests/routing/process/GrantBookTest.cpp
@@ -84,6 +84,16 @@
   EXPECT_EQ(book.Refill(kBudget, 64'000)->want_, 70);
 }
 
+TEST(GrantBook, WhatWasAskedForAlreadyIsNotAskedForAgain)
+{
+  GrantBook book({ .horizonMs_ = 10'000, .extrapolates_ = true });
+  book.SetFloor(kBudget, 1'000);
+  book.OnGranted(kBudget, 100);
+  EXPECT_EQ(book.Refill(kBudget, 0)->want_, 900);
+  EXPECT_EQ(book.Refill(kBudget, 0, 300)->want_, 600);
+  EXPECT_FALSE(book.Refill(kBudget, 0, 400)) << "half of 1,000 is enough";
+}
+
 TEST(GrantBook, OneAskCoversAllRequestsThatWait)
 {
   GrantBook book({ .extrapolates_ = true });
