ConfigView counts the routers that serve, once for each delta

Nothing changes for callers. With use reported at intervals, every reservation that was granted at once, and every tick, went through the list of all routers to find the interval of reports; ForwardRole counted the same way for the retry budget. ConfigView now counts when it takes a delta, the only time that the list changes, and both ask it.

CountsTheRoutersThatServe checks the count over routers that come, drain and are forgotten, and that an older delta leaves it alone. The old code has no such count; what it costs was not measured.

--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -166,11 +166,7 @@
 int64_t
 Biller::ReportMs() const
 {
-  const auto& routers = options_.config_.Routers();
-  return routing::ReportIntervalMs(
-    std::count_if(routers.begin(), routers.end(), [](const auto& aOne) {
-      return aOne.state_ == ledger::RouterState::kServing;
-    }));
+  return routing::ReportIntervalMs(options_.config_.ServingRouters());
 }
 
 ledger::Tokens
--- a/packages/router/src/process/ForwardRole.cpp
+++ b/packages/router/src/process/ForwardRole.cpp
@@ -228,27 +228,17 @@
   }
 }
 
-int64_t
-ForwardRole::ServingRouters() const
-{
-  const auto& routers = options_.config_.Routers();
-  const auto serving =
-    std::count_if(routers.begin(), routers.end(), [](const auto& aOne) {
-      return aOne.state_ == ledger::RouterState::kServing;
-    });
-  return std::max<int64_t>(1, serving);
-}
-
 routing::RetryBudgetOptions
 ForwardRole::Retries() const
 {
   const auto& settings = options_.settings_;
   const auto slack =
     static_cast<double>(settings.Get(settings::kForwardRetrySlack));
+  const auto routers = static_cast<double>(
+    std::max(int64_t{ 1 }, options_.config_.ServingRouters()));
   return { .ratio_ =
              kRatioSafety * settings.GetDecimal(settings::kForwardRetryRatio),
-           .capacity_ =
-             kSlackSafety * slack / static_cast<double>(ServingRouters()) };
+           .capacity_ = kSlackSafety * slack / routers };
 }
 
 } // namespace cactuswick::router
--- a/packages/router/src/process/ForwardRole.h
+++ b/packages/router/src/process/ForwardRole.h
@@ -51,7 +51,6 @@
   void TakeDeployment(const ledger::DeploymentRecord& aRecord);
   /// Sets what this router keeps of each budget at the least.
   void SetFloors();
-  int64_t ServingRouters() const;
   routing::RetryBudgetOptions Retries() const;
 
   ForwardRoleOptions options_;
--- a/packages/router/src/version/ConfigView.cpp
+++ b/packages/router/src/version/ConfigView.cpp
@@ -28,6 +28,10 @@
       routers_.insert(place, router);
     }
   }
+  servingRouters_ = std::count_if(
+    routers_.begin(), routers_.end(), [](const ledger::RouterRecord& aRouter) {
+      return aRouter.state_ == ledger::RouterState::kServing;
+    });
 }
 
 void
--- a/packages/router/src/version/ConfigView.h
+++ b/packages/router/src/version/ConfigView.h
@@ -42,6 +42,9 @@
   /// Ordered by incarnation.
   const std::vector<ledger::RouterRecord>& Routers() const { return routers_; }
 
+  /// Number of routers that take requests.
+  int64_t ServingRouters() const { return servingRouters_; }
+
 private:
   void TakeRouters(const ledger::ConfigDelta& aDelta);
   void TakeKeys();
@@ -50,6 +53,7 @@
   std::map<std::string, model::Resource> resources_;
   std::map<std::string, std::string> workspaceOfKey_;
   std::vector<ledger::RouterRecord> routers_;
+  int64_t servingRouters_ = 0;
 };
 
 } // namespace cactuswick::router
--- a/tests/router/version/ConfigViewTest.cpp
+++ b/tests/router/version/ConfigViewTest.cpp
@@ -85,6 +85,32 @@
   EXPECT_EQ(view.Routers()[2].state_, ledger::RouterState::kDraining);
 }
 
+TEST(ConfigView, CountsTheRoutersThatServe)
+{
+  ConfigView view;
+  EXPECT_EQ(view.ServingRouters(), 0);
+  view.Apply({ .revision_ = 1,
+               .routersChanged_ = true,
+               .routers_ = { { .incarnation_ = 1 },
+                             { .incarnation_ = 2 },
+                             { .incarnation_ = 3 } } });
+  EXPECT_EQ(view.ServingRouters(), 3);
+  view.Apply({ .revision_ = 2,
+               .routersChanged_ = true,
+               .routers_ = { { .incarnation_ = 2,
+                               .state_ = ledger::RouterState::kDraining } } });
+  EXPECT_EQ(view.ServingRouters(), 2);
+  view.Apply({ .revision_ = 3,
+               .routersChanged_ = true,
+               .knownRouters_ = Incarnations{ 2, 3 } });
+  EXPECT_EQ(view.ServingRouters(), 1);
+  // An older one changes nothing.
+  view.Apply({ .revision_ = 2,
+               .routersChanged_ = true,
+               .routers_ = { { .incarnation_ = 4 } } });
+  EXPECT_EQ(view.ServingRouters(), 1);
+}
+
 TEST(ConfigView, ARouterThatControlForgotIsForgotten)
 {
   ConfigView view;
