--- a/packages/transport/src/connection/HttpServer.cpp
+++ b/packages/transport/src/connection/HttpServer.cpp
@@ -17,6 +17,8 @@
 constexpr int64_t kMsPerSecond = 1'000;
 constexpr int64_t kUsPerMs = 1'000;
 constexpr int64_t kLimitCheckMs = 100;
+/// Read from a connection in one turn of the loop.
+constexpr size_t kTurnBytes = size_t{ 128 } << 10;
 /// Bytes that a caller may have sent beyond a whole request.
 constexpr size_t kMoreInputBytes = size_t{ 64 } << 10;
 
@@ -61,6 +63,7 @@
   {
     const HttpLimits& limits = static_cast<State*>(aSelf)->options_.limits_;
     bufferevent* stream = bufferevent_socket_new(aBase, -1, 0);
+    bufferevent_set_max_single_read(stream, kTurnBytes);
     bufferevent_setwatermark(stream,
                              EV_READ,
                              0,
--- a/tests/system/test_platform.py
+++ b/tests/system/test_platform.py
@@ -136,6 +136,17 @@
     assert len(read.json()["Routes"]) == 3
 
 
+def test_a_follower_read_a_large_deployment_that_only_the_leader_takes(run):
+    leader = run.leader()
+    for number in {1, 2, 3} - {leader}:
+        answer = request(run.control_api(number), "POST",
+                         "/cactuswick/Config.Replace", "{" + "x" * 400_000)
+        assert answer.status == 307
+        assert run.control_api(leader) in answer.headers["Location"]
+    assert run.control_call("POST", "/cactuswick/Config.Replace",
+                            "{" + "x" * 400_000).status == 400
+
+
 def test_a_new_version_is_in_force_at_every_router_soon(run):
     assert run.declare(2, Routes=[]).status == 200
     for router in (1, 2):
