A denial is judged against the amount that was asked for

A denial says only that its minimum is not free. It was charged to whoever was first when it arrived, and `exhausted` did not compare the rest with that request where nothing was elsewhere.

A denial now comes with the minimum that was asked for. First those that fit are served; then one that needs less is asked for anew at once, which ends, since its own need is the next minimum; one that needs as much or more is judged as before, and `exhausted` compares the rest of the budget with its amount in all cases. What is reserved is still what the grant covers (`GrantBook::Reserve`).

BillerTest: on the old code both requests are refused (ADenialIsNotChargedToOneThatNeedsLess, ...ToOneThatFitsAlready); the third test, that another request for as much is still refused at once, holds for old and new.

--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -311,10 +311,11 @@
     grants_.Ask(aBudget, queue.waiters_.front().amount_, now, WaitedFor(queue));
   queue.openAsk_ = { .want_ = ask.want_, .sinceMs_ = now };
   options_.control_.Submit(
-    ask, [this, aBudget](const ledger::OpResult& aResult) {
+    ask,
+    [this, aBudget, minimum = ask.minimum_](const ledger::OpResult& aResult) {
       queues_[aBudget].openAsk_.reset();
       if (const auto* grant = std::get_if<ledger::GrantResult>(&aResult)) {
-        OnGrant(aBudget, *grant);
+        OnGrant(aBudget, minimum, *grant);
       }
     });
   if (options_.reportsUse_) {
@@ -370,53 +371,77 @@
 }
 
 void
-Biller::OnGrant(const std::string& aBudget, const ledger::GrantResult& aResult)
+Biller::OnGrant(const std::string& aBudget,
+                ledger::Tokens aMinimum,
+                const ledger::GrantResult& aResult)
 {
   BudgetQueue& queue = queues_[aBudget];
   if (aResult.granted_ > 0) {
     options_.metrics_.Count(Counter::kGrantsAcquired);
     grants_.OnGranted(aBudget, aResult.granted_);
-    ServeWaiters(aBudget);
-  } else if (!queue.waiters_.empty()) {
-    options_.metrics_.Count(Counter::kGrantsDenied);
-    ReserveWaiter& first = queue.waiters_.front();
-    const ledger::Tokens reservedHere =
-      grants_.Granted(aBudget) - grants_.Free(aBudget);
-    // All that is not billed; held tokens never come back, so that there is
-    // nothing to wait for where the rest does not cover the request.
-    const ledger::Tokens unbilled =
-      aResult.available_ + aResult.elsewhere_ + grants_.Granted(aBudget);
-    const bool exhausted = (aResult.elsewhere_ == 0 && reservedHere == 0) ||
-                           (options_.reportsUse_ && unbilled < first.amount_);
-    const bool hopeless =
-      options_.reportsUse_ && unbilled - aResult.held_ < first.amount_;
-    if (!aResult.budgetExists_) {
-      FailFirst(aBudget,
-                MakeError(ErrorKind::kUnknownResource,
-                          "budget",
-                          "the budget does not exist"));
-    } else if (exhausted) {
-      FailFirst(aBudget,
-                MakeError(ErrorKind::kBudgetExhausted,
-                          "budget",
-                          "the budget does not cover the request"));
-    } else if (hopeless) {
-      FailFirst(aBudget,
-                MakeError(ErrorKind::kBudgetHeldForGood,
-                          "budget",
-                          "the rest of the budget is held by dead routers"));
-    } else if (++first.tries_ >= options_.maxTries_) {
-      FailFirst(aBudget,
-                MakeError(ErrorKind::kBudgetHeldElsewhere,
-                          "budget",
-                          "the rest of the budget is held or in use"));
-    }
+  }
+  ServeWaiters(aBudget);
+  if (aResult.granted_ == 0 && !queue.waiters_.empty()) {
+    OnDenied(aBudget, aMinimum, aResult);
   }
   // Smaller requests behind one that failed may still fit.
   queue.askAgainMs_ = EventLoop::NowMs() + kAskAgainMs;
   ServeWaiters(aBudget);
 }
 
+void
+Biller::OnDenied(const std::string& aBudget,
+                 ledger::Tokens aMinimum,
+                 const ledger::GrantResult& aResult)
+{
+  options_.metrics_.Count(Counter::kGrantsDenied);
+  ReserveWaiter& first = queues_[aBudget].waiters_.front();
+  if (!aResult.budgetExists_) {
+    FailFirst(aBudget,
+              MakeError(ErrorKind::kUnknownResource,
+                        "budget",
+                        "the budget does not exist"));
+  } else if (first.amount_ - grants_.Free(aBudget) < aMinimum) {
+    // The denied amount was for one that has left or was served.
+    AskForWaiters(aBudget);
+  } else if (IsExhausted(aBudget, first.amount_, aResult)) {
+    FailFirst(aBudget,
+              MakeError(ErrorKind::kBudgetExhausted,
+                        "budget",
+                        "the budget does not cover the request"));
+  } else if (options_.reportsUse_ &&
+             Unbilled(aBudget, aResult) - aResult.held_ < first.amount_) {
+    FailFirst(aBudget,
+              MakeError(ErrorKind::kBudgetHeldForGood,
+                        "budget",
+                        "the rest of the budget is held by dead routers"));
+  } else if (++first.tries_ >= options_.maxTries_) {
+    FailFirst(aBudget,
+              MakeError(ErrorKind::kBudgetHeldElsewhere,
+                        "budget",
+                        "the rest of the budget is held or in use"));
+  }
+}
+
+ledger::Tokens
+Biller::Unbilled(const std::string& aBudget,
+                 const ledger::GrantResult& aResult) const
+{
+  return aResult.available_ + aResult.elsewhere_ + grants_.Granted(aBudget);
+}
+
+bool
+Biller::IsExhausted(const std::string& aBudget,
+                    ledger::Tokens aAmount,
+                    const ledger::GrantResult& aResult) const
+{
+  const ledger::Tokens reservedHere =
+    grants_.Granted(aBudget) - grants_.Free(aBudget);
+  const bool nothingToCome = aResult.elsewhere_ == 0 && reservedHere == 0;
+  return (nothingToCome || options_.reportsUse_) &&
+         Unbilled(aBudget, aResult) < aAmount;
+}
+
 void
 Biller::ServeWaiters(const std::string& aBudget)
 {
--- a/packages/router/src/process/Biller.h
+++ b/packages/router/src/process/Biller.h
@@ -180,7 +180,23 @@
   void AskAhead(const std::string& aBudget);
   void SubmitAhead(const ledger::AcquireGrant& aAsk);
   void OnGrantAhead(const std::string& aBudget, ledger::Tokens aGranted);
-  void OnGrant(const std::string& aBudget, const ledger::GrantResult& aResult);
+  /// Takes the answer to an ask for @p aMinimum or more.
+  void OnGrant(const std::string& aBudget,
+               ledger::Tokens aMinimum,
+               const ledger::GrantResult& aResult);
+  /// Fails the first that waits if the denial of @p aMinimum leaves it nothing
+  /// to wait for; one that needs less is asked for anew.
+  void OnDenied(const std::string& aBudget,
+                ledger::Tokens aMinimum,
+                const ledger::GrantResult& aResult);
+  /// All of a budget that is not billed, from an answer of the ledger. What is
+  /// held of it never comes back.
+  ledger::Tokens Unbilled(const std::string& aBudget,
+                          const ledger::GrantResult& aResult) const;
+  /// Whether the rest of a budget does not cover @p aAmount.
+  bool IsExhausted(const std::string& aBudget,
+                   ledger::Tokens aAmount,
+                   const ledger::GrantResult& aResult) const;
   void ServeWaiters(const std::string& aBudget);
   void FailFirst(const std::string& aBudget, const absl::Status& aStatus);
   void ExpireReserves(int64_t aNowMs);
--- a/tests/router/process/BillerTest.cpp
+++ b/tests/router/process/BillerTest.cpp
@@ -10,6 +10,7 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include "cactuswick/model/process/Error.h"
 #include "cactuswick/transport/connection/PeerListener.h"
 
 namespace cactuswick::router {
@@ -83,12 +84,17 @@
 
   /// Answers the open batch: each ask is granted @p aGranted tokens.
   void Answer(Tokens aGranted)
+  {
+    Answer(ledger::GrantResult{ .granted_ = aGranted });
+  }
+
+  /// Answers the open batch: each ask has this result.
+  void Answer(const ledger::GrantResult& aResult)
   {
     ledger::BatchReply reply{ .sequence_ = batch_.sequence_ };
     for (const auto& op : batch_.ops_) {
       if (std::holds_alternative<AcquireGrant>(op)) {
-        reply.results_.emplace_back(
-          ledger::GrantResult{ .granted_ = aGranted });
+        reply.results_.emplace_back(aResult);
       } else {
         reply.results_.emplace_back(ledger::Done{});
       }
@@ -97,12 +103,23 @@
     leader_.Send(link_, transport::ProposeReply{ call_, std::move(reply) });
   }
 
-  /// Reserves, and counts the reservation once it is granted.
+  /// Answers the open batch, and waits until the biller has taken the answer.
+  ledger::RouterBatch AnswerAndWait(const ledger::GrantResult& aResult)
+  {
+    control_.Submit(ledger::Heartbeat{});
+    Answer(aResult);
+    return NextBatch();
+  }
+
+  /// Reserves, and counts the reservation once it is granted or refused.
   void Reserve(Tokens aAmount, int64_t aOwner = 0)
   {
     biller_.Reserve(
       kBudget, aAmount, aOwner, [this](const absl::Status& aStatus) {
         granted_ += aStatus.ok() ? 1 : 0;
+        if (!aStatus.ok()) {
+          refused_.push_back(model::KindOf(aStatus));
+        }
         loop_.Stop();
       });
   }
@@ -136,6 +153,7 @@
   RouterPeers peers_;
   Biller biller_;
   bool expired_ = false;
+  std::vector<model::ErrorKind> refused_;
 
 private:
   void OnRequest(LinkId aLink, const transport::ProposeRequest& aRequest)
@@ -262,5 +280,49 @@
   EXPECT_TRUE(AsksIn(NextBatch()).empty());
 }
 
+TEST_F(BillerTest, ADenialIsNotChargedToOneThatNeedsLess)
+{
+  constexpr int64_t kOwner = 5;
+  ASSERT_TRUE(listening_.ok());
+  Reserve(30'000, kOwner);
+  EXPECT_EQ(AsksIn(NextBatch()).at(0).minimum_, 30'000);
+  Reserve(2'000);
+  biller_.CancelReserve(kOwner);
+  const auto asks = AsksIn(AnswerAndWait({ .available_ = 10'000 }));
+  EXPECT_TRUE(refused_.empty());
+  ASSERT_EQ(asks.size(), 1U);
+  EXPECT_EQ(asks.at(0).minimum_, 2'000);
+  Answer(2'000);
+  RunUntilGranted(1);
+}
+
+TEST_F(BillerTest, ADenialIsNotChargedToOneThatFitsAlready)
+{
+  constexpr int64_t kOwner = 5;
+  ASSERT_TRUE(listening_.ok());
+  biller_.Provide(kBudget, 3'000);
+  NextBatch();
+  Reserve(30'000, kOwner);
+  Answer(3'000);
+  EXPECT_EQ(AsksIn(NextBatch()).at(0).minimum_, 30'000);
+  Reserve(2'000);
+  biller_.CancelReserve(kOwner);
+  AnswerAndWait({ .available_ = 10'000 });
+  EXPECT_TRUE(refused_.empty());
+  RunUntilGranted(1);
+}
+
+TEST_F(BillerTest, ADenialIsChargedToAnotherThatNeedsAsMuch)
+{
+  constexpr int64_t kOwner = 5;
+  ASSERT_TRUE(listening_.ok());
+  Reserve(30'000, kOwner);
+  NextBatch();
+  Reserve(30'000);
+  biller_.CancelReserve(kOwner);
+  AnswerAndWait({ .available_ = 10'000 });
+  EXPECT_EQ(refused_, std::vector{ model::ErrorKind::kBudgetExhausted });
+}
+
 } // namespace
 } // namespace cactuswick::router
