What a router lent or returned counts as unbilled until that is committed

Callers could get 402 `budget_exhausted` for requests that the budget covered (rule DENIED): 21,000 tokens left, 10,000 of them here and 2,000 of these reserved; while the ask for another 12,000 is under way the router lends 4,000 (or returns 8,000 on a recall). The ledger answers that 11,000 are available and nothing is elsewhere, and the request for 20,000 was refused.

The MoveGrant or ReturnGrant waits for the next batch, so that the ledger still counts those tokens as this router's and leaves them out of `elsewhere`; here they are out of the grant already. The sum of both, what is not billed, was too low by them. Returns of idle grants have the same way.

What was given away is now counted, for each budget, from its submission to the answer to its own operation. Answers of a batch are taken in its order, so an ask behind the MoveGrant in one batch sees it as elsewhere and no longer counts it here, and an ask before it the other way round. Only the judgement of a denial uses the count; what may be reserved is unchanged.

BillerTest: on the old code the request is refused after lending and after a recall (WhatWasLentWhileAnAskIsUnderWayIsNotBilled, WhatWasReturned...). The third test, that what was moved before the ask in one batch counts once and a request for more than is left gets its 402 at once, holds for old and new.

--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -188,12 +188,28 @@
                       grants_.Free(aRequest.budget_)));
     // Committed once control is reachable; until then the whole share counts
     // as this router's.
-    options_.control_.Submit(
+    SubmitGiven(
+      aRequest.budget_,
+      lent,
       ledger::MoveGrant{ aRequest.budget_, aRequest.borrower_, lent });
   }
   return lent;
 }
 
+void
+Biller::SubmitGiven(const std::string& aBudget,
+                    ledger::Tokens aAmount,
+                    ledger::RouterOp aOp)
+{
+  givenAway_[aBudget] += aAmount;
+  options_.control_.Submit(std::move(aOp),
+                           [this, aBudget, aAmount](const ledger::OpResult&) {
+                             if ((givenAway_[aBudget] -= aAmount) == 0) {
+                               givenAway_.erase(aBudget);
+                             }
+                           });
+}
+
 transport::LendReply
 Biller::OnLend(const transport::LendRequest& aRequest)
 {
@@ -239,7 +255,7 @@
 {
   // Only while control is reachable: cut off, a grant is all there is.
   for (const auto& idle : grants_.CollectIdle(aNowMs)) {
-    options_.control_.Submit(idle);
+    SubmitGiven(idle.budget_, idle.amount_, idle);
   }
   std::erase_if(queues_, [](const auto& aPair) {
     const BudgetQueue& queue = aPair.second;
@@ -427,7 +443,9 @@
 Biller::Unbilled(const std::string& aBudget,
                  const ledger::GrantResult& aResult) const
 {
-  return aResult.available_ + aResult.elsewhere_ + grants_.Granted(aBudget);
+  const auto given = givenAway_.find(aBudget);
+  return aResult.available_ + aResult.elsewhere_ + grants_.Granted(aBudget) +
+         (given == givenAway_.end() ? 0 : given->second);
 }
 
 bool
@@ -500,7 +518,7 @@
 {
   options_.metrics_.Count(Counter::kGrantsRecalled);
   if (const auto given = grants_.Recall(aBudget, EventLoop::NowMs())) {
-    options_.control_.Submit(*given);
+    SubmitGiven(aBudget, given->amount_, *given);
   }
 }
 
@@ -509,7 +527,7 @@
 {
   ReportUses();
   for (const auto& given : grants_.ReturnAll()) {
-    options_.control_.Submit(given);
+    SubmitGiven(given.budget_, given.amount_, given);
   }
 }
 
--- a/packages/router/src/process/Biller.h
+++ b/packages/router/src/process/Biller.h
@@ -168,6 +168,10 @@
   void Borrow(const std::string& aBudget, int64_t aNowMs);
   void OnNobodyLends(const std::string& aBudget);
   ledger::Tokens LendTo(const transport::LendRequest& aRequest);
+  /// Submits that a part of the own grant was lent or is returned.
+  void SubmitGiven(const std::string& aBudget,
+                   ledger::Tokens aAmount,
+                   ledger::RouterOp aOp);
   /// Asks for all that wait, unless such an ask is under way.
   void AskForWaiters(const std::string& aBudget);
   static ledger::Tokens WaitedFor(const BudgetQueue& aQueue);
@@ -218,6 +222,9 @@
   /// Used and not reported yet, by budget.
   std::map<std::string, ledger::Tokens> unreported_;
   int64_t lastReportMs_ = 0;
+  /// Taken out of the own grants, but not known to be committed: an answer of
+  /// the ledger may still count it as this router's, not as elsewhere.
+  std::map<std::string, ledger::Tokens> givenAway_;
   GrantLoans loans_;
   transport::Timer tick_;
 };
--- a/tests/router/process/BillerTest.cpp
+++ b/tests/router/process/BillerTest.cpp
@@ -124,6 +124,26 @@
       });
   }
 
+  /// Has a grant of 10,000 and 2,000 of it reserved.
+  void ReserveOfTenThousand()
+  {
+    biller_.Provide(kBudget, 10'000);
+    NextBatch();
+    AnswerAndWait({ .granted_ = 10'000 });
+    Answer(0);
+    Reserve(2'000);
+  }
+
+  Tokens Lend(Tokens aAmount)
+  {
+    return biller_
+      .OnLend({ .borrower_ = 2,
+                .budget_ = kBudget,
+                .want_ = aAmount,
+                .minimum_ = aAmount })
+      .amount_;
+  }
+
   void RunUntilGranted(int aCount)
   {
     while (granted_ < aCount && !expired_) {
@@ -324,5 +344,45 @@
   EXPECT_EQ(refused_, std::vector{ model::ErrorKind::kBudgetExhausted });
 }
 
+TEST_F(BillerTest, WhatWasLentWhileAnAskIsUnderWayIsNotBilled)
+{
+  constexpr int64_t kOwner = 5;
+  ASSERT_TRUE(listening_.ok());
+  ReserveOfTenThousand();
+  Reserve(20'000, kOwner);
+  EXPECT_EQ(AsksIn(NextBatch(), false).at(0).minimum_, 12'000);
+  biller_.CancelReserve(kOwner);
+  ASSERT_EQ(Lend(4'000), 4'000);
+  Reserve(20'000);
+  // The ledger still counts the whole 10,000 as this router's.
+  AnswerAndWait({ .available_ = 11'000 });
+  EXPECT_TRUE(refused_.empty());
+  EXPECT_EQ(biller_.WaitFor(kBudget).waiting_, 1);
+}
+
+TEST_F(BillerTest, WhatWasReturnedWhileAnAskIsUnderWayIsNotBilled)
+{
+  ASSERT_TRUE(listening_.ok());
+  ReserveOfTenThousand();
+  Reserve(20'000);
+  EXPECT_EQ(AsksIn(NextBatch(), false).at(0).minimum_, 12'000);
+  biller_.OnRecall(kBudget);
+  AnswerAndWait({ .available_ = 11'000 });
+  EXPECT_TRUE(refused_.empty());
+  EXPECT_EQ(biller_.WaitFor(kBudget).waiting_, 1);
+}
+
+TEST_F(BillerTest, WhatWasLentIsCountedOnceWhenItIsCommitted)
+{
+  ASSERT_TRUE(listening_.ok());
+  ReserveOfTenThousand();
+  ASSERT_EQ(Lend(4'000), 4'000);
+  Reserve(20'000);
+  NextBatch();
+  // Moved before the ask, in the same batch.
+  AnswerAndWait({ .available_ = 9'000, .elsewhere_ = 4'000 });
+  EXPECT_EQ(refused_, std::vector{ model::ErrorKind::kBudgetExhausted });
+}
+
 } // namespace
 } // namespace cactuswick::router
