A router lends nothing of a budget that requests wait for there

Callers could wait for a second trip to control, or past their wait for a grant, though the ledger had granted what their router had asked for: the router lent to another one meanwhile.

The ask's minimum is the amount of the first that waits less what is free here. What was lent of the free part after that was missing when the grant came, so that it no longer covered the request.

`LendTo` gives nothing of a budget that has waiters; the borrower takes this as any other refusal and asks the next router. Once nobody waits the router lends as before.

BillerTest: on the old code 4,000 of the 8,000 free tokens are lent while a request for 20,000 waits, and the grant of the 12,000 that were asked for leaves it waiting (NothingIsLentOfABudgetThatRequestsWaitForHere).

--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -172,6 +172,11 @@
 ledger::Tokens
 Biller::LendTo(const transport::LendRequest& aRequest)
 {
+  const auto queue = queues_.find(aRequest.budget_);
+  if (queue != queues_.end() && !queue->second.waiters_.empty()) {
+    // Their ask counts on what is free.
+    return 0;
+  }
   const ledger::Tokens lent =
     grants_.Lend(aRequest.budget_, aRequest.want_, aRequest.minimum_);
   if (lent > 0) {
--- a/packages/router/src/process/Biller.h
+++ b/packages/router/src/process/Biller.h
@@ -167,6 +167,7 @@
   void AskAheadForAll();
   void Borrow(const std::string& aBudget, int64_t aNowMs);
   void OnNobodyLends(const std::string& aBudget);
+  /// Lends nothing of a budget that requests wait for here.
   ledger::Tokens LendTo(const transport::LendRequest& aRequest);
   /// Submits that a part of the own grant was lent or is returned.
   void SubmitGiven(const std::string& aBudget,
--- a/tests/router/process/BillerTest.cpp
+++ b/tests/router/process/BillerTest.cpp
@@ -384,5 +384,18 @@
   EXPECT_EQ(refused_, std::vector{ model::ErrorKind::kBudgetExhausted });
 }
 
+TEST_F(BillerTest, NothingIsLentOfABudgetThatRequestsWaitForHere)
+{
+  ASSERT_TRUE(listening_.ok());
+  ReserveOfTenThousand();
+  Reserve(20'000);
+  EXPECT_EQ(AsksIn(NextBatch(), false).at(0).minimum_, 12'000);
+  EXPECT_EQ(Lend(4'000), 0);
+  AnswerAndWait({ .granted_ = 12'000 });
+  EXPECT_EQ(biller_.WaitFor(kBudget).waiting_, 0);
+  biller_.Release(kBudget, 20'000);
+  EXPECT_EQ(Lend(4'000), 4'000);
+}
+
 } // namespace
 } // namespace cactuswick::router
