--- a/packages/router/src/process/Biller.h
+++ b/packages/router/src/process/Biller.h
@@ -167,7 +167,12 @@
   void AskAheadForAll();
   void Borrow(const std::string& aBudget, int64_t aNowMs);
   void OnNobodyLends(const std::string& aBudget);
+  /// Lends nothing of a budget that requests wait for here.
   ledger::Tokens LendTo(const transport::LendRequest& aRequest);
+  /// Submits that a part of the own grant was lent or is returned.
+  void SubmitGiven(const std::string& aBudget,
+                   ledger::Tokens aAmount,
+                   ledger::RouterOp aOp);
   /// Asks for all that wait, unless such an ask is under way.
   void AskForWaiters(const std::string& aBudget);
   static ledger::Tokens WaitedFor(const BudgetQueue& aQueue);
@@ -180,7 +185,23 @@
   void AskAhead(const std::string& aBudget);
   void SubmitAhead(const ledger::AcquireGrant& aAsk);
   void OnGrantAhead(const std::string& aBudget, ledger::Tokens aGranted);
-  void OnGrant(const std::string& aBudget, const ledger::GrantResult& aResult);
+  /// Takes the answer to an ask for @p aMinimum or more.
+  void OnGrant(const std::string& aBudget,
+               ledger::Tokens aMinimum,
+               const ledger::GrantResult& aResult);
+  /// Fails the first that waits if the denial of @p aMinimum leaves it nothing
+  /// to wait for; one that needs less is asked for anew.
+  void OnDenied(const std::string& aBudget,
+                ledger::Tokens aMinimum,
+                const ledger::GrantResult& aResult);
+  /// All of a budget that is not billed, from an answer of the ledger. What is
+  /// held of it never comes back.
+  ledger::Tokens Unbilled(const std::string& aBudget,
+                          const ledger::GrantResult& aResult) const;
+  /// Whether the rest of a budget does not cover @p aAmount.
+  bool IsExhausted(const std::string& aBudget,
+                   ledger::Tokens aAmount,
+                   const ledger::GrantResult& aResult) const;
   void ServeWaiters(const std::string& aBudget);
   void FailFirst(const std::string& aBudget, const absl::Status& aStatus);
   void ExpireReserves(int64_t aNowMs);
@@ -202,6 +223,9 @@
   /// Used and not reported yet, by budget.
   std::map<std::string, ledger::Tokens> unreported_;
   int64_t lastReportMs_ = 0;
+  /// Taken out of the own grants, but not known to be committed: an answer of
+  /// the ledger may still count it as this router's, not as elsewhere.
+  std::map<std::string, ledger::Tokens> givenAway_;
   GrantLoans loans_;
   transport::Timer tick_;
 };
