A caller that sends blank lines for a chunk's size is read only so far

What was seen: a caller that sends blank lines without end where the size of a chunk is due was read for as long as it sent. Nothing of it was kept, but it took the time of a loop, and no timeout ended it.

Cause: evhttp discards such lines before it counts anything, so neither its own limits of head and body nor the limit on what waits unparsed ever saw them.

Each connection now counts what it has read since its last whole request, and is closed beyond six times what head, body and slack allow: a body in chunks of one byte, the most that framing adds, takes six bytes for each of its own. The connection's watermark holds its limits, so a change of limits goes on to hold for connections that are accepted from then on.

New test: a body of the largest size in chunks of one byte, and 30 requests on one connection, 11.8 MB where the bound is 0.9 MB, are served whole.

--- a/packages/transport/src/connection/HttpServer.cpp
+++ b/packages/transport/src/connection/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include <filesystem>
 #include <iterator>
+#include <string_view>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -9,6 +10,7 @@
 #include <event2/listener.h>
 
 #include "cactuswick/model/process/Error.h"
+#include "connection/InputCount.h"
 
 namespace cactuswick::transport {
 
@@ -19,6 +21,8 @@
 constexpr int64_t kLimitCheckMs = 100;
 /// Bytes that a caller may have sent beyond a whole request.
 constexpr size_t kMoreInputBytes = size_t{ 64 } << 10;
+/// Most bytes that a caller sends for each byte of a request.
+constexpr size_t kMostFraming = std::string_view{ "1\r\na\r\n" }.size();
 
 size_t
 CountDescriptors()
@@ -29,14 +33,19 @@
 }
 
 /// Closes a connection whose caller sends more than its limit while nothing
-/// of it can be taken, as behind a request that is still being answered.
+/// of it can be taken, as behind a request that is still being answered, or
+/// more than any request needs, as with blank lines, which evhttp discards.
 void
 OnInput(evbuffer* aInput, const evbuffer_cb_info* aInfo, void* aStream)
 {
+  if (aInfo->n_added == 0) {
+    return;
+  }
   auto* stream = static_cast<bufferevent*>(aStream);
   size_t most = 0;
   bufferevent_getwatermark(stream, EV_READ, nullptr, &most);
-  if (aInfo->n_added > 0 && evbuffer_get_length(aInput) >= most) {
+  if (evbuffer_get_length(aInput) >= most ||
+      InputCount(stream) > most * kMostFraming) {
     bufferevent_trigger_event(
       stream, BEV_EVENT_READING | BEV_EVENT_EOF, BEV_TRIG_DEFER_CALLBACKS);
   }
@@ -66,6 +75,7 @@
                              0,
                              limits.maxHeaderBytes_ + limits.maxBodyBytes_ +
                                kMoreInputBytes);
+    StartInputCount(stream);
     evbuffer_add_cb(bufferevent_get_input(stream), &OnInput, stream);
     return stream;
   }
@@ -73,6 +83,8 @@
   static void OnRequest(evhttp_request* aRequest, void* aSelf)
   {
     auto* self = static_cast<State*>(aSelf);
+    ResetInputCount(evhttp_connection_get_bufferevent(
+      evhttp_request_get_connection(aRequest)));
     self->options_.onRequest_(
       std::make_unique<HttpExchange>(self->loop_, aRequest));
   }
--- a/tests/transport/connection/HttpServerTest.cpp
+++ b/tests/transport/connection/HttpServerTest.cpp
@@ -1,7 +1,9 @@
 #include "cactuswick/transport/connection/HttpServer.h"
 
 #include <memory>
+#include <ostream>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -16,6 +18,10 @@
 constexpr uint16_t kPort = 18'941;
 constexpr int64_t kIdleMs = 300;
 constexpr int64_t kPollMs = 10;
+constexpr std::string_view kServed = "served";
+
+const std::string kChunked =
+  "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 TEST(HttpServer, ClosesSilentConnectionsByTheLimitsOfTheirStart)
 {
@@ -93,8 +99,69 @@
   EXPECT_EQ(bodyBytes, limits.maxBodyBytes_);
 }
 
-const std::string kChunked =
-  "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+/// A request whose body comes in chunks of one byte each.
+std::string
+OneByteChunks(size_t aBodyBytes)
+{
+  std::string request = kChunked;
+  for (size_t number = 0; number < aBodyBytes; ++number) {
+    request += "1\r\na\r\n";
+  }
+  return request + "0\r\n\r\n";
+}
+
+/// Requests of one body size that follow each other on one connection.
+struct HonestCase
+{
+  std::string name_;
+  size_t requests_;
+  size_t bodyBytes_;
+};
+
+std::ostream&
+operator<<(std::ostream& aStream, const HonestCase& aCase)
+{
+  return aStream << aCase.name_;
+}
+
+class HttpServerHonest : public testing::TestWithParam<HonestCase>
+{};
+
+TEST_P(HttpServerHonest, ServesEachRequestWhole)
+{
+  const auto& [name, requests, bodyBytes] = GetParam();
+  EventLoop loop;
+  std::vector<size_t> served;
+  HttpServer server(loop,
+                    { .limits_ = { .maxBodyBytes_ = bodyBytes },
+                      .onRequest_ = [&](auto aExchange) {
+                        served.push_back(aExchange->Body().size());
+                        aExchange->Reply(200, {}, kServed);
+                      } });
+  ASSERT_TRUE(server.Listen({ OwnHost(), kPort }).ok());
+  size_t answers = 0;
+  Waker done(loop, [&] { loop.Stop(); });
+  std::thread caller([&] {
+    const int handle = ConnectTo(kPort);
+    const std::string request = OneByteChunks(bodyBytes);
+    while (answers < requests && Ask(handle, request, kServed)) {
+      ++answers;
+    }
+    close(handle);
+    done.Wake();
+  });
+  loop.Run();
+  caller.join();
+  EXPECT_EQ(answers, requests);
+  EXPECT_EQ(served, std::vector<size_t>(requests, bodyBytes));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  InChunksOfOneByte,
+  HttpServerHonest,
+  testing::Values(HonestCase{ "LargestBody", 1, HttpLimits{}.maxBodyBytes_ },
+                  HonestCase{ "ManyOnOneConnection", 30, size_t{ 64 } << 10 }),
+  [](const auto& aInfo) { return aInfo.param.name_; });
 
 INSTANTIATE_TEST_SUITE_P(
   Requests,
--- a/tests/transport/connection/LoopbackCaller.h
+++ b/tests/transport/connection/LoopbackCaller.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
@@ -45,4 +46,33 @@
   return handle;
 }
 
+/// Sends a request whole and reads until its answer ends with @p aEnd; false
+/// when the server closes first or is silent for long.
+inline bool
+Ask(int aHandle, std::string_view aRequest, std::string_view aEnd)
+{
+  constexpr size_t kPieceBytes = size_t{ 4 } << 10;
+  constexpr timeval kWait{ .tv_sec = 10, .tv_usec = 0 };
+  setsockopt(aHandle, SOL_SOCKET, SO_RCVTIMEO, &kWait, sizeof(kWait));
+  setsockopt(aHandle, SOL_SOCKET, SO_SNDTIMEO, &kWait, sizeof(kWait));
+  while (!aRequest.empty()) {
+    const ssize_t count =
+      send(aHandle, aRequest.data(), aRequest.size(), MSG_NOSIGNAL);
+    if (count <= 0) {
+      return false;
+    }
+    aRequest.remove_prefix(static_cast<size_t>(count));
+  }
+  std::string answer;
+  while (!answer.ends_with(aEnd)) {
+    std::string piece(kPieceBytes, '\0');
+    const ssize_t count = recv(aHandle, piece.data(), piece.size(), 0);
+    if (count <= 0) {
+      return false;
+    }
+    answer.append(piece, 0, static_cast<size_t>(count));
+  }
+  return true;
+}
+
 } // namespace cactuswick::transport
