Only an answer of the same form continues a stream

Endpoint A gives some events and breaks off; B, where the stream goes on, answers 200 with another body (application/json, Content-Length 7). The caller got that body behind its events, in a stream that was framed as complete. The same with an event stream that ends inside an event though its framing is whole.

Cause: of an answer that continues a stream only the status class was looked at, and bytes behind its last whole event went to the caller when its framing was whole. That is right for an answer by itself, whose body is the endpoint's whatever it holds, and wrong behind the events of another endpoint.

Now a continuation must have the status and the media type of the answer with which the stream began (IsSameForm); otherwise its body is dropped and the attempt counts as failed (other_form in the log). Bytes behind the last whole event of a continuation are a cut, whatever the framing. Both go on elsewhere or cut the caller's stream. Parameters of the content type may differ, as endpoints of different versions may name a charset or not.

An answer of another form that is no continuation is judged as before.

--- a/packages/router/src/request/AnswerEnd.cpp
+++ b/packages/router/src/request/AnswerEnd.cpp
@@ -21,10 +21,11 @@
     return AnswerEnd::kNotRun;
   }
   const bool success = status >= kHttpSuccess && status < kHttpRedirect;
-  if (aInput.continuesStream_ && !success) {
+  if (aInput.continuesStream_ && (!success || aInput.headDiffers_)) {
     return AnswerEnd::kCannotFollow;
   }
-  if (aInput.endsByClose_ && aInput.hasHalfEvent_) {
+  if (aInput.hasHalfEvent_ &&
+      (aInput.endsByClose_ || aInput.continuesStream_)) {
     return AnswerEnd::kCut;
   }
   return status >= kHttpServerError ? AnswerEnd::kServerError
--- a/packages/router/src/request/AnswerEnd.h
+++ b/packages/router/src/request/AnswerEnd.h
@@ -31,6 +31,8 @@
   bool notRun_ = false;
   /// The caller has a part of a stream, which earlier attempts began.
   bool continuesStream_ = false;
+  /// The head is not that of the stream that it would continue.
+  bool headDiffers_ = false;
   /// Bytes came behind the last whole event of a stream.
   bool hasHalfEvent_ = false;
 };
--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -7,6 +7,7 @@
 #include "cactuswick/model/process/Hash.h"
 #include "cactuswick/telemetry/process/Log.h"
 #include "request/AnswerEnd.h"
+#include "request/StreamHead.h"
 
 namespace cactuswick::router {
 
@@ -121,6 +122,18 @@
   return IsStream() && events_.Count() > 0;
 }
 
+bool
+ForwardExchange::IsContinuation() const
+{
+  return IsStream() && eventsBefore_ > 0;
+}
+
+bool
+ForwardExchange::HeadDiffers() const
+{
+  return IsContinuation() && !IsSameForm(firstAnswer_, answer_);
+}
+
 void
 ForwardExchange::NoteGrantWait(int64_t aSinceMs, int64_t aBefore)
 {
@@ -194,6 +207,7 @@
   answer_ = {};
   body_.clear();
   continuesAfter_ = started_ ? events_.LastId() : "";
+  eventsBefore_ = events_.Count();
   const int64_t left =
     std::max(int64_t{ 1 }, plan_.deadlineMs_ - EventLoop::NowMs());
   const auto address = transport::ParseAddress("address", aEndpoint.address_);
@@ -244,7 +258,7 @@
 void
 ForwardExchange::OnData(std::string_view aData)
 {
-  if (answer_.status_ == 0) {
+  if (answer_.status_ == 0 || HeadDiffers()) {
     return;
   }
   if (IsStream() && answer_.IsSuccess()) {
@@ -256,10 +270,6 @@
     }
     return;
   }
-  if (ContinuesStream()) {
-    // What a refusal or a failure says is no part of the stream.
-    return;
-  }
   if (!started_) {
     body_.append(aData);
   }
@@ -283,6 +293,7 @@
   }
   if (!started_) {
     started_ = true;
+    firstAnswer_ = answer_;
     record_.OnFirstToken();
     exchange_->StartStream(answer_.status_, answer_.headers_);
   }
@@ -317,7 +328,8 @@
                   .endsByClose_ = call_->EndsByClose(),
                   .status_ = answer_.status_,
                   .notRun_ = answer_.notRun_,
-                  .continuesStream_ = ContinuesStream(),
+                  .continuesStream_ = IsContinuation(),
+                  .headDiffers_ = HeadDiffers(),
                   .hasHalfEvent_ = IsStream() && events_.HasRest() });
   switch (end) {
     case AnswerEnd::kNotRun:
@@ -330,7 +342,7 @@
       OnServerError();
       return;
     case AnswerEnd::kCannotFollow:
-      OnRanInVain("server_error",
+      OnRanInVain(answer_.IsSuccess() ? "other_form" : "server_error",
                   MakeError(ErrorKind::kUpstreamFailed,
                             attempts_.Endpoint().endpoint_,
                             "the endpoint did not go on with the stream"),
--- a/packages/router/src/request/ForwardExchange.h
+++ b/packages/router/src/request/ForwardExchange.h
@@ -92,6 +92,10 @@
   bool IsStream() const;
   /// The caller already has events, of whichever attempt.
   bool ContinuesStream() const;
+  /// The caller already had events when this attempt began.
+  bool IsContinuation() const;
+  /// The answer of this attempt is no part of the stream that it continues.
+  bool HeadDiffers() const;
   std::optional<routing::PromptLoad> Prompt() const;
   void NotePromptRead();
   void NoteDispatched();
@@ -118,12 +122,16 @@
   transport::Timer slowCaller_;
   std::unique_ptr<transport::HttpCall> call_;
   ForwardAnswer answer_;
+  /// Head of the answer with which the caller's stream began.
+  ForwardAnswer firstAnswer_;
   std::string body_;
   EventSplitter events_;
   /// Prompt tokens that the endpoint is taken to read until its first event.
   ledger::Tokens toRead_ = 0;
   /// Last event that the caller had when this attempt began; empty for none.
   std::string continuesAfter_;
+  /// Events that the caller had when this attempt began.
+  int64_t eventsBefore_ = 0;
   /// The answer to the caller has begun.
   bool started_ = false;
   /// An answer that is no stream has gone to the caller, whole or in part.
--- /dev/null
+++ b/packages/router/src/request/StreamHead.cpp
@@ -0,0 +1,37 @@
+#include "request/StreamHead.h"
+
+#include <string_view>
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+
+#include "cactuswick/model/process/Text.h"
+
+namespace cactuswick::router {
+
+namespace {
+
+/// Without its parameters; empty when the answer names none.
+absl::string_view
+MediaTypeOf(const ForwardAnswer& aAnswer)
+{
+  for (const auto& header : aAnswer.headers_) {
+    if (absl::EqualsIgnoreCase(header.name_, "Content-Type")) {
+      const std::string_view value = header.value_;
+      return absl::StripAsciiWhitespace(
+        model::ToAbsl(value.substr(0, value.find(';'))));
+    }
+  }
+  return {};
+}
+
+} // namespace
+
+bool
+IsSameForm(const ForwardAnswer& aFirst, const ForwardAnswer& aNext)
+{
+  return aFirst.status_ == aNext.status_ &&
+         absl::EqualsIgnoreCase(MediaTypeOf(aFirst), MediaTypeOf(aNext));
+}
+
+} // namespace cactuswick::router
--- a/tests/router/request/AnswerEndTest.cpp
+++ b/tests/router/request/AnswerEndTest.cpp
@@ -51,5 +51,24 @@
   EXPECT_EQ(EndOfAnswer(input), AnswerEnd::kCut);
 }
 
+TEST(AnswerEnd, AnAnswerOfAnotherFormDoesNotContinueAStream)
+{
+  AnswerEndInput input = Whole(200);
+  input.continuesStream_ = true;
+  input.headDiffers_ = true;
+  EXPECT_EQ(EndOfAnswer(input), AnswerEnd::kCannotFollow);
+}
+
+TEST(AnswerEnd, AContinuationThatEndsInsideAnEventIsCutWhateverItsFraming)
+{
+  AnswerEndInput input = Whole(200);
+  input.continuesStream_ = true;
+  input.hasHalfEvent_ = true;
+  for (const bool endsByClose : { false, true }) {
+    input.endsByClose_ = endsByClose;
+    EXPECT_EQ(EndOfAnswer(input), AnswerEnd::kCut) << endsByClose;
+  }
+}
+
 } // namespace
 } // namespace cactuswick::router
--- a/tests/system/platform_run.py
+++ b/tests/system/platform_run.py
@@ -13,6 +13,8 @@
 # Makes a process's disk misbehave; built with the tests.
 FAULTY_DISK = BIN.parent / "lib" / "libfaulty_disk.so"
 KEY = "key-of-w"
+# Chunks of streams that end before their last event.
+UNFINISHED = {"half_event": b"7\r\nid: 3\r\n\r\n"}
 
 
 class Runner:
@@ -34,7 +36,8 @@
         # How the next requests end: "", "refuse", "reset", "break" (off in the
         # middle of the third event), "fail", "break_failure" (off in the middle
         # of a long failure), "again" (from the first event, whatever is asked
-        # for) or one of endless.ENDLESS.
+        # for), "other_body" (that is no stream), "half_event" (a stream that ends
+        # inside an event) or one of endless.ENDLESS.
         self._fault = ""
         # The same for requests that continue a stream.
         self.resumed_fault = ""
@@ -95,11 +98,14 @@
         call.send_response(200)
         call.send_header("X-Request-Id", call.headers["X-Request-Id"])
         call.send_header("X-Response-Stamp", f"stamp-{self.id}")
-        if call.path.startswith("/stream/"):
+        if call.path.startswith("/stream/") and call.fault != "other_body":
             self.stream(call)
             return
         time.sleep(self.work_s)
         answer = f"{self.id} {call.path}".encode()
+        if call.fault == "other_body":
+            call.send_header("Content-Type", "application/json")
+            answer = b'{"x":1}'
         call.send_header("Content-Length", str(len(answer)))
         call.end_headers()
         call.wfile.write(answer)
@@ -127,6 +133,9 @@
         call.send_header("Content-Type", "text/event-stream")
         call.send_header("Transfer-Encoding", "chunked")
         call.end_headers()
+        if call.fault in UNFINISHED:
+            call.wfile.write(UNFINISHED[call.fault] + b"0\r\n\r\n")
+            return
         first = int(call.headers.get("Last-Event-Id", 0)) + 1
         if call.fault == "again":
             first = 1
