A continuation that brings no event does not complete a stream

Endpoint A gives events 1 to 3 and breaks off; B, where the stream goes on, answers 200 with an empty body (Content-Length 0 or the last chunk at once). The caller's stream was framed as complete without its last events.

Cause: an empty body that is whole by its framing was taken for the rest of the stream. Nothing tells it from an endpoint that knows nothing of the stream.

Now it is a cut: another endpoint may be tried as far as attempts and the retry budget allow, and otherwise the caller's stream is cut and can be resumed by the caller. An empty answer that continues nothing of this request stays whole. The price: a stream that breaks off behind its very last event, but before its end, is cut unless another endpoint repeats or adds an event.

--- a/packages/router/src/request/AnswerEnd.cpp
+++ b/packages/router/src/request/AnswerEnd.cpp
@@ -28,6 +28,9 @@
       (aInput.endsByClose_ || aInput.continuesStream_)) {
     return AnswerEnd::kCut;
   }
+  if (aInput.continuesStream_ && aInput.bringsNoEvent_) {
+    return AnswerEnd::kCut;
+  }
   return status >= kHttpServerError ? AnswerEnd::kServerError
                                     : AnswerEnd::kWhole;
 }
--- a/packages/router/src/request/AnswerEnd.h
+++ b/packages/router/src/request/AnswerEnd.h
@@ -33,6 +33,8 @@
   bool continuesStream_ = false;
   /// The head is not that of the stream that it would continue.
   bool headDiffers_ = false;
+  /// No event came that the caller does not have.
+  bool bringsNoEvent_ = false;
   /// Bytes came behind the last whole event of a stream.
   bool hasHalfEvent_ = false;
 };
--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -330,6 +330,7 @@
                   .notRun_ = answer_.notRun_,
                   .continuesStream_ = IsContinuation(),
                   .headDiffers_ = HeadDiffers(),
+                  .bringsNoEvent_ = events_.Count() == eventsBefore_,
                   .hasHalfEvent_ = IsStream() && events_.HasRest() });
   switch (end) {
     case AnswerEnd::kNotRun:
--- a/tests/router/request/AnswerEndTest.cpp
+++ b/tests/router/request/AnswerEndTest.cpp
@@ -70,5 +70,14 @@
   }
 }
 
+TEST(AnswerEnd, AContinuationWithoutAnyEventIsCut)
+{
+  AnswerEndInput input = Whole(200);
+  input.bringsNoEvent_ = true;
+  EXPECT_EQ(EndOfAnswer(input), AnswerEnd::kWhole);
+  input.continuesStream_ = true;
+  EXPECT_EQ(EndOfAnswer(input), AnswerEnd::kCut);
+}
+
 } // namespace
 } // namespace cactuswick::router
--- a/tests/system/platform_run.py
+++ b/tests/system/platform_run.py
@@ -14,7 +14,7 @@
 FAULTY_DISK = BIN.parent / "lib" / "libfaulty_disk.so"
 KEY = "key-of-w"
 # Chunks of streams that end before their last event.
-UNFINISHED = {"half_event": b"7\r\nid: 3\r\n\r\n"}
+UNFINISHED = {"no_event": b"", "half_event": b"7\r\nid: 3\r\n\r\n"}
 
 
 class Runner:
@@ -36,8 +36,9 @@
         # How the next requests end: "", "refuse", "reset", "break" (off in the
         # middle of the third event), "fail", "break_failure" (off in the middle
         # of a long failure), "again" (from the first event, whatever is asked
-        # for), "other_body" (that is no stream), "half_event" (a stream that ends
-        # inside an event) or one of endless.ENDLESS.
+        # for), "other_body" (that is no stream), "no_event" (an empty stream),
+        # "half_event" (a stream that ends inside an event) or one of
+        # endless.ENDLESS.
         self._fault = ""
         # The same for requests that continue a stream.
         self.resumed_fault = ""
--- a/tests/system/test_platform.py
+++ b/tests/system/test_platform.py
@@ -180,7 +180,7 @@
 
 
 @pytest.mark.parametrize("second", ["fail", "refuse", "reset", "other_body",
-                                    "half_event"])
+                                    "half_event", "no_event"])
 def test_a_stream_that_cannot_go_on_is_cut_and_bears_no_foreign_bytes(
         run, second):
     for runner in run.runners[2:]:
