A stream goes on elsewhere only behind an event with a number

The events of a resumable stream bear no id, or one that is no number; the stream breaks off; the second endpoint gets no Last-Event-Id that means this place, begins anew, and all events come twice.

Cause: whether a stream may go on was decided by its route alone. What the next endpoint sends again is told from what is new by numbers only.

Now a stream that has begun goes on only if its last event bears a number (EventSplitter::CanContinue); otherwise the caller's stream is cut. A stream of which nothing was passed on may begin elsewhere as before, and comments between events change nothing.

Evidence: before, test_no_event_comes_twice_when_a_broken_stream_bears_no_numbers of test_platform.py failed (events 1 and 2 came twice), and the two new tests of EventSplitter with a CanContinue that is always true. All pass now.

--- a/packages/router/src/request/EventSplitter.cpp
+++ b/packages/router/src/request/EventSplitter.cpp
@@ -1,6 +1,7 @@
 #include "request/EventSplitter.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include <absl/strings/numbers.h>
@@ -57,14 +58,35 @@
   return found;
 }
 
+/// Every line is empty or a comment.
+bool
+IsComment(std::string_view aEvent)
+{
+  bool lineBegins = true;
+  for (const char c : aEvent) {
+    if (lineBegins && c != ':' && c != '\r' && c != '\n') {
+      return false;
+    }
+    lineBegins = c == '\n';
+  }
+  return true;
+}
+
+std::optional<int64_t>
+NumberOf(std::string_view aId)
+{
+  int64_t number = 0;
+  const bool isNumber = absl::SimpleAtoi(model::ToAbsl(aId), &number);
+  return isNumber ? std::optional(number) : std::nullopt;
+}
+
 /// Both are numbers, and the first is not beyond the second.
 bool
 IsThrough(std::string_view aId, std::string_view aLast)
 {
-  int64_t id = 0;
-  int64_t last = 0;
-  return absl::SimpleAtoi(model::ToAbsl(aId), &id) &&
-         absl::SimpleAtoi(model::ToAbsl(aLast), &last) && id <= last;
+  const auto id = NumberOf(aId);
+  const auto last = NumberOf(aLast);
+  return id && last && *id <= *last;
 }
 
 } // namespace
@@ -111,6 +133,9 @@
     return false;
   }
   ++count_;
+  if (!IsComment(aEvent)) {
+    lastHasNumber_ = NumberOf(id).has_value();
+  }
   if (!id.empty()) {
     lastId_ = id;
   }
--- a/packages/router/src/request/EventSplitter.h
+++ b/packages/router/src/request/EventSplitter.h
@@ -20,6 +20,9 @@
   /// Takes bytes; returns those of the events that they complete.
   std::string Feed(std::string_view aBytes);
 
+  /// The stream may go on elsewhere: it has not begun, or its last event has a
+  /// number, behind which another endpoint can begin.
+  bool CanContinue() const { return count_ == 0 || lastHasNumber_; }
   /// The stream goes on elsewhere: forgets a half event, and from here on drops
   /// numbered events that were passed on before.
   void Continue();
@@ -45,6 +48,8 @@
   size_t searched_ = 0;
   std::string lastId_;
   int64_t count_ = 0;
+  /// The last event, comments aside, bears a number as its identity.
+  bool lastHasNumber_ = true;
   bool continues_ = false;
 };
 
--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -410,7 +410,8 @@
   events_.Continue();
   const bool harmless = plan_.route_.IsIdempotent() || !attempts_.MayHaveRun();
   const bool resumable =
-    !started_ || (ContinuesStream() && plan_.route_.resumable_);
+    !started_ ||
+    (ContinuesStream() && plan_.route_.resumable_ && events_.CanContinue());
   if (harmless && resumable && MayRepeat(aArrived)) {
     Enqueue();
     return;
--- a/tests/router/request/EventSplitterTest.cpp
+++ b/tests/router/request/EventSplitterTest.cpp
@@ -48,6 +48,33 @@
   EXPECT_EQ(events.Count(), 2);
 }
 
+TEST(EventSplitter, AStreamGoesOnOnlyBehindAnEventWithANumber)
+{
+  const auto canContinue = [](std::string_view aBytes) {
+    EventSplitter events;
+    events.SetLastId("7");
+    events.Feed(aBytes);
+    return events.CanContinue();
+  };
+  EXPECT_TRUE(canContinue(""));
+  EXPECT_TRUE(canContinue("data: hal"));
+  EXPECT_TRUE(canContinue("id: 8\ndata: a\n\n"));
+  EXPECT_TRUE(canContinue("data: a\n\nid: 9\ndata: b\n\n"));
+  EXPECT_FALSE(canContinue("data: a\n\n"));
+  EXPECT_FALSE(canContinue("id: 8\ndata: a\n\ndata: b\n\n"));
+  EXPECT_FALSE(canContinue("id: 8\ndata: a\n\nid: x9\ndata: b\n\n"));
+  EXPECT_FALSE(canContinue("id: 8\ndata: a\n\nid:\ndata: b\n\n"));
+}
+
+TEST(EventSplitter, CommentsBehindAnEventKeepNoStreamFromGoingOn)
+{
+  EventSplitter events;
+  events.Feed("id: 8\r\ndata: a\r\n\r\n: alive\r\n\r\n:\n\n");
+  EXPECT_TRUE(events.CanContinue());
+  events.Feed(": alive\ndata: b\n\n");
+  EXPECT_FALSE(events.CanContinue());
+}
+
 TEST(EventSplitter, GivesBytesBehindTheLastEventBackUnchanged)
 {
   EventSplitter events;
--- a/tests/system/platform_run.py
+++ b/tests/system/platform_run.py
@@ -30,6 +30,8 @@
         self.state = "ready"
         self.seen = []
         self.events = 5
+        # Whether the events of a stream bear ids.
+        self.numbered = True
         # Seconds that a call takes, and between the events of a stream.
         self.work_s = 0
         self.gap_s = 0
@@ -142,7 +144,8 @@
             first = 1
         for number in range(first, self.events + 1):
             time.sleep(self.gap_s)
-            piece = f"id: {number}\ndata: e{number}\n\n".encode()
+            name = f"id: {number}\n" if self.numbered else ""
+            piece = f"{name}data: e{number}\n\n".encode()
             if call.fault == "break" and number == 3:
                 call.wfile.write(b"5\r\nid: 3\r\n")
                 call.close_connection = True
--- a/tests/system/test_platform.py
+++ b/tests/system/test_platform.py
@@ -191,6 +191,14 @@
     assert not answer.whole
 
 
+def test_no_event_comes_twice_when_a_broken_stream_bears_no_numbers(run):
+    for runner in run.runners[2:]:
+        runner.fault, runner.numbered = "break", False
+    answer = run.ask("/stream/x")
+    assert answer.body == "data: e1\n\ndata: e2\n\n"
+    assert not answer.whole
+
+
 def ask_bad_ones(run, path):
     """Answers to many requests at once, and what else happens meanwhile.
 
