No interim answer of an endpoint is the answer of a call

An endpoint sends 103 (or any 1xx but 100) before its 200. The caller got the 103 as its answer, without a body.

Cause: evhttp reads on only behind a 100, and takes all other interim answers for the answer, without a body. The connection then counted as free, with the real answer still to come on it: the next request there was given that answer, unless its id told it.

Now HttpCall passes every interim answer off as a 100 to evhttp, which then reads on on the same connection; the bounds on interim answers hold for all of them. 101 switches to a protocol that nobody asked for: nothing behind it can be read, the call fails and its connection is closed.

Remains, as it was for 100: while evhttp turns from the interim answer to the next one it takes an end of the connection for a cut, so that an answer that comes with the interim one and the end in one burst may count as cut.

--- a/packages/transport/src/connection/HttpCall.cpp
+++ b/packages/transport/src/connection/HttpCall.cpp
@@ -8,6 +8,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 
 #include "cactuswick/model/process/Error.h"
@@ -32,6 +33,8 @@
 /// Most interim answers before the answer.
 constexpr int kMaxInterimAnswers = 16;
 constexpr int kHttpContinue = 100;
+constexpr int kHttpSwitchingProtocols = 101;
+constexpr int kHttpSuccess = 200;
 
 evhttp_cmd_type
 ToCommand(const std::string& aMethod)
@@ -55,6 +58,13 @@
          method != "PATCH";
 }
 
+/// The answer itself is still to come.
+bool
+IsInterim(int aStatus)
+{
+  return aStatus >= kHttpContinue && aStatus < kHttpSuccess;
+}
+
 /// How long the server keeps an idle connection open, as it says itself.
 int64_t
 IdleMsOf(evkeyvalq* aHeaders)
@@ -219,21 +229,25 @@
     Finish(ErrorKind::kTooLarge, "the answer is too large");
   }
 
-  /// evhttp adds the headers of interim answers to those of the answer.
-  bool TakeInterim(evkeyvalq* aHeaders)
+  /// evhttp adds the headers of interim answers to those of the answer, and
+  /// reads on only behind the status 100. Returns false when nothing that can
+  /// be read follows.
+  bool TakeInterim(evhttp_request* aRequest)
   {
-    evhttp_clear_headers(aHeaders);
+    const bool switches = aRequest->response_code == kHttpSwitchingProtocols;
+    aRequest->response_code = kHttpContinue;
+    evhttp_clear_headers(evhttp_request_get_input_headers(aRequest));
     tooLong_ |= ++interimAnswers_ > kMaxInterimAnswers;
-    return !tooLong_ && !finished_;
+    return !switches && !tooLong_ && !finished_;
   }
 
   static int OnHeaders(evhttp_request* aRequest, void* aSelf)
   {
     auto* self = static_cast<State*>(aSelf);
-    evkeyvalq* input = evhttp_request_get_input_headers(aRequest);
-    if (evhttp_request_get_response_code(aRequest) == kHttpContinue) {
-      return self->TakeInterim(input) ? 0 : -1;
+    if (IsInterim(evhttp_request_get_response_code(aRequest))) {
+      return self->TakeInterim(aRequest) ? 0 : -1;
     }
+    evkeyvalq* input = evhttp_request_get_input_headers(aRequest);
     self->unparsedBytes_ = 0;
     self->endsByClose_ = !SaysWhereItEnds(input);
     self->endless_ = !self->options_.acceptsUnframed_ && self->endsByClose_;
--- a/tests/system/platform_run.py
+++ b/tests/system/platform_run.py
@@ -39,8 +39,8 @@
         # middle of the third event), "fail", "break_failure" (off in the middle
         # of a long failure), "again" (from the first event, whatever is asked
         # for), "other_body" (that is no stream), "no_event" (an empty stream),
-        # "half_event" (a stream that ends inside an event) or one of
-        # endless.ENDLESS.
+        # "half_event" (a stream that ends inside an event), "hints" (first an
+        # interim answer, a little later the answer) or one of endless.ENDLESS.
         self._fault = ""
         # The same for requests that continue a stream.
         self.resumed_fault = ""
@@ -98,6 +98,9 @@
         if call.fault in ("refuse", "fail", "break_failure"):
             self.answer_error(call)
             return
+        if call.fault == "hints":
+            call.wfile.write(b"HTTP/1.1 103 Early Hints\r\n\r\n")
+            time.sleep(0.05)
         call.send_response(200)
         call.send_header("X-Request-Id", call.headers["X-Request-Id"])
         call.send_header("X-Response-Stamp", f"stamp-{self.id}")
--- a/tests/system/test_platform.py
+++ b/tests/system/test_platform.py
@@ -199,6 +199,16 @@
     assert not answer.whole
 
 
+def test_an_interim_answer_is_not_the_answer_of_a_call(run):
+    for runner in run.runners[:2]:
+        runner.fault = "hints"
+    for number in range(6):
+        path = f"/call/{number}"
+        answer = run.ask(path, request_id=f"h{number}")
+        assert answer.status == 200
+        assert answer.body.endswith(path)
+
+
 def ask_bad_ones(run, path):
     """Answers to many requests at once, and what else happens meanwhile.
 
--- a/tests/transport/connection/HttpCallTest.cpp
+++ b/tests/transport/connection/HttpCallTest.cpp
@@ -8,11 +8,14 @@
 #include <gtest/gtest.h>
 
 #include "cactuswick/model/process/Error.h"
+#include "cactuswick/model/process/Text.h"
+#include "connection/AnswerServer.h"
 #include "connection/EndlessServer.h"
 
 namespace cactuswick::transport {
 namespace {
 
+using model::Concat;
 using model::ErrorKind;
 
 constexpr uint16_t kPort = 18'951;
@@ -135,6 +138,36 @@
   EXPECT_EQ(end.dataBytes_, 4U);
 }
 
+TEST(HttpCall, AnInterimAnswerOfAnyKindIsNotTheAnswer)
+{
+  for (const char* interim : { "102 Processing", "103 Early Hints", "199 X" }) {
+    AnswerServer server(
+      kPort,
+      Concat("HTTP/1.1 ",
+             interim,
+             "\r\nX-A: interim\r\n\r\n"
+             "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\naaaa"),
+      false);
+    const CallEnd end = CallOnce(0);
+    EXPECT_TRUE(end.status_.ok()) << interim << end.status_;
+    EXPECT_EQ(end.heads_, 1) << interim;
+    EXPECT_EQ(end.httpStatus_, 200) << interim;
+    EXPECT_EQ(end.headers_.size(), 1U) << interim;
+    EXPECT_EQ(end.dataBytes_, 4U) << interim;
+  }
+}
+
+TEST(HttpCall, ASwitchOfProtocolsThatNobodyAskedForIsNoAnswer)
+{
+  AnswerServer server(kPort,
+                      "HTTP/1.1 101 Switching Protocols\r\n\r\n"
+                      "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\naaaa",
+                      false);
+  const CallEnd end = CallOnce(0);
+  EXPECT_EQ(model::KindOf(end.status_), ErrorKind::kUpstreamFailed);
+  EXPECT_EQ(end.heads_, 0);
+}
+
 TEST(HttpCall, AChunkThatIsLargeButEndsIsTaken)
 {
   constexpr size_t kChunkBytes = size_t{ 0xe0000 };
