Tests on real processes begin when all routers know all endpoints

What was seen: in 14 runs of a part of test_platform.py on a busy machine ...goes_on_elsewhere_without_half_an_event failed twice (a stream was cut) and ...event_never_ends_goes_on_elsewhere[endless-lines] once (no request had reached the endless endpoint).

Cause, from the logs of one run of each: the fixture waited until each router served each path, for which one endpoint of a service is enough. The first stream began 60 ms before the router knew of the second endpoint, was tried again at the only one (attempts=i-3:cut/200,i-3:cut/200@2) and was cut; in the other case all eight requests were placed before the endless endpoint was known.

Now the fixture waits until every router has noted each of its four endpoints. No check of a test changed.

--- a/tests/system/platform_run.py
+++ b/tests/system/platform_run.py
@@ -315,6 +315,14 @@
         """What all processes have logged so far."""
         return (self.directory / "log").read_text().splitlines()
 
+    def wait_known(self, runners):
+        """Waits until every router knows of these endpoints."""
+        for runner in runners:
+            known = f"knows endpoint={runner.id} "
+            wait_for(lambda text=known:
+                     sum(text in line for line in self.log_lines())
+                     >= self.routers, 10, f"all routers know {runner.id}")
+
     def wait_ready(self, routers=(1, 2)):
         for router in routers:
             wait_for(lambda r=router: self.is_ready(r), 15,
--- a/tests/system/test_platform.py
+++ b/tests/system/test_platform.py
@@ -41,6 +41,7 @@
                                 (4, "engine")):
             runners.append(Runner(deployment, number, service))
         deployment.wait_ready()
+        deployment.wait_known(runners)
         for router in (1, 2):
             for path in ("/call/x", "/stream/x"):
                 wait_for(lambda r=router, p=path:
