Only a known coding says where an answer ends

An answer with Transfer-Encoding: identity and no length ends with its connection, but counted as one that says where it ends: closed inside an event, it looked whole. An answer in a coding such as gzip was passed on as it came, chunk sizes and all, as if it were the endpoint's body.

Cause: any Transfer-Encoding counted as framing, while evhttp undoes chunked only and reads all others until the close.

Now only chunked or a length say where an answer ends, as evhttp reads it; identity is judged as an answer without a length, and an answer in any other coding fails as cut.

Evidence: before, the two new tests of HttpCall on a raw socket failed (identity did not count as ended by the close; bodies in gzip, "gzip, chunked" and an unknown coding were taken).

--- a/packages/transport/src/connection/HttpCall.cpp
+++ b/packages/transport/src/connection/HttpCall.cpp
@@ -10,6 +10,7 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/util.h>
 
 #include "cactuswick/model/process/Error.h"
 #include "connection/SocketOptions.h"
@@ -82,12 +83,28 @@
   return seconds * kMsPerSecond - kIdleMarginMs;
 }
 
-/// Without either header evhttp takes a closed connection for the end.
+/// Whether the body is transferred in this coding.
+bool
+HasCoding(evkeyvalq* aHeaders, const char* aCoding)
+{
+  const char* value = evhttp_find_header(aHeaders, "Transfer-Encoding");
+  return value != nullptr && evutil_ascii_strcasecmp(value, aCoding) == 0;
+}
+
+/// evhttp passes bodies in other codings on as they come.
+bool
+IsCodingKnown(evkeyvalq* aHeaders)
+{
+  return evhttp_find_header(aHeaders, "Transfer-Encoding") == nullptr ||
+         HasCoding(aHeaders, "chunked") || HasCoding(aHeaders, "identity");
+}
+
+/// If not, evhttp takes a closed connection for the end.
 bool
 SaysWhereItEnds(evkeyvalq* aHeaders)
 {
   return evhttp_find_header(aHeaders, "Content-Length") != nullptr ||
-         evhttp_find_header(aHeaders, "Transfer-Encoding") != nullptr;
+         HasCoding(aHeaders, "chunked");
 }
 
 } // namespace
@@ -252,7 +269,7 @@
     self->endsByClose_ = !SaysWhereItEnds(input);
     self->endless_ = !self->options_.acceptsUnframed_ && self->endsByClose_;
     self->idleMs_ = IdleMsOf(input);
-    if (self->finished_ || self->endless_) {
+    if (self->finished_ || self->endless_ || !IsCodingKnown(input)) {
       return -1;
     }
     Headers headers;
--- a/tests/transport/connection/HttpCallTest.cpp
+++ b/tests/transport/connection/HttpCallTest.cpp
@@ -35,6 +35,7 @@
   int heads_ = 0;
   Headers headers_;
   size_t dataBytes_ = 0;
+  bool endsByClose_ = false;
   int64_t tookMs_ = 0;
 };
 
@@ -64,6 +65,7 @@
       .onDone_ =
         [&](absl::Status aStatus) {
           end.status_ = std::move(aStatus);
+          end.endsByClose_ = call->EndsByClose();
           end.tookMs_ = EventLoop::NowMs() - start;
           call.reset();
           loop.Defer([&] { loop.Stop(); });
@@ -168,6 +170,36 @@
   EXPECT_EQ(end.heads_, 0);
 }
 
+TEST(HttpCall, OnlyALengthOrChunksSayWhereAnAnswerEnds)
+{
+  constexpr std::string_view kHead = "HTTP/1.1 200 OK\r\n";
+  for (const auto& [headers, endsByClose] :
+       { std::pair{ "", true },
+         std::pair{ "Transfer-Encoding: identity\r\n", true },
+         std::pair{ "Transfer-Encoding: Chunked\r\n", false },
+         std::pair{ "Content-Length: 14\r\n", false } }) {
+    AnswerServer server(
+      kPort, Concat(kHead, headers, "\r\n", "4\r\naaaa\r\n0\r\n\r\n"), true);
+    const CallEnd end = CallOnce(0);
+    EXPECT_TRUE(end.status_.ok()) << headers << end.status_;
+    EXPECT_EQ(end.endsByClose_, endsByClose) << headers;
+  }
+}
+
+TEST(HttpCall, AnAnswerInACodingThatCannotBeUndoneIsNone)
+{
+  for (const char* coding : { "gzip", "gzip, chunked", "other" }) {
+    AnswerServer server(kPort,
+                        Concat("HTTP/1.1 200 OK\r\nTransfer-Encoding: ",
+                               coding,
+                               "\r\n\r\n4\r\naaaa\r\n0\r\n\r\n"),
+                        true);
+    const CallEnd end = CallOnce(0);
+    EXPECT_EQ(model::KindOf(end.status_), ErrorKind::kUpstreamFailed) << coding;
+    EXPECT_EQ(end.heads_, 0) << coding;
+  }
+}
+
 TEST(HttpCall, AChunkThatIsLargeButEndsIsTaken)
 {
   constexpr size_t kChunkBytes = size_t{ 0xe0000 };
