--- a/packages/router/src/request/AnswerEnd.h
+++ b/packages/router/src/request/AnswerEnd.h
@@ -31,6 +31,10 @@
   bool notRun_ = false;
   /// The caller has a part of a stream, which earlier attempts began.
   bool continuesStream_ = false;
+  /// The head is not that of the stream that it would continue.
+  bool headDiffers_ = false;
+  /// No event came that the caller does not have.
+  bool bringsNoEvent_ = false;
   /// Bytes came behind the last whole event of a stream.
   bool hasHalfEvent_ = false;
 };
--- a/packages/transport/src/connection/HttpCall.cpp
+++ b/packages/transport/src/connection/HttpCall.cpp
@@ -8,7 +8,9 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/util.h>
 
 #include "cactuswick/model/process/Error.h"
 #include "connection/SocketOptions.h"
@@ -32,6 +34,8 @@
 /// Most interim answers before the answer.
 constexpr int kMaxInterimAnswers = 16;
 constexpr int kHttpContinue = 100;
+constexpr int kHttpSwitchingProtocols = 101;
+constexpr int kHttpSuccess = 200;
 
 evhttp_cmd_type
 ToCommand(const std::string& aMethod)
@@ -55,6 +59,13 @@
          method != "PATCH";
 }
 
+/// The answer itself is still to come.
+bool
+IsInterim(int aStatus)
+{
+  return aStatus >= kHttpContinue && aStatus < kHttpSuccess;
+}
+
 /// How long the server keeps an idle connection open, as it says itself.
 int64_t
 IdleMsOf(evkeyvalq* aHeaders)
@@ -72,12 +83,28 @@
   return seconds * kMsPerSecond - kIdleMarginMs;
 }
 
-/// Without either header evhttp takes a closed connection for the end.
+/// Whether the body is transferred in this coding.
+bool
+HasCoding(evkeyvalq* aHeaders, const char* aCoding)
+{
+  const char* value = evhttp_find_header(aHeaders, "Transfer-Encoding");
+  return value != nullptr && evutil_ascii_strcasecmp(value, aCoding) == 0;
+}
+
+/// evhttp passes bodies in other codings on as they come.
+bool
+IsCodingKnown(evkeyvalq* aHeaders)
+{
+  return evhttp_find_header(aHeaders, "Transfer-Encoding") == nullptr ||
+         HasCoding(aHeaders, "chunked") || HasCoding(aHeaders, "identity");
+}
+
+/// If not, evhttp takes a closed connection for the end.
 bool
 SaysWhereItEnds(evkeyvalq* aHeaders)
 {
   return evhttp_find_header(aHeaders, "Content-Length") != nullptr ||
-         evhttp_find_header(aHeaders, "Transfer-Encoding") != nullptr;
+         HasCoding(aHeaders, "chunked");
 }
 
 } // namespace
@@ -219,26 +246,30 @@
     Finish(ErrorKind::kTooLarge, "the answer is too large");
   }
 
-  /// evhttp adds the headers of interim answers to those of the answer.
-  bool TakeInterim(evkeyvalq* aHeaders)
+  /// evhttp adds the headers of interim answers to those of the answer, and
+  /// reads on only behind the status 100. Returns false when nothing that can
+  /// be read follows.
+  bool TakeInterim(evhttp_request* aRequest)
   {
-    evhttp_clear_headers(aHeaders);
+    const bool switches = aRequest->response_code == kHttpSwitchingProtocols;
+    aRequest->response_code = kHttpContinue;
+    evhttp_clear_headers(evhttp_request_get_input_headers(aRequest));
     tooLong_ |= ++interimAnswers_ > kMaxInterimAnswers;
-    return !tooLong_ && !finished_;
+    return !switches && !tooLong_ && !finished_;
   }
 
   static int OnHeaders(evhttp_request* aRequest, void* aSelf)
   {
     auto* self = static_cast<State*>(aSelf);
-    evkeyvalq* input = evhttp_request_get_input_headers(aRequest);
-    if (evhttp_request_get_response_code(aRequest) == kHttpContinue) {
-      return self->TakeInterim(input) ? 0 : -1;
+    if (IsInterim(evhttp_request_get_response_code(aRequest))) {
+      return self->TakeInterim(aRequest) ? 0 : -1;
     }
+    evkeyvalq* input = evhttp_request_get_input_headers(aRequest);
     self->unparsedBytes_ = 0;
     self->endsByClose_ = !SaysWhereItEnds(input);
     self->endless_ = !self->options_.acceptsUnframed_ && self->endsByClose_;
     self->idleMs_ = IdleMsOf(input);
-    if (self->finished_ || self->endless_) {
+    if (self->finished_ || self->endless_ || !IsCodingKnown(input)) {
       return -1;
     }
     Headers headers;
--- a/tests/system/platform_run.py
+++ b/tests/system/platform_run.py
@@ -13,6 +13,8 @@
 # Makes a process's disk misbehave; built with the tests.
 FAULTY_DISK = BIN.parent / "lib" / "libfaulty_disk.so"
 KEY = "key-of-w"
+# Chunks of streams that end before their last event.
+UNFINISHED = {"no_event": b"", "half_event": b"7\r\nid: 3\r\n\r\n"}
 
 
 class Runner:
@@ -28,13 +30,17 @@
         self.state = "ready"
         self.seen = []
         self.events = 5
+        # Whether the events of a stream bear ids.
+        self.numbered = True
         # Seconds that a call takes, and between the events of a stream.
         self.work_s = 0
         self.gap_s = 0
         # How the next requests end: "", "refuse", "reset", "break" (off in the
         # middle of the third event), "fail", "break_failure" (off in the middle
         # of a long failure), "again" (from the first event, whatever is asked
-        # for) or one of endless.ENDLESS.
+        # for), "other_body" (that is no stream), "no_event" (an empty stream),
+        # "half_event" (a stream that ends inside an event), "hints" (first an
+        # interim answer, a little later the answer) or one of endless.ENDLESS.
         self._fault = ""
         # The same for requests that continue a stream.
         self.resumed_fault = ""
@@ -92,14 +98,20 @@
         if call.fault in ("refuse", "fail", "break_failure"):
             self.answer_error(call)
             return
+        if call.fault == "hints":
+            call.wfile.write(b"HTTP/1.1 103 Early Hints\r\n\r\n")
+            time.sleep(0.05)
         call.send_response(200)
         call.send_header("X-Request-Id", call.headers["X-Request-Id"])
         call.send_header("X-Response-Stamp", f"stamp-{self.id}")
-        if call.path.startswith("/stream/"):
+        if call.path.startswith("/stream/") and call.fault != "other_body":
             self.stream(call)
             return
         time.sleep(self.work_s)
         answer = f"{self.id} {call.path}".encode()
+        if call.fault == "other_body":
+            call.send_header("Content-Type", "application/json")
+            answer = b'{"x":1}'
         call.send_header("Content-Length", str(len(answer)))
         call.end_headers()
         call.wfile.write(answer)
@@ -127,12 +139,16 @@
         call.send_header("Content-Type", "text/event-stream")
         call.send_header("Transfer-Encoding", "chunked")
         call.end_headers()
+        if call.fault in UNFINISHED:
+            call.wfile.write(UNFINISHED[call.fault] + b"0\r\n\r\n")
+            return
         first = int(call.headers.get("Last-Event-Id", 0)) + 1
         if call.fault == "again":
             first = 1
         for number in range(first, self.events + 1):
             time.sleep(self.gap_s)
-            piece = f"id: {number}\ndata: e{number}\n\n".encode()
+            name = f"id: {number}\n" if self.numbered else ""
+            piece = f"{name}data: e{number}\n\n".encode()
             if call.fault == "break" and number == 3:
                 call.wfile.write(b"5\r\nid: 3\r\n")
                 call.close_connection = True
@@ -299,6 +315,14 @@
         """What all processes have logged so far."""
         return (self.directory / "log").read_text().splitlines()
 
+    def wait_known(self, runners):
+        """Waits until every router knows of these endpoints."""
+        for runner in runners:
+            known = f"knows endpoint={runner.id} "
+            wait_for(lambda text=known:
+                     sum(text in line for line in self.log_lines())
+                     >= self.routers, 10, f"all routers know {runner.id}")
+
     def wait_ready(self, routers=(1, 2)):
         for router in routers:
             wait_for(lambda r=router: self.is_ready(r), 15,
--- a/tests/system/test_platform.py
+++ b/tests/system/test_platform.py
@@ -41,6 +41,7 @@
                                 (4, "engine")):
             runners.append(Runner(deployment, number, service))
         deployment.wait_ready()
+        deployment.wait_known(runners)
         for router in (1, 2):
             for path in ("/call/x", "/stream/x"):
                 wait_for(lambda r=router, p=path:
@@ -190,7 +191,8 @@
         f"id: {i}\ndata: e{i}\n\n" for i in range(1, 6))
 
 
-@pytest.mark.parametrize("second", ["fail", "refuse", "reset"])
+@pytest.mark.parametrize("second", ["fail", "refuse", "reset", "other_body",
+                                    "half_event", "no_event"])
 def test_a_stream_that_cannot_go_on_is_cut_and_bears_no_foreign_bytes(
         run, second):
     for runner in run.runners[2:]:
@@ -201,6 +203,24 @@
     assert not answer.whole
 
 
+def test_no_event_comes_twice_when_a_broken_stream_bears_no_numbers(run):
+    for runner in run.runners[2:]:
+        runner.fault, runner.numbered = "break", False
+    answer = run.ask("/stream/x")
+    assert answer.body == "data: e1\n\ndata: e2\n\n"
+    assert not answer.whole
+
+
+def test_an_interim_answer_is_not_the_answer_of_a_call(run):
+    for runner in run.runners[:2]:
+        runner.fault = "hints"
+    for number in range(6):
+        path = f"/call/{number}"
+        answer = run.ask(path, request_id=f"h{number}")
+        assert answer.status == 200
+        assert answer.body.endswith(path)
+
+
 def ask_bad_ones(run, path):
     """Answers to many requests at once, and what else happens meanwhile.
 
--- a/tests/transport/connection/HttpCallTest.cpp
+++ b/tests/transport/connection/HttpCallTest.cpp
@@ -8,11 +8,14 @@
 #include <gtest/gtest.h>
 
 #include "cactuswick/model/process/Error.h"
+#include "cactuswick/model/process/Text.h"
+#include "connection/AnswerServer.h"
 #include "connection/EndlessServer.h"
 
 namespace cactuswick::transport {
 namespace {
 
+using model::Concat;
 using model::ErrorKind;
 
 constexpr uint16_t kPort = 18'951;
@@ -32,6 +35,7 @@
   int heads_ = 0;
   Headers headers_;
   size_t dataBytes_ = 0;
+  bool endsByClose_ = false;
   int64_t tookMs_ = 0;
 };
 
@@ -61,6 +65,7 @@
       .onDone_ =
         [&](absl::Status aStatus) {
           end.status_ = std::move(aStatus);
+          end.endsByClose_ = call->EndsByClose();
           end.tookMs_ = EventLoop::NowMs() - start;
           call.reset();
           loop.Defer([&] { loop.Stop(); });
@@ -135,6 +140,66 @@
   EXPECT_EQ(end.dataBytes_, 4U);
 }
 
+TEST(HttpCall, AnInterimAnswerOfAnyKindIsNotTheAnswer)
+{
+  for (const char* interim : { "102 Processing", "103 Early Hints", "199 X" }) {
+    AnswerServer server(
+      kPort,
+      Concat("HTTP/1.1 ",
+             interim,
+             "\r\nX-A: interim\r\n\r\n"
+             "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\naaaa"),
+      false);
+    const CallEnd end = CallOnce(0);
+    EXPECT_TRUE(end.status_.ok()) << interim << end.status_;
+    EXPECT_EQ(end.heads_, 1) << interim;
+    EXPECT_EQ(end.httpStatus_, 200) << interim;
+    EXPECT_EQ(end.headers_.size(), 1U) << interim;
+    EXPECT_EQ(end.dataBytes_, 4U) << interim;
+  }
+}
+
+TEST(HttpCall, ASwitchOfProtocolsThatNobodyAskedForIsNoAnswer)
+{
+  AnswerServer server(kPort,
+                      "HTTP/1.1 101 Switching Protocols\r\n\r\n"
+                      "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\naaaa",
+                      false);
+  const CallEnd end = CallOnce(0);
+  EXPECT_EQ(model::KindOf(end.status_), ErrorKind::kUpstreamFailed);
+  EXPECT_EQ(end.heads_, 0);
+}
+
+TEST(HttpCall, OnlyALengthOrChunksSayWhereAnAnswerEnds)
+{
+  constexpr std::string_view kHead = "HTTP/1.1 200 OK\r\n";
+  for (const auto& [headers, endsByClose] :
+       { std::pair{ "", true },
+         std::pair{ "Transfer-Encoding: identity\r\n", true },
+         std::pair{ "Transfer-Encoding: Chunked\r\n", false },
+         std::pair{ "Content-Length: 14\r\n", false } }) {
+    AnswerServer server(
+      kPort, Concat(kHead, headers, "\r\n", "4\r\naaaa\r\n0\r\n\r\n"), true);
+    const CallEnd end = CallOnce(0);
+    EXPECT_TRUE(end.status_.ok()) << headers << end.status_;
+    EXPECT_EQ(end.endsByClose_, endsByClose) << headers;
+  }
+}
+
+TEST(HttpCall, AnAnswerInACodingThatCannotBeUndoneIsNone)
+{
+  for (const char* coding : { "gzip", "gzip, chunked", "other" }) {
+    AnswerServer server(kPort,
+                        Concat("HTTP/1.1 200 OK\r\nTransfer-Encoding: ",
+                               coding,
+                               "\r\n\r\n4\r\naaaa\r\n0\r\n\r\n"),
+                        true);
+    const CallEnd end = CallOnce(0);
+    EXPECT_EQ(model::KindOf(end.status_), ErrorKind::kUpstreamFailed) << coding;
+    EXPECT_EQ(end.heads_, 0) << coding;
+  }
+}
+
 TEST(HttpCall, AChunkThatIsLargeButEndsIsTaken)
 {
   constexpr size_t kChunkBytes = size_t{ 0xe0000 };
