Only the first that was denied waits before it is asked for again

Callers left waiting after a grant, and those behind one that was refused, waited for 100 ms and the next tick before anything was asked for them, of the 400 ms that a forwarded request may wait.

`askAgainMs_` was set after each answer, grants too, and only the tick heeded it.

The pause now belongs to the waiter that was denied, and `AskForWaiters` heeds it whoever calls: while that one is first nothing is asked for, and once it has left or is served the next is asked for without a pause. After an answer the rest that waits is asked for at once, or where an ask ahead is under way after its answer, which mostly comes in the same batch and may serve them. One ask at a time is under way as before. Requests are still served in the order in which they came, so that a small one behind the denied one waits for it, though as much may be available.

BillerTest: on the old code ThoseLeftAfterAGrantAreAskedForAtOnce and ThoseBehindOneThatWasRefusedAreAskedForAtOnce see no ask in the batch after the answer; in RequestsThatComeAfterADenialDoNotHurryTheFirst the next ask comes 0 ms after the denial instead of 100 or more. OnceTheDeniedOneHasLeftTheNextIsAskedForAtOnce holds for old and new.

--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -72,10 +72,8 @@
 Biller::OnTick()
 {
   const int64_t now = EventLoop::NowMs();
-  for (auto& [budget, queue] : queues_) {
-    if (!queue.waiters_.empty() && now >= queue.askAgainMs_) {
-      AskForWaiters(budget);
-    }
+  for (const auto& [budget, queue] : queues_) {
+    AskForWaiters(budget);
   }
   for (const auto& [budget, queue] : queues_) {
     if (options_.reportsUse_ && !queue.waiters_.empty() &&
@@ -292,7 +290,10 @@
     aHook(Unlent());
     return;
   }
-  waiting.waiters_.push_back({ aOwner, aAmount, now, 0, std::move(aHook) });
+  waiting.waiters_.push_back({ .owner_ = aOwner,
+                               .amount_ = aAmount,
+                               .sinceMs_ = now,
+                               .hook_ = std::move(aHook) });
   AskForWaiters(aBudget);
 }
 
@@ -324,10 +325,11 @@
 Biller::AskForWaiters(const std::string& aBudget)
 {
   BudgetQueue& queue = queues_[aBudget];
-  if (queue.openAsk_) {
+  const int64_t now = EventLoop::NowMs();
+  if (queue.openAsk_ || queue.waiters_.empty() ||
+      now < queue.waiters_.front().askAgainMs_) {
     return;
   }
-  const int64_t now = EventLoop::NowMs();
   const auto ask =
     grants_.Ask(aBudget, queue.waiters_.front().amount_, now, WaitedFor(queue));
   queue.openAsk_ = { .want_ = ask.want_, .sinceMs_ = now };
@@ -389,6 +391,7 @@
     grants_.OnDenied(aBudget, EventLoop::NowMs());
   }
   ServeWaiters(aBudget);
+  AskForWaiters(aBudget);
 }
 
 void
@@ -406,8 +409,10 @@
     OnDenied(aBudget, aMinimum, aResult);
   }
   // Smaller requests behind one that failed may still fit.
-  queue.askAgainMs_ = EventLoop::NowMs() + kAskAgainMs;
   ServeWaiters(aBudget);
+  if (!queue.asksAhead_) {
+    AskForWaiters(aBudget);
+  }
 }
 
 void
@@ -422,10 +427,13 @@
               MakeError(ErrorKind::kUnknownResource,
                         "budget",
                         "the budget does not exist"));
-  } else if (first.amount_ - grants_.Free(aBudget) < aMinimum) {
+    return;
+  }
+  if (first.amount_ - grants_.Free(aBudget) < aMinimum) {
     // The denied amount was for one that has left or was served.
-    AskForWaiters(aBudget);
-  } else if (IsExhausted(aBudget, first.amount_, aResult)) {
+    return;
+  }
+  if (IsExhausted(aBudget, first.amount_, aResult)) {
     FailFirst(aBudget,
               MakeError(ErrorKind::kBudgetExhausted,
                         "budget",
@@ -441,6 +449,8 @@
               MakeError(ErrorKind::kBudgetHeldElsewhere,
                         "budget",
                         "the rest of the budget is held or in use"));
+  } else {
+    first.askAgainMs_ = EventLoop::NowMs() + kAskAgainMs;
   }
 }
 
--- a/packages/router/src/process/Biller.h
+++ b/packages/router/src/process/Biller.h
@@ -131,6 +131,8 @@
     ledger::Tokens amount_ = 0;
     int64_t sinceMs_ = 0;
     int64_t tries_ = 0;
+    /// While it is the first, nothing is asked for before then.
+    int64_t askAgainMs_ = 0;
     ReserveHook hook_;
   };
 
@@ -146,7 +148,6 @@
     std::deque<ReserveWaiter> waiters_;
     /// For those that wait.
     std::optional<OpenAsk> openAsk_;
-    int64_t askAgainMs_ = 0;
     /// An ask ahead of need is under way.
     bool asksAhead_ = false;
     /// Cut off, nobody lent so much; nor will they until then.
@@ -173,7 +174,8 @@
   void SubmitGiven(const std::string& aBudget,
                    ledger::Tokens aAmount,
                    ledger::RouterOp aOp);
-  /// Asks for all that wait, unless such an ask is under way.
+  /// Asks for all that wait, unless such an ask is under way or was just
+  /// denied to the first of them.
   void AskForWaiters(const std::string& aBudget);
   static ledger::Tokens WaitedFor(const BudgetQueue& aQueue);
   /// What the open ask brings beyond what those that wait need.
