All requests that a budget does not cover are refused at once

Requests waiting for a budget that is used up were refused one after the other, each after a trip to control of its own, and each trip was an entry of the log.

What control says of the first, that the rest of the budget is less than it needs, is true of all that need as much or more: they are refused together, with 402, or 503 where dead routers hold the rest. Those that need less are asked for at once.

--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -126,20 +126,21 @@
   if (!queue.waiters_.empty()) {
     queue.unlent_ = queue.waiters_.front().amount_;
     queue.unlentUntilMs_ = EventLoop::NowMs() + kUnlentMs;
-    FailUnlent(aBudget);
+    FailFrom(aBudget, queue.unlent_, Unlent());
   }
   // Smaller requests may still fit.
   ServeWaiters(aBudget);
 }
 
 void
-Biller::FailUnlent(const std::string& aBudget)
+Biller::FailFrom(const std::string& aBudget,
+                 ledger::Tokens aLeast,
+                 const absl::Status& aStatus)
 {
   auto& waiters = queues_[aBudget].waiters_;
-  const ledger::Tokens unlent = queues_[aBudget].unlent_;
   std::vector<ReserveHook> failed;
   for (auto waiter = waiters.begin(); waiter != waiters.end();) {
-    if (waiter->amount_ < unlent) {
+    if (waiter->amount_ < aLeast) {
       ++waiter;
       continue;
     }
@@ -147,7 +148,7 @@
     waiter = waiters.erase(waiter);
   }
   for (const auto& hook : failed) {
-    hook(Unlent());
+    hook(aStatus);
   }
 }
 
@@ -434,16 +435,18 @@
     return;
   }
   if (IsExhausted(aBudget, first.amount_, aResult)) {
-    FailFirst(aBudget,
-              MakeError(ErrorKind::kBudgetExhausted,
-                        "budget",
-                        "the budget does not cover the request"));
+    FailFrom(aBudget,
+             first.amount_,
+             MakeError(ErrorKind::kBudgetExhausted,
+                       "budget",
+                       "the budget does not cover the request"));
   } else if (options_.reportsUse_ &&
              Unbilled(aBudget, aResult) - aResult.held_ < first.amount_) {
-    FailFirst(aBudget,
-              MakeError(ErrorKind::kBudgetHeldForGood,
-                        "budget",
-                        "the rest of the budget is held by dead routers"));
+    FailFrom(aBudget,
+             first.amount_,
+             MakeError(ErrorKind::kBudgetHeldForGood,
+                       "budget",
+                       "the rest of the budget is held by dead routers"));
   } else if (++first.tries_ >= options_.maxTries_) {
     FailFirst(aBudget,
               MakeError(ErrorKind::kBudgetHeldElsewhere,
--- a/packages/router/src/process/Biller.h
+++ b/packages/router/src/process/Biller.h
@@ -180,8 +180,10 @@
   static ledger::Tokens WaitedFor(const BudgetQueue& aQueue);
   /// What the open ask brings beyond what those that wait need.
   ledger::Tokens ComingFree(const std::string& aBudget) const;
-  /// Fails those that wait for as much as nobody lends.
-  void FailUnlent(const std::string& aBudget);
+  /// Fails all that wait for @p aLeast or more.
+  void FailFrom(const std::string& aBudget,
+                ledger::Tokens aLeast,
+                const absl::Status& aStatus);
   int64_t ReportMs() const;
   /// Asks for what is short, unless an ask ahead is under way.
   void AskAhead(const std::string& aBudget);
