Deployments of tests that run at the same time never share a network

Tests on real processes failed now and then with 'Address already in use' when two runs met on one machine: the loopback network was chosen by process id modulo 200. A deployment now takes the first network from there on that no other one has marked as taken, and keeps the mark while it lives. Two runs of test_platform.py and one of test_contract.py at the same time met no address in use.

--- a/tests/system/test_contract.py
+++ b/tests/system/test_contract.py
@@ -133,7 +133,7 @@
 
 
 def test_open_connections_have_a_limit():
-    system = Deployment(controls=1, routers=1, second=True, settings={
+    system = Deployment(controls=1, routers=1, settings={
         "router": {"max_descriptors": 60}})
     idle = []
     try:
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -10,6 +10,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import tempfile
 import time
@@ -78,14 +79,26 @@
         time.sleep(0.03)
 
 
+def take_network():
+    """A loopback network that no other run has, and the socket that marks it
+    as taken until it is closed."""
+    first, count, port = 20, 200, 7999
+    for offset in range(count):
+        net = f"127.{first + (os.getpid() + offset) % count}"
+        mark = socket.socket()
+        try:
+            mark.bind((f"{net}.255.254", port))
+            return net, mark
+        except OSError:
+            mark.close()
+    raise RuntimeError("no loopback network is free")
+
+
 class Deployment:
     """Control replicas, routers, engines and a plain service."""
 
-    def __init__(self, controls=3, routers=4, settings=None, directory=None,
-                 second=False):
-        # Deployments of processes that run together get different networks,
-        # and so does a second one of the same process.
-        self.net = f"127.{20 + os.getpid() % 200 + (1 if second else 0)}"
+    def __init__(self, controls=3, routers=4, settings=None, directory=None):
+        self.net, self.net_mark = take_network()
         self.temporary = None
         if directory is None:
             self.temporary = tempfile.TemporaryDirectory(prefix="cactuswick-")
@@ -256,6 +269,7 @@
         self.log.close()
         if self.temporary:
             self.temporary.cleanup()
+        self.net_mark.close()
         return ended
 
     @staticmethod
