A change is in force within 2 s, not at once: two contract tests ask for what is promised

Right after a model was acknowledged all four routers answered unknown_resource instead of no_endpoint.

Cause: since a router that was pushed configuration less than 100 ms ago (kPushIntervalMs) gets the next change with the next push. The workspace that an earlier test declares is about that far away. The test took it for granted that the change is known when it is acknowledged; what is promised is 2 s (ConfigApplyMs).

Both tests with the assumption now ask for the stated bound: within 2 s, and then without a relapse for 1 s.

- test_an_announcement_reaches_every_router_and_expires: all four routers answer no_endpoint; until then none may answer anything but that or unknown_resource.
- test_watch_prints_changes: the router prints the newest revision.

The other tests on real processes poll for what they changed, or read it from control.

The new check fails a condition that holds and then does not.

--- a/tests/system/test_contract.py
+++ b/tests/system/test_contract.py
@@ -11,6 +11,24 @@
 from bench import stream_text
 from deployment import Deployment, request, wait_for
 
+# Longest time from the acknowledgement of a change until it is in force at
+# every router (ConfigApplyMs).
+IN_FORCE_SECONDS = 2
+# How long it is then watched, several times the pause between two pushes.
+STAYS_SECONDS = 1
+
+
+def in_force_and_stays(check, what):
+    """Waits until `check` shows that a change which has just been acknowledged
+    is in force, within the bound; from then on `check` must go on holding."""
+    start = time.monotonic()
+    wait_for(check, IN_FORCE_SECONDS, what)
+    known = time.monotonic()
+    assert known - start <= IN_FORCE_SECONDS, what
+    while time.monotonic() - known < STAYS_SECONDS:
+        assert check(), f"no longer: {what}"
+        time.sleep(0.03)
+
 
 @pytest.fixture(scope="module", name="system")
 def running_system():
@@ -264,7 +282,12 @@
         return {system.chat(system.router_address(n), model="ghost-model",
                             X_Cactuswick_Deadline_Ms="300").kind()
                 for n in range(1, 5)}
-    assert kinds() == {"no_endpoint"}
+
+    def all_know():
+        now = kinds()
+        assert now <= {"unknown_resource", "no_endpoint"}
+        return now == {"no_endpoint"}
+    in_force_and_stays(all_know, "all routers know the model")
     request(system.router_address(2), "POST", "/v1/endpoints",
             json.dumps(announcement(lease_ms=3000)), ENDPOINT)
     wait_for(lambda: "no_endpoint" not in kinds(), 2, "all routers know it")
@@ -347,7 +370,8 @@
 
 def test_watch_prints_changes(system):
     revision = system.status()["revision"]
-    assert f"revision {revision}" in system.cli("watch", "1").stdout
+    in_force_and_stays(lambda: f"revision {revision}" in system.cli(
+        "watch", "1").stdout, "the newest revision is printed")
 
 
 def test_status_and_burn_report(system):
