A request that the grants cover is not refused with the larger one before it

Cause: requests wait for tokens in order, and a look every 50 ms refuses those that waited 400 ms. It refused all that were due in one go and looked only then whether the grant covers those that were left, so a small one that became due in the same turn as the large one in front of it went with it.

The new unit test puts both into one turn: fails before (refused twice), passes after.

Why it works: after each refusal those that the grant covers are served before the next one is judged.

--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -509,6 +509,7 @@
   }
   // Cut off from control, a router refuses only what its grants do not cover.
   for (auto& [budget, queue] : queues_) {
+    ServeWaiters(budget);
     while (!queue.waiters_.empty() && aNowMs - queue.waiters_.front().sinceMs_ >
                                         options_.reserveTimeoutMs_) {
       FailFirst(budget,
@@ -519,8 +520,8 @@
                   : MakeError(ErrorKind::kControlUnreachable,
                               "budget",
                               "cut off from control and past its grants"));
+      ServeWaiters(budget);
     }
-    ServeWaiters(budget);
   }
 }
 
--- a/tests/router/process/BillerTest.cpp
+++ b/tests/router/process/BillerTest.cpp
@@ -39,7 +39,7 @@
 class BillerTest : public testing::Test
 {
 protected:
-  BillerTest()
+  explicit BillerTest(int64_t aReserveTimeoutMs = kTimeoutMs)
     : leader_(loop_,
               { .onMessage_ =
                   [this](LinkId aLink, const transport::PeerMessage& aMessage) {
@@ -61,7 +61,7 @@
           .peers_ = peers_,
           .config_ = config_,
           .metrics_ = metrics_,
-          .reserveTimeoutMs_ = kTimeoutMs,
+          .reserveTimeoutMs_ = aReserveTimeoutMs,
           .reportsUse_ = true,
           .grants_ = { .horizonMs_ = kHorizonMs, .extrapolates_ = true } })
     , expiry_(loop_, [this] { Expire(); })
@@ -140,13 +140,21 @@
       .amount_;
   }
 
-  void RunUntilGranted(int aCount)
+  void RunUntilGranted(size_t aCount)
   {
     while (granted_ < aCount && !expired_) {
       loop_.Run();
     }
   }
 
+  /// Runs the loop until so many are granted or refused.
+  void RunUntilDecided(size_t aCount)
+  {
+    while (granted_ + refused_.size() < aCount && !expired_) {
+      loop_.Run();
+    }
+  }
+
   static std::vector<AcquireGrant> AsksIn(const ledger::RouterBatch& aBatch,
                                           bool aAlsoAhead = true)
   {
@@ -206,7 +214,7 @@
     loop_.Stop();
   }
 
-  int granted_ = 0;
+  size_t granted_ = 0;
   LinkId link_ = 0;
   transport::CallId call_ = 0;
   ledger::RouterBatch batch_;
@@ -472,5 +480,30 @@
   EXPECT_EQ(asks.at(0).minimum_, 2'000);
 }
 
+/// A biller whose requests wait for a short time only.
+class ImpatientBillerTest : public BillerTest
+{
+protected:
+  ImpatientBillerTest()
+    : BillerTest(kReserveTimeoutMs)
+  {
+  }
+
+  static constexpr int64_t kReserveTimeoutMs = 200;
+};
+
+TEST_F(ImpatientBillerTest, OneThatIsCoveredIsNotRefusedWithTheOneBeforeIt)
+{
+  ASSERT_TRUE(listening_.ok());
+  biller_.Provide(kBudget, 1'000);
+  NextBatch();
+  AnswerAndWait({ .granted_ = 1'000 });
+  Reserve(30'000);
+  Reserve(500);
+  RunUntilDecided(2);
+  EXPECT_EQ(refused_, std::vector(1, model::ErrorKind::kBudgetHeldElsewhere));
+  EXPECT_EQ(biller_.Free(kBudget), 500);
+}
+
 } // namespace
 } // namespace cactuswick::router
