The test of the burn report makes the event that it looks for

test_status_and_burn_report found a streamed answer in the report only where an earlier test of the file had made one: alone it failed each time (and once with the file's tests spread over 8 workers). It streams an answer of its own now and gives the report 5 s to show it. Every test of the file was then run alone: all others pass.

--- a/tests/system/test_contract.py
+++ b/tests/system/test_contract.py
@@ -377,7 +377,11 @@
 def test_status_and_burn_report(system):
     status = system.cli("status").stdout
     assert status.count("serving") == 4
-    assert "first_token" in system.cli("report", "burn").stdout
+    streamed = system.chat(system.router_address(1), stream=True,
+                           Idempotency_Key="c-report")
+    assert streamed.status == 200
+    wait_for(lambda: "first_token" in system.cli("report", "burn").stdout, 5,
+             "the streamed answer is in the report")
     page = system.cli("report", "burn", "html").stdout
     assert page.startswith("<!doctype html>") and "<svg" in page
     assert json.loads(system.cli("report", "burn", "json").stdout)
