The steps of a router's shutdown are a class of their own

RouterTask wired the parts of a router together and also stepped it through its shutdown: off the entry list, refusing, draining, goodbye, stopped. RouterShutdown has these steps and their times now, takes the time from its caller, and is tested without a loop. Behaviour is as it was.

--- /dev/null
+++ b/packages/router/src/process/RouterShutdown.cpp
@@ -0,0 +1,85 @@
+#include "process/RouterShutdown.h"
+
+#include <utility>
+
+#include "cactuswick/telemetry/process/Log.h"
+
+namespace cactuswick::router {
+
+namespace {
+
+using telemetry::Level;
+using telemetry::Log;
+using telemetry::Part;
+
+/// Longest wait for the goodbye to be committed.
+constexpr int64_t kGoodbyeMs = 3'000;
+
+} // namespace
+
+RouterShutdown::RouterShutdown(RouterShutdownOptions aOptions)
+  : options_(std::move(aOptions))
+{
+}
+
+void
+RouterShutdown::Begin(int64_t aNowMs)
+{
+  if (phase_ != Phase::kServing) {
+    return;
+  }
+  phase_ = Phase::kLeaving;
+  const bool everServed = options_.isRegistered_();
+  refuseFromMs_ = aNowMs + (everServed ? options_.leaveMs_ : 0);
+  drainByMs_ =
+    options_.drainMs_ == 0 ? INT64_MAX : refuseFromMs_ + options_.drainMs_;
+  if (options_.graceMs_) {
+    drainByMs_ = aNowMs + *options_.graceMs_;
+  }
+  if (everServed) {
+    options_.onLeave_();
+  }
+  Log(Part::kRouter, Level::kInfo, "leaves the entry list");
+}
+
+void
+RouterShutdown::OnTick(int64_t aNowMs)
+{
+  if (phase_ == Phase::kLeaving && aNowMs >= refuseFromMs_) {
+    phase_ = Phase::kDraining;
+    Log(Part::kRouter, Level::kInfo, "refuses new requests");
+  }
+  if (phase_ == Phase::kDraining) {
+    CheckDrained(aNowMs);
+  }
+  if (phase_ == Phase::kGoodbye && aNowMs >= giveUpMs_) {
+    Stop(absl::OkStatus());
+  }
+}
+
+void
+RouterShutdown::CheckDrained(int64_t aNowMs)
+{
+  const bool idle = options_.isIdle_();
+  if (!idle && aNowMs < drainByMs_) {
+    return;
+  }
+  phase_ = Phase::kGoodbye;
+  giveUpMs_ = aNowMs + kGoodbyeMs;
+  if (!idle || !options_.isRegistered_()) {
+    Stop(absl::OkStatus());
+    return;
+  }
+  options_.onGoodbye_();
+}
+
+void
+RouterShutdown::Stop(absl::Status aStatus)
+{
+  if (std::exchange(phase_, Phase::kStopped) != Phase::kStopped) {
+    Log(Part::kRouter, Level::kInfo, "stopped");
+    options_.onStopped_(std::move(aStatus));
+  }
+}
+
+} // namespace cactuswick::router
--- a/packages/router/src/process/RouterTask.cpp
+++ b/packages/router/src/process/RouterTask.cpp
@@ -12,6 +12,7 @@
 #include "connection/OperatorApi.h"
 #include "process/ForwardRole.h"
 #include "process/OwnEndpoints.h"
+#include "process/RouterShutdown.h"
 
 namespace cactuswick::router {
 
@@ -29,23 +30,10 @@
 /// Bodies up to this multiple of the limit get a typed error; the HTTP library
 /// cuts larger ones off.
 constexpr size_t kBodyMargin = 4;
-/// Longest wait for the goodbye to be committed.
-constexpr int64_t kGoodbyeMs = 3'000;
 /// Time kept back from the end of the grace for the last steps.
 constexpr int64_t kGraceMarginMs = 900;
 constexpr int64_t kMsPerSecond = 1'000;
 
-enum class Phase
-{
-  kServing,
-  /// Off the entry list; callers may still hold an old one.
-  kLeaving,
-  /// New requests are refused; those in flight go on.
-  kDraining,
-  kGoodbye,
-  kStopped,
-};
-
 } // namespace
 
 struct RouterTask::State
@@ -57,7 +45,6 @@
     : loop_(aLoop)
     , settings_(aSettings)
     , dialect_(aDialect)
-    , onStopped_(std::move(aOnStopped))
     , maxBodyBytes_(static_cast<size_t>(aSettings.Get(settings::kMaxBodyBytes)))
     , dispatcher_(aLoop,
                   { .failureDomain_ = aSettings.Get(settings::kFailureDomain),
@@ -71,6 +58,7 @@
                           peers_->Spread(aNews);
                         } })
     , metricsServer_(aLoop, [this] { return ExposeMetrics(); })
+    , shutdown_(ShutdownOptions(std::move(aOnStopped)))
     , tick_(aLoop, [this] { OnTick(); })
   {
     server_ = std::make_unique<transport::HttpServer>(
@@ -86,6 +74,36 @@
     MakePeers();
   }
 
+  RouterShutdownOptions ShutdownOptions(
+    std::function<void(absl::Status)> aOnStopped)
+  {
+    const auto& leave =
+      Forwards() ? settings::kForwardLeaveMs : settings::kEntryTtlMs;
+    RouterShutdownOptions options{
+      .leaveMs_ = settings_.Get(leave),
+      .drainMs_ = settings_.Get(settings::kDrainMs),
+      .isRegistered_ = [this] { return control_->IsRegistered(); },
+      .isIdle_ =
+        [this] { return InFlight() == 0 && biller_->PendingCount() == 0; },
+      .onLeave_ = [this] { control_->Submit(ledger::SetDraining{}); },
+      .onGoodbye_ = [this] { SayGoodbye(); },
+      .onStopped_ = std::move(aOnStopped)
+    };
+    if (Forwards()) {
+      options.graceMs_ =
+        settings_.Get(settings::kForwardGraceS) * kMsPerSecond - kGraceMarginMs;
+    }
+    return options;
+  }
+
+  void SayGoodbye()
+  {
+    biller_->ReturnAll();
+    control_->Submit(ledger::Goodbye{}, [this](const ledger::OpResult&) {
+      shutdown_.Stop(absl::OkStatus());
+    });
+  }
+
   void MakePeers()
   {
     peers_ = std::make_unique<RouterPeers>(
@@ -183,8 +201,8 @@
       .config_ = config_,
       .self_ = [this] { return control_->Incarnation(); },
       .isReady_ = [this] { return IsReady(); },
-      .isLeaving_ = [this] { return phase_ >= Phase::kLeaving; },
-      .refusesNew_ = [this] { return phase_ >= Phase::kDraining; } });
+      .isLeaving_ = [this] { return shutdown_.IsLeaving(); },
+      .refusesNew_ = [this] { return shutdown_.RefusesNew(); } });
     return forward_->Listen();
   }
 
@@ -234,7 +252,7 @@
           },
         .onEnded_ =
           [this] {
-            Stop(model::MakeError(
+            shutdown_.Stop(model::MakeError(
               model::ErrorKind::kForbidden,
               "incarnation",
               "control knows this router as ended; start it again"));
@@ -274,7 +292,7 @@
       .address_ = settings_.Get(settings::kRouterListen),
       .entryTtlMs_ = settings_.Get(settings::kEntryTtlMs),
       .isReady_ = [this] { return IsReady(); },
-      .refusesNew_ = [this] { return phase_ >= Phase::kDraining; },
+      .refusesNew_ = [this] { return shutdown_.RefusesNew(); },
       .loadOf_ =
         [this](ledger::Incarnation aRouter) {
           return peers_->LoadOf(aRouter);
@@ -286,7 +304,7 @@
       .config_ = config_,
       .burn_ = burn_,
       .keySha256_ = settings_.Get(settings::kOperatorKeySha256),
-      .onDrain_ = [this] { Drain(); } });
+      .onDrain_ = [this] { shutdown_.Begin(EventLoop::NowMs()); } });
   }
 
   /// A router serves only with configuration at least as new as any that an
@@ -351,20 +369,11 @@
     // A forwarding router's link is its sign of life; it settles no keys.
     if (!Forwards() && now - lastHeartbeatMs_ >= kHeartbeatMs &&
         !heartbeatOpen_ && control_->IsRegistered() &&
-        phase_ < Phase::kGoodbye) {
+        !shutdown_.SaidGoodbye()) {
       lastHeartbeatMs_ = now;
       SendHeartbeat();
     }
-    if (phase_ == Phase::kLeaving && now >= refuseFromMs_) {
-      phase_ = Phase::kDraining;
-      Log(Part::kRouter, Level::kInfo, "refuses new requests");
-    }
-    if (phase_ == Phase::kDraining) {
-      CheckDrained(now);
-    }
-    if (phase_ == Phase::kGoodbye && now >= giveUpMs_) {
-      Stop(absl::OkStatus());
-    }
+    shutdown_.OnTick(now);
   }
 
   void SendHeartbeat()
@@ -382,56 +391,6 @@
       [this](const ledger::OpResult&) { heartbeatOpen_ = false; });
   }
 
-  void Drain()
-  {
-    if (phase_ != Phase::kServing) {
-      return;
-    }
-    phase_ = Phase::kLeaving;
-    const int64_t now = EventLoop::NowMs();
-    const bool everServed = control_->IsRegistered();
-    const auto& leave =
-      Forwards() ? settings::kForwardLeaveMs : settings::kEntryTtlMs;
-    refuseFromMs_ = now + (everServed ? settings_.Get(leave) : 0);
-    const int64_t longest = settings_.Get(settings::kDrainMs);
-    drainByMs_ = longest == 0 ? INT64_MAX : refuseFromMs_ + longest;
-    if (Forwards()) {
-      drainByMs_ = now +
-                   settings_.Get(settings::kForwardGraceS) * kMsPerSecond -
-                   kGraceMarginMs;
-    }
-    if (everServed) {
-      control_->Submit(ledger::SetDraining{});
-    }
-    Log(Part::kRouter, Level::kInfo, "leaves the entry list");
-  }
-
-  void CheckDrained(int64_t aNowMs)
-  {
-    const bool idle = InFlight() == 0 && biller_->PendingCount() == 0;
-    if (!idle && aNowMs < drainByMs_) {
-      return;
-    }
-    phase_ = Phase::kGoodbye;
-    giveUpMs_ = aNowMs + kGoodbyeMs;
-    if (!idle || !control_->IsRegistered()) {
-      Stop(absl::OkStatus());
-      return;
-    }
-    biller_->ReturnAll();
-    control_->Submit(ledger::Goodbye{}, [this](const ledger::OpResult&) {
-      Stop(absl::OkStatus());
-    });
-  }
-
-  void Stop(absl::Status aStatus)
-  {
-    if (std::exchange(phase_, Phase::kStopped) != Phase::kStopped) {
-      Log(Part::kRouter, Level::kInfo, "stopped");
-      onStopped_(std::move(aStatus));
-    }
-  }
-
   std::string ExposeMetrics()
   {
     metrics_.Set(Gauge::kInFlight, callers_ ? InFlight() : 0);
@@ -447,7 +406,6 @@
   EventLoop& loop_;
   const settings::Settings& settings_;
   ForwardDialect dialect_;
-  std::function<void(absl::Status)> onStopped_;
   size_t maxBodyBytes_;
   telemetry::Metrics metrics_;
   telemetry::BurnTable burn_;
@@ -463,15 +421,12 @@
   std::unique_ptr<OperatorApi> operators_;
   std::unique_ptr<ForwardRole> forward_;
   control::MetricsServer metricsServer_;
+  RouterShutdown shutdown_;
   transport::Timer tick_;
 
   int64_t neededRevision_ = 0;
   int64_t lastHeartbeatMs_ = 0;
   bool heartbeatOpen_ = false;
-  Phase phase_ = Phase::kServing;
-  int64_t refuseFromMs_ = 0;
-  int64_t drainByMs_ = 0;
-  int64_t giveUpMs_ = 0;
 };
 
 RouterTask::RouterTask(EventLoop& aLoop,
@@ -503,7 +458,7 @@
 void
 RouterTask::Drain()
 {
-  state_->Drain();
+  state_->shutdown_.Begin(EventLoop::NowMs());
 }
 
 } // namespace cactuswick::router
--- /dev/null
+++ b/tests/router/process/RouterShutdownTest.cpp
@@ -0,0 +1,142 @@
+#include "process/RouterShutdown.h"
+
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace cactuswick::router {
+namespace {
+
+constexpr int64_t kLeaveMs = 100;
+constexpr int64_t kDrainMs = 1'000;
+constexpr int64_t kGoodbyeMs = 3'000;
+
+/// A router as its shutdown sees it.
+struct Router
+{
+  RouterShutdownOptions Options()
+  {
+    return { .leaveMs_ = kLeaveMs,
+             .drainMs_ = kDrainMs,
+             .isRegistered_ = [this] { return registered_; },
+             .isIdle_ = [this] { return idle_; },
+             .onLeave_ = [this] { steps_.emplace_back("leave"); },
+             .onGoodbye_ = [this] { steps_.emplace_back("goodbye"); },
+             .onStopped_ =
+               [this](const absl::Status& aStatus) {
+                 steps_.emplace_back(aStatus.ok() ? "stopped" : "failed");
+               } };
+  }
+
+  bool registered_ = true;
+  bool idle_ = true;
+  std::vector<std::string> steps_;
+};
+
+using Steps = std::vector<std::string>;
+
+TEST(RouterShutdown, ServesOnWhileCallersMayHoldAnOldList)
+{
+  Router router;
+  RouterShutdown shutdown(router.Options());
+  shutdown.OnTick(0);
+  EXPECT_FALSE(shutdown.IsLeaving());
+  shutdown.Begin(0);
+  shutdown.Begin(kLeaveMs);
+  shutdown.OnTick(kLeaveMs - 1);
+  EXPECT_TRUE(shutdown.IsLeaving());
+  EXPECT_FALSE(shutdown.RefusesNew());
+  EXPECT_EQ(router.steps_, Steps{ "leave" });
+}
+
+TEST(RouterShutdown, SaysGoodbyeOnceRequestsInFlightAreDone)
+{
+  Router router;
+  router.idle_ = false;
+  RouterShutdown shutdown(router.Options());
+  shutdown.Begin(0);
+  shutdown.OnTick(kLeaveMs);
+  EXPECT_TRUE(shutdown.RefusesNew());
+  EXPECT_FALSE(shutdown.SaidGoodbye());
+  router.idle_ = true;
+  shutdown.OnTick(kLeaveMs + 1);
+  EXPECT_TRUE(shutdown.SaidGoodbye());
+  shutdown.Stop(absl::OkStatus());
+  shutdown.Stop(absl::InternalError(""));
+  EXPECT_EQ(router.steps_, (Steps{ "leave", "goodbye", "stopped" }));
+}
+
+TEST(RouterShutdown, AGoodbyeThatNobodyCommitsIsGivenUp)
+{
+  Router router;
+  RouterShutdown shutdown(router.Options());
+  shutdown.Begin(0);
+  shutdown.OnTick(kLeaveMs);
+  shutdown.OnTick(kLeaveMs + kGoodbyeMs - 1);
+  EXPECT_EQ(router.steps_, (Steps{ "leave", "goodbye" }));
+  shutdown.OnTick(kLeaveMs + kGoodbyeMs);
+  EXPECT_EQ(router.steps_, (Steps{ "leave", "goodbye", "stopped" }));
+}
+
+TEST(RouterShutdown, RequestsThatDoNotEndHoldItUpForABoundedTime)
+{
+  Router router;
+  router.idle_ = false;
+  RouterShutdown shutdown(router.Options());
+  shutdown.Begin(0);
+  shutdown.OnTick(kLeaveMs + kDrainMs - 1);
+  EXPECT_EQ(router.steps_, Steps{ "leave" });
+  shutdown.OnTick(kLeaveMs + kDrainMs);
+  EXPECT_EQ(router.steps_, (Steps{ "leave", "stopped" }));
+}
+
+TEST(RouterShutdown, WithoutALimitItWaitsForRequestsInFlight)
+{
+  Router router;
+  router.idle_ = false;
+  auto options = router.Options();
+  options.drainMs_ = 0;
+  RouterShutdown shutdown(options);
+  shutdown.Begin(0);
+  shutdown.OnTick(INT64_MAX - 1);
+  EXPECT_EQ(router.steps_, Steps{ "leave" });
+}
+
+TEST(RouterShutdown, TheGraceCountsFromTheBegin)
+{
+  constexpr int64_t kGraceMs = 500;
+  Router router;
+  router.idle_ = false;
+  auto options = router.Options();
+  options.graceMs_ = kGraceMs;
+  RouterShutdown shutdown(options);
+  shutdown.Begin(0);
+  shutdown.OnTick(kGraceMs - 1);
+  EXPECT_EQ(router.steps_, Steps{ "leave" });
+  shutdown.OnTick(kGraceMs);
+  EXPECT_EQ(router.steps_, (Steps{ "leave", "stopped" }));
+}
+
+TEST(RouterShutdown, ARouterThatNeverServedStopsAtOnce)
+{
+  Router router;
+  router.registered_ = false;
+  RouterShutdown shutdown(router.Options());
+  shutdown.Begin(0);
+  shutdown.OnTick(0);
+  EXPECT_EQ(router.steps_, Steps{ "stopped" });
+}
+
+TEST(RouterShutdown, AnErrorStopsARouterThatServes)
+{
+  Router router;
+  RouterShutdown shutdown(router.Options());
+  shutdown.Stop(absl::InternalError(""));
+  shutdown.Begin(0);
+  shutdown.OnTick(kLeaveMs);
+  EXPECT_EQ(router.steps_, Steps{ "failed" });
+}
+
+} // namespace
+} // namespace cactuswick::router
