Batches and open calls of a router's talk with control are classes of their own

ControlClient finds and leaves replicas, and also kept the queue of operations with its open batch, and the operators' questions with their deadlines. Calls are taken out in one place before their hook runs. Behaviour is as it was.

--- a/packages/router/src/process/ControlClient.cpp
+++ b/packages/router/src/process/ControlClient.cpp
@@ -6,6 +6,7 @@
 #include "cactuswick/model/process/Error.h"
 #include "cactuswick/model/process/Text.h"
 #include "cactuswick/telemetry/process/Log.h"
+#include "process/OpenCalls.h"
 
 namespace cactuswick::router {
 
@@ -26,7 +27,6 @@
 /// Without a connection for this long the next replica is tried as well.
 constexpr int64_t kConnectMs = 400;
 constexpr int64_t kMinSwitchMs = 100;
-constexpr size_t kMaxBatchOps = 512;
 
 /// Why a router leaves a replica.
 enum class LeaveReason
@@ -53,21 +53,6 @@
   return "";
 }
 
-/// An operator's question that has not been answered.
-struct OpenCall
-{
-  transport::PeerMessage message_;
-  int64_t deadlineMs_ = 0;
-  ControlClient::ReplyHook onReply_;
-  ControlClient::QueryHook onQuery_;
-};
-
-struct OpenOp
-{
-  ledger::RouterOp op_;
-  ControlClient::OpHook hook_;
-};
-
 } // namespace
 
 struct ControlClient::State
@@ -77,6 +62,7 @@
     , options_(std::move(aOptions))
     , tick_(aLoop, [this] { OnTick(); })
     , line_(aLoop, LineOptions())
+    , batches_(options_.onTrip_)
   {
     DialNext();
     tick_.StartRepeating(kTickMs);
@@ -159,7 +145,7 @@
                       " heard_bytes=",
                       activity.heardBytes_,
                       " batch_open_ms=",
-                      batch_ ? now - batchSinceMs_ : 0));
+                      batches_.Times(now).batchOpenMs_));
   }
 
   void Switch()
@@ -186,9 +172,8 @@
       SubscribeNow();
       SendBatch();
     }
-    for (const auto& [call, open] : calls_) {
-      line_.Send(open.message_);
-    }
+    calls_.ForEach(
+      [this](const transport::PeerMessage& aMessage) { line_.Send(aMessage); });
   }
 
   void Register()
@@ -207,7 +192,7 @@
   {
     const int64_t now = EventLoop::NowMs();
     line_.OnTick(now);
-    const bool waits = batch_ || incarnation_ == 0 || !calls_.empty();
+    const bool waits = incarnation_ == 0 || WaitsForAnswer();
     const bool unanswered = waits && IsOverdue(now);
     const bool unconnected =
       !line_.IsUp() && now - line_.DialedMs() > kConnectMs;
@@ -218,9 +203,11 @@
     } else if (unanswered) {
       ScheduleSwitch(LeaveReason::kNoAnswer, "");
     }
-    ExpireCalls(now);
+    calls_.Expire(now);
   }
 
+  bool WaitsForAnswer() const { return batches_.IsOpen() || !calls_.IsEmpty(); }
+
   /// An answer that is on its way behind pushes is not overdue: to leave would
   /// have control send them all again.
   bool IsOverdue(int64_t aNowMs) const
@@ -230,30 +217,6 @@
     return waitedMs > (idle ? kAnswerTimeoutMs : kAnswerBehindPushesMs);
   }
 
-  void ExpireCalls(int64_t aNowMs)
-  {
-    std::vector<CallId> expired;
-    for (const auto& [call, open] : calls_) {
-      if (aNowMs >= open.deadlineMs_) {
-        expired.push_back(call);
-      }
-    }
-    for (const CallId call : expired) {
-      const OpenCall open = std::move(calls_[call]);
-      calls_.erase(call);
-      const auto status =
-        model::MakeError(model::ErrorKind::kControlUnreachable,
-                         "",
-                         "the control leader did not answer in time");
-      if (open.onReply_) {
-        open.onReply_(status);
-      }
-      if (open.onQuery_) {
-        open.onQuery_(status);
-      }
-    }
-  }
-
   void NoteAnswer()
   {
     lastAnswerMs_ = EventLoop::NowMs();
@@ -279,16 +242,11 @@
       OnRegistered(aMessage.reply_);
       return;
     }
-    if (batch_ && aMessage.call_ == batchCall_) {
+    if (batches_.IsOpen() && aMessage.call_ == batchCall_) {
       OnBatchReply(aMessage.reply_);
       return;
     }
-    const auto found = calls_.find(aMessage.call_);
-    if (found != calls_.end()) {
-      const OpenCall open = std::move(found->second);
-      calls_.erase(found);
-      open.onReply_(aMessage.reply_);
-    }
+    calls_.OnReply(aMessage);
   }
 
   void OnRegistered(const ledger::Reply& aReply)
@@ -313,34 +271,18 @@
       options_.onEnded_();
       return;
     }
-    if (reply->sequence_ != batch_->sequence_) {
+    if (!batches_.IsAnsweredBy(*reply)) {
       return;
     }
     logTimeMs_ = std::max(logTimeMs_, reply->timeMs_);
-    batch_.reset();
-    lastReplyMs_ = EventLoop::NowMs();
-    lastTripMs_ = lastReplyMs_ - batchSinceMs_;
-    if (options_.onTrip_) {
-      options_.onTrip_(lastTripMs_);
-    }
-    const std::vector<OpHook> hooks = std::exchange(batchHooks_, {});
-    for (size_t i = 0; i < hooks.size() && i < reply->results_.size(); ++i) {
-      if (hooks[i]) {
-        hooks[i](reply->results_[i]);
-      }
-    }
+    batches_.Close(*reply, EventLoop::NowMs());
     ScheduleBatch();
   }
 
   void On(const transport::QueryReply& aMessage)
   {
     NoteAnswer();
-    const auto found = calls_.find(aMessage.call_);
-    if (found != calls_.end()) {
-      const OpenCall open = std::move(found->second);
-      calls_.erase(found);
-      open.onQuery_(aMessage);
-    }
+    calls_.OnReply(aMessage);
   }
 
   void On(const transport::Redirect& aMessage)
@@ -388,7 +330,7 @@
   /// Operations of one turn of the loop share a batch.
   void ScheduleBatch()
   {
-    if (queue_.empty() || std::exchange(batchScheduled_, true)) {
+    if (!batches_.HasQueued() || std::exchange(batchScheduled_, true)) {
       return;
     }
     loop_.Defer([this] {
@@ -402,47 +344,33 @@
     if (incarnation_ == 0) {
       return;
     }
-    if (!batch_) {
-      if (queue_.empty()) {
+    if (!batches_.IsOpen()) {
+      if (!batches_.HasQueued()) {
         return;
       }
-      TakeBatch();
+      OpenBatch();
     }
     batchCall_ = ++lastCall_;
-    line_.Send(transport::ProposeRequest{ batchCall_, *batch_ });
+    line_.Send(transport::ProposeRequest{ batchCall_, batches_.Open() });
   }
 
-  void TakeBatch()
+  void OpenBatch()
   {
+    const int64_t now = EventLoop::NowMs();
     if (serves_) {
-      lastAnswerMs_ = EventLoop::NowMs();
-    }
-    batchSinceMs_ = EventLoop::NowMs();
-    batch_ = ledger::RouterBatch{ .incarnation_ = incarnation_,
-                                  .sequence_ = ++lastSequence_ };
-    while (!queue_.empty() && batch_->ops_.size() < kMaxBatchOps) {
-      batch_->ops_.push_back(std::move(queue_.front().op_));
-      batchHooks_.push_back(std::move(queue_.front().hook_));
-      queue_.pop_front();
+      lastAnswerMs_ = now;
     }
+    batches_.OpenNext(incarnation_, now);
   }
 
-  void Open(OpenCall aCall)
+  void Ask(OpenCall aCall)
   {
-    const CallId call = ++lastCall_;
-    aCall.deadlineMs_ = EventLoop::NowMs() + options_.callTimeoutMs_;
-    if (calls_.empty() && !batch_ && serves_) {
-      lastAnswerMs_ = EventLoop::NowMs();
+    const int64_t now = EventLoop::NowMs();
+    aCall.deadlineMs_ = now + options_.callTimeoutMs_;
+    if (!WaitsForAnswer() && serves_) {
+      lastAnswerMs_ = now;
     }
-    std::visit(
-      [call](auto& aMessage) {
-        if constexpr (requires { aMessage.call_; }) {
-          aMessage.call_ = call;
-        }
-      },
-      aCall.message_);
-    line_.Send(aCall.message_);
-    calls_[call] = std::move(aCall);
+    line_.Send(calls_.Add(++lastCall_, std::move(aCall)));
   }
 
   EventLoop& loop_;
@@ -462,17 +390,9 @@
   int64_t revision_ = 0;
   CallId lastCall_ = 0;
   CallId registering_ = 0;
-  std::map<CallId, OpenCall> calls_;
-
-  std::deque<OpenOp> queue_;
-  std::optional<ledger::RouterBatch> batch_;
-  std::vector<OpHook> batchHooks_;
+  OpenCalls calls_;
+  OperationBatches batches_;
   CallId batchCall_ = 0;
-  int64_t lastSequence_ = 0;
-  /// First send of the open batch, answer of the last one, and its trip.
-  int64_t batchSinceMs_ = 0;
-  int64_t lastReplyMs_ = 0;
-  int64_t lastTripMs_ = 0;
   bool batchScheduled_ = false;
 };
 
@@ -486,8 +406,8 @@
 void
 ControlClient::Submit(ledger::RouterOp aOp, OpHook aHook)
 {
-  state_->queue_.push_back({ std::move(aOp), std::move(aHook) });
-  if (!state_->batch_) {
+  state_->batches_.Add(std::move(aOp), std::move(aHook));
+  if (!state_->batches_.IsOpen()) {
     state_->ScheduleBatch();
   }
 }
@@ -495,16 +415,15 @@
 void
 ControlClient::Propose(ledger::Command aCommand, ReplyHook aHook)
 {
-  state_->Open(
-    { .message_ = transport::ProposeRequest{ 0, std::move(aCommand) },
-      .onReply_ = std::move(aHook) });
+  state_->Ask({ .message_ = transport::ProposeRequest{ 0, std::move(aCommand) },
+                .onReply_ = std::move(aHook) });
 }
 
 void
 ControlClient::ChangeMembers(const transport::MembersRequest& aRequest,
                              ReplyHook aHook)
 {
-  state_->Open({ .message_ = aRequest, .onReply_ = std::move(aHook) });
+  state_->Ask({ .message_ = aRequest, .onReply_ = std::move(aHook) });
 }
 
 void
@@ -512,7 +431,7 @@
                      std::string aKey,
                      QueryHook aHook)
 {
-  state_->Open(
+  state_->Ask(
     { .message_ = transport::QueryRequest{ 0, aType, std::move(aKey) },
       .onQuery_ = std::move(aHook) });
 }
@@ -533,9 +452,9 @@
 ControlClient::IsReachable() const
 {
   const int64_t silence = EventLoop::NowMs() - state_->lastAnswerMs_;
-  const bool waits = state_->batch_ || !state_->calls_.empty();
   return state_->serves_ && state_->line_.IsUp() &&
-         (!waits || silence <= state_->options_.reachableMs_);
+         (!state_->WaitsForAnswer() ||
+          silence <= state_->options_.reachableMs_);
 }
 
 bool
@@ -547,10 +466,7 @@
 ControlTimes
 ControlClient::Times() const
 {
-  const int64_t now = EventLoop::NowMs();
-  return { .lastTripMs_ = state_->lastTripMs_,
-           .answerAgeMs_ = now - state_->lastReplyMs_,
-           .batchOpenMs_ = state_->batch_ ? now - state_->batchSinceMs_ : 0 };
+  return state_->batches_.Times(EventLoop::NowMs());
 }
 
 ledger::Incarnation
--- a/packages/router/src/process/ControlClient.h
+++ b/packages/router/src/process/ControlClient.h
@@ -1,16 +1,14 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <functional>
-#include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
 #include <absl/status/statusor.h>
 
+#include "process/OperationBatches.h"
 #include "process/ReplicaLine.h"
 
 namespace cactuswick::router {
@@ -38,19 +36,6 @@
   std::function<void()> onEnded_;
 };
 
-/// Times of a router's talk with control.
-struct ControlTimes
-{
-  /// From the first send of the last answered batch to its answer.
-  int64_t lastTripMs_ = 0;
-  /// Since that answer.
-  int64_t answerAgeMs_ = 0;
-  /// Since the open batch was first sent; 0 without one.
-  int64_t batchOpenMs_ = 0;
-
-  bool operator==(const ControlTimes&) const = default;
-};
-
 /// A router's line to the control leader, whoever that is.
 ///
 /// Operations go in batches, one under way at a time; a batch is sent again
@@ -59,7 +44,7 @@
 class ControlClient
 {
 public:
-  using OpHook = std::function<void(const ledger::OpResult&)>;
+  using OpHook = OperationBatches::OpHook;
   using ReplyHook = std::function<void(absl::StatusOr<ledger::Reply>)>;
   using QueryHook = std::function<void(absl::StatusOr<transport::QueryReply>)>;
 
--- /dev/null
+++ b/packages/router/src/process/OpenCalls.cpp
@@ -0,0 +1,87 @@
+#include "process/OpenCalls.h"
+
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "cactuswick/model/process/Error.h"
+
+namespace cactuswick::router {
+
+using transport::CallId;
+using transport::PeerMessage;
+
+const PeerMessage&
+OpenCalls::Add(CallId aId, OpenCall aCall)
+{
+  std::visit(
+    [aId](auto& aMessage) {
+      if constexpr (requires { aMessage.call_; }) {
+        aMessage.call_ = aId;
+      }
+    },
+    aCall.message_);
+  return (calls_[aId] = std::move(aCall)).message_;
+}
+
+std::optional<OpenCall>
+OpenCalls::Take(CallId aId)
+{
+  const auto found = calls_.find(aId);
+  if (found == calls_.end()) {
+    return std::nullopt;
+  }
+  OpenCall call = std::move(found->second);
+  calls_.erase(found);
+  return call;
+}
+
+void
+OpenCalls::OnReply(const transport::ProposeReply& aReply)
+{
+  if (const auto call = Take(aReply.call_)) {
+    call->onReply_(aReply.reply_);
+  }
+}
+
+void
+OpenCalls::OnReply(const transport::QueryReply& aReply)
+{
+  if (const auto call = Take(aReply.call_)) {
+    call->onQuery_(aReply);
+  }
+}
+
+void
+OpenCalls::Expire(int64_t aNowMs)
+{
+  std::vector<CallId> expired;
+  for (const auto& [id, call] : calls_) {
+    if (aNowMs >= call.deadlineMs_) {
+      expired.push_back(id);
+    }
+  }
+  for (const CallId id : expired) {
+    const auto call = Take(id);
+    const auto status =
+      model::MakeError(model::ErrorKind::kControlUnreachable,
+                       "",
+                       "the control leader did not answer in time");
+    if (call && call->onReply_) {
+      call->onReply_(status);
+    }
+    if (call && call->onQuery_) {
+      call->onQuery_(status);
+    }
+  }
+}
+
+void
+OpenCalls::ForEach(const std::function<void(const PeerMessage&)>& aHook) const
+{
+  for (const auto& [id, call] : calls_) {
+    aHook(call.message_);
+  }
+}
+
+} // namespace cactuswick::router
--- /dev/null
+++ b/packages/router/src/process/OperationBatches.cpp
@@ -0,0 +1,69 @@
+#include "process/OperationBatches.h"
+
+#include <utility>
+
+namespace cactuswick::router {
+
+namespace {
+
+constexpr size_t kMaxBatchOps = 512;
+
+} // namespace
+
+OperationBatches::OperationBatches(TripHook aOnTrip)
+  : onTrip_(std::move(aOnTrip))
+{
+}
+
+void
+OperationBatches::Add(ledger::RouterOp aOp, OpHook aHook)
+{
+  queue_.push_back({ std::move(aOp), std::move(aHook) });
+}
+
+void
+OperationBatches::OpenNext(ledger::Incarnation aIncarnation, int64_t aNowMs)
+{
+  openSinceMs_ = aNowMs;
+  open_ = ledger::RouterBatch{ .incarnation_ = aIncarnation,
+                               .sequence_ = ++lastSequence_ };
+  while (!queue_.empty() && open_->ops_.size() < kMaxBatchOps) {
+    open_->ops_.push_back(std::move(queue_.front().op_));
+    hooks_.push_back(std::move(queue_.front().hook_));
+    queue_.pop_front();
+  }
+}
+
+bool
+OperationBatches::IsAnsweredBy(const ledger::BatchReply& aReply) const
+{
+  return open_ && aReply.sequence_ == open_->sequence_;
+}
+
+void
+OperationBatches::Close(const ledger::BatchReply& aReply, int64_t aNowMs)
+{
+  open_.reset();
+  lastReplyMs_ = aNowMs;
+  lastTripMs_ = aNowMs - openSinceMs_;
+  if (onTrip_) {
+    onTrip_(lastTripMs_);
+  }
+  // The hooks may add operations.
+  const std::vector<OpHook> hooks = std::exchange(hooks_, {});
+  for (size_t i = 0; i < hooks.size() && i < aReply.results_.size(); ++i) {
+    if (hooks[i]) {
+      hooks[i](aReply.results_[i]);
+    }
+  }
+}
+
+ControlTimes
+OperationBatches::Times(int64_t aNowMs) const
+{
+  return { .lastTripMs_ = lastTripMs_,
+           .answerAgeMs_ = aNowMs - lastReplyMs_,
+           .batchOpenMs_ = open_ ? aNowMs - openSinceMs_ : 0 };
+}
+
+} // namespace cactuswick::router
