What a caller has of its answer is a class of its own

ForwardExchange reserves, places and sends a request, and also joined the answers of its attempts into one: held-back bodies, whole events, the head that a continued stream must have, what is billed. AnswerRelay does that now; it returns what is to be sent, so that it is tested without sockets. What a prompt costs its endpoint moved to ForwardPrompt. Behaviour is as it was.

--- /dev/null
+++ b/packages/router/src/request/AnswerRelay.cpp
@@ -0,0 +1,134 @@
+#include "request/AnswerRelay.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cactuswick/model/process/Text.h"
+#include "request/StreamHead.h"
+
+namespace cactuswick::router {
+
+AnswerRelay::AnswerRelay(AnswerRelayOptions aOptions)
+  : options_(std::move(aOptions))
+{
+  events_.SetLastId(options_.lastEventId_);
+}
+
+void
+AnswerRelay::BeginAttempt()
+{
+  answer_ = {};
+  body_.clear();
+  continuesAfter_ = begun_ ? events_.LastId() : "";
+  eventsBefore_ = events_.Count();
+}
+
+bool
+AnswerRelay::IsContinuation() const
+{
+  return options_.isStream_ && eventsBefore_ > 0;
+}
+
+bool
+AnswerRelay::HeadDiffers() const
+{
+  return IsContinuation() && !IsSameForm(firstAnswer_, answer_);
+}
+
+RelayOutput
+AnswerRelay::Feed(std::string_view aBytes)
+{
+  if (answer_.status_ == 0 || HeadDiffers()) {
+    return {};
+  }
+  return options_.isStream_ && answer_.IsSuccess() ? FeedEvents(aBytes)
+                                                   : FeedBody(aBytes);
+}
+
+RelayOutput
+AnswerRelay::FeedEvents(std::string_view aBytes)
+{
+  RelayOutput output{ .bytes_ = events_.Feed(aBytes) };
+  output.isOverlong_ = events_.IsOverlong();
+  output.hasEvents_ = !output.bytes_.empty();
+  if (output.hasEvents_ && !std::exchange(begun_, true)) {
+    firstAnswer_ = answer_;
+    output.begins_ = true;
+  }
+  return output;
+}
+
+RelayOutput
+AnswerRelay::FeedBody(std::string_view aBytes)
+{
+  if (begun_) {
+    return { .bytes_ = std::string(aBytes) };
+  }
+  body_.append(aBytes);
+  if (body_.size() <= kMaxHeldBytes) {
+    return {};
+  }
+  begun_ = true;
+  passedOn_ = true;
+  return { .begins_ = true, .bytes_ = std::exchange(body_, {}) };
+}
+
+AnswerEnd
+AnswerRelay::EndOfAttempt(bool aFramingIsWhole, bool aEndsByClose) const
+{
+  return EndOfAnswer(
+    { .framingIsWhole_ = aFramingIsWhole,
+      .endsByClose_ = aEndsByClose,
+      .status_ = answer_.status_,
+      .notRun_ = answer_.notRun_,
+      .continuesStream_ = IsContinuation(),
+      .headDiffers_ = HeadDiffers(),
+      .bringsNoEvent_ = events_.Count() == eventsBefore_,
+      .hasHalfEvent_ = options_.isStream_ && events_.HasRest() });
+}
+
+std::string
+AnswerRelay::DescribeEnd(std::string_view aWhat) const
+{
+  std::string text(aWhat);
+  if (answer_.status_ != 0) {
+    model::AppendTo(text, "/", answer_.status_);
+  }
+  if (!continuesAfter_.empty()) {
+    model::AppendTo(text, "@", continuesAfter_);
+  }
+  return text;
+}
+
+bool
+AnswerRelay::CanGoOn() const
+{
+  const bool hasEvents = options_.isStream_ && events_.Count() > 0;
+  return !begun_ || (hasEvents && options_.resumable_ && events_.CanContinue());
+}
+
+std::string
+AnswerRelay::TakeLast()
+{
+  passedOn_ = true;
+  return std::exchange(body_, {}) + events_.TakeRest();
+}
+
+ledger::Tokens
+AnswerRelay::UsedTokens() const
+{
+  const bool delivered =
+    events_.Count() > 0 || (passedOn_ && answer_.IsSuccess());
+  if (!delivered) {
+    return 0;
+  }
+  // The length of an answer that is no stream is not known in tokens.
+  const ledger::Tokens most = options_.maxOutputTokens_;
+  const ledger::Tokens output =
+    options_.isStream_
+      ? std::min(most, events_.Count() * options_.tokensPerEvent_)
+      : most;
+  return options_.promptTokens_ + output;
+}
+
+} // namespace cactuswick::router
--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -4,10 +4,8 @@
 #include <utility>
 
 #include "cactuswick/model/process/Error.h"
-#include "cactuswick/model/process/Hash.h"
 #include "cactuswick/telemetry/process/Log.h"
-#include "request/AnswerEnd.h"
-#include "request/StreamHead.h"
+#include "request/ForwardPrompt.h"
 
 namespace cactuswick::router {
 
@@ -24,9 +22,6 @@
 constexpr int64_t kConnectMs = 700;
 /// An attempt with less time than this left is not worth making.
 constexpr int64_t kLeastAttemptMs = 60;
-/// An answer that is no stream is held back up to this size, so that a cut
-/// one can be repeated or reported.
-constexpr size_t kMaxHeldBytes = size_t{ 256 } << 10;
 /// Bytes that a slow caller may leave in the router.
 constexpr size_t kMaxPendingBytes = size_t{ 256 } << 10;
 constexpr int64_t kSlowCallerMs = 20;
@@ -60,6 +55,18 @@
            .startMs_ = aPlan.startMs_ };
 }
 
+AnswerRelayOptions
+RelayOptions(const ForwardPlan& aPlan)
+{
+  const auto& request = aPlan.request_;
+  return { .isStream_ = aPlan.route_.type_ == model::RouteType::kStreaming,
+           .resumable_ = aPlan.route_.resumable_,
+           .lastEventId_ = request.lastEventId_,
+           .promptTokens_ = request.promptTokens_.value_or(0),
+           .maxOutputTokens_ = request.maxOutputTokens_,
+           .tokensPerEvent_ = aPlan.tokensPerEvent_ };
+}
+
 } // namespace
 
 ForwardExchange::ForwardExchange(
@@ -78,22 +85,16 @@
                 .deadlineMs_ = plan_.deadlineMs_,
                 .leastLeftMs_ = kLeastAttemptMs,
                 .tryRepeat_ = plan_.tryRepeat_ })
+  , relay_(RelayOptions(plan_))
   , deadline_(aServices.loop_, [this] { OnDeadline(); })
   , slowCaller_(aServices.loop_, [this] { OnSlowCaller(); })
 {
 }
 
-bool
-ForwardExchange::IsStream() const
-{
-  return plan_.route_.type_ == model::RouteType::kStreaming;
-}
-
 void
 ForwardExchange::Start()
 {
   exchange_->SetClosedHook([this] { OnCallerGone(); });
-  events_.SetLastId(plan_.request_.lastEventId_);
   deadline_.StartOnce(
     std::max(int64_t{ 1 }, plan_.deadlineMs_ - EventLoop::NowMs()));
   if (plan_.bound_ == 0) {
@@ -116,24 +117,6 @@
                             });
 }
 
-bool
-ForwardExchange::ContinuesStream() const
-{
-  return IsStream() && events_.Count() > 0;
-}
-
-bool
-ForwardExchange::IsContinuation() const
-{
-  return IsStream() && eventsBefore_ > 0;
-}
-
-bool
-ForwardExchange::HeadDiffers() const
-{
-  return IsContinuation() && !IsSameForm(firstAnswer_, answer_);
-}
-
 void
 ForwardExchange::NoteGrantWait(int64_t aSinceMs, int64_t aBefore)
 {
@@ -160,26 +143,6 @@
                       wait.control_.batchOpenMs_);
 }
 
-std::optional<routing::PromptLoad>
-ForwardExchange::Prompt() const
-{
-  const auto& request = plan_.request_;
-  if (!request.promptTokens_) {
-    return std::nullopt;
-  }
-  routing::PromptLoad prompt;
-  if (request.parts_.size() > 1) {
-    // The last part is the request's own.
-    for (size_t i = 0; i + 1 < request.parts_.size(); ++i) {
-      prompt.sharedTokens_ += request.parts_[i].tokens_;
-    }
-    prompt.prefixHash_ = model::Hash64(request.parts_.front().id_);
-  }
-  prompt.ownTokens_ = std::max(ledger::Tokens{ 0 },
-                               *request.promptTokens_ - prompt.sharedTokens_);
-  return prompt;
-}
-
 void
 ForwardExchange::Enqueue()
 {
@@ -190,7 +153,7 @@
                    .cost_ = std::max(ledger::Tokens{ 1 }, plan_.bound_),
                    .deadlineMs_ = plan_.queueDeadlineMs_ },
       .serves_ = plan_.service_,
-      .prompt_ = Prompt(),
+      .prompt_ = PromptOf(plan_.request_),
       .onPlaced_ =
         [this](const model::Announcement& aEndpoint, ledger::Tokens aToRead) {
           OnPlaced(aEndpoint, aToRead);
@@ -204,10 +167,7 @@
 {
   record_.OnPlaced();
   toRead_ = aToRead;
-  answer_ = {};
-  body_.clear();
-  continuesAfter_ = started_ ? events_.LastId() : "";
-  eventsBefore_ = events_.Count();
+  relay_.BeginAttempt();
   const int64_t left =
     std::max(int64_t{ 1 }, plan_.deadlineMs_ - EventLoop::NowMs());
   const auto address = transport::ParseAddress("address", aEndpoint.address_);
@@ -215,7 +175,7 @@
                           .workspace_ = plan_.workspace_,
                           .priority_ = plan_.priority_,
                           .deadlineMs_ = left,
-                          .lastEventId_ = events_.LastId(),
+                          .lastEventId_ = relay_.LastEventId(),
                           .isGeneration_ =
                             plan_.request_.promptTokens_.has_value() };
   call_ = std::make_unique<transport::HttpCall>(
@@ -252,54 +212,29 @@
                          "the answer belongs to another request"));
     return;
   }
-  answer_ = std::move(answer);
+  relay_.SetHead(std::move(answer));
 }
 
 void
 ForwardExchange::OnData(std::string_view aData)
 {
-  if (answer_.status_ == 0 || HeadDiffers()) {
-    return;
-  }
-  if (IsStream() && answer_.IsSuccess()) {
-    OnEvents(events_.Feed(aData));
-    if (events_.IsOverlong()) {
-      OnCallDone(MakeError(ErrorKind::kTooLarge,
-                           attempts_.Endpoint().endpoint_,
-                           "an event of the stream does not end"));
-    }
-    return;
-  }
-  if (!started_) {
-    body_.append(aData);
-  }
-  if (!started_ && body_.size() > kMaxHeldBytes) {
-    started_ = true;
-    answerPassedOn_ = true;
+  const RelayOutput output = relay_.Feed(aData);
+  if (output.begins_) {
     record_.OnFirstToken();
-    exchange_->StartStream(answer_.status_, answer_.headers_);
-    exchange_->SendChunk(std::exchange(body_, {}));
-  } else if (started_) {
-    exchange_->SendChunk(aData);
+    exchange_->StartStream(relay_.Head().status_, relay_.Head().headers_);
   }
-  OnSlowCaller();
-}
-
-void
-ForwardExchange::OnEvents(const std::string& aEvents)
-{
-  if (aEvents.empty()) {
-    return;
+  if (output.hasEvents_) {
+    NotePromptRead();
   }
-  if (!started_) {
-    started_ = true;
-    firstAnswer_ = answer_;
-    record_.OnFirstToken();
-    exchange_->StartStream(answer_.status_, answer_.headers_);
+  if (!output.bytes_.empty()) {
+    exchange_->SendChunk(output.bytes_);
+    OnSlowCaller();
+  }
+  if (output.isOverlong_) {
+    OnCallDone(MakeError(ErrorKind::kTooLarge,
+                         attempts_.Endpoint().endpoint_,
+                         "an event of the stream does not end"));
   }
-  NotePromptRead();
-  exchange_->SendChunk(aEvents);
-  OnSlowCaller();
 }
 
 void
@@ -323,16 +258,7 @@
   }
   const bool sent = call_->WasDispatched();
   attempts_.NoteEnd(sent);
-  const AnswerEnd end =
-    EndOfAnswer({ .framingIsWhole_ = aStatus.ok(),
-                  .endsByClose_ = call_->EndsByClose(),
-                  .status_ = answer_.status_,
-                  .notRun_ = answer_.notRun_,
-                  .continuesStream_ = IsContinuation(),
-                  .headDiffers_ = HeadDiffers(),
-                  .bringsNoEvent_ = events_.Count() == eventsBefore_,
-                  .hasHalfEvent_ = IsStream() && events_.HasRest() });
-  switch (end) {
+  switch (relay_.EndOfAttempt(aStatus.ok(), call_->EndsByClose())) {
     case AnswerEnd::kNotRun:
       OnNotRun();
       return;
@@ -343,7 +269,7 @@
       OnServerError();
       return;
     case AnswerEnd::kCannotFollow:
-      OnRanInVain(answer_.IsSuccess() ? "other_form" : "server_error",
+      OnRanInVain(relay_.Head().IsSuccess() ? "other_form" : "server_error",
                   MakeError(ErrorKind::kUpstreamFailed,
                             attempts_.Endpoint().endpoint_,
                             "the endpoint did not go on with the stream"),
@@ -363,7 +289,7 @@
 ForwardExchange::OnServerError()
 {
   const bool repeats =
-    plan_.route_.IsIdempotent() && !started_ && MayRepeat(true);
+    plan_.route_.IsIdempotent() && !relay_.HasBegun() && MayRepeat(true);
   if (!repeats) {
     OnWholeAnswer();
     return;
@@ -389,8 +315,9 @@
 ForwardExchange::OnNotRun()
 {
   // At an address that another endpoint has taken, nobody else should try.
-  LeaveEndpoint(answer_.status_ == kHttpMisdirected ? AttemptOutcome::kFailed
-                                                    : AttemptOutcome::kNeutral,
+  const bool misdirected = relay_.Head().status_ == kHttpMisdirected;
+  LeaveEndpoint(misdirected ? AttemptOutcome::kFailed
+                            : AttemptOutcome::kNeutral,
                 "not_run");
   OnAttemptFailed(MakeError(ErrorKind::kQueueFull,
                             attempts_.Endpoint().endpoint_,
@@ -407,12 +334,9 @@
 void
 ForwardExchange::OnAttemptFailed(const absl::Status& aStatus, bool aArrived)
 {
-  events_.Continue();
+  relay_.EndAttempt();
   const bool harmless = plan_.route_.IsIdempotent() || !attempts_.MayHaveRun();
-  const bool resumable =
-    !started_ ||
-    (ContinuesStream() && plan_.route_.resumable_ && events_.CanContinue());
-  if (harmless && resumable && MayRepeat(aArrived)) {
+  if (harmless && relay_.CanGoOn() && MayRepeat(aArrived)) {
     Enqueue();
     return;
   }
@@ -424,16 +348,16 @@
 {
   LeaveEndpoint(AttemptOutcome::kServed, "whole");
   attempts_.NoteMayHaveRun();
-  answerPassedOn_ = true;
-  const std::string rest = events_.TakeRest();
+  const std::string last = relay_.TakeLast();
   Settle();
-  if (!started_) {
-    exchange_->Reply(answer_.status_, answer_.headers_, body_ + rest);
+  const ForwardAnswer& head = relay_.Head();
+  if (!relay_.HasBegun()) {
+    exchange_->Reply(head.status_, head.headers_, last);
   } else {
-    exchange_->SendChunk(rest);
+    exchange_->SendChunk(last);
     exchange_->EndStream();
   }
-  record_.EndWhole(EndWith(answer_.status_));
+  record_.EndWhole(EndWith(head.status_));
   onEnd_();
 }
 
@@ -487,27 +411,14 @@
   if (attempts_.IsAtEndpoint()) {
     NotePromptRead();
   }
-  attempts_.Leave(aOutcome, DescribeEnd(aWhat));
-}
-
-std::string
-ForwardExchange::DescribeEnd(std::string_view aWhat) const
-{
-  std::string text(aWhat);
-  if (answer_.status_ != 0) {
-    model::AppendTo(text, "/", answer_.status_);
-  }
-  if (!continuesAfter_.empty()) {
-    model::AppendTo(text, "@", continuesAfter_);
-  }
-  return text;
+  attempts_.Leave(aOutcome, relay_.DescribeEnd(aWhat));
 }
 
 void
 ForwardExchange::Fail(const absl::Status& aStatus)
 {
   Settle();
-  if (started_) {
+  if (relay_.HasBegun()) {
     exchange_->Abort();
     record_.EndUnknown(aStatus, EndWith(0));
     onEnd_();
@@ -528,21 +439,6 @@
   onEnd_();
 }
 
-ledger::Tokens
-ForwardExchange::Used() const
-{
-  const bool delivered =
-    events_.Count() > 0 || (answerPassedOn_ && answer_.IsSuccess());
-  if (!delivered) {
-    return 0;
-  }
-  // The length of an answer that is no stream is not known in tokens.
-  const ledger::Tokens most = plan_.request_.maxOutputTokens_;
-  const ledger::Tokens output =
-    IsStream() ? std::min(most, events_.Count() * plan_.tokensPerEvent_) : most;
-  return plan_.request_.promptTokens_.value_or(0) + output;
-}
-
 void
 ForwardExchange::Settle()
 {
@@ -552,7 +448,8 @@
   attempts_.Cancel();
   services_.biller_.CancelReserve(plan_.id_);
   if (reserved_ > 0) {
-    services_.biller_.Use(plan_.budget_, std::exchange(reserved_, 0), Used());
+    services_.biller_.Use(
+      plan_.budget_, std::exchange(reserved_, 0), relay_.UsedTokens());
   }
 }
 
@@ -575,11 +472,11 @@
                   " total_ms=",
                   record_.TotalMs(),
                   " events=",
-                  events_.Count(),
+                  relay_.EventCount(),
                   " bound=",
                   plan_.bound_,
                   " used=",
-                  Used(),
+                  relay_.UsedTokens(),
                   " grant_left=",
                   services_.biller_.Free(plan_.budget_),
                   grantWait_) };
--- a/packages/router/src/request/ForwardExchange.h
+++ b/packages/router/src/request/ForwardExchange.h
@@ -2,15 +2,14 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 
 #include "cactuswick/router/connection/ForwardDialect.h"
 #include "cactuswick/transport/connection/HttpCall.h"
 #include "connection/ForwardErrors.h"
 #include "process/Biller.h"
+#include "request/AnswerRelay.h"
 #include "request/Attempts.h"
-#include "request/EventSplitter.h"
 #include "request/RequestRecord.h"
 
 namespace cactuswick::router {
@@ -73,7 +72,6 @@
   void OnPlaced(const model::Announcement& aEndpoint, ledger::Tokens aToRead);
   void OnHead(int aStatus, const transport::Headers& aHeaders);
   void OnData(std::string_view aData);
-  void OnEvents(const std::string& aEvents);
   void OnCallDone(const absl::Status& aStatus);
   void OnNotRun();
   void OnServerError();
@@ -89,28 +87,15 @@
   void OnCallerGone();
   void OnSlowCaller();
 
-  bool IsStream() const;
-  /// The caller already has events, of whichever attempt.
-  bool ContinuesStream() const;
-  /// The caller already had events when this attempt began.
-  bool IsContinuation() const;
-  /// The answer of this attempt is no part of the stream that it continues.
-  bool HeadDiffers() const;
-  std::optional<routing::PromptLoad> Prompt() const;
   void NotePromptRead();
   void NoteDispatched();
   void LeaveEndpoint(routing::AttemptOutcome aOutcome, std::string_view aWhat);
-  /// How an attempt ended, with the answer's status, and the event after
-  /// which it was to go on.
-  std::string DescribeEnd(std::string_view aWhat) const;
   void Fail(const absl::Status& aStatus);
   /// Lets go of all that the request holds and notes what it used.
   void Settle();
   RequestEnd EndWith(int aStatus) const;
   /// Notes how long the request waited for its budget, and for what.
   void NoteGrantWait(int64_t aSinceMs, int64_t aBefore);
-  /// Tokens to bill. An answer of which nothing reached the caller is free.
-  ledger::Tokens Used() const;
 
   ForwardServices& services_;
   std::unique_ptr<transport::HttpExchange> exchange_;
@@ -118,24 +103,12 @@
   std::function<void()> onEnd_;
   RequestRecord record_;
   Attempts attempts_;
+  AnswerRelay relay_;
   transport::Timer deadline_;
   transport::Timer slowCaller_;
   std::unique_ptr<transport::HttpCall> call_;
-  ForwardAnswer answer_;
-  /// Head of the answer with which the caller's stream began.
-  ForwardAnswer firstAnswer_;
-  std::string body_;
-  EventSplitter events_;
   /// Prompt tokens that the endpoint is taken to read until its first event.
   ledger::Tokens toRead_ = 0;
-  /// Last event that the caller had when this attempt began; empty for none.
-  std::string continuesAfter_;
-  /// Events that the caller had when this attempt began.
-  int64_t eventsBefore_ = 0;
-  /// The answer to the caller has begun.
-  bool started_ = false;
-  /// An answer that is no stream has gone to the caller, whole or in part.
-  bool answerPassedOn_ = false;
   ledger::Tokens reserved_ = 0;
   /// Inputs of the line in the log, of a request that waited for its budget.
   std::string grantWait_;
--- /dev/null
+++ b/packages/router/src/request/ForwardPrompt.cpp
@@ -0,0 +1,28 @@
+#include "request/ForwardPrompt.h"
+
+#include <algorithm>
+
+#include "cactuswick/model/process/Hash.h"
+
+namespace cactuswick::router {
+
+std::optional<routing::PromptLoad>
+PromptOf(const ForwardRequest& aRequest)
+{
+  if (!aRequest.promptTokens_) {
+    return std::nullopt;
+  }
+  routing::PromptLoad prompt;
+  if (aRequest.parts_.size() > 1) {
+    // The last part is the request's own.
+    for (size_t i = 0; i + 1 < aRequest.parts_.size(); ++i) {
+      prompt.sharedTokens_ += aRequest.parts_[i].tokens_;
+    }
+    prompt.prefixHash_ = model::Hash64(aRequest.parts_.front().id_);
+  }
+  prompt.ownTokens_ = std::max(ledger::Tokens{ 0 },
+                               *aRequest.promptTokens_ - prompt.sharedTokens_);
+  return prompt;
+}
+
+} // namespace cactuswick::router
--- /dev/null
+++ b/tests/router/request/ForwardPromptTest.cpp
@@ -0,0 +1,49 @@
+#include "request/ForwardPrompt.h"
+
+#include <gtest/gtest.h>
+
+namespace cactuswick::router {
+namespace {
+
+TEST(ForwardPrompt, IsNothingForARequestThatIsNoGeneration)
+{
+  EXPECT_FALSE(PromptOf({ .parts_ = { { "a", 10 } } }).has_value());
+}
+
+TEST(ForwardPrompt, TheLastPartIsTheRequestsOwn)
+{
+  const auto prompt =
+    PromptOf({ .promptTokens_ = 100,
+               .parts_ = { { "a", 30 }, { "b", 20 }, { "c", 50 } } });
+  ASSERT_TRUE(prompt.has_value());
+  EXPECT_EQ(prompt->sharedTokens_, 50);
+  EXPECT_EQ(prompt->ownTokens_, 50);
+  EXPECT_NE(prompt->prefixHash_, 0U);
+}
+
+TEST(ForwardPrompt, RequestsWithTheSameFirstPartShareTheirPrefix)
+{
+  const auto hash = [](const std::string& aFirst, const std::string& aLast) {
+    return PromptOf(
+             { .promptTokens_ = 2, .parts_ = { { aFirst, 1 }, { aLast, 1 } } })
+      ->prefixHash_;
+  };
+  EXPECT_EQ(hash("a", "x"), hash("a", "y"));
+  EXPECT_NE(hash("a", "x"), hash("b", "x"));
+}
+
+TEST(ForwardPrompt, APromptOfOnePartSharesNothing)
+{
+  EXPECT_EQ(PromptOf({ .promptTokens_ = 10, .parts_ = { { "a", 10 } } }),
+            routing::PromptLoad{ .ownTokens_ = 10 });
+}
+
+TEST(ForwardPrompt, PartsLargerThanThePromptLeaveNoNegativeRest)
+{
+  const auto prompt =
+    PromptOf({ .promptTokens_ = 10, .parts_ = { { "a", 30 }, { "b", 1 } } });
+  EXPECT_EQ(prompt->ownTokens_, 0);
+}
+
+} // namespace
+} // namespace cactuswick::router
