--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -47,9 +47,10 @@
            { .from_ = aOptions.from_,
              .self_ = [this] { return options_.control_.Incarnation(); },
              .routers_ = [this] { return options_.config_.Routers(); },
-             .depots_ =
+             .reserveHolders_ =
                [this](const std::string& aBudget) {
-                 return routing::DepotsOf(aBudget, options_.config_.Routers());
+                 return routing::ReserveHoldersOf(aBudget,
+                                                  options_.config_.Routers());
                },
              .lend_ =
                [this](const transport::LendRequest& aRequest) {
--- a/packages/router/src/process/ForwardRole.cpp
+++ b/packages/router/src/process/ForwardRole.cpp
@@ -27,8 +27,8 @@
 constexpr int64_t kIdleMarginMs = 5'000;
 /// Control says when an endpoint is lost, so its lease does not end here.
 constexpr int64_t kLeaseMs = 3'600'000;
-/// Part of a budget that its depots together keep at the least, for callers
-/// who come to a router for the first time while it is cut off.
+/// Part of a budget that its reserve holders together keep at the least, for
+/// callers who come to a router for the first time while it is cut off.
 constexpr ledger::Tokens kFloorPercent = 8;
 constexpr ledger::Tokens kPercent = 100;
 /// Retry budgets of routers that started anew overlap with those of before.
@@ -185,12 +185,12 @@
   for (const auto& workspace : api_.Deployment()->Spec().workspaces_) {
     if (workspace.prepaidTokens_) {
       const std::string budget = model::PrepaidBudgetOf(workspace.name_);
-      const auto depots = routing::DepotsOf(budget, routers);
+      const auto holders = routing::ReserveHoldersOf(budget, routers);
       const bool keeps =
-        std::find(depots.begin(), depots.end(), self) != depots.end();
+        std::find(holders.begin(), holders.end(), self) != holders.end();
       const ledger::Tokens floor =
         keeps ? *workspace.prepaidTokens_ * kFloorPercent /
-                  (kPercent * static_cast<ledger::Tokens>(depots.size()))
+                  (kPercent * static_cast<ledger::Tokens>(holders.size()))
               : 0;
       options_.biller_.SetFloor(budget, floor);
       if (floor > 0) {
--- a/packages/router/src/process/GrantLoans.cpp
+++ b/packages/router/src/process/GrantLoans.cpp
@@ -24,7 +24,7 @@
 /// a request for its tokens.
 constexpr int64_t kAnswerMs = 400;
 constexpr int64_t kIdleMs = 15'000;
-/// Routers asked at the same time, and in one round beside the depots.
+/// Routers asked at the same time, and in one round beside the reserve holders.
 constexpr int64_t kAskedAtOnce = 2;
 constexpr size_t kOthersAsked = 4;
 
@@ -56,13 +56,13 @@
                              .budget_ = aBudget,
                              .want_ = std::max(aWant, aMinimum),
                              .minimum_ = aMinimum } };
-  std::vector<Incarnation> depots = options_.depots_(aBudget);
-  std::erase(depots, options_.self_());
+  std::vector<Incarnation> holders = options_.reserveHolders_(aBudget);
+  std::erase(holders, options_.self_());
   for (const auto& router : options_.routers_()) {
-    const bool depot =
-      std::find(depots.begin(), depots.end(), router.incarnation_) !=
-      depots.end();
-    if (!depot && router.incarnation_ != options_.self_() &&
+    const bool isHolder =
+      std::find(holders.begin(), holders.end(), router.incarnation_) !=
+      holders.end();
+    if (!isHolder && router.incarnation_ != options_.self_() &&
         router.state_ != ledger::RouterState::kEnded) {
       round.untried_.push_back(router.incarnation_);
     }
@@ -70,12 +70,12 @@
   // In another order each time, so that nobody is always asked first.
   std::mt19937_64 random(model::Hash64(aBudget, ++lastCall_));
   std::shuffle(round.untried_.begin(), round.untried_.end(), random);
-  std::shuffle(depots.begin(), depots.end(), random);
+  std::shuffle(holders.begin(), holders.end(), random);
   if (round.untried_.size() > kOthersAsked) {
     round.untried_.resize(kOthersAsked);
   }
   // Taken from the back.
-  round.untried_.insert(round.untried_.end(), depots.begin(), depots.end());
+  round.untried_.insert(round.untried_.end(), holders.begin(), holders.end());
   Round& asked = rounds_[aBudget] = std::move(round);
   AskSome(asked, kAskedAtOnce);
 }
--- a/packages/router/src/process/GrantLoans.h
+++ b/packages/router/src/process/GrantLoans.h
@@ -20,7 +20,7 @@
   std::function<std::vector<ledger::RouterRecord>()> routers_;
   /// Routers that keep the reserve of a budget; they are asked first.
   std::function<std::vector<ledger::Incarnation>(const std::string& aBudget)>
-    depots_;
+    reserveHolders_;
   /// Gives tokens of this router's grant away; 0 for none.
   std::function<ledger::Tokens(const transport::LendRequest&)> lend_;
   /// Takes tokens that another router has given.
--- a/packages/routing/include/cactuswick/routing/process/FleetGrants.h
+++ b/packages/routing/include/cactuswick/routing/process/FleetGrants.h
@@ -15,8 +15,8 @@
 /// A router that is cut off and short asks them first, so that the reserve is
 /// in parts that cover requests, and within reach of a few asks.
 std::vector<ledger::Incarnation>
-DepotsOf(const std::string& aBudget,
-         const std::vector<ledger::RouterRecord>& aRouters);
+ReserveHoldersOf(const std::string& aBudget,
+                 const std::vector<ledger::RouterRecord>& aRouters);
 
 /// Interval between a router's reports of use. Reports of all routers together
 /// cost the leader a fixed part of its processor, whatever their number.
--- a/packages/routing/src/process/FleetGrants.cpp
+++ b/packages/routing/src/process/FleetGrants.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-/// Depots of a budget in each failure domain: one may be lost.
-constexpr size_t kDepotsPerDomain = 2;
+/// Reserve holders of a budget in each failure domain: one may be lost.
+constexpr size_t kReserveHoldersPerDomain = 2;
 constexpr int64_t kShortestReportMs = 500;
 /// Reports of all routers that the leader takes in a second.
 constexpr int64_t kReportsPerSecond = 100;
@@ -20,8 +20,8 @@
 } // namespace
 
 std::vector<ledger::Incarnation>
-DepotsOf(const std::string& aBudget,
-         const std::vector<ledger::RouterRecord>& aRouters)
+ReserveHoldersOf(const std::string& aBudget,
+                 const std::vector<ledger::RouterRecord>& aRouters)
 {
   using Scored = std::pair<uint64_t, ledger::Incarnation>;
   std::map<std::string, std::vector<Scored>> domains;
@@ -32,14 +32,15 @@
         model::Hash64(router.vm_, seed), router.incarnation_);
     }
   }
-  std::vector<ledger::Incarnation> depots;
+  std::vector<ledger::Incarnation> holders;
   for (auto& [domain, scored] : domains) {
     std::sort(scored.rbegin(), scored.rend());
-    for (size_t i = 0; i < std::min(kDepotsPerDomain, scored.size()); ++i) {
-      depots.push_back(scored[i].second);
+    for (size_t i = 0; i < std::min(kReserveHoldersPerDomain, scored.size());
+         ++i) {
+      holders.push_back(scored[i].second);
     }
   }
-  return depots;
+  return holders;
 }
 
 int64_t
--- a/tests/router/process/GrantLoansTest.cpp
+++ b/tests/router/process/GrantLoansTest.cpp
@@ -92,12 +92,12 @@
   int asked = 0;
   std::vector<std::unique_ptr<SlowLender>> lenders;
   std::vector<ledger::RouterRecord> routers;
-  std::vector<ledger::Incarnation> depots;
+  std::vector<ledger::Incarnation> holders;
   for (ledger::Incarnation id = 1; id <= aLenders.count_; ++id) {
     lenders.push_back(std::make_unique<SlowLender>(loop, id, aLenders, asked));
     routers.push_back(
       { .incarnation_ = id, .peerAddress_ = AddressOf(id).ToString() });
-    depots.push_back(id);
+    holders.push_back(id);
   }
   Outcome outcome;
   const int64_t start = EventLoop::NowMs();
@@ -105,21 +105,22 @@
     outcome.endedMs_ = EventLoop::NowMs() - start;
     loop.Stop();
   };
-  GrantLoans loans(loop,
-                   { .from_ = AddressOf(0).host_,
-                     .self_ = [] { return ledger::Incarnation{ 99 }; },
-                     .routers_ = [&] { return routers; },
-                     .depots_ = [&](const std::string&) { return depots; },
-                     .onLent_ =
-                       [&](const std::string&, ledger::Tokens aAmount) {
-                         outcome.lent_ = aAmount;
-                         end();
-                       },
-                     .onRefused_ =
-                       [&](const std::string&) {
-                         ++outcome.refusals_;
-                         end();
-                       } });
+  GrantLoans loans(
+    loop,
+    { .from_ = AddressOf(0).host_,
+      .self_ = [] { return ledger::Incarnation{ 99 }; },
+      .routers_ = [&] { return routers; },
+      .reserveHolders_ = [&](const std::string&) { return holders; },
+      .onLent_ =
+        [&](const std::string&, ledger::Tokens aAmount) {
+          outcome.lent_ = aAmount;
+          end();
+        },
+      .onRefused_ =
+        [&](const std::string&) {
+          ++outcome.refusals_;
+          end();
+        } });
   loans.Ask("b", kLent, 1);
   Timer late(loop, end);
   late.StartOnce(2'000);
--- a/tests/routing/process/FleetGrantsTest.cpp
+++ b/tests/routing/process/FleetGrantsTest.cpp
@@ -32,33 +32,33 @@
 
 TEST(FleetGrants, AFewRoutersOfEachDomainKeepAReserve)
 {
-  const auto depots = DepotsOf(kBudget, Fleet(kRouters));
+  const auto holders = ReserveHoldersOf(kBudget, Fleet(kRouters));
   std::map<size_t, int> perDomain;
-  for (const auto depot : depots) {
-    ++perDomain[static_cast<size_t>(depot - 1) % kDomains];
+  for (const auto holder : holders) {
+    ++perDomain[static_cast<size_t>(holder - 1) % kDomains];
   }
   ASSERT_EQ(perDomain.size(), kDomains);
   for (const auto& [domain, count] : perDomain) {
     EXPECT_EQ(count, 2);
   }
-  EXPECT_NE(depots, DepotsOf("other/prepaid", Fleet(kRouters)));
-  EXPECT_EQ(DepotsOf(kBudget, Fleet(3)).size(), 3U);
+  EXPECT_NE(holders, ReserveHoldersOf("other/prepaid", Fleet(kRouters)));
+  EXPECT_EQ(ReserveHoldersOf(kBudget, Fleet(3)).size(), 3U);
 }
 
-TEST(FleetGrants, OnlyTheDepotsThatLeaveAreReplaced)
+TEST(FleetGrants, OnlyTheReserveHoldersThatLeaveAreReplaced)
 {
   auto routers = Fleet(kRouters);
-  const auto before = DepotsOf(kBudget, routers);
+  const auto before = ReserveHoldersOf(kBudget, routers);
   routers[static_cast<size_t>(before[0] - 1)].state_ =
     ledger::RouterState::kDraining;
-  auto after = DepotsOf(kBudget, routers);
+  auto after = ReserveHoldersOf(kBudget, routers);
   EXPECT_EQ(after.size(), before.size());
   EXPECT_EQ(std::count_if(after.begin(),
                           after.end(),
-                          [&](const auto aDepot) {
+                          [&](const auto aHolder) {
                             return std::find(before.begin(),
                                              before.end(),
-                                             aDepot) != before.end();
+                                             aHolder) != before.end();
                           }),
             static_cast<std::ptrdiff_t>(before.size() - 1));
 }
@@ -218,13 +218,13 @@
   return sum;
 }
 
-TEST(FleetGrants, AReserveInDepotsCoversRequestsThatNoCrumbCovers)
+TEST(FleetGrants, AReserveAtItsHoldersCoversRequestsThatNoCrumbCovers)
 {
   constexpr Tokens kReserve = 400'000;
   constexpr Tokens kRequest = 20'000;
-  const auto depots = DepotsOf(kBudget, Fleet(kRouters)).size();
+  const auto holders = ReserveHoldersOf(kBudget, Fleet(kRouters)).size();
   EXPECT_EQ(Borrowed(kReserve / kRouters, 8, kRequest), 0);
-  EXPECT_GE(Borrowed(kReserve / static_cast<Tokens>(depots), 8, kRequest),
+  EXPECT_GE(Borrowed(kReserve / static_cast<Tokens>(holders), 8, kRequest),
             kReserve / 2);
 }
 
