Servers and endless callers of the transport tests are written once

AnswerServer and EndlessServer each had the listening socket, the thread and their end; LoopbackServer has them now. The tests of HttpServer and PeerListener ran an endless caller beside the loop in the same lines (SendWithoutEndTo), and a piece of repeated bytes was built twice (RepeatedPiece). Every assertion stands as it was.

--- a/tests/transport/connection/AnswerServer.h
+++ b/tests/transport/connection/AnswerServer.h
@@ -1,10 +1,9 @@
 #pragma once
 
 #include <string>
-#include <thread>
 #include <utility>
 
-#include "connection/LoopbackCaller.h"
+#include "connection/LoopbackServer.h"
 
 namespace cactuswick::transport {
 
@@ -15,43 +14,29 @@
 {
 public:
   AnswerServer(uint16_t aPort, std::string aAnswer, bool aEnds)
-    : listener_(ListenAt(aPort))
-    , answer_(std::move(aAnswer))
+    : answer_(std::move(aAnswer))
     , ends_(aEnds)
+    , server_(aPort, [this](int aHandle) { Serve(aHandle); })
   {
-    thread_ = std::thread([this] { Serve(); });
-  }
-
-  AnswerServer(const AnswerServer&) = delete;
-  AnswerServer& operator=(const AnswerServer&) = delete;
-
-  ~AnswerServer()
-  {
-    shutdown(listener_, SHUT_RDWR);
-    thread_.join();
-    close(listener_);
   }
 
 private:
-  void Serve() const
+  void Serve(int aHandle) const
   {
-    const int handle = accept(listener_, nullptr, nullptr);
     char request[1'024];
-    recv(handle, request, sizeof(request), 0);
-    send(handle, answer_.data(), answer_.size(), MSG_NOSIGNAL);
+    recv(aHandle, request, sizeof(request), 0);
+    send(aHandle, answer_.data(), answer_.size(), MSG_NOSIGNAL);
     if (ends_) {
-      shutdown(handle, SHUT_WR);
+      shutdown(aHandle, SHUT_WR);
     }
     // A socket that is closed with bytes unread resets its connection.
-    while (recv(handle, request, sizeof(request), 0) > 0) {
+    while (recv(aHandle, request, sizeof(request), 0) > 0) {
     }
-    close(handle);
   }
 
-  int listener_;
   std::string answer_;
   bool ends_;
-  std::thread thread_;
+  LoopbackServer server_;
 };
 
 } // namespace cactuswick::transport
--- a/tests/transport/connection/EndlessCaller.h
+++ b/tests/transport/connection/EndlessCaller.h
@@ -3,7 +3,9 @@
 #include <cstddef>
 #include <ostream>
 #include <string>
+#include <thread>
 
+#include "cactuswick/transport/process/EventLoop.h"
 #include "connection/LoopbackCaller.h"
 
 namespace cactuswick::transport {
@@ -26,13 +28,9 @@
 inline size_t
 SendWithoutEnd(uint16_t aPort, const EndlessCase& aCase, size_t aCapBytes)
 {
-  constexpr size_t kPieceBytes = size_t{ 16 } << 10;
   constexpr int kSendBuffer = 64 << 10;
   constexpr timeval kWait{ .tv_sec = 1, .tv_usec = 0 };
-  std::string piece;
-  while (piece.size() < kPieceBytes) {
-    piece.append(aCase.repeat_);
-  }
+  const std::string piece = RepeatedPiece(aCase.repeat_);
   const int handle = ConnectTo(aPort);
   setsockopt(handle, SOL_SOCKET, SO_SNDBUF, &kSendBuffer, sizeof(kSendBuffer));
   setsockopt(handle, SOL_SOCKET, SO_SNDTIMEO, &kWait, sizeof(kWait));
@@ -47,4 +45,22 @@
   return sent;
 }
 
+/// The same beside the loop on which the server runs.
+inline size_t
+SendWithoutEndTo(EventLoop& aLoop,
+                 uint16_t aPort,
+                 const EndlessCase& aCase,
+                 size_t aCapBytes)
+{
+  size_t sent = 0;
+  Waker done(aLoop, [&] { aLoop.Stop(); });
+  std::thread caller([&] {
+    sent = SendWithoutEnd(aPort, aCase, aCapBytes);
+    done.Wake();
+  });
+  aLoop.Run();
+  caller.join();
+  return sent;
+}
+
 } // namespace cactuswick::transport
--- a/tests/transport/connection/EndlessServer.h
+++ b/tests/transport/connection/EndlessServer.h
@@ -3,9 +3,9 @@
 #include <atomic>
 #include <cstddef>
 #include <string>
-#include <thread>
+#include <utility>
 
-#include "connection/LoopbackCaller.h"
+#include "connection/LoopbackServer.h"
 
 namespace cactuswick::transport {
 
@@ -17,41 +17,25 @@
   static constexpr size_t kCapBytes = size_t{ 16 } << 20;
 
   EndlessServer(uint16_t aPort, std::string aBegin, const std::string& aRepeat)
-    : listener_(ListenAt(aPort))
-    , begin_(std::move(aBegin))
+    : begin_(std::move(aBegin))
+    , piece_(RepeatedPiece(aRepeat))
+    , server_(aPort, [this](int aHandle) { Serve(aHandle); })
   {
-    constexpr size_t kPieceBytes = size_t{ 16 } << 10;
-    while (piece_.size() < kPieceBytes) {
-      piece_.append(aRepeat);
-    }
-    thread_ = std::thread([this] { Serve(); });
-  }
-
-  EndlessServer(const EndlessServer&) = delete;
-  EndlessServer& operator=(const EndlessServer&) = delete;
-
-  ~EndlessServer()
-  {
-    shutdown(listener_, SHUT_RDWR);
-    thread_.join();
-    close(listener_);
   }
 
   size_t SentBytes() const { return sentBytes_; }
 
 private:
-  void Serve()
+  void Serve(int aHandle)
   {
-    const int handle = accept(listener_, nullptr, nullptr);
     // The system holds little, so that what is sent has been read.
     constexpr int kSendBuffer = 64 << 10;
     setsockopt(
-      handle, SOL_SOCKET, SO_SNDBUF, &kSendBuffer, sizeof(kSendBuffer));
-    bool open = Send(handle, begin_);
+      aHandle, SOL_SOCKET, SO_SNDBUF, &kSendBuffer, sizeof(kSendBuffer));
+    bool open = Send(aHandle, begin_);
     while (open && sentBytes_ < kCapBytes) {
-      open = Send(handle, piece_);
+      open = Send(aHandle, piece_);
     }
-    close(handle);
   }
 
   bool Send(int aHandle, const std::string& aBytes)
@@ -69,11 +53,10 @@
     return true;
   }
 
-  int listener_;
   std::string begin_;
   std::string piece_;
   std::atomic<size_t> sentBytes_ = 0;
-  std::thread thread_;
+  LoopbackServer server_;
 };
 
 } // namespace cactuswick::transport
--- a/tests/transport/connection/HttpServerTest.cpp
+++ b/tests/transport/connection/HttpServerTest.cpp
@@ -63,15 +63,7 @@
                       answered.push_back(std::move(aExchange));
                     } });
   ASSERT_TRUE(server.Listen({ OwnHost(), kPort }).ok());
-  size_t sent = 0;
-  Waker done(loop, [&] { loop.Stop(); });
-  std::thread caller([&] {
-    sent = SendWithoutEnd(kPort, GetParam(), kCapBytes);
-    done.Wake();
-  });
-  loop.Run();
-  caller.join();
-  EXPECT_LT(sent, kMostBytes);
+  EXPECT_LT(SendWithoutEndTo(loop, kPort, GetParam(), kCapBytes), kMostBytes);
 }
 
 TEST(HttpServer, TakesABodyOfTheLargestSize)
--- a/tests/transport/connection/LoopbackCaller.h
+++ b/tests/transport/connection/LoopbackCaller.h
@@ -91,4 +91,16 @@
   return true;
 }
 
+/// A piece of some size that repeats the same bytes.
+inline std::string
+RepeatedPiece(const std::string& aBytes)
+{
+  constexpr size_t kPieceBytes = size_t{ 16 } << 10;
+  std::string piece;
+  while (piece.size() < kPieceBytes) {
+    piece.append(aBytes);
+  }
+  return piece;
+}
+
 } // namespace cactuswick::transport
--- a/tests/transport/connection/PeerListenerTest.cpp
+++ b/tests/transport/connection/PeerListenerTest.cpp
@@ -1,7 +1,6 @@
 #include "cactuswick/transport/connection/PeerListener.h"
 
 #include <string>
-#include <thread>
 
 #include <gtest/gtest.h>
 
@@ -40,15 +39,7 @@
                         { .onMessage_ = [](LinkId, const PeerMessage&) {},
                           .onDown_ = [&](LinkId) { ++closed; } });
   ASSERT_TRUE(listener.Listen({ OwnHost(), kPort }).ok());
-  size_t sent = 0;
-  Waker done(loop, [&] { loop.Stop(); });
-  std::thread caller([&] {
-    sent = SendWithoutEnd(kPort, GetParam(), kCapBytes);
-    done.Wake();
-  });
-  loop.Run();
-  caller.join();
-  EXPECT_LT(sent, kMostBytes);
+  EXPECT_LT(SendWithoutEndTo(loop, kPort, GetParam(), kCapBytes), kMostBytes);
   EXPECT_EQ(closed, 1);
 }
 
