--- a/packages/replay/src/process/Measures.cpp
+++ b/packages/replay/src/process/Measures.cpp
@@ -1,6 +1,7 @@
 #include "process/Measures.h"
 
 #include <algorithm>
+#include <functional>
 #include <set>
 #include <string>
 
@@ -78,18 +79,33 @@
   return finished == 0 ? 0 : 100 * aPart / finished;
 }
 
+/// Tokens of a rank's requests that were at the time of the hook within the
+/// flood.
+double
+TokensDuringFlood(const Trace& aTrace,
+                  const std::vector<Result>& aResults,
+                  int64_t aPriority,
+                  const std::function<int64_t(const Result&)>& aTimeOf)
+{
+  double tokens = 0;
+  for (const auto& result : aResults) {
+    const bool counts = result.arrival_.priority_ == aPriority &&
+                        IsDuringFlood(aTrace, aTimeOf(result));
+    tokens += counts ? TokensOf(result.arrival_) : 0;
+  }
+  return tokens;
+}
+
 /// Share of the tokens finished within the flood that a rank got.
 double
 ShareOf(const Trace& aTrace,
         const std::vector<Result>& aResults,
         int64_t aPriority)
 {
-  double own = 0;
-  for (const auto& result : aResults) {
-    const bool counts = result.arrival_.priority_ == aPriority &&
-                        IsDuringFlood(aTrace, result.endMs_);
-    own += counts ? TokensOf(result.arrival_) : 0;
-  }
+  const double own =
+    TokensDuringFlood(aTrace, aResults, aPriority, [](const Result& aResult) {
+      return aResult.endMs_;
+    });
   return PercentOfFinished(aTrace, aResults, own);
 }
 
@@ -99,12 +115,10 @@
          const std::vector<Result>& aResults,
          int64_t aPriority)
 {
-  double asked = 0;
-  for (const auto& result : aResults) {
-    const bool counts = result.arrival_.priority_ == aPriority &&
-                        IsDuringFlood(aTrace, result.arrival_.atMs_);
-    asked += counts ? TokensOf(result.arrival_) : 0;
-  }
+  const double asked =
+    TokensDuringFlood(aTrace, aResults, aPriority, [](const Result& aResult) {
+      return aResult.arrival_.atMs_;
+    });
   return PercentOfFinished(aTrace, aResults, asked);
 }
 
