--- a/tests/system/test_platform.py
+++ b/tests/system/test_platform.py
@@ -173,6 +173,26 @@
     assert len(seen(run, "/call/x")) == 2
 
 
+def test_the_silence_of_an_endpoint_ends_no_answer_early(run):
+    for runner in run.runners:
+        runner.work_s, runner.gap_s, runner.events = 1.6, 1.5, 2
+    assert run.ask("/call/x").status == 200
+    assert len(seen(run, "/call/x")) == 1
+    assert run.ask("/stream/x").whole
+    assert len(seen(run, "/stream/x")) == 1
+
+
+def test_a_call_to_a_silent_endpoint_ends_with_the_time_of_its_route(run):
+    for runner in run.runners:
+        runner.work_s = 4
+    start = time.monotonic()
+    answer = run.ask("/once/x")
+    # The route allows 2 s, the rules half a second more.
+    assert time.monotonic() - start < 2.5
+    assert answer.status in (502, 504)
+    assert len(seen(run, "/once/x")) == 1
+
+
 def test_a_broken_stream_goes_on_elsewhere_without_half_an_event(run):
     run.runners[2].fault = "break"
     for number in range(4):
