Routers say which way the bytes on their link go

The loop of a router counts the bytes that its connections read and write, by who is at the other end. Once a second, in seconds above 256 KB, a line says so together with what is in flight; traffic_bytes_total{way} counts the same.

--- a/packages/router/src/process/RouterTask.cpp
+++ b/packages/router/src/process/RouterTask.cpp
@@ -13,6 +13,7 @@
 #include "process/ForwardRole.h"
 #include "process/OwnEndpoints.h"
 #include "process/RouterShutdown.h"
+#include "process/TrafficLog.h"
 
 namespace cactuswick::router {
 
@@ -59,6 +60,7 @@
                         } })
     , metricsServer_(aLoop, [this] { return ExposeMetrics(); })
     , shutdown_(ShutdownOptions(std::move(aOnStopped)))
+    , traffic_(aLoop.Carried(), metrics_)
     , tick_(aLoop, [this] { OnTick(); })
   {
     server_ = std::make_unique<transport::HttpServer>(
@@ -366,6 +368,10 @@
   void OnTick()
   {
     const int64_t now = EventLoop::NowMs();
+    if (const auto line = traffic_.OnTick(now)) {
+      Log(
+        Part::kRouter, Level::kInfo, Concat(*line, " in_flight=", InFlight()));
+    }
     // A forwarding router's link is its sign of life; it settles no keys.
     if (!Forwards() && now - lastHeartbeatMs_ >= kHeartbeatMs &&
         !heartbeatOpen_ && control_->IsRegistered() &&
@@ -422,6 +428,7 @@
   std::unique_ptr<ForwardRole> forward_;
   control::MetricsServer metricsServer_;
   RouterShutdown shutdown_;
+  TrafficLog traffic_;
   transport::Timer tick_;
 
   int64_t neededRevision_ = 0;
--- a/packages/telemetry/include/cactuswick/telemetry/process/Metrics.h
+++ b/packages/telemetry/include/cactuswick/telemetry/process/Metrics.h
@@ -36,6 +36,7 @@
   kSnapshotTransfers,
   kVotesDenied,
   kElectionsFailed,
+  kTrafficBytes,
 };
 
 /// Quantities whose distribution is estimated (P-square, Jain and Chlamtac);
--- a/packages/telemetry/src/process/Metrics.cpp
+++ b/packages/telemetry/src/process/Metrics.cpp
@@ -55,6 +55,7 @@
   Name{ "snapshot_transfers_total", "begin" },
   Name{ "votes_denied_total" },
   Name{ "elections_failed_total" },
+  Name{ "traffic_bytes_total", "way" },
 };
 constexpr std::array kSummaryNames = {
   Name{ "first_token_ms", "rank" },
@@ -84,7 +85,7 @@
 };
 
 static_assert(kCounterNames.size() ==
-              static_cast<size_t>(Counter::kElectionsFailed) + 1);
+              static_cast<size_t>(Counter::kTrafficBytes) + 1);
 static_assert(kSummaryNames.size() ==
               static_cast<size_t>(Summary::kCatchUpMs) + 1);
 static_assert(kGaugeNames.size() == static_cast<size_t>(Gauge::kLearners) + 1);
--- a/packages/transport/include/cactuswick/transport/process/EventLoop.h
+++ b/packages/transport/include/cactuswick/transport/process/EventLoop.h
@@ -7,6 +7,8 @@
 #include <utility>
 #include <vector>
 
+#include "cactuswick/transport/process/Traffic.h"
+
 struct event;
 struct event_base;
 
@@ -37,10 +39,14 @@
 
   event_base* Base() const { return base_.get(); }
 
+  /// What the connections of this loop have carried.
+  Traffic& Carried() { return carried_; }
+
   /// Milliseconds of the steady clock.
   static int64_t NowMs();
 
 private:
+  Traffic carried_;
   std::unique_ptr<event_base, EventBaseDeleter> base_;
 };
 
--- a/packages/transport/src/connection/HttpServer.cpp
+++ b/packages/transport/src/connection/HttpServer.cpp
@@ -53,6 +53,18 @@
   }
 }
 
+void
+CountRead(evbuffer*, const evbuffer_cb_info* aInfo, void* aCarried)
+{
+  static_cast<Traffic*>(aCarried)->Read(Remote::kCaller, aInfo->n_added);
+}
+
+void
+CountWritten(evbuffer*, const evbuffer_cb_info* aInfo, void* aCarried)
+{
+  static_cast<Traffic*>(aCarried)->Written(Remote::kCaller, aInfo->n_deleted);
+}
+
 struct HttpDeleter
 {
   void operator()(evhttp* aServer) const { evhttp_free(aServer); }
@@ -70,7 +82,8 @@
 
   static bufferevent* OnConnection(event_base* aBase, void* aSelf)
   {
-    const HttpLimits& limits = static_cast<State*>(aSelf)->options_.limits_;
+    auto* self = static_cast<State*>(aSelf);
+    const HttpLimits& limits = self->options_.limits_;
     bufferevent* stream = bufferevent_socket_new(aBase, -1, 0);
     bufferevent_set_max_single_read(stream, kTurnBytes);
     bufferevent_setwatermark(stream,
@@ -80,6 +93,9 @@
                                kMoreInputBytes);
     StartInputCount(stream);
     evbuffer_add_cb(bufferevent_get_input(stream), &OnInput, stream);
+    Traffic& carried = self->loop_.Carried();
+    evbuffer_add_cb(bufferevent_get_input(stream), &CountRead, &carried);
+    evbuffer_add_cb(bufferevent_get_output(stream), &CountWritten, &carried);
     return stream;
   }
 
--- a/packages/transport/src/connection/PeerLink.cpp
+++ b/packages/transport/src/connection/PeerLink.cpp
@@ -77,6 +77,7 @@
   {
     bufferevent_setcb(stream_.get(), &OnRead, nullptr, &OnEvent, this);
     bufferevent_enable(stream_.get(), EV_READ | EV_WRITE);
+    evbuffer_add_cb(bufferevent_get_output(stream_.get()), &OnOutput, this);
     timer_.StartRepeating(limits_.keepAliveMs_);
   }
 
@@ -154,6 +155,12 @@
     });
   }
 
+  static void OnOutput(evbuffer*, const evbuffer_cb_info* aInfo, void* aSelf)
+  {
+    static_cast<State*>(aSelf)->loop_.Carried().Written(Remote::kPeer,
+                                                        aInfo->n_deleted);
+  }
+
   static void OnRead(bufferevent* aStream, void* aSelf)
   {
     auto* self = static_cast<State*>(aSelf);
@@ -165,6 +172,7 @@
     evbuffer* input = bufferevent_get_input(aStream);
     std::string bytes(evbuffer_get_length(input), '\0');
     self->heardBytes_ += static_cast<int64_t>(bytes.size());
+    self->loop_.Carried().Read(Remote::kPeer, bytes.size());
     evbuffer_remove(input, bytes.data(), bytes.size());
     self->session_.Feed(bytes.data(), bytes.size());
   }
--- a/tests/transport/connection/HttpServerTest.cpp
+++ b/tests/transport/connection/HttpServerTest.cpp
@@ -47,6 +47,29 @@
   EXPECT_LT(closedAfterMs, 5 * kIdleMs);
 }
 
+TEST(HttpServer, CountsWhatCallersSendAndGet)
+{
+  constexpr std::string_view kRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  EventLoop loop;
+  HttpServer server(loop, { .onRequest_ = [](auto aExchange) {
+                      aExchange->Reply(200, {}, kServed);
+                    } });
+  ASSERT_TRUE(server.Listen({ OwnHost(), kPort }).ok());
+  Waker done(loop, [&] { loop.Stop(); });
+  std::thread caller([&] {
+    const int handle = ConnectTo(kPort);
+    EXPECT_TRUE(Ask(handle, kRequest, kServed));
+    close(handle);
+    done.Wake();
+  });
+  loop.Run();
+  caller.join();
+  const TrafficCount& callers = loop.Carried().Of(Remote::kCaller);
+  EXPECT_EQ(callers.readBytes_, static_cast<int64_t>(kRequest.size()));
+  EXPECT_GT(callers.writtenBytes_, static_cast<int64_t>(kServed.size()));
+  EXPECT_EQ(loop.Carried().Of(Remote::kEndpoint), TrafficCount{});
+}
+
 class HttpServerEndless : public testing::TestWithParam<EndlessCase>
 {};
 
