A loan that is on its way counts as not billed

Callers could get 402 budget_exhausted (final, come back after 30 s) for a request that the budget covers.

A lender reports the loan and answers the borrower at the same time. Once the report is committed the ledger counts the loan as the borrower's own share, no longer as elsewhere; as long as the answer is on its way (450 ms were seen on a full link) the borrower does not count it either. A denial in between was taken for the end of the budget. Routers ask for loans after 60 ms also while control is in reach.

Each lender now keeps the calls that it has not answered on the open link, and what they may bring at the most counts as unbilled. A call that was refused, or whose link broke, brings nothing, so that a 402 that is true comes as before.

BillerTest.ALoanThatIsOnItsWayIsNotBilled failed before (refused, then timed out) and passes; ALoanThatWasRefusedIsNotCountedOn passes before and after.

--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -462,7 +462,9 @@
                  const ledger::GrantResult& aResult) const
 {
   const auto given = givenAway_.find(aBudget);
+  // The ledger may count a loan as this router's before it has come.
   return aResult.available_ + aResult.elsewhere_ + grants_.Granted(aBudget) +
+         loans_.MayCome(aBudget) +
          (given == givenAway_.end() ? 0 : given->second);
 }
 
--- a/packages/router/src/process/Biller.h
+++ b/packages/router/src/process/Biller.h
@@ -198,7 +198,7 @@
   void OnDenied(const std::string& aBudget,
                 ledger::Tokens aMinimum,
                 const ledger::GrantResult& aResult);
-  /// All of a budget that is not billed, from an answer of the ledger. What is
+  /// Most of a budget that is not billed, from an answer of the ledger. What is
   /// held of it never comes back.
   ledger::Tokens Unbilled(const std::string& aBudget,
                           const ledger::GrantResult& aResult) const;
--- a/packages/router/src/process/GrantLoans.cpp
+++ b/packages/router/src/process/GrantLoans.cpp
@@ -99,7 +99,7 @@
   Lender& lender = lenders_[aLender];
   lender.lastUseMs_ = EventLoop::NowMs();
   if (lender.dialer_ && lender.dialer_->IsUp()) {
-    lender.dialer_->Send(aRequest);
+    SendNow(lender, aRequest);
     return;
   }
   lender.unsent_.push_back(aRequest);
@@ -116,21 +116,46 @@
       transport::PeerDialerOptions{
         .address_ = *address,
         .from_ = options_.from_,
-        .onUp_ =
-          [this, aLender] {
-            for (const auto& unsent :
-                 std::exchange(lenders_[aLender].unsent_, {})) {
-              lenders_[aLender].dialer_->Send(unsent);
-            }
-          },
+        .onUp_ = [this, aLender] { OnUp(aLender); },
         .onMessage_ =
-          [this](const transport::PeerMessage& aMessage) {
+          [this, aLender](const transport::PeerMessage& aMessage) {
             if (const auto* reply =
                   std::get_if<transport::LendReply>(&aMessage)) {
+              lenders_[aLender].unanswered_.erase(reply->call_);
               On(*reply);
             }
-          } });
+          },
+        .onDown_ = [this,
+                    aLender] { lenders_[aLender].unanswered_.clear(); } });
+  }
+}
+
+void
+GrantLoans::SendNow(Lender& aLender, const transport::LendRequest& aRequest)
+{
+  aLender.unanswered_[aRequest.call_] = aRequest;
+  aLender.dialer_->Send(aRequest);
+}
+
+void
+GrantLoans::OnUp(Incarnation aLender)
+{
+  Lender& lender = lenders_[aLender];
+  for (const auto& unsent : std::exchange(lender.unsent_, {})) {
+    SendNow(lender, unsent);
+  }
+}
+
+ledger::Tokens
+GrantLoans::MayCome(const std::string& aBudget) const
+{
+  ledger::Tokens sum = 0;
+  for (const auto& [id, lender] : lenders_) {
+    for (const auto& [call, request] : lender.unanswered_) {
+      sum += request.budget_ == aBudget ? request.want_ : 0;
+    }
   }
+  return sum;
 }
 
 void
--- a/packages/router/src/process/GrantLoans.h
+++ b/packages/router/src/process/GrantLoans.h
@@ -43,6 +43,9 @@
            ledger::Tokens aWant,
            ledger::Tokens aMinimum);
 
+  /// Most that lenders may have given without their answers being here yet.
+  ledger::Tokens MayCome(const std::string& aBudget) const;
+
   /// Answers another router.
   transport::LendReply On(const transport::LendRequest& aRequest) const;
 
@@ -52,6 +55,8 @@
     std::unique_ptr<transport::PeerDialer> dialer_;
     int64_t lastUseMs_ = 0;
     std::vector<transport::LendRequest> unsent_;
+    /// Sent on the link that is open now.
+    std::map<transport::CallId, transport::LendRequest> unanswered_;
   };
 
   /// One round of asking for a budget.
@@ -67,6 +72,9 @@
   void AskSome(Round& aRound, int64_t aCount);
   void SendTo(ledger::Incarnation aLender,
               const transport::LendRequest& aRequest);
+  static void SendNow(Lender& aLender, const transport::LendRequest& aRequest);
+  /// Sends what waited for the link.
+  void OnUp(ledger::Incarnation aLender);
   void On(const transport::LendReply& aReply);
   void OnTick();
 
--- a/tests/router/process/BillerTest.cpp
+++ b/tests/router/process/BillerTest.cpp
@@ -1,6 +1,7 @@
 #include "process/Biller.h"
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -24,17 +25,61 @@
 
 constexpr const char* kBudget = "w/prepaid";
 constexpr uint16_t kPort = 18'972;
+constexpr uint16_t kLenderPort = 18'973;
+constexpr ledger::Incarnation kLender = 2;
 constexpr int64_t kTimeoutMs = 30'000;
 constexpr int64_t kHorizonMs = 9'000;
 /// Operations that a router sends to control in one batch.
 constexpr size_t kBatchOps = 512;
 
 transport::Address
-OwnAddress()
+OwnAddress(uint16_t aPort = kPort)
 {
-  return { transport::OwnHost(), kPort };
+  return { transport::OwnHost(), aPort };
 }
 
+/// A router that is asked for loans, whose answers the test gives.
+class TestLender
+{
+public:
+  explicit TestLender(EventLoop& aLoop)
+    : loop_(aLoop)
+    , listener_(aLoop,
+                { .onMessage_ = [this](LinkId aLink,
+                                       const transport::PeerMessage& aOne) {
+                  OnMessage(aLink, aOne);
+                } })
+  {
+    EXPECT_TRUE(listener_.Listen(OwnAddress(kLenderPort)).ok());
+  }
+
+  const std::optional<transport::LendRequest>& Asked() const { return asked_; }
+
+  /// Answers the open ask; 0 refuses it.
+  void Answer(Tokens aAmount)
+  {
+    listener_.Send(
+      link_, transport::LendReply{ asked_->call_, asked_->budget_, aAmount });
+    asked_.reset();
+  }
+
+private:
+  void OnMessage(LinkId aLink, const transport::PeerMessage& aMessage)
+  {
+    const auto* ask = std::get_if<transport::LendRequest>(&aMessage);
+    if (ask != nullptr) {
+      link_ = aLink;
+      asked_ = *ask;
+      loop_.Stop();
+    }
+  }
+
+  EventLoop& loop_;
+  transport::PeerListener listener_;
+  LinkId link_ = 0;
+  std::optional<transport::LendRequest> asked_;
+};
+
 /// A biller that talks to a control leader whose answers the test gives.
 class BillerTest : public testing::Test
 {
@@ -140,6 +185,25 @@
       .amount_;
   }
 
+  /// Has another router that may lend.
+  void KnowLender()
+  {
+    config_.Apply({ .revision_ = 1,
+                    .routersChanged_ = true,
+                    .routers_ = { { .incarnation_ = kLender,
+                                    .peerAddress_ =
+                                      OwnAddress(kLenderPort).ToString() } } });
+  }
+
+  /// The next ask for a loan.
+  transport::LendRequest NextLoan(const TestLender& aLender)
+  {
+    while (!aLender.Asked() && !expired_) {
+      loop_.Run();
+    }
+    return aLender.Asked().value_or(transport::LendRequest{});
+  }
+
   void RunUntilGranted(size_t aCount)
   {
     while (granted_ < aCount && !expired_) {
@@ -480,6 +544,40 @@
   EXPECT_EQ(asks.at(0).minimum_, 2'000);
 }
 
+TEST_F(BillerTest, ALoanThatIsOnItsWayIsNotBilled)
+{
+  ASSERT_TRUE(listening_.ok());
+  TestLender lender(loop_);
+  KnowLender();
+  Reserve(20'000);
+  NextBatch();
+  EXPECT_EQ(NextLoan(lender).minimum_, 20'000);
+  // The ledger counts the loan as this router's already.
+  AnswerAndWait({});
+  EXPECT_TRUE(refused_.empty());
+  lender.Answer(20'000);
+  RunUntilGranted(1);
+}
+
+TEST_F(BillerTest, ALoanThatWasRefusedIsNotCountedOn)
+{
+  ASSERT_TRUE(listening_.ok());
+  TestLender lender(loop_);
+  KnowLender();
+  Reserve(20'000);
+  NextBatch();
+  EXPECT_EQ(NextLoan(lender).minimum_, 20'000);
+  lender.Answer(0);
+  // Asked once more, so the refusal was taken.
+  NextLoan(lender);
+  lender.Answer(0);
+  NextLoan(lender);
+  lender.Answer(0);
+  AnswerAndWait({});
+  RunUntilDecided(1);
+  EXPECT_EQ(refused_, std::vector{ model::ErrorKind::kBudgetExhausted });
+}
+
 /// A biller whose requests wait for a short time only.
 class ImpatientBillerTest : public BillerTest
 {
