Those behind a request that left are served at once

Callers could wait up to 50 ms longer, or be refused at the end of their wait, for tokens that were free: when the first that waits left (its caller went or its time was over), nobody looked whether the grant covers those behind it.

CancelReserve now serves those that the grant covers and asks for the rest; one behind a denied request does not inherit its pause.

BillerTest.OneThatIsCoveredIsServedOnceTheOneBeforeItHasLeft (still waiting, 1,000 free) and OneBehindADeniedOneThatLeftIsAskedForAtOnce (no ask) failed before and pass.

--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "cactuswick/model/process/Error.h"
 #include "cactuswick/telemetry/process/Log.h"
@@ -315,10 +316,19 @@
 void
 Biller::CancelReserve(int64_t aOwner)
 {
+  std::vector<std::string> left;
   for (auto& [budget, queue] : queues_) {
-    std::erase_if(queue.waiters_, [&](const ReserveWaiter& aWaiter) {
-      return aWaiter.owner_ == aOwner;
-    });
+    const size_t gone =
+      std::erase_if(queue.waiters_, [&](const ReserveWaiter& aWaiter) {
+        return aWaiter.owner_ == aOwner;
+      });
+    if (gone > 0) {
+      left.push_back(budget);
+    }
+  }
+  for (const auto& budget : left) {
+    ServeWaiters(budget);
+    AskForWaiters(budget);
   }
 }
 
--- a/packages/router/src/process/Biller.h
+++ b/packages/router/src/process/Biller.h
@@ -72,7 +72,8 @@
                ledger::Tokens aAmount,
                int64_t aOwner,
                ReserveHook aHook);
-  /// Forgets a reservation that waits; its hook is not called.
+  /// Forgets a reservation that waits; its hook is not called. Those behind it
+  /// are served or asked for at once.
   void CancelReserve(int64_t aOwner);
   void Release(const std::string& aBudget, ledger::Tokens aAmount);
 
--- a/tests/router/process/BillerTest.cpp
+++ b/tests/router/process/BillerTest.cpp
@@ -578,6 +578,34 @@
   EXPECT_EQ(refused_, std::vector{ model::ErrorKind::kBudgetExhausted });
 }
 
+TEST_F(BillerTest, OneThatIsCoveredIsServedOnceTheOneBeforeItHasLeft)
+{
+  constexpr int64_t kOwner = 5;
+  ASSERT_TRUE(listening_.ok());
+  biller_.Provide(kBudget, 1'000);
+  NextBatch();
+  AnswerAndWait({ .granted_ = 1'000 });
+  Reserve(30'000, kOwner);
+  Reserve(500);
+  biller_.CancelReserve(kOwner);
+  EXPECT_EQ(biller_.Free(kBudget), 500);
+  EXPECT_EQ(biller_.WaitFor(kBudget).waiting_, 0);
+}
+
+TEST_F(BillerTest, OneBehindADeniedOneThatLeftIsAskedForAtOnce)
+{
+  constexpr int64_t kOwner = 5;
+  ASSERT_TRUE(listening_.ok());
+  Reserve(30'000, kOwner);
+  NextBatch();
+  Reserve(2'000);
+  AnswerAndWait({ .elsewhere_ = 500'000 });
+  biller_.CancelReserve(kOwner);
+  const auto asks = AsksIn(AnswerAndWait({}), false);
+  ASSERT_EQ(asks.size(), 1U);
+  EXPECT_EQ(asks.at(0).minimum_, 2'000);
+}
+
 /// A biller whose requests wait for a short time only.
 class ImpatientBillerTest : public BillerTest
 {
