A refusal of lenders is judged against the amount that was asked for

Callers of a router that is cut off from control got 503 control_unreachable, and all like them for 300 ms, for tokens that other routers would have lent.

A round asks for what the first that waits needs. When that one left meanwhile, the refusal of its amount was charged to whoever was the first by then, however little that one needs.

The refusal now names the amount; those that need as much fail, the others are asked for in the next round.

CutOffBillerTest.ARefusalOfLendersIsNotChargedToOneThatNeedsLess failed before (refused, then timed out) and passes; ARefusalOfLendersIsChargedToAnotherThatNeedsAsMuch passes before and after.

--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -63,7 +63,9 @@
                  ServeWaiters(aBudget);
                },
              .onRefused_ =
-               [this](const std::string& aBudget) { OnNobodyLends(aBudget); } })
+               [this](const std::string& aBudget, ledger::Tokens aMinimum) {
+                 OnNobodyLends(aBudget, aMinimum);
+               } })
   , tick_(aLoop, [this] { OnTick(); })
 {
   tick_.StartRepeating(kTickMs);
@@ -118,14 +120,14 @@
 }
 
 void
-Biller::OnNobodyLends(const std::string& aBudget)
+Biller::OnNobodyLends(const std::string& aBudget, ledger::Tokens aMinimum)
 {
   if (options_.control_.IsReachable()) {
     return;
   }
   BudgetQueue& queue = queues_[aBudget];
   if (!queue.waiters_.empty()) {
-    queue.unlent_ = queue.waiters_.front().amount_;
+    queue.unlent_ = grants_.Free(aBudget) + aMinimum;
     queue.unlentUntilMs_ = EventLoop::NowMs() + kUnlentMs;
     FailFrom(aBudget, queue.unlent_, Unlent());
   }
--- a/packages/router/src/process/Biller.h
+++ b/packages/router/src/process/Biller.h
@@ -168,7 +168,8 @@
   void ReportUses();
   void AskAheadForAll();
   void Borrow(const std::string& aBudget, int64_t aNowMs);
-  void OnNobodyLends(const std::string& aBudget);
+  /// Fails those that wait for @p aMinimum beyond what is free, or for more.
+  void OnNobodyLends(const std::string& aBudget, ledger::Tokens aMinimum);
   /// Lends nothing of a budget that requests wait for here.
   ledger::Tokens LendTo(const transport::LendRequest& aRequest);
   /// Submits that a part of the own grant was lent or is returned.
--- a/packages/router/src/process/GrantLoans.cpp
+++ b/packages/router/src/process/GrantLoans.cpp
@@ -183,8 +183,16 @@
   if (!round.untried_.empty()) {
     AskSome(round, 1);
   } else if (round.open_.empty()) {
-    rounds_.erase(found);
-    options_.onRefused_(aReply.budget_);
+    Refuse(aReply.budget_);
+  }
+}
+
+void
+GrantLoans::Refuse(const std::string& aBudget)
+{
+  const auto round = rounds_.extract(aBudget);
+  if (!round.empty()) {
+    options_.onRefused_(aBudget, round.mapped().request_.minimum_);
   }
 }
 
@@ -202,8 +210,7 @@
     }
   }
   for (const auto& budget : refused) {
-    rounds_.erase(budget);
-    options_.onRefused_(budget);
+    Refuse(budget);
   }
   std::erase_if(lenders_, [now](const auto& aPair) {
     return now - aPair.second.lastUseMs_ > kIdleMs;
--- a/packages/router/src/process/GrantLoans.h
+++ b/packages/router/src/process/GrantLoans.h
@@ -25,8 +25,9 @@
   std::function<ledger::Tokens(const transport::LendRequest&)> lend_;
   /// Takes tokens that another router has given.
   std::function<void(const std::string& aBudget, ledger::Tokens)> onLent_;
-  /// Nobody who was asked can spare what is needed.
-  std::function<void(const std::string& aBudget)> onRefused_;
+  /// Nobody who was asked can spare @p aMinimum.
+  std::function<void(const std::string& aBudget, ledger::Tokens aMinimum)>
+    onRefused_;
 };
 
 /// Borrows parts of grants from other routers while control is unreachable.
@@ -76,6 +77,8 @@
   /// Sends what waited for the link.
   void OnUp(ledger::Incarnation aLender);
   void On(const transport::LendReply& aReply);
+  /// Ends a round in which nobody lent anything.
+  void Refuse(const std::string& aBudget);
   void OnTick();
 
   transport::EventLoop& loop_;
--- a/tests/router/process/BillerTest.cpp
+++ b/tests/router/process/BillerTest.cpp
@@ -84,7 +84,8 @@
 class BillerTest : public testing::Test
 {
 protected:
-  explicit BillerTest(int64_t aReserveTimeoutMs = kTimeoutMs)
+  explicit BillerTest(int64_t aReserveTimeoutMs = kTimeoutMs,
+                      int64_t aReachableMs = kTimeoutMs)
     : leader_(loop_,
               { .onMessage_ =
                   [this](LinkId aLink, const transport::PeerMessage& aMessage) {
@@ -97,7 +98,7 @@
     , listening_(leader_.Listen(OwnAddress()))
     , control_(loop_,
                { .replicas_ = { OwnAddress() },
-                 .reachableMs_ = kTimeoutMs,
+                 .reachableMs_ = aReachableMs,
                  .onRegistered_ = [](const ledger::Registered&) {} })
     , peers_(loop_, {})
     , biller_(
@@ -631,5 +632,49 @@
   EXPECT_EQ(biller_.Free(kBudget), 500);
 }
 
+/// A biller for which control is unreachable while an answer is open.
+class CutOffBillerTest : public BillerTest
+{
+protected:
+  CutOffBillerTest()
+    : BillerTest(kTimeoutMs, kReachableMs)
+  {
+  }
+
+  static constexpr int64_t kReachableMs = 10;
+};
+
+TEST_F(CutOffBillerTest, ARefusalOfLendersIsNotChargedToOneThatNeedsLess)
+{
+  constexpr int64_t kOwner = 5;
+  ASSERT_TRUE(listening_.ok());
+  TestLender lender(loop_);
+  KnowLender();
+  Reserve(30'000, kOwner);
+  EXPECT_EQ(NextLoan(lender).minimum_, 30'000);
+  Reserve(2'000);
+  biller_.CancelReserve(kOwner);
+  lender.Answer(0);
+  EXPECT_EQ(NextLoan(lender).minimum_, 2'000);
+  EXPECT_TRUE(refused_.empty());
+  lender.Answer(2'000);
+  RunUntilGranted(1);
+}
+
+TEST_F(CutOffBillerTest, ARefusalOfLendersIsChargedToAnotherThatNeedsAsMuch)
+{
+  constexpr int64_t kOwner = 5;
+  ASSERT_TRUE(listening_.ok());
+  TestLender lender(loop_);
+  KnowLender();
+  Reserve(30'000, kOwner);
+  NextLoan(lender);
+  Reserve(30'000);
+  biller_.CancelReserve(kOwner);
+  lender.Answer(0);
+  RunUntilDecided(1);
+  EXPECT_EQ(refused_, std::vector(1, model::ErrorKind::kControlUnreachable));
+}
+
 } // namespace
 } // namespace cactuswick::router
--- a/tests/router/process/GrantLoansTest.cpp
+++ b/tests/router/process/GrantLoansTest.cpp
@@ -116,7 +116,7 @@
                          end();
                        },
                      .onRefused_ =
-                       [&](const std::string&) {
+                       [&](const std::string&, ledger::Tokens) {
                          ++outcome.refusals_;
                          end();
                        } });
