An ask that control takes long to answer is waited for

Callers of a router with a full link got 503 budget_held_elsewhere after 400 ms while the ledger's grant for them was on its way: round trips of 450 ms were seen there.

Cause: the wait for a grant ended after a fixed time, whatever control is known to take.

While control is in reach and the ask for those that wait has been open for no longer than two of its last round trips (the batch before its own, and its own), its answer is waited for. The request's own deadline and the silence after which control counts as unreachable (1.5 s) still end the wait. Where round trips are short nothing changes: a router that has just been cut off refuses after 400 ms, and a request that was denied does not wait on, as it has no open ask.

ImpatientBillerTest.AnAskThatTakesALongRoundTripIsWaitedFor (trips of 300 ms, a wait of 200 ms) was refused before and passes; AnAskThatTakesMuchLongerThanUsualIsNotWaitedFor passes before and after.

--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -28,6 +28,8 @@
 constexpr int64_t kUnlentMs = 300;
 /// A request waits this long for control before other routers are asked.
 constexpr int64_t kBorrowAfterMs = 60;
+/// An ask waits for the batch before its own, so that it takes two trips.
+constexpr int64_t kTripsPerAsk = 2;
 /// Part of the recent use that is borrowed ahead.
 constexpr ledger::Tokens kBorrowDivisor = 4;
 
@@ -505,6 +507,14 @@
   }
 }
 
+bool
+Biller::IsAnswerDue(const BudgetQueue& aQueue, int64_t aNowMs) const
+{
+  return aQueue.openAsk_ && options_.control_.IsReachable() &&
+         aNowMs - aQueue.openAsk_->sinceMs_ <=
+           kTripsPerAsk * options_.control_.Times().lastTripMs_;
+}
+
 void
 Biller::FailFirst(const std::string& aBudget, const absl::Status& aStatus)
 {
@@ -524,8 +534,9 @@
   // Cut off from control, a router refuses only what its grants do not cover.
   for (auto& [budget, queue] : queues_) {
     ServeWaiters(budget);
-    while (!queue.waiters_.empty() && aNowMs - queue.waiters_.front().sinceMs_ >
-                                        options_.reserveTimeoutMs_) {
+    while (!queue.waiters_.empty() && !IsAnswerDue(queue, aNowMs) &&
+           aNowMs - queue.waiters_.front().sinceMs_ >
+             options_.reserveTimeoutMs_) {
       FailFirst(budget,
                 reachable
                   ? MakeError(ErrorKind::kBudgetHeldElsewhere,
--- a/packages/router/src/process/Biller.h
+++ b/packages/router/src/process/Biller.h
@@ -29,7 +29,7 @@
   telemetry::Metrics& metrics_;
   /// Longest wait for a settlement to be committed or copied.
   int64_t settleTimeoutMs_ = 10'000;
-  /// Longest wait for the ledger's word on a grant.
+  /// Longest wait for a grant, unless control is known to take longer.
   int64_t reserveTimeoutMs_ = 3'000;
   /// Times a grant is asked for while others may still return tokens.
   int64_t maxTries_ = 20;
@@ -209,6 +209,9 @@
                    ledger::Tokens aAmount,
                    const ledger::GrantResult& aResult) const;
   void ServeWaiters(const std::string& aBudget);
+  /// Whether control's answer for those that wait is on its way, and no later
+  /// than its answers have been lately.
+  bool IsAnswerDue(const BudgetQueue& aQueue, int64_t aNowMs) const;
   void FailFirst(const std::string& aBudget, const absl::Status& aStatus);
   void ExpireReserves(int64_t aNowMs);
   void OnSettled(int64_t aNumber, const ledger::SettleResult& aResult);
--- a/tests/router/process/BillerTest.cpp
+++ b/tests/router/process/BillerTest.cpp
@@ -205,6 +205,19 @@
     return aLender.Asked().value_or(transport::LendRequest{});
   }
 
+  void RunFor(int64_t aMs)
+  {
+    bool over = false;
+    Timer timer(loop_, [&] {
+      over = true;
+      loop_.Stop();
+    });
+    timer.StartOnce(aMs);
+    while (!over && !expired_) {
+      loop_.Run();
+    }
+  }
+
   void RunUntilGranted(size_t aCount)
   {
     while (granted_ < aCount && !expired_) {
@@ -676,5 +689,37 @@
   EXPECT_EQ(refused_, std::vector(1, model::ErrorKind::kControlUnreachable));
 }
 
+TEST_F(ImpatientBillerTest, AnAskThatTakesALongRoundTripIsWaitedFor)
+{
+  constexpr int64_t kTripMs = 300;
+  ASSERT_TRUE(listening_.ok());
+  control_.Submit(ledger::Heartbeat{});
+  NextBatch();
+  RunFor(kTripMs);
+  Answer(0);
+  RunFor(50);
+  Reserve(100);
+  NextBatch();
+  RunFor(kTripMs);
+  Answer(100);
+  RunUntilDecided(1);
+  EXPECT_TRUE(refused_.empty());
+}
+
+TEST_F(ImpatientBillerTest, AnAskThatTakesMuchLongerThanUsualIsNotWaitedFor)
+{
+  constexpr int64_t kMarginMs = 200;
+  ASSERT_TRUE(listening_.ok());
+  control_.Submit(ledger::Heartbeat{});
+  NextBatch();
+  Answer(0);
+  RunFor(50);
+  const int64_t start = EventLoop::NowMs();
+  Reserve(100);
+  RunUntilDecided(1);
+  EXPECT_EQ(refused_, std::vector(1, model::ErrorKind::kBudgetHeldElsewhere));
+  EXPECT_LT(EventLoop::NowMs() - start, kReserveTimeoutMs + kMarginMs);
+}
+
 } // namespace
 } // namespace cactuswick::router
