A recall takes nothing that an open ask counts on

The ask's minimum is what the first that waits needs less what is free here. A recall that came meanwhile gave the free part back, so that the grant no longer covered the request. It also gave back what covered smaller requests behind a denied one.

A recall that comes while an ask for those that wait is under way is met when it is answered: those that are covered are served, the rest goes back, and the next ask is made without it. So no two routers keep their free parts from each other for longer than one trip. What covers those behind stays in any case.

BillerTest.ARecallTakesNothingThatAnAskCountsOn, ARecallIsMetByWhatIsLeftOfAGrant and ARecallLeavesWhatCoversThoseBehind failed before and pass; ARecallIsMetOnceTheAskIsDenied passes before and after.

WhatWasReturnedWhileAnAskIsUnderWayIsNotBilled returned tokens by a recall while a request waited, which does not happen any more.

--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -425,6 +425,9 @@
   }
   // Smaller requests behind one that failed may still fit.
   ServeWaiters(aBudget);
+  if (std::exchange(queue.recalled_, false)) {
+    GiveBack(aBudget);
+  }
   if (!queue.asksAhead_) {
     AskForWaiters(aBudget);
   }
@@ -561,11 +564,40 @@
 Biller::OnRecall(const std::string& aBudget)
 {
   options_.metrics_.Count(Counter::kGrantsRecalled);
-  if (const auto given = grants_.Recall(aBudget, EventLoop::NowMs())) {
+  const auto queue = queues_.find(aBudget);
+  if (queue != queues_.end() && queue->second.openAsk_ &&
+      !queue->second.waiters_.empty()) {
+    queue->second.recalled_ = true;
+  } else {
+    GiveBack(aBudget);
+  }
+}
+
+void
+Biller::GiveBack(const std::string& aBudget)
+{
+  const auto given =
+    grants_.Recall(aBudget, EventLoop::NowMs(), CoversWaiters(aBudget));
+  if (given) {
     SubmitGiven(aBudget, given->amount_, *given);
   }
 }
 
+ledger::Tokens
+Biller::CoversWaiters(const std::string& aBudget) const
+{
+  const auto queue = queues_.find(aBudget);
+  if (queue == queues_.end()) {
+    return 0;
+  }
+  const ledger::Tokens free = grants_.Free(aBudget);
+  ledger::Tokens sum = 0;
+  for (const auto& waiter : queue->second.waiters_) {
+    sum += sum + waiter.amount_ <= free ? waiter.amount_ : 0;
+  }
+  return sum;
+}
+
 void
 Biller::ReturnAll()
 {
--- a/packages/router/src/process/Biller.h
+++ b/packages/router/src/process/Biller.h
@@ -109,6 +109,8 @@
   /// Answers a router that is cut off from control as well.
   transport::LendReply OnLend(const transport::LendRequest& aRequest);
 
+  /// Control wants back what is free. What an open ask counts on is kept until
+  /// it is answered, and what covers those that wait in any case.
   void OnRecall(const std::string& aBudget);
   void OnConfig();
   void OnStored(const transport::CopiesStored& aStored);
@@ -149,6 +151,8 @@
     std::deque<ReserveWaiter> waiters_;
     /// For those that wait.
     std::optional<OpenAsk> openAsk_;
+    /// Control wants back what is free once that ask is answered.
+    bool recalled_ = false;
     /// An ask ahead of need is under way.
     bool asksAhead_ = false;
     /// Cut off, nobody lent so much; nor will they until then.
@@ -180,6 +184,9 @@
   /// denied to the first of them.
   void AskForWaiters(const std::string& aBudget);
   static ledger::Tokens WaitedFor(const BudgetQueue& aQueue);
+  /// What is free and covers some of those that wait.
+  ledger::Tokens CoversWaiters(const std::string& aBudget) const;
+  void GiveBack(const std::string& aBudget);
   /// What the open ask brings beyond what those that wait need.
   ledger::Tokens ComingFree(const std::string& aBudget) const;
   /// Fails all that wait for @p aLeast or more.
--- a/packages/routing/include/cactuswick/routing/process/GrantBook.h
+++ b/packages/routing/include/cactuswick/routing/process/GrantBook.h
@@ -80,9 +80,10 @@
                                              int64_t aNowMs,
                                              Tokens aComing = 0) const;
 
-  /// Gives up what is free of a budget that others need.
+  /// Gives up what is free of a budget that others need, beyond @p aKept.
   std::optional<ledger::ReturnGrant> Recall(const std::string& aBudget,
-                                            int64_t aNowMs);
+                                            int64_t aNowMs,
+                                            Tokens aKept = 0);
   /// Gives up what is free, beyond the floors, of budgets that were not used
   /// for long.
   std::vector<ledger::ReturnGrant> CollectIdle(int64_t aNowMs);
--- a/packages/routing/src/process/GrantBook.cpp
+++ b/packages/routing/src/process/GrantBook.cpp
@@ -184,14 +184,14 @@
 }
 
 std::optional<ledger::ReturnGrant>
-GrantBook::Recall(const std::string& aBudget, int64_t aNowMs)
+GrantBook::Recall(const std::string& aBudget, int64_t aNowMs, Tokens aKept)
 {
   const auto found = lines_.find(aBudget);
   if (found == lines_.end()) {
     return std::nullopt;
   }
   found->second.recalledUntilMs_ = aNowMs + options_.recallMs_;
-  const auto given = GiveUp(aBudget, found->second);
+  const auto given = GiveUp(aBudget, found->second, aKept);
   return given.amount_ > 0 ? std::optional(given) : std::nullopt;
 }
 
--- a/tests/router/process/BillerTest.cpp
+++ b/tests/router/process/BillerTest.cpp
@@ -246,6 +246,17 @@
     return asks;
   }
 
+  static Tokens ReturnedIn(const ledger::RouterBatch& aBatch)
+  {
+    Tokens returned = 0;
+    for (const auto& op : aBatch.ops_) {
+      if (const auto* one = std::get_if<ledger::ReturnGrant>(&op)) {
+        returned += one->amount_;
+      }
+    }
+    return returned;
+  }
+
   /// Denies until those that wait are asked for.
   std::vector<AcquireGrant> NextAsks()
   {
@@ -457,11 +468,15 @@
 
 TEST_F(BillerTest, WhatWasReturnedWhileAnAskIsUnderWayIsNotBilled)
 {
+  constexpr int64_t kOwner = 5;
   ASSERT_TRUE(listening_.ok());
   ReserveOfTenThousand();
-  Reserve(20'000);
+  Reserve(20'000, kOwner);
   EXPECT_EQ(AsksIn(NextBatch(), false).at(0).minimum_, 12'000);
+  biller_.CancelReserve(kOwner);
   biller_.OnRecall(kBudget);
+  ASSERT_EQ(biller_.Free(kBudget), 0);
+  Reserve(20'000);
   AnswerAndWait({ .available_ = 11'000 });
   EXPECT_TRUE(refused_.empty());
   EXPECT_EQ(biller_.WaitFor(kBudget).waiting_, 1);
@@ -620,6 +635,50 @@
   EXPECT_EQ(asks.at(0).minimum_, 2'000);
 }
 
+TEST_F(BillerTest, ARecallTakesNothingThatAnAskCountsOn)
+{
+  ASSERT_TRUE(listening_.ok());
+  ReserveOfTenThousand();
+  Reserve(20'000);
+  EXPECT_EQ(AsksIn(NextBatch(), false).at(0).minimum_, 12'000);
+  biller_.OnRecall(kBudget);
+  AnswerAndWait({ .granted_ = 12'000 });
+  EXPECT_EQ(biller_.WaitFor(kBudget).waiting_, 0);
+}
+
+TEST_F(BillerTest, ARecallIsMetOnceTheAskIsDenied)
+{
+  ASSERT_TRUE(listening_.ok());
+  ReserveOfTenThousand();
+  Reserve(20'000);
+  NextBatch();
+  biller_.OnRecall(kBudget);
+  EXPECT_EQ(ReturnedIn(AnswerAndWait({ .elsewhere_ = 50'000 })), 8'000);
+  EXPECT_EQ(NextAsks().at(0).minimum_, 20'000);
+}
+
+TEST_F(BillerTest, ARecallIsMetByWhatIsLeftOfAGrant)
+{
+  ASSERT_TRUE(listening_.ok());
+  ReserveOfTenThousand();
+  Reserve(20'000);
+  NextBatch();
+  biller_.OnRecall(kBudget);
+  EXPECT_EQ(ReturnedIn(AnswerAndWait({ .granted_ = 15'000 })), 3'000);
+}
+
+TEST_F(BillerTest, ARecallLeavesWhatCoversThoseBehind)
+{
+  ASSERT_TRUE(listening_.ok());
+  ReserveOfTenThousand();
+  Reserve(20'000);
+  NextBatch();
+  Reserve(500);
+  AnswerAndWait({ .elsewhere_ = 50'000 });
+  biller_.OnRecall(kBudget);
+  EXPECT_EQ(biller_.Free(kBudget), 500);
+}
+
 /// A biller whose requests wait for a short time only.
 class ImpatientBillerTest : public BillerTest
 {
--- a/tests/routing/process/GrantBookTest.cpp
+++ b/tests/routing/process/GrantBookTest.cpp
@@ -45,6 +45,15 @@
   EXPECT_EQ(book.Ask(kBudget, 50, 0).want_, 50);
 }
 
+TEST(GrantBook, ARecallKeepsWhatRequestsWaitFor)
+{
+  GrantBook book;
+  book.OnGranted(kBudget, 100);
+  book.Reserve(kBudget, 70, 0);
+  EXPECT_EQ(book.Recall(kBudget, 0, 10)->amount_, 20);
+  EXPECT_FALSE(book.Recall(kBudget, 0, 10));
+}
+
 TEST(GrantBook, AsksAheadOfNeedUnlessTheBudgetIsNearItsEnd)
 {
   GrantBook book;
