A request that left is not failed with others of its budget

When a budget does not cover several requests, or nobody lends, all of them are taken out of the queue and their hooks called one after the other. A hook that cancels another of these requests came too late: the cancelled one's hook was called all the same, which CancelReserve promises not to do, on a request that may be gone. Found by reading; no caller was seen to be hit.

They are now taken out and failed one at a time. Those that are added by a hook are not failed: the queue numbers those that wait.

BillerTest.OneThatAHookOfAnotherCancelsIsNotFailed failed before and passes.

--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -143,16 +143,14 @@
                  const absl::Status& aStatus)
 {
   auto& waiters = queues_[aBudget].waiters_;
-  std::vector<ReserveHook> failed;
-  for (auto waiter = waiters.begin(); waiter != waiters.end();) {
-    if (waiter->amount_ < aLeast) {
-      ++waiter;
-      continue;
-    }
-    failed.push_back(std::move(waiter->hook_));
-    waiter = waiters.erase(waiter);
-  }
-  for (const auto& hook : failed) {
+  const auto fails = [aLeast, last = lastWaiter_](const ReserveWaiter& aOne) {
+    return aOne.amount_ >= aLeast && aOne.number_ <= last;
+  };
+  for (auto failed = std::find_if(waiters.begin(), waiters.end(), fails);
+       failed != waiters.end();
+       failed = std::find_if(waiters.begin(), waiters.end(), fails)) {
+    const ReserveHook hook = std::move(failed->hook_);
+    waiters.erase(failed);
     hook(aStatus);
   }
 }
@@ -296,7 +294,8 @@
     aHook(Unlent());
     return;
   }
-  waiting.waiters_.push_back({ .owner_ = aOwner,
+  waiting.waiters_.push_back({ .number_ = ++lastWaiter_,
+                               .owner_ = aOwner,
                                .amount_ = aAmount,
                                .sinceMs_ = now,
                                .hook_ = std::move(aHook) });
--- a/packages/router/src/process/Biller.h
+++ b/packages/router/src/process/Biller.h
@@ -130,6 +130,8 @@
 private:
   struct ReserveWaiter
   {
+    /// Rises with each that waits.
+    int64_t number_ = 0;
     int64_t owner_ = 0;
     ledger::Tokens amount_ = 0;
     int64_t sinceMs_ = 0;
@@ -189,7 +191,8 @@
   void GiveBack(const std::string& aBudget);
   /// What the open ask brings beyond what those that wait need.
   ledger::Tokens ComingFree(const std::string& aBudget) const;
-  /// Fails all that wait for @p aLeast or more.
+  /// Fails all that wait now for @p aLeast or more. One at a time, as a hook
+  /// may cancel others or reserve again.
   void FailFrom(const std::string& aBudget,
                 ledger::Tokens aLeast,
                 const absl::Status& aStatus);
@@ -231,6 +234,7 @@
   routing::GrantBook grants_;
   routing::SettlementBook book_;
   std::map<std::string, BudgetQueue> queues_;
+  int64_t lastWaiter_ = 0;
   std::map<int64_t, SettleWaiter> settling_;
   std::set<ledger::Incarnation> confirmed_;
   bool madeCopies_ = false;
--- a/tests/router/process/BillerTest.cpp
+++ b/tests/router/process/BillerTest.cpp
@@ -679,6 +679,22 @@
   EXPECT_EQ(biller_.Free(kBudget), 500);
 }
 
+TEST_F(BillerTest, OneThatAHookOfAnotherCancelsIsNotFailed)
+{
+  constexpr int64_t kOwner = 5;
+  bool failed = false;
+  ASSERT_TRUE(listening_.ok());
+  biller_.Reserve(kBudget, 3'000, 1, [&](const absl::Status& aStatus) {
+    EXPECT_FALSE(aStatus.ok());
+    biller_.CancelReserve(kOwner);
+  });
+  biller_.Reserve(
+    kBudget, 3'000, kOwner, [&](const absl::Status&) { failed = true; });
+  NextBatch();
+  AnswerAndWait({});
+  EXPECT_FALSE(failed);
+}
+
 /// A biller whose requests wait for a short time only.
 class ImpatientBillerTest : public BillerTest
 {
