Requests of one budget are not served inside each other

A request that ends as soon as it is served (no endpoint, its caller gone) gives its tokens back from inside the hook, which served the next one inside that call, and so on: the stack grew with the number of those that wait. Found by reading.

A queue that is being served is not served again further down the stack; the outermost call goes on with what was given back.

BillerTest.ThoseThatEndAtOnceAreNotServedInsideEachOther: 50 requests were served 50 calls deep before, one now.

--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -499,7 +499,11 @@
 void
 Biller::ServeWaiters(const std::string& aBudget)
 {
-  auto& waiters = queues_[aBudget].waiters_;
+  BudgetQueue& queue = queues_[aBudget];
+  if (std::exchange(queue.serving_, true)) {
+    return;
+  }
+  auto& waiters = queue.waiters_;
   while (
     !waiters.empty() &&
     grants_.Reserve(aBudget, waiters.front().amount_, EventLoop::NowMs())) {
@@ -507,6 +511,7 @@
     waiters.pop_front();
     hook(absl::OkStatus());
   }
+  queue.serving_ = false;
 }
 
 bool
--- a/packages/router/src/process/Biller.h
+++ b/packages/router/src/process/Biller.h
@@ -151,6 +151,8 @@
   struct BudgetQueue
   {
     std::deque<ReserveWaiter> waiters_;
+    /// Those that wait are being served, further up the stack.
+    bool serving_ = false;
     /// For those that wait.
     std::optional<OpenAsk> openAsk_;
     /// Control wants back what is free once that ask is answered.
--- a/tests/router/process/BillerTest.cpp
+++ b/tests/router/process/BillerTest.cpp
@@ -1,5 +1,6 @@
 #include "process/Biller.h"
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 #include <string>
@@ -695,6 +696,27 @@
   EXPECT_FALSE(failed);
 }
 
+TEST_F(BillerTest, ThoseThatEndAtOnceAreNotServedInsideEachOther)
+{
+  constexpr int kRequests = 50;
+  int depth = 0;
+  int deepest = 0;
+  int served = 0;
+  ASSERT_TRUE(listening_.ok());
+  for (int i = 0; i < kRequests; ++i) {
+    biller_.Reserve(kBudget, 100, i, [&](const absl::Status& aStatus) {
+      served += aStatus.ok() ? 1 : 0;
+      deepest = std::max(deepest, ++depth);
+      biller_.Release(kBudget, 100);
+      --depth;
+    });
+  }
+  NextBatch();
+  AnswerAndWait({ .granted_ = 100 });
+  EXPECT_EQ(served, kRequests);
+  EXPECT_EQ(deepest, 1);
+}
+
 /// A biller whose requests wait for a short time only.
 class ImpatientBillerTest : public BillerTest
 {
