The longest wait for a grant and for lenders' answers is one constant

400 ms stood in ForwardRole and in GrantLoans, which named the other in a comment. Biller now hands its own timeout to the loans. No change of behaviour; GrantLoansTest sets the same 400 ms as before.

--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -48,6 +48,7 @@
   , grants_(aOptions.grants_)
   , loans_(aLoop,
            { .from_ = aOptions.from_,
+             .answerMs_ = aOptions.reserveTimeoutMs_,
              .self_ = [this] { return options_.control_.Incarnation(); },
              .routers_ = [this] { return options_.config_.Routers(); },
              .depots_ =
--- a/packages/router/src/process/GrantLoans.cpp
+++ b/packages/router/src/process/GrantLoans.cpp
@@ -20,9 +20,6 @@
 constexpr int64_t kTickMs = 50;
 /// Without an answer for this long others are asked as well.
 constexpr int64_t kHedgeMs = 150;
-/// Those asked last count as having none after this long: the longest wait of
-/// a request for its tokens.
-constexpr int64_t kAnswerMs = 400;
 constexpr int64_t kIdleMs = 15'000;
 /// Routers asked at the same time, and in one round beside the depots.
 constexpr int64_t kAskedAtOnce = 2;
@@ -205,7 +202,7 @@
     const int64_t waitedMs = now - round.lastAskMs_;
     if (waitedMs >= kHedgeMs && !round.untried_.empty()) {
       AskSome(round, kAskedAtOnce);
-    } else if (waitedMs >= kAnswerMs) {
+    } else if (waitedMs >= options_.answerMs_) {
       refused.push_back(budget);
     }
   }
--- a/packages/router/src/process/GrantLoans.h
+++ b/packages/router/src/process/GrantLoans.h
@@ -16,6 +16,8 @@
 {
   /// Own IP number to connect from.
   std::string from_;
+  /// Those asked last count as having none without an answer for this long.
+  int64_t answerMs_ = 0;
   std::function<ledger::Incarnation()> self_;
   std::function<std::vector<ledger::RouterRecord>()> routers_;
   /// Routers that keep the reserve of a budget; they are asked first.
--- a/tests/router/process/GrantLoansTest.cpp
+++ b/tests/router/process/GrantLoansTest.cpp
@@ -20,6 +20,7 @@
 using transport::Timer;
 
 constexpr uint16_t kFirstPort = 18'990;
+constexpr int64_t kAnswerMs = 400;
 
 transport::Address
 AddressOf(ledger::Incarnation aLender)
@@ -107,6 +108,7 @@
   };
   GrantLoans loans(loop,
                    { .from_ = AddressOf(0).host_,
+                     .answerMs_ = kAnswerMs,
                      .self_ = [] { return ledger::Incarnation{ 99 }; },
                      .routers_ = [&] { return routers; },
                      .depots_ = [&](const std::string&) { return depots; },
