--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "cactuswick/model/process/Error.h"
 #include "cactuswick/telemetry/process/Log.h"
@@ -27,6 +28,8 @@
 constexpr int64_t kUnlentMs = 300;
 /// A request waits this long for control before other routers are asked.
 constexpr int64_t kBorrowAfterMs = 60;
+/// An ask waits for the batch before its own, so that it takes two trips.
+constexpr int64_t kTripsPerAsk = 2;
 /// Part of the recent use that is borrowed ahead.
 constexpr ledger::Tokens kBorrowDivisor = 4;
 
@@ -45,6 +48,7 @@
   , grants_(aOptions.grants_)
   , loans_(aLoop,
            { .from_ = aOptions.from_,
+             .answerMs_ = aOptions.reserveTimeoutMs_,
              .self_ = [this] { return options_.control_.Incarnation(); },
              .routers_ = [this] { return options_.config_.Routers(); },
              .reserveHolders_ =
@@ -63,7 +67,9 @@
                  ServeWaiters(aBudget);
                },
              .onRefused_ =
-               [this](const std::string& aBudget) { OnNobodyLends(aBudget); } })
+               [this](const std::string& aBudget, ledger::Tokens aMinimum) {
+                 OnNobodyLends(aBudget, aMinimum);
+               } })
   , tick_(aLoop, [this] { OnTick(); })
 {
   tick_.StartRepeating(kTickMs);
@@ -118,14 +124,14 @@
 }
 
 void
-Biller::OnNobodyLends(const std::string& aBudget)
+Biller::OnNobodyLends(const std::string& aBudget, ledger::Tokens aMinimum)
 {
   if (options_.control_.IsReachable()) {
     return;
   }
   BudgetQueue& queue = queues_[aBudget];
   if (!queue.waiters_.empty()) {
-    queue.unlent_ = queue.waiters_.front().amount_;
+    queue.unlent_ = grants_.Free(aBudget) + aMinimum;
     queue.unlentUntilMs_ = EventLoop::NowMs() + kUnlentMs;
     FailFrom(aBudget, queue.unlent_, Unlent());
   }
@@ -139,16 +145,14 @@
                  const absl::Status& aStatus)
 {
   auto& waiters = queues_[aBudget].waiters_;
-  std::vector<ReserveHook> failed;
-  for (auto waiter = waiters.begin(); waiter != waiters.end();) {
-    if (waiter->amount_ < aLeast) {
-      ++waiter;
-      continue;
-    }
-    failed.push_back(std::move(waiter->hook_));
-    waiter = waiters.erase(waiter);
-  }
-  for (const auto& hook : failed) {
+  const auto fails = [aLeast, last = lastWaiter_](const ReserveWaiter& aOne) {
+    return aOne.amount_ >= aLeast && aOne.number_ <= last;
+  };
+  for (auto failed = std::find_if(waiters.begin(), waiters.end(), fails);
+       failed != waiters.end();
+       failed = std::find_if(waiters.begin(), waiters.end(), fails)) {
+    const ReserveHook hook = std::move(failed->hook_);
+    waiters.erase(failed);
     hook(aStatus);
   }
 }
@@ -292,7 +296,8 @@
     aHook(Unlent());
     return;
   }
-  waiting.waiters_.push_back({ .owner_ = aOwner,
+  waiting.waiters_.push_back({ .number_ = ++lastWaiter_,
+                               .owner_ = aOwner,
                                .amount_ = aAmount,
                                .sinceMs_ = now,
                                .hook_ = std::move(aHook) });
@@ -316,10 +321,19 @@
 void
 Biller::CancelReserve(int64_t aOwner)
 {
+  std::vector<std::string> left;
   for (auto& [budget, queue] : queues_) {
-    std::erase_if(queue.waiters_, [&](const ReserveWaiter& aWaiter) {
-      return aWaiter.owner_ == aOwner;
-    });
+    const size_t gone =
+      std::erase_if(queue.waiters_, [&](const ReserveWaiter& aWaiter) {
+        return aWaiter.owner_ == aOwner;
+      });
+    if (gone > 0) {
+      left.push_back(budget);
+    }
+  }
+  for (const auto& budget : left) {
+    ServeWaiters(budget);
+    AskForWaiters(budget);
   }
 }
 
@@ -412,6 +426,9 @@
   }
   // Smaller requests behind one that failed may still fit.
   ServeWaiters(aBudget);
+  if (std::exchange(queue.recalled_, false)) {
+    GiveBack(aBudget);
+  }
   if (!queue.asksAhead_) {
     AskForWaiters(aBudget);
   }
@@ -463,7 +480,9 @@
                  const ledger::GrantResult& aResult) const
 {
   const auto given = givenAway_.find(aBudget);
+  // The ledger may count a loan as this router's before it has come.
   return aResult.available_ + aResult.elsewhere_ + grants_.Granted(aBudget) +
+         loans_.MayCome(aBudget) +
          (given == givenAway_.end() ? 0 : given->second);
 }
 
@@ -482,7 +501,11 @@
 void
 Biller::ServeWaiters(const std::string& aBudget)
 {
-  auto& waiters = queues_[aBudget].waiters_;
+  BudgetQueue& queue = queues_[aBudget];
+  if (std::exchange(queue.serving_, true)) {
+    return;
+  }
+  auto& waiters = queue.waiters_;
   while (
     !waiters.empty() &&
     grants_.Reserve(aBudget, waiters.front().amount_, EventLoop::NowMs())) {
@@ -490,6 +513,15 @@
     waiters.pop_front();
     hook(absl::OkStatus());
   }
+  queue.serving_ = false;
+}
+
+bool
+Biller::IsAnswerDue(const BudgetQueue& aQueue, int64_t aNowMs) const
+{
+  return aQueue.openAsk_ && options_.control_.IsReachable() &&
+         aNowMs - aQueue.openAsk_->sinceMs_ <=
+           kTripsPerAsk * options_.control_.Times().lastTripMs_;
 }
 
 void
@@ -511,8 +543,9 @@
   // Cut off from control, a router refuses only what its grants do not cover.
   for (auto& [budget, queue] : queues_) {
     ServeWaiters(budget);
-    while (!queue.waiters_.empty() && aNowMs - queue.waiters_.front().sinceMs_ >
-                                        options_.reserveTimeoutMs_) {
+    while (!queue.waiters_.empty() && !IsAnswerDue(queue, aNowMs) &&
+           aNowMs - queue.waiters_.front().sinceMs_ >
+             options_.reserveTimeoutMs_) {
       FailFirst(budget,
                 reachable
                   ? MakeError(ErrorKind::kBudgetHeldElsewhere,
@@ -537,11 +570,40 @@
 Biller::OnRecall(const std::string& aBudget)
 {
   options_.metrics_.Count(Counter::kGrantsRecalled);
-  if (const auto given = grants_.Recall(aBudget, EventLoop::NowMs())) {
+  const auto queue = queues_.find(aBudget);
+  if (queue != queues_.end() && queue->second.openAsk_ &&
+      !queue->second.waiters_.empty()) {
+    queue->second.recalled_ = true;
+  } else {
+    GiveBack(aBudget);
+  }
+}
+
+void
+Biller::GiveBack(const std::string& aBudget)
+{
+  const auto given =
+    grants_.Recall(aBudget, EventLoop::NowMs(), CoversWaiters(aBudget));
+  if (given) {
     SubmitGiven(aBudget, given->amount_, *given);
   }
 }
 
+ledger::Tokens
+Biller::CoversWaiters(const std::string& aBudget) const
+{
+  const auto queue = queues_.find(aBudget);
+  if (queue == queues_.end()) {
+    return 0;
+  }
+  const ledger::Tokens free = grants_.Free(aBudget);
+  ledger::Tokens sum = 0;
+  for (const auto& waiter : queue->second.waiters_) {
+    sum += sum + waiter.amount_ <= free ? waiter.amount_ : 0;
+  }
+  return sum;
+}
+
 void
 Biller::ReturnAll()
 {
--- a/packages/router/src/process/Biller.h
+++ b/packages/router/src/process/Biller.h
@@ -29,7 +29,7 @@
   telemetry::Metrics& metrics_;
   /// Longest wait for a settlement to be committed or copied.
   int64_t settleTimeoutMs_ = 10'000;
-  /// Longest wait for the ledger's word on a grant.
+  /// Longest wait for a grant, unless control is known to take longer.
   int64_t reserveTimeoutMs_ = 3'000;
   /// Times a grant is asked for while others may still return tokens.
   int64_t maxTries_ = 20;
@@ -72,7 +72,8 @@
                ledger::Tokens aAmount,
                int64_t aOwner,
                ReserveHook aHook);
-  /// Forgets a reservation that waits; its hook is not called.
+  /// Forgets a reservation that waits; its hook is not called. Those behind it
+  /// are served or asked for at once.
   void CancelReserve(int64_t aOwner);
   void Release(const std::string& aBudget, ledger::Tokens aAmount);
 
@@ -108,6 +109,8 @@
   /// Answers a router that is cut off from control as well.
   transport::LendReply OnLend(const transport::LendRequest& aRequest);
 
+  /// Control wants back what is free. What an open ask counts on is kept until
+  /// it is answered, and what covers those that wait in any case.
   void OnRecall(const std::string& aBudget);
   void OnConfig();
   void OnStored(const transport::CopiesStored& aStored);
@@ -127,6 +130,8 @@
 private:
   struct ReserveWaiter
   {
+    /// Rises with each that waits.
+    int64_t number_ = 0;
     int64_t owner_ = 0;
     ledger::Tokens amount_ = 0;
     int64_t sinceMs_ = 0;
@@ -146,8 +151,12 @@
   struct BudgetQueue
   {
     std::deque<ReserveWaiter> waiters_;
+    /// Those that wait are being served, further up the stack.
+    bool serving_ = false;
     /// For those that wait.
     std::optional<OpenAsk> openAsk_;
+    /// Control wants back what is free once that ask is answered.
+    bool recalled_ = false;
     /// An ask ahead of need is under way.
     bool asksAhead_ = false;
     /// Cut off, nobody lent so much; nor will they until then.
@@ -167,7 +176,8 @@
   void ReportUses();
   void AskAheadForAll();
   void Borrow(const std::string& aBudget, int64_t aNowMs);
-  void OnNobodyLends(const std::string& aBudget);
+  /// Fails those that wait for @p aMinimum beyond what is free, or for more.
+  void OnNobodyLends(const std::string& aBudget, ledger::Tokens aMinimum);
   /// Lends nothing of a budget that requests wait for here.
   ledger::Tokens LendTo(const transport::LendRequest& aRequest);
   /// Submits that a part of the own grant was lent or is returned.
@@ -178,9 +188,13 @@
   /// denied to the first of them.
   void AskForWaiters(const std::string& aBudget);
   static ledger::Tokens WaitedFor(const BudgetQueue& aQueue);
+  /// What is free and covers some of those that wait.
+  ledger::Tokens CoversWaiters(const std::string& aBudget) const;
+  void GiveBack(const std::string& aBudget);
   /// What the open ask brings beyond what those that wait need.
   ledger::Tokens ComingFree(const std::string& aBudget) const;
-  /// Fails all that wait for @p aLeast or more.
+  /// Fails all that wait now for @p aLeast or more. One at a time, as a hook
+  /// may cancel others or reserve again.
   void FailFrom(const std::string& aBudget,
                 ledger::Tokens aLeast,
                 const absl::Status& aStatus);
@@ -198,7 +212,7 @@
   void OnDenied(const std::string& aBudget,
                 ledger::Tokens aMinimum,
                 const ledger::GrantResult& aResult);
-  /// All of a budget that is not billed, from an answer of the ledger. What is
+  /// Most of a budget that is not billed, from an answer of the ledger. What is
   /// held of it never comes back.
   ledger::Tokens Unbilled(const std::string& aBudget,
                           const ledger::GrantResult& aResult) const;
@@ -207,6 +221,9 @@
                    ledger::Tokens aAmount,
                    const ledger::GrantResult& aResult) const;
   void ServeWaiters(const std::string& aBudget);
+  /// Whether control's answer for those that wait is on its way, and no later
+  /// than its answers have been lately.
+  bool IsAnswerDue(const BudgetQueue& aQueue, int64_t aNowMs) const;
   void FailFirst(const std::string& aBudget, const absl::Status& aStatus);
   void ExpireReserves(int64_t aNowMs);
   void OnSettled(int64_t aNumber, const ledger::SettleResult& aResult);
@@ -219,6 +236,7 @@
   routing::GrantBook grants_;
   routing::SettlementBook book_;
   std::map<std::string, BudgetQueue> queues_;
+  int64_t lastWaiter_ = 0;
   std::map<int64_t, SettleWaiter> settling_;
   std::set<ledger::Incarnation> confirmed_;
   bool madeCopies_ = false;
--- a/packages/router/src/process/GrantLoans.cpp
+++ b/packages/router/src/process/GrantLoans.cpp
@@ -20,9 +20,6 @@
 constexpr int64_t kTickMs = 50;
 /// Without an answer for this long others are asked as well.
 constexpr int64_t kHedgeMs = 150;
-/// Those asked last count as having none after this long: the longest wait of
-/// a request for its tokens.
-constexpr int64_t kAnswerMs = 400;
 constexpr int64_t kIdleMs = 15'000;
 /// Routers asked at the same time, and in one round beside the reserve holders.
 constexpr int64_t kAskedAtOnce = 2;
@@ -99,7 +96,7 @@
   Lender& lender = lenders_[aLender];
   lender.lastUseMs_ = EventLoop::NowMs();
   if (lender.dialer_ && lender.dialer_->IsUp()) {
-    lender.dialer_->Send(aRequest);
+    SendNow(lender, aRequest);
     return;
   }
   lender.unsent_.push_back(aRequest);
@@ -116,23 +113,48 @@
       transport::PeerDialerOptions{
         .address_ = *address,
         .from_ = options_.from_,
-        .onUp_ =
-          [this, aLender] {
-            for (const auto& unsent :
-                 std::exchange(lenders_[aLender].unsent_, {})) {
-              lenders_[aLender].dialer_->Send(unsent);
-            }
-          },
+        .onUp_ = [this, aLender] { OnUp(aLender); },
         .onMessage_ =
-          [this](const transport::PeerMessage& aMessage) {
+          [this, aLender](const transport::PeerMessage& aMessage) {
             if (const auto* reply =
                   std::get_if<transport::LendReply>(&aMessage)) {
+              lenders_[aLender].unanswered_.erase(reply->call_);
               On(*reply);
             }
-          } });
+          },
+        .onDown_ = [this,
+                    aLender] { lenders_[aLender].unanswered_.clear(); } });
   }
 }
 
+void
+GrantLoans::SendNow(Lender& aLender, const transport::LendRequest& aRequest)
+{
+  aLender.unanswered_[aRequest.call_] = aRequest;
+  aLender.dialer_->Send(aRequest);
+}
+
+void
+GrantLoans::OnUp(Incarnation aLender)
+{
+  Lender& lender = lenders_[aLender];
+  for (const auto& unsent : std::exchange(lender.unsent_, {})) {
+    SendNow(lender, unsent);
+  }
+}
+
+ledger::Tokens
+GrantLoans::MayCome(const std::string& aBudget) const
+{
+  ledger::Tokens sum = 0;
+  for (const auto& [id, lender] : lenders_) {
+    for (const auto& [call, request] : lender.unanswered_) {
+      sum += request.budget_ == aBudget ? request.want_ : 0;
+    }
+  }
+  return sum;
+}
+
 void
 GrantLoans::On(const transport::LendReply& aReply)
 {
@@ -158,8 +180,16 @@
   if (!round.untried_.empty()) {
     AskSome(round, 1);
   } else if (round.open_.empty()) {
-    rounds_.erase(found);
-    options_.onRefused_(aReply.budget_);
+    Refuse(aReply.budget_);
+  }
+}
+
+void
+GrantLoans::Refuse(const std::string& aBudget)
+{
+  const auto round = rounds_.extract(aBudget);
+  if (!round.empty()) {
+    options_.onRefused_(aBudget, round.mapped().request_.minimum_);
   }
 }
 
@@ -172,13 +202,12 @@
     const int64_t waitedMs = now - round.lastAskMs_;
     if (waitedMs >= kHedgeMs && !round.untried_.empty()) {
       AskSome(round, kAskedAtOnce);
-    } else if (waitedMs >= kAnswerMs) {
+    } else if (waitedMs >= options_.answerMs_) {
       refused.push_back(budget);
     }
   }
   for (const auto& budget : refused) {
-    rounds_.erase(budget);
-    options_.onRefused_(budget);
+    Refuse(budget);
   }
   std::erase_if(lenders_, [now](const auto& aPair) {
     return now - aPair.second.lastUseMs_ > kIdleMs;
--- a/packages/router/src/process/GrantLoans.h
+++ b/packages/router/src/process/GrantLoans.h
@@ -16,6 +16,8 @@
 {
   /// Own IP number to connect from.
   std::string from_;
+  /// Those asked last count as having none without an answer for this long.
+  int64_t answerMs_ = 0;
   std::function<ledger::Incarnation()> self_;
   std::function<std::vector<ledger::RouterRecord>()> routers_;
   /// Routers that keep the reserve of a budget; they are asked first.
@@ -25,8 +27,9 @@
   std::function<ledger::Tokens(const transport::LendRequest&)> lend_;
   /// Takes tokens that another router has given.
   std::function<void(const std::string& aBudget, ledger::Tokens)> onLent_;
-  /// Nobody who was asked can spare what is needed.
-  std::function<void(const std::string& aBudget)> onRefused_;
+  /// Nobody who was asked can spare @p aMinimum.
+  std::function<void(const std::string& aBudget, ledger::Tokens aMinimum)>
+    onRefused_;
 };
 
 /// Borrows parts of grants from other routers while control is unreachable.
@@ -43,6 +46,9 @@
            ledger::Tokens aWant,
            ledger::Tokens aMinimum);
 
+  /// Most that lenders may have given without their answers being here yet.
+  ledger::Tokens MayCome(const std::string& aBudget) const;
+
   /// Answers another router.
   transport::LendReply On(const transport::LendRequest& aRequest) const;
 
@@ -52,6 +58,8 @@
     std::unique_ptr<transport::PeerDialer> dialer_;
     int64_t lastUseMs_ = 0;
     std::vector<transport::LendRequest> unsent_;
+    /// Sent on the link that is open now.
+    std::map<transport::CallId, transport::LendRequest> unanswered_;
   };
 
   /// One round of asking for a budget.
@@ -67,7 +75,12 @@
   void AskSome(Round& aRound, int64_t aCount);
   void SendTo(ledger::Incarnation aLender,
               const transport::LendRequest& aRequest);
+  static void SendNow(Lender& aLender, const transport::LendRequest& aRequest);
+  /// Sends what waited for the link.
+  void OnUp(ledger::Incarnation aLender);
   void On(const transport::LendReply& aReply);
+  /// Ends a round in which nobody lent anything.
+  void Refuse(const std::string& aBudget);
   void OnTick();
 
   transport::EventLoop& loop_;
--- a/tests/router/process/BillerTest.cpp
+++ b/tests/router/process/BillerTest.cpp
@@ -1,6 +1,8 @@
 #include "process/Biller.h"
 
+#include <algorithm>
 #include <chrono>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -24,22 +26,67 @@
 
 constexpr const char* kBudget = "w/prepaid";
 constexpr uint16_t kPort = 18'972;
+constexpr uint16_t kLenderPort = 18'973;
+constexpr ledger::Incarnation kLender = 2;
 constexpr int64_t kTimeoutMs = 30'000;
 constexpr int64_t kHorizonMs = 9'000;
 /// Operations that a router sends to control in one batch.
 constexpr size_t kBatchOps = 512;
 
 transport::Address
-OwnAddress()
+OwnAddress(uint16_t aPort = kPort)
 {
-  return { transport::OwnHost(), kPort };
+  return { transport::OwnHost(), aPort };
 }
 
+/// A router that is asked for loans, whose answers the test gives.
+class TestLender
+{
+public:
+  explicit TestLender(EventLoop& aLoop)
+    : loop_(aLoop)
+    , listener_(aLoop,
+                { .onMessage_ = [this](LinkId aLink,
+                                       const transport::PeerMessage& aOne) {
+                  OnMessage(aLink, aOne);
+                } })
+  {
+    EXPECT_TRUE(listener_.Listen(OwnAddress(kLenderPort)).ok());
+  }
+
+  const std::optional<transport::LendRequest>& Asked() const { return asked_; }
+
+  /// Answers the open ask; 0 refuses it.
+  void Answer(Tokens aAmount)
+  {
+    listener_.Send(
+      link_, transport::LendReply{ asked_->call_, asked_->budget_, aAmount });
+    asked_.reset();
+  }
+
+private:
+  void OnMessage(LinkId aLink, const transport::PeerMessage& aMessage)
+  {
+    const auto* ask = std::get_if<transport::LendRequest>(&aMessage);
+    if (ask != nullptr) {
+      link_ = aLink;
+      asked_ = *ask;
+      loop_.Stop();
+    }
+  }
+
+  EventLoop& loop_;
+  transport::PeerListener listener_;
+  LinkId link_ = 0;
+  std::optional<transport::LendRequest> asked_;
+};
+
 /// A biller that talks to a control leader whose answers the test gives.
 class BillerTest : public testing::Test
 {
 protected:
-  explicit BillerTest(int64_t aReserveTimeoutMs = kTimeoutMs)
+  explicit BillerTest(int64_t aReserveTimeoutMs = kTimeoutMs,
+                      int64_t aReachableMs = kTimeoutMs)
     : leader_(loop_,
               { .onMessage_ =
                   [this](LinkId aLink, const transport::PeerMessage& aMessage) {
@@ -52,7 +99,7 @@
     , listening_(leader_.Listen(OwnAddress()))
     , control_(loop_,
                { .replicas_ = { OwnAddress() },
-                 .reachableMs_ = kTimeoutMs,
+                 .reachableMs_ = aReachableMs,
                  .onRegistered_ = [](const ledger::Registered&) {} })
     , peers_(loop_, {})
     , biller_(
@@ -140,6 +187,38 @@
       .amount_;
   }
 
+  /// Has another router that may lend.
+  void KnowLender()
+  {
+    config_.Apply({ .revision_ = 1,
+                    .routersChanged_ = true,
+                    .routers_ = { { .incarnation_ = kLender,
+                                    .peerAddress_ =
+                                      OwnAddress(kLenderPort).ToString() } } });
+  }
+
+  /// The next ask for a loan.
+  transport::LendRequest NextLoan(const TestLender& aLender)
+  {
+    while (!aLender.Asked() && !expired_) {
+      loop_.Run();
+    }
+    return aLender.Asked().value_or(transport::LendRequest{});
+  }
+
+  void RunFor(int64_t aMs)
+  {
+    bool over = false;
+    Timer timer(loop_, [&] {
+      over = true;
+      loop_.Stop();
+    });
+    timer.StartOnce(aMs);
+    while (!over && !expired_) {
+      loop_.Run();
+    }
+  }
+
   void RunUntilGranted(size_t aCount)
   {
     while (granted_ < aCount && !expired_) {
@@ -168,6 +247,17 @@
     return asks;
   }
 
+  static Tokens ReturnedIn(const ledger::RouterBatch& aBatch)
+  {
+    Tokens returned = 0;
+    for (const auto& op : aBatch.ops_) {
+      if (const auto* one = std::get_if<ledger::ReturnGrant>(&op)) {
+        returned += one->amount_;
+      }
+    }
+    return returned;
+  }
+
   /// Denies until those that wait are asked for.
   std::vector<AcquireGrant> NextAsks()
   {
@@ -379,11 +469,15 @@
 
 TEST_F(BillerTest, WhatWasReturnedWhileAnAskIsUnderWayIsNotBilled)
 {
+  constexpr int64_t kOwner = 5;
   ASSERT_TRUE(listening_.ok());
   ReserveOfTenThousand();
-  Reserve(20'000);
+  Reserve(20'000, kOwner);
   EXPECT_EQ(AsksIn(NextBatch(), false).at(0).minimum_, 12'000);
+  biller_.CancelReserve(kOwner);
   biller_.OnRecall(kBudget);
+  ASSERT_EQ(biller_.Free(kBudget), 0);
+  Reserve(20'000);
   AnswerAndWait({ .available_ = 11'000 });
   EXPECT_TRUE(refused_.empty());
   EXPECT_EQ(biller_.WaitFor(kBudget).waiting_, 1);
@@ -480,6 +574,149 @@
   EXPECT_EQ(asks.at(0).minimum_, 2'000);
 }
 
+TEST_F(BillerTest, ALoanThatIsOnItsWayIsNotBilled)
+{
+  ASSERT_TRUE(listening_.ok());
+  TestLender lender(loop_);
+  KnowLender();
+  Reserve(20'000);
+  NextBatch();
+  EXPECT_EQ(NextLoan(lender).minimum_, 20'000);
+  // The ledger counts the loan as this router's already.
+  AnswerAndWait({});
+  EXPECT_TRUE(refused_.empty());
+  lender.Answer(20'000);
+  RunUntilGranted(1);
+}
+
+TEST_F(BillerTest, ALoanThatWasRefusedIsNotCountedOn)
+{
+  ASSERT_TRUE(listening_.ok());
+  TestLender lender(loop_);
+  KnowLender();
+  Reserve(20'000);
+  NextBatch();
+  EXPECT_EQ(NextLoan(lender).minimum_, 20'000);
+  lender.Answer(0);
+  // Asked once more, so the refusal was taken.
+  NextLoan(lender);
+  lender.Answer(0);
+  NextLoan(lender);
+  lender.Answer(0);
+  AnswerAndWait({});
+  RunUntilDecided(1);
+  EXPECT_EQ(refused_, std::vector{ model::ErrorKind::kBudgetExhausted });
+}
+
+TEST_F(BillerTest, OneThatIsCoveredIsServedOnceTheOneBeforeItHasLeft)
+{
+  constexpr int64_t kOwner = 5;
+  ASSERT_TRUE(listening_.ok());
+  biller_.Provide(kBudget, 1'000);
+  NextBatch();
+  AnswerAndWait({ .granted_ = 1'000 });
+  Reserve(30'000, kOwner);
+  Reserve(500);
+  biller_.CancelReserve(kOwner);
+  EXPECT_EQ(biller_.Free(kBudget), 500);
+  EXPECT_EQ(biller_.WaitFor(kBudget).waiting_, 0);
+}
+
+TEST_F(BillerTest, OneBehindADeniedOneThatLeftIsAskedForAtOnce)
+{
+  constexpr int64_t kOwner = 5;
+  ASSERT_TRUE(listening_.ok());
+  Reserve(30'000, kOwner);
+  NextBatch();
+  Reserve(2'000);
+  AnswerAndWait({ .elsewhere_ = 500'000 });
+  biller_.CancelReserve(kOwner);
+  const auto asks = AsksIn(AnswerAndWait({}), false);
+  ASSERT_EQ(asks.size(), 1U);
+  EXPECT_EQ(asks.at(0).minimum_, 2'000);
+}
+
+TEST_F(BillerTest, ARecallTakesNothingThatAnAskCountsOn)
+{
+  ASSERT_TRUE(listening_.ok());
+  ReserveOfTenThousand();
+  Reserve(20'000);
+  EXPECT_EQ(AsksIn(NextBatch(), false).at(0).minimum_, 12'000);
+  biller_.OnRecall(kBudget);
+  AnswerAndWait({ .granted_ = 12'000 });
+  EXPECT_EQ(biller_.WaitFor(kBudget).waiting_, 0);
+}
+
+TEST_F(BillerTest, ARecallIsMetOnceTheAskIsDenied)
+{
+  ASSERT_TRUE(listening_.ok());
+  ReserveOfTenThousand();
+  Reserve(20'000);
+  NextBatch();
+  biller_.OnRecall(kBudget);
+  EXPECT_EQ(ReturnedIn(AnswerAndWait({ .elsewhere_ = 50'000 })), 8'000);
+  EXPECT_EQ(NextAsks().at(0).minimum_, 20'000);
+}
+
+TEST_F(BillerTest, ARecallIsMetByWhatIsLeftOfAGrant)
+{
+  ASSERT_TRUE(listening_.ok());
+  ReserveOfTenThousand();
+  Reserve(20'000);
+  NextBatch();
+  biller_.OnRecall(kBudget);
+  EXPECT_EQ(ReturnedIn(AnswerAndWait({ .granted_ = 15'000 })), 3'000);
+}
+
+TEST_F(BillerTest, ARecallLeavesWhatCoversThoseBehind)
+{
+  ASSERT_TRUE(listening_.ok());
+  ReserveOfTenThousand();
+  Reserve(20'000);
+  NextBatch();
+  Reserve(500);
+  AnswerAndWait({ .elsewhere_ = 50'000 });
+  biller_.OnRecall(kBudget);
+  EXPECT_EQ(biller_.Free(kBudget), 500);
+}
+
+TEST_F(BillerTest, OneThatAHookOfAnotherCancelsIsNotFailed)
+{
+  constexpr int64_t kOwner = 5;
+  bool failed = false;
+  ASSERT_TRUE(listening_.ok());
+  biller_.Reserve(kBudget, 3'000, 1, [&](const absl::Status& aStatus) {
+    EXPECT_FALSE(aStatus.ok());
+    biller_.CancelReserve(kOwner);
+  });
+  biller_.Reserve(
+    kBudget, 3'000, kOwner, [&](const absl::Status&) { failed = true; });
+  NextBatch();
+  AnswerAndWait({});
+  EXPECT_FALSE(failed);
+}
+
+TEST_F(BillerTest, ThoseThatEndAtOnceAreNotServedInsideEachOther)
+{
+  constexpr int kRequests = 50;
+  int depth = 0;
+  int deepest = 0;
+  int served = 0;
+  ASSERT_TRUE(listening_.ok());
+  for (int i = 0; i < kRequests; ++i) {
+    biller_.Reserve(kBudget, 100, i, [&](const absl::Status& aStatus) {
+      served += aStatus.ok() ? 1 : 0;
+      deepest = std::max(deepest, ++depth);
+      biller_.Release(kBudget, 100);
+      --depth;
+    });
+  }
+  NextBatch();
+  AnswerAndWait({ .granted_ = 100 });
+  EXPECT_EQ(served, kRequests);
+  EXPECT_EQ(deepest, 1);
+}
+
 /// A biller whose requests wait for a short time only.
 class ImpatientBillerTest : public BillerTest
 {
@@ -505,5 +742,81 @@
   EXPECT_EQ(biller_.Free(kBudget), 500);
 }
 
+/// A biller for which control is unreachable while an answer is open.
+class CutOffBillerTest : public BillerTest
+{
+protected:
+  CutOffBillerTest()
+    : BillerTest(kTimeoutMs, kReachableMs)
+  {
+  }
+
+  static constexpr int64_t kReachableMs = 10;
+};
+
+TEST_F(CutOffBillerTest, ARefusalOfLendersIsNotChargedToOneThatNeedsLess)
+{
+  constexpr int64_t kOwner = 5;
+  ASSERT_TRUE(listening_.ok());
+  TestLender lender(loop_);
+  KnowLender();
+  Reserve(30'000, kOwner);
+  EXPECT_EQ(NextLoan(lender).minimum_, 30'000);
+  Reserve(2'000);
+  biller_.CancelReserve(kOwner);
+  lender.Answer(0);
+  EXPECT_EQ(NextLoan(lender).minimum_, 2'000);
+  EXPECT_TRUE(refused_.empty());
+  lender.Answer(2'000);
+  RunUntilGranted(1);
+}
+
+TEST_F(CutOffBillerTest, ARefusalOfLendersIsChargedToAnotherThatNeedsAsMuch)
+{
+  constexpr int64_t kOwner = 5;
+  ASSERT_TRUE(listening_.ok());
+  TestLender lender(loop_);
+  KnowLender();
+  Reserve(30'000, kOwner);
+  NextLoan(lender);
+  Reserve(30'000);
+  biller_.CancelReserve(kOwner);
+  lender.Answer(0);
+  RunUntilDecided(1);
+  EXPECT_EQ(refused_, std::vector(1, model::ErrorKind::kControlUnreachable));
+}
+
+TEST_F(ImpatientBillerTest, AnAskThatTakesALongRoundTripIsWaitedFor)
+{
+  constexpr int64_t kTripMs = 300;
+  ASSERT_TRUE(listening_.ok());
+  control_.Submit(ledger::Heartbeat{});
+  NextBatch();
+  RunFor(kTripMs);
+  Answer(0);
+  RunFor(50);
+  Reserve(100);
+  NextBatch();
+  RunFor(kTripMs);
+  Answer(100);
+  RunUntilDecided(1);
+  EXPECT_TRUE(refused_.empty());
+}
+
+TEST_F(ImpatientBillerTest, AnAskThatTakesMuchLongerThanUsualIsNotWaitedFor)
+{
+  constexpr int64_t kMarginMs = 200;
+  ASSERT_TRUE(listening_.ok());
+  control_.Submit(ledger::Heartbeat{});
+  NextBatch();
+  Answer(0);
+  RunFor(50);
+  const int64_t start = EventLoop::NowMs();
+  Reserve(100);
+  RunUntilDecided(1);
+  EXPECT_EQ(refused_, std::vector(1, model::ErrorKind::kBudgetHeldElsewhere));
+  EXPECT_LT(EventLoop::NowMs() - start, kReserveTimeoutMs + kMarginMs);
+}
+
 } // namespace
 } // namespace cactuswick::router
--- a/tests/router/process/GrantLoansTest.cpp
+++ b/tests/router/process/GrantLoansTest.cpp
@@ -20,6 +20,7 @@
 using transport::Timer;
 
 constexpr uint16_t kFirstPort = 18'990;
+constexpr int64_t kAnswerMs = 400;
 
 transport::Address
 AddressOf(ledger::Incarnation aLender)
@@ -108,6 +109,7 @@
   GrantLoans loans(
     loop,
     { .from_ = AddressOf(0).host_,
+      .answerMs_ = kAnswerMs,
       .self_ = [] { return ledger::Incarnation{ 99 }; },
       .routers_ = [&] { return routers; },
       .reserveHolders_ = [&](const std::string&) { return holders; },
@@ -117,7 +119,7 @@
           end();
         },
       .onRefused_ =
-        [&](const std::string&) {
+        [&](const std::string&, ledger::Tokens) {
           ++outcome.refusals_;
           end();
         } });
