A learner gets no vote while a large entry is on its way to it

Cause: Replica::IsCaughtUp looked at times only. A round ends, and the next begins, with each answered heartbeat, so that a learner counted as caught up for an election timeout whatever was sent to it next.

It must now lack less than 16 KiB of documents as well. Small entries and learners that are a steady time behind are judged as before.

ReplicaAppend.ALearnerGetsNoVoteWhileALargeEntryIsOnItsWay failed before (IsCaughtUp was true with 300 KB outstanding) and passes.

--- a/packages/ledger/include/cactuswick/ledger/version/Replica.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Replica.h
@@ -155,7 +155,8 @@
   /// Last entry known to be at @p aMember; 0 unless leader.
   Index MatchOf(const std::string& aMember) const;
   /// Whether a member follows the leader's log closely enough for a vote: its
-  /// last round of replication was shorter than an election timeout.
+  /// last round of replication was shorter than an election timeout, and no
+  /// large entry is on its way to it.
   bool IsCaughtUp(const std::string& aMember) const;
   /// How long a member has not been heard; 0 for the replica itself.
   SteadyMs SilenceOf(const std::string& aMember) const;
@@ -232,6 +233,8 @@
   void SendSnapshot(const std::string& aTo, Peer& aPeer);
   void NoteTransfer(const std::string& aTo, Peer& aPeer);
   void EndRounds(Peer& aPeer);
+  /// Bytes of documents in the log that a member has not confirmed.
+  size_t LagBytes(const Peer& aPeer) const;
   /// The last entry that no member in reach needs any more.
   Index Unneeded(Index aThrough) const;
   Index NextAfterRefusal(const std::string& aFrom, Peer& aPeer, Index aIndex);
--- a/packages/ledger/src/version/Replica.cpp
+++ b/packages/ledger/src/version/Replica.cpp
@@ -7,9 +7,17 @@
 
 #include "cactuswick/model/process/Error.h"
 #include "cactuswick/model/process/Text.h"
+#include "version/EntrySize.h"
 
 namespace cactuswick::ledger {
 
+namespace {
+
+/// Commits would wait for a voter that lacks more bytes of documents.
+constexpr size_t kVoterLagBytes = size_t{ 16 } * 1'024;
+
+} // namespace
+
 Replica::Replica(ReplicaOptions aOptions, ReplicaStart aStart)
   : options_(std::move(aOptions))
   , hardState_(std::move(aStart.hardState_))
@@ -74,8 +82,20 @@
     return false;
   }
   const Peer& peer = found->second;
-  return peer.match_ >= log_.LastIndex() ||
-         nowMs_ - peer.roundStartMs_ <= options_.electionMaxMs_;
+  const bool close = peer.match_ >= log_.LastIndex() ||
+                     nowMs_ - peer.roundStartMs_ <= options_.electionMaxMs_;
+  return close && LagBytes(peer) <= kVoterLagBytes;
+}
+
+size_t
+Replica::LagBytes(const Peer& aPeer) const
+{
+  size_t bytes = 0;
+  const Index first = std::max(aPeer.match_, log_.BaseIndex()) + 1;
+  for (Index index = first; index <= log_.LastIndex(); ++index) {
+    bytes += DocumentBytes(log_.At(index));
+  }
+  return bytes;
 }
 
 SteadyMs
--- a/packages/ledger/src/version/ReplicaAppend.cpp
+++ b/packages/ledger/src/version/ReplicaAppend.cpp
@@ -7,19 +7,12 @@
 
 #include "cactuswick/model/process/Error.h"
 #include "cactuswick/model/process/Text.h"
+#include "version/EntrySize.h"
 
 namespace cactuswick::ledger {
 
 namespace {
 
-/// Bytes of an entry that can be large; the rest is small.
-size_t
-DocumentBytes(const Entry& aEntry)
-{
-  const auto* change = std::get_if<ReplaceDeployment>(&aEntry.command_);
-  return change == nullptr ? 0 : change->document_.bytes_.size();
-}
-
 /// Estimate of an entry in memory without its document.
 constexpr size_t kEntryBytes = 256;
 /// A member that is silent for longer does not hold the log back.
--- a/tests/ledger/version/ReplicaAppendTest.cpp
+++ b/tests/ledger/version/ReplicaAppendTest.cpp
@@ -108,7 +108,8 @@
               options.snapshotEvery_ + 100);
 }
 
-/// A leader of term 4 whose log begins behind entry 10.
+/// A leader of term 4 whose log begins behind entry 10 and ends at entry 22;
+/// d has no vote.
 Replica
 LeaderBehindEntryTen()
 {
@@ -117,7 +118,8 @@
                       .snapshotTerm_ = 2,
                       .members_ = { { "a", "", "", true },
                                     { "b", "", "", true },
-                                    { "c", "", "", true } } };
+                                    { "c", "", "", true },
+                                    { "d", "", "", false } } };
   for (Index index = 11; index <= 21; ++index) {
     start.entries_.push_back({ index, index == 21 ? 3 : 2, 0, TopUp{} });
   }
@@ -223,5 +225,37 @@
   EXPECT_EQ(leader.StandingOf("b")->snapshotBytes_, -1);
 }
 
+void
+Confirm(Replica& aLeader, const std::string& aFrom, Index aIndex, SteadyMs aMs)
+{
+  aLeader.Receive(
+    AppendReply{
+      .from_ = aFrom, .term_ = 4, .success_ = true, .index_ = aIndex },
+    aMs);
+}
+
+ReplaceDeployment
+LargeDeployment()
+{
+  ReplaceDeployment change{ .version_ = 1 };
+  change.document_.bytes_.assign(size_t{ 300 } * 1'024, 'x');
+  return change;
+}
+
+TEST(ReplicaAppend, ALearnerGetsNoVoteWhileALargeEntryIsOnItsWay)
+{
+  Replica leader = LeaderBehindEntryTen();
+  leader.Take();
+  Confirm(leader, "c", 22, 2'010);
+  Confirm(leader, "d", 22, 2'010);
+  ASSERT_TRUE(leader.IsCaughtUp("d"));
+  leader.Propose(TopUp{}, 2'020);
+  EXPECT_TRUE(leader.IsCaughtUp("d"));
+  const Index large = *leader.Propose(LargeDeployment(), 2'020);
+  EXPECT_FALSE(leader.IsCaughtUp("d"));
+  Confirm(leader, "d", large, 2'400);
+  EXPECT_TRUE(leader.IsCaughtUp("d"));
+}
+
 } // namespace
 } // namespace cactuswick::ledger
