Entries on their way to a member are not sent again by a timer

SendAppend backed up to the last confirmed entry 400 ms after the last progress, even if that was before the entry had been proposed, so that the first heartbeat after a calm second repeated it at once. And each refusal of a heartbeat that was under way while a lost entry was sent again had it sent once more.

Links keep order, and a link that loses a message breaks. So a heartbeat behind a lost entry is always refused, and no timer is needed: the timer is gone. A refusal is ignored if its round is not later than that of the last repetition and it asks for nothing earlier; if that one is lost too, the next heartbeat says so.

Failed before, pass now: ReplicaAppend.AnAppendThatIsOnItsWayIsNotSentAgain (four copies in 2 s) and ReplicaAppend.RefusalsThatCrossTheirAnswerDoNotHaveItSentAgain. The property on lossy links and crashes (ReplicaProperty) passes.

--- a/packages/ledger/include/cactuswick/ledger/version/Replica.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Replica.h
@@ -174,7 +174,9 @@
     SteadyMs lastHeardMs_ = 0;
     /// When the last piece of a snapshot was sent.
     SteadyMs lastChunkMs_ = 0;
-    SteadyMs lastProgressMs_ = 0;
+    /// Where entries were last sent again from, and the round of that time.
+    Index backedUpTo_ = 0;
+    int64_t backedUpRound_ = -1;
     /// When this leader first knew of it.
     SteadyMs sinceMs_ = 0;
     /// Snapshots that were begun for it.
@@ -237,6 +239,9 @@
   size_t LagBytes(const Peer& aPeer) const;
   /// The last entry that no member in reach needs any more.
   Index Unneeded(Index aThrough) const;
+  /// Sends again what a member says it lacks. There is no timer for this: a
+  /// heartbeat behind an entry that was lost is refused.
+  void BackUp(Peer& aPeer, const AppendReply& aRefusal);
   Index NextAfterRefusal(const std::string& aFrom, Peer& aPeer, Index aIndex);
   void EndTransfers();
   void AdvanceCommit();
--- a/packages/ledger/src/version/ReplicaAppend.cpp
+++ b/packages/ledger/src/version/ReplicaAppend.cpp
@@ -154,13 +154,6 @@
 {
   // A silent member gets heartbeats only, until it answers one.
   const bool silent = nowMs_ - aPeer.lastHeardMs_ > options_.electionMaxMs_;
-  const bool stalled = !silent && aPeer.next_ > aPeer.match_ + 1 &&
-                       nowMs_ - aPeer.lastProgressMs_ > options_.electionMinMs_;
-  if (stalled) {
-    // Of one that has confirmed nothing yet, its refusal says where to begin.
-    aPeer.next_ = aPeer.match_ == 0 ? log_.LastIndex() + 1 : aPeer.match_ + 1;
-    aPeer.lastProgressMs_ = nowMs_;
-  }
   if (aPeer.next_ <= log_.BaseIndex()) {
     SendSnapshot(aTo, aPeer);
   }
@@ -267,14 +260,12 @@
   peer.lastHeardMs_ = nowMs_;
   peer.ackedRound_ = std::max(peer.ackedRound_, aMessage.round_);
   if (!aMessage.success_) {
-    peer.next_ = NextAfterRefusal(aMessage.from_, peer, aMessage.index_);
-    replicate_ = true;
+    BackUp(peer, aMessage);
     return;
   }
   peer.soughtMs_.reset();
   if (aMessage.index_ > peer.match_) {
     peer.match_ = aMessage.index_;
-    peer.lastProgressMs_ = nowMs_;
     peer.next_ = std::max(peer.next_, peer.match_ + 1);
     AdvanceCommit();
   }
@@ -287,6 +278,23 @@
   replicate_ = replicate_ || peer.next_ <= log_.LastIndex();
 }
 
+void
+Replica::BackUp(Peer& aPeer, const AppendReply& aRefusal)
+{
+  const Index next = NextAfterRefusal(aRefusal.from_, aPeer, aRefusal.index_);
+  // Links keep the order of messages, so that this one was refused before the
+  // entries that an earlier refusal asked for could arrive.
+  const bool crossed =
+    aRefusal.round_ <= aPeer.backedUpRound_ && next >= aPeer.backedUpTo_;
+  if (crossed) {
+    return;
+  }
+  aPeer.next_ = next;
+  aPeer.backedUpTo_ = next;
+  aPeer.backedUpRound_ = round_;
+  replicate_ = true;
+}
+
 Index
 Replica::NextAfterRefusal(const std::string& aFrom, Peer& aPeer, Index aIndex)
 {
--- a/tests/ledger/version/ReplicaAppendTest.cpp
+++ b/tests/ledger/version/ReplicaAppendTest.cpp
@@ -257,5 +257,66 @@
   EXPECT_TRUE(leader.IsCaughtUp("d"));
 }
 
+/// Appends with entries among messages for a member.
+size_t
+AppendsFor(const std::string& aTo, const std::vector<Envelope>& aSent)
+{
+  return static_cast<size_t>(
+    std::count_if(aSent.begin(), aSent.end(), [&](const auto& aEnvelope) {
+      const auto* append = std::get_if<AppendRequest>(&aEnvelope.message_);
+      return append != nullptr && aEnvelope.to_ == aTo &&
+             !append->entries_.empty();
+    }));
+}
+
+TEST(ReplicaAppend, AnAppendThatIsOnItsWayIsNotSentAgain)
+{
+  Replica leader = LeaderBehindEntryTen();
+  leader.Take();
+  Confirm(leader, "b", 22, 2'010);
+  Confirm(leader, "c", 22, 2'010);
+  leader.Propose(LargeDeployment(), 2'500);
+  EXPECT_EQ(AppendsFor("b", leader.Take().sendNow_), 1U);
+  for (SteadyMs now = 2'600; now < 4'500; now += 100) {
+    leader.Tick(now);
+    Confirm(leader, "b", 22, now);
+    Confirm(leader, "c", 23, now);
+    EXPECT_EQ(AppendsFor("b", leader.Take().sendNow_), 0U) << now;
+  }
+}
+
+/// b has not got what came behind entry 22.
+AppendReply
+RefusalOfRound(int64_t aRound)
+{
+  return { .from_ = "b", .term_ = 4, .index_ = 23, .round_ = aRound };
+}
+
+TEST(ReplicaAppend, RefusalsThatCrossTheirAnswerDoNotHaveItSentAgain)
+{
+  Replica leader = LeaderBehindEntryTen();
+  leader.Take();
+  Confirm(leader, "b", 22, 2'010);
+  Confirm(leader, "c", 22, 2'010);
+  leader.Propose(LargeDeployment(), 2'020);
+  leader.Take();
+  for (const SteadyMs now : { 2'100, 2'200, 2'300 }) {
+    leader.Tick(now);
+    leader.Take();
+  }
+  // The link broke; three heartbeats were refused before the answer to the
+  // first refusal arrived.
+  leader.Receive(RefusalOfRound(1), 2'310);
+  EXPECT_EQ(AppendsFor("b", leader.Take().sendNow_), 1U);
+  leader.Receive(RefusalOfRound(2), 2'320);
+  leader.Receive(RefusalOfRound(3), 2'330);
+  EXPECT_EQ(AppendsFor("b", leader.Take().sendNow_), 0U);
+  // It is lost again.
+  leader.Tick(2'400);
+  leader.Take();
+  leader.Receive(RefusalOfRound(4), 2'410);
+  EXPECT_EQ(AppendsFor("b", leader.Take().sendNow_), 1U);
+}
+
 } // namespace
 } // namespace cactuswick::ledger
