--- a/packages/ledger/include/cactuswick/ledger/version/Replica.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Replica.h
@@ -174,6 +174,8 @@
     SteadyMs lastHeardMs_ = 0;
     /// When the last piece of a snapshot was sent.
     SteadyMs lastChunkMs_ = 0;
+    /// The round in which that piece was sent, until it is answered.
+    std::optional<int64_t> chunkRound_;
     /// Where entries were last sent again from, and the round of that time.
     Index backedUpTo_ = 0;
     int64_t backedUpRound_ = -1;
@@ -233,6 +235,8 @@
   void Replicate();
   void SendAppend(const std::string& aTo, Peer& aPeer, bool aEvenIfEmpty);
   void SendSnapshot(const std::string& aTo, Peer& aPeer);
+  /// Says that all that a snapshot covers is held here.
+  void ConfirmSnapshot(const SnapshotChunk& aMessage);
   void NoteTransfer(const std::string& aTo, Peer& aPeer);
   void EndRounds(Peer& aPeer);
   /// Bytes of documents in the log that a member has not confirmed.
--- a/packages/ledger/src/version/ReplicaAppend.cpp
+++ b/packages/ledger/src/version/ReplicaAppend.cpp
@@ -359,10 +359,11 @@
 void
 Replica::SendSnapshot(const std::string& aTo, Peer& aPeer)
 {
-  // One that has not been heard since may still be at the last piece.
-  const bool waiting =
-    aPeer.source_ && (aPeer.lastHeardMs_ <= aPeer.lastChunkMs_ ||
-                      nowMs_ - aPeer.lastChunkMs_ < options_.electionMaxMs_);
+  // Links keep order: until a later heartbeat is answered, the last piece may
+  // still be on its way.
+  const bool waiting = aPeer.source_ && aPeer.chunkRound_ &&
+                       (aPeer.ackedRound_ <= *aPeer.chunkRound_ ||
+                        nowMs_ - aPeer.lastChunkMs_ < options_.electionMaxMs_);
   if (waiting || !options_.openSnapshot_) {
     return;
   }
@@ -385,6 +386,7 @@
   chunk.done_ = static_cast<int64_t>(chunk.bytes_.bytes_.size()) <
                 options_.snapshotChunkBytes_;
   aPeer.lastChunkMs_ = nowMs_;
+  aPeer.chunkRound_ = round_;
   effects_.sendNow_.push_back({ aTo, std::move(chunk) });
 }
 
@@ -405,6 +407,10 @@
   }
   BecomeFollower(aMessage.term_, aMessage.from_);
   lastLeaderMs_ = nowMs_;
+  if (aMessage.lastIndex_ <= commit_) {
+    ConfirmSnapshot(aMessage);
+    return;
+  }
   if (receiving_.lastIndex_ != aMessage.lastIndex_ || aMessage.offset_ == 0) {
     receiving_ = { aMessage.lastIndex_, aMessage.lastTerm_, "" };
   }
@@ -416,7 +422,7 @@
   if (aMessage.offset_ == have) {
     receiving_.bytes_ += aMessage.bytes_.bytes_;
     reply.offset_ = static_cast<int64_t>(receiving_.bytes_.size());
-    if (aMessage.done_ && aMessage.lastIndex_ > commit_) {
+    if (aMessage.done_) {
       effects_.install_ = std::exchange(receiving_, {});
     }
     reply.done_ = aMessage.done_;
@@ -424,6 +430,19 @@
   effects_.sendAfterSync_.push_back({ aMessage.from_, reply });
 }
 
+void
+Replica::ConfirmSnapshot(const SnapshotChunk& aMessage)
+{
+  const auto size = static_cast<int64_t>(aMessage.bytes_.bytes_.size());
+  effects_.sendAfterSync_.push_back(
+    { aMessage.from_,
+      SnapshotReply{ .from_ = options_.id_,
+                     .term_ = hardState_.term_,
+                     .lastIndex_ = aMessage.lastIndex_,
+                     .offset_ = aMessage.offset_ + size,
+                     .done_ = true } });
+}
+
 void
 Replica::On(const SnapshotReply& aMessage)
 {
@@ -434,7 +453,7 @@
   }
   Peer& peer = found->second;
   peer.lastHeardMs_ = nowMs_;
-  peer.lastChunkMs_ = nowMs_ - options_.electionMaxMs_;
+  peer.chunkRound_.reset();
   if (peer.source_ && aMessage.lastIndex_ == peer.source_->lastIndex_) {
     peer.snapshotOffset_ = aMessage.offset_;
   }
--- a/tests/ledger/version/ReplicaAppendTest.cpp
+++ b/tests/ledger/version/ReplicaAppendTest.cpp
@@ -318,5 +318,53 @@
   EXPECT_EQ(AppendsFor("b", leader.Take().sendNow_), 1U);
 }
 
+size_t
+ChunksIn(const std::vector<Envelope>& aSent)
+{
+  return static_cast<size_t>(
+    std::count_if(aSent.begin(), aSent.end(), [](const auto& aEnvelope) {
+      return std::holds_alternative<SnapshotChunk>(aEnvelope.message_);
+    }));
+}
+
+TEST(ReplicaAppend, APieceOfASnapshotThatIsOnItsWayIsNotSentAgain)
+{
+  Replica leader = LeaderBehindEntryTen();
+  leader.Take();
+  SendsSnapshotAfterRefusal(leader, 2'010);
+  ASSERT_TRUE(SendsSnapshotAfterRefusal(leader, 2'900));
+  // Answers to what was sent before the piece say nothing about it.
+  for (SteadyMs now = 3'000; now < 5'000; now += 100) {
+    leader.Tick(now);
+    Confirm(leader, "c", 22, now);
+    leader.Receive(AppendReply{ .from_ = "b", .term_ = 4, .index_ = 1 }, now);
+    EXPECT_EQ(ChunksIn(leader.Take().sendNow_), 0U) << now;
+  }
+  leader.Receive(
+    AppendReply{ .from_ = "b", .term_ = 4, .index_ = 1, .round_ = 5 }, 5'000);
+  EXPECT_EQ(ChunksIn(leader.Take().sendNow_), 1U);
+}
+
+TEST(ReplicaAppend, ASnapshotWhoseEndWasNotConfirmedDoesNotBeginAnew)
+{
+  Replica follower({ .id_ = "b" }, {});
+  SnapshotChunk chunk{
+    .from_ = "a", .term_ = 4, .lastIndex_ = 12, .lastTerm_ = 2, .offset_ = 0
+  };
+  chunk.bytes_.bytes_ = "first";
+  follower.Receive(chunk, 10);
+  chunk.offset_ = 5;
+  chunk.done_ = true;
+  follower.Receive(chunk, 20);
+  ASSERT_TRUE(follower.Take().install_);
+  follower.SnapshotInstalled({ .snapshotIndex_ = 12, .snapshotTerm_ = 2 });
+  follower.Receive(chunk, 900);
+  const auto answers = follower.Take().sendAfterSync_;
+  ASSERT_EQ(answers.size(), 1U);
+  const auto& reply = std::get<SnapshotReply>(answers[0].message_);
+  EXPECT_TRUE(reply.done_);
+  EXPECT_EQ(reply.offset_, 10);
+}
+
 } // namespace
 } // namespace cactuswick::ledger
