A follower that is receiving a large append hears its leader

Cause: a follower counted whole messages only as a sign of life of its leader, and the leader missed its quorum for the same reason, as heartbeats and their answers stand behind the large message.

A link now says how much of a message has arrived that is not whole yet, and each tick of a replica takes bytes of such a message from its leader as a sign of life. At most once per heartbeat interval it says so to the leader, as an answer that confirms what is committed. Whole messages of other kinds do not count, so that a former leader that only passes on announcements is still replaced.

PeerListener.AMessageThatIsArrivingShowsBeforeItIsWhole is new. The simulated cluster of the tests now charges links for documents.

--- a/packages/control/src/connection/MemberLinks.cpp
+++ b/packages/control/src/connection/MemberLinks.cpp
@@ -67,6 +67,13 @@
   senders_[from] = aLink;
 }
 
+std::optional<transport::LinkId>
+MemberLinks::SenderOf(const std::string& aId) const
+{
+  const auto found = senders_.find(aId);
+  return found == senders_.end() ? std::nullopt : std::optional(found->second);
+}
+
 void
 MemberLinks::SendAll(const std::vector<ledger::Envelope>& aMessages)
 {
--- a/packages/control/src/connection/MemberLinks.h
+++ b/packages/control/src/connection/MemberLinks.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,8 @@
   void Dial(const std::string& aId, const std::string& aAddress);
   /// Notes the link on which a replica's last message came.
   void NoteSender(const ledger::RaftMessage& aMessage, transport::LinkId aLink);
+  /// The link on which that was, if it is known.
+  std::optional<transport::LinkId> SenderOf(const std::string& aId) const;
   /// Sends messages of the log; those for unknown replicas go back on the
   /// links that they came by, or are lost.
   void SendAll(const std::vector<ledger::Envelope>& aMessages);
--- a/packages/control/src/process/ControlTask.cpp
+++ b/packages/control/src/process/ControlTask.cpp
@@ -258,6 +258,7 @@
   {
     const int64_t now = EventLoop::NowMs();
     WatchTurn(now);
+    HearLeader(now);
     driver_.Replica().Tick(now);
     // Heartbeats go out before pushes.
     driver_.ScheduleFlush();
@@ -272,6 +273,20 @@
     }
   }
 
+  /// A large message of the leader is a sign of life while it arrives.
+  void HearLeader(int64_t aNowMs)
+  {
+    ledger::Replica& replica = driver_.Replica();
+    const auto link = links_->SenderOf(replica.LeaderId());
+    if (!link) {
+      return;
+    }
+    const auto activity = listener_->Activity(*link);
+    if (activity.partialBytes_ > 0) {
+      replica.HearLeader(aNowMs - activity.quietMs_);
+    }
+  }
+
   void WatchTurn(int64_t aNowMs)
   {
     const auto report = turns_.OnTick(aNowMs, ProcessorMs());
--- a/packages/ledger/include/cactuswick/ledger/version/Replica.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Replica.h
@@ -122,6 +122,10 @@
   void Tick(SteadyMs aNowMs);
   void Receive(const RaftMessage& aMessage, SteadyMs aNowMs);
 
+  /// Says that bytes of a message from the leader, not whole yet, came at
+  /// @p aHeardMs.
+  void HearLeader(SteadyMs aHeardMs);
+
   /// Appends a command at the leader; nullopt at any other replica.
   std::optional<Index> Propose(Command aCommand, SteadyMs aNowMs);
 
@@ -275,6 +279,8 @@
   SteadyMs nowMs_ = 0;
   SteadyMs electionDeadlineMs_ = 0;
   SteadyMs lastLeaderMs_ = -1'000'000;
+  /// When the leader was last told that something of it is arriving.
+  SteadyMs lastReceivingMs_ = 0;
   SteadyMs lastBroadcastMs_ = 0;
   /// Log time at @c termStartMs_, from which a leader's log time runs on.
   LogTimeMs termStartTimeMs_ = 0;
--- a/packages/ledger/src/version/ReplicaAppend.cpp
+++ b/packages/ledger/src/version/ReplicaAppend.cpp
@@ -210,6 +210,29 @@
   effects_.sendAfterSync_.push_back({ aMessage.from_, reply });
 }
 
+void
+Replica::HearLeader(SteadyMs aHeardMs)
+{
+  nowMs_ = std::max(nowMs_, aHeardMs);
+  const bool follows = role_ == ReplicaRole::kFollower && !leaderId_.empty();
+  if (!follows || aHeardMs <= lastLeaderMs_) {
+    return;
+  }
+  lastLeaderMs_ = aHeardMs;
+  ResetElectionTimer();
+  if (nowMs_ - lastReceivingMs_ < options_.heartbeatMs_) {
+    return;
+  }
+  lastReceivingMs_ = nowMs_;
+  // Heartbeats stand behind the message: without this the leader would miss
+  // its quorum. What is committed is the same in its log.
+  effects_.sendAfterSync_.push_back({ leaderId_,
+                                      AppendReply{ .from_ = options_.id_,
+                                                   .term_ = hardState_.term_,
+                                                   .success_ = true,
+                                                   .index_ = commit_ } });
+}
+
 void
 Replica::AcceptEntries(const AppendRequest& aMessage)
 {
--- a/packages/transport/include/cactuswick/transport/connection/PeerLink.h
+++ b/packages/transport/include/cactuswick/transport/connection/PeerLink.h
@@ -39,6 +39,9 @@
   /// link was made.
   int64_t idleMs_ = 0;
   int64_t heardBytes_ = 0;
+  /// Of a message that is arriving and not whole yet; those that came together
+  /// with the end of the message before are left out.
+  int64_t partialBytes_ = 0;
 
   bool operator==(const LinkActivity&) const = default;
 };
--- a/packages/transport/include/cactuswick/transport/connection/PeerListener.h
+++ b/packages/transport/include/cactuswick/transport/connection/PeerListener.h
@@ -36,6 +36,8 @@
   void Send(LinkId aLink, const EncodedMessage& aMessage);
   /// Bytes sent on a link that the system has not taken yet.
   size_t PendingBytes(LinkId aLink) const;
+  /// What came in on a link; nothing when it is gone.
+  LinkActivity Activity(LinkId aLink) const;
 
 private:
   struct State;
--- a/packages/transport/src/connection/PeerLink.cpp
+++ b/packages/transport/src/connection/PeerLink.cpp
@@ -92,6 +92,7 @@
   void OnOpen()
   {
     open_ = true;
+    partialBytes_ = 0;
     if (hooks_.onOpen_) {
       hooks_.onOpen_();
     }
@@ -99,6 +100,7 @@
 
   void OnMessage(const std::string& aBytes)
   {
+    partialBytes_ = 0;
     auto message = model::DecodeCbor<PeerMessage>(aBytes);
     if (!message.ok()) {
       Close();
@@ -165,6 +167,7 @@
     evbuffer* input = bufferevent_get_input(aStream);
     std::string bytes(evbuffer_get_length(input), '\0');
     self->heardBytes_ += static_cast<int64_t>(bytes.size());
+    self->partialBytes_ += static_cast<int64_t>(bytes.size());
     evbuffer_remove(input, bytes.data(), bytes.size());
     self->session_.Feed(bytes.data(), bytes.size());
   }
@@ -190,6 +193,7 @@
   int64_t lastPayloadMs_;
   int64_t payloadBeforeReadMs_ = 0;
   int64_t heardBytes_ = 0;
+  int64_t partialBytes_ = 0;
   bool open_ = false;
   bool closed_ = false;
   bool sentSinceTimer_ = false;
@@ -261,7 +265,8 @@
   const int64_t now = EventLoop::NowMs();
   return { .quietMs_ = now - state_->lastHeardMs_,
            .idleMs_ = now - state_->lastPayloadMs_,
-           .heardBytes_ = state_->heardBytes_ };
+           .heardBytes_ = state_->heardBytes_,
+           .partialBytes_ = state_->partialBytes_ };
 }
 
 bool
--- a/packages/transport/src/connection/PeerListener.cpp
+++ b/packages/transport/src/connection/PeerListener.cpp
@@ -116,4 +116,12 @@
   return found == state_->links_.end() ? 0 : found->second->PendingBytes();
 }
 
+LinkActivity
+PeerListener::Activity(LinkId aLink) const
+{
+  const auto found = state_->links_.find(aLink);
+  return found == state_->links_.end() ? LinkActivity{}
+                                       : found->second->Activity();
+}
+
 } // namespace cactuswick::transport
--- a/tests/ledger/version/ReplicaAppendTest.cpp
+++ b/tests/ledger/version/ReplicaAppendTest.cpp
@@ -108,6 +108,52 @@
               options.snapshotEvery_ + 100);
 }
 
+ReplaceDeployment
+LargeDeployment()
+{
+  ReplaceDeployment change{ .version_ = 1 };
+  change.document_.bytes_.assign(size_t{ 300 } * 1'024, 'x');
+  return change;
+}
+
+TEST(ReplicaAppend, ALargeEntryOnASlowLinkDoesNotCostTheLeaderItsLead)
+{
+  // 300 KB take 3 s.
+  SlowCluster cluster(
+    { .size_ = 3, .linkBytesPerMs_ = 100, .entriesPerMs_ = 0.05 });
+  cluster.Run(3'000);
+  ASSERT_NE(cluster.Leader(), nullptr);
+  Replica& leader = *cluster.Leader()->replica_;
+  const Term term = leader.CurrentTerm();
+  const Index large = *leader.Propose(LargeDeployment(), cluster.Now());
+  EXPECT_LT(
+    cluster.RunUntil(8'000, [&] { return cluster.Committed() >= large; }),
+    4'000);
+  EXPECT_EQ(leader.CurrentTerm(), term);
+  EXPECT_EQ(leader.Role(), ReplicaRole::kLeader);
+}
+
+TEST(ReplicaAppend, AFollowerCampaignsOnceBytesOfItsLeaderStopComing)
+{
+  Replica follower({ .id_ = "b" },
+                   { .members_ = { { "a", "", "", true },
+                                   { "b", "", "", true },
+                                   { "c", "", "", true } } });
+  follower.Receive(AppendRequest{ .from_ = "a", .term_ = 1 }, 100);
+  SteadyMs now = 100;
+  for (; now < 3'000; now += 100) {
+    follower.HearLeader(now);
+    follower.Tick(now);
+    ASSERT_EQ(follower.Role(), ReplicaRole::kFollower) << now;
+  }
+  const SteadyMs last = now - 100;
+  for (; now <= last + ReplicaOptions{}.electionMaxMs_; now += 100) {
+    follower.HearLeader(last);
+    follower.Tick(now);
+  }
+  EXPECT_EQ(follower.Role(), ReplicaRole::kPreCandidate);
+}
+
 /// A leader of term 4 whose log begins behind entry 10 and ends at entry 22;
 /// d has no vote.
 Replica
@@ -234,14 +280,6 @@
     aMs);
 }
 
-ReplaceDeployment
-LargeDeployment()
-{
-  ReplaceDeployment change{ .version_ = 1 };
-  change.document_.bytes_.assign(size_t{ 300 } * 1'024, 'x');
-  return change;
-}
-
 TEST(ReplicaAppend, ALearnerGetsNoVoteWhileALargeEntryIsOnItsWay)
 {
   Replica leader = LeaderBehindEntryTen();
--- a/tests/ledger/version/SlowCluster.h
+++ b/tests/ledger/version/SlowCluster.h
@@ -177,6 +177,8 @@
 
   struct Delivery
   {
+    /// When its first byte arrives, and its last.
+    SteadyMs fromMs_ = 0;
     SteadyMs atMs_ = 0;
     Envelope envelope_;
   };
@@ -257,6 +259,9 @@
     if (aNode.busyUntilMs_ > now_) {
       return;
     }
+    if (IsReceiving(inbox, aNode.replica_->LeaderId())) {
+      aNode.replica_->HearLeader(now_);
+    }
     aNode.replica_->Tick(now_);
     if (onTick_) {
       onTick_(aNode);
@@ -354,31 +359,54 @@
     return true;
   }
 
+  /// Whether a message of @p aFrom is arriving and not whole yet.
+  bool IsReceiving(const std::deque<Delivery>& aInbox,
+                   const std::string& aFrom) const
+  {
+    return std::any_of(aInbox.begin(), aInbox.end(), [&](const auto& aOne) {
+      return aOne.fromMs_ <= now_ && FromOf(aOne.envelope_) == aFrom;
+    });
+  }
+
+  static const std::string& FromOf(const Envelope& aEnvelope)
+  {
+    return std::visit(
+      [](const auto& aOne) -> const std::string& { return aOne.from_; },
+      aEnvelope.message_);
+  }
+
   static size_t BytesOf(const RaftMessage& aMessage)
   {
     if (const auto* chunk = std::get_if<SnapshotChunk>(&aMessage)) {
       return kMessageBytes + chunk->bytes_.bytes_.size();
     }
     const auto* append = std::get_if<AppendRequest>(&aMessage);
-    return kMessageBytes *
-           (1 + (append == nullptr ? 0 : append->entries_.size()));
+    size_t bytes = kMessageBytes;
+    if (append != nullptr) {
+      for (const auto& entry : append->entries_) {
+        const auto* change = std::get_if<ReplaceDeployment>(&entry.command_);
+        bytes += kMessageBytes;
+        bytes += change == nullptr ? 0 : change->document_.bytes_.size();
+      }
+    }
+    return bytes;
   }
 
   void SendAll(const std::vector<Envelope>& aMessages)
   {
     for (const auto& envelope : aMessages) {
-      const auto& from = std::visit(
-        [](const auto& aOne) -> const std::string& { return aOne.from_; },
-        envelope.message_);
+      const auto& from = FromOf(envelope);
       if (IsCut(from) || IsCut(envelope.to_)) {
         continue;
       }
       auto& busy = links_[{ from, envelope.to_ }];
       const auto bytes = static_cast<double>(BytesOf(envelope.message_));
-      busy = std::max(busy, static_cast<double>(now_)) +
-             bytes / options_.linkBytesPerMs_;
+      const double start = std::max(busy, static_cast<double>(now_));
+      busy = start + bytes / options_.linkBytesPerMs_;
       const Delivery delivery{
-        static_cast<SteadyMs>(busy) + options_.latencyMs_, envelope
+        static_cast<SteadyMs>(start) + options_.latencyMs_,
+        static_cast<SteadyMs>(busy) + options_.latencyMs_,
+        envelope
       };
       auto& inbox = inboxes_[envelope.to_];
       inbox.insert(std::upper_bound(inbox.begin(),
--- a/tests/transport/connection/PeerListenerTest.cpp
+++ b/tests/transport/connection/PeerListenerTest.cpp
@@ -1,7 +1,9 @@
 #include "cactuswick/transport/connection/PeerListener.h"
 
+#include <algorithm>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -63,5 +65,36 @@
     EndlessCase{ "Fragments", kHandshake + Fragment(2), Fragment(0) }),
   [](const auto& aInfo) { return aInfo.param.name_; });
 
+TEST(PeerListener, AMessageThatIsArrivingShowsBeforeItIsWhole)
+{
+  EventLoop loop;
+  std::vector<int64_t> partial;
+  bool whole = false;
+  PeerListener listener(loop, { .onMessage_ = [&](LinkId, const PeerMessage&) {
+                          whole = true;
+                          loop.Stop();
+                        } });
+  ASSERT_TRUE(listener.Listen({ OwnHost(), kPort }).ok());
+  constexpr LinkId kFirstLink = 1;
+  Timer watch(loop, [&] {
+    if (!whole) {
+      partial.push_back(listener.Activity(kFirstLink).partialBytes_);
+    }
+  });
+  watch.StartRepeating(1);
+  PeerLink caller(loop, { OwnHost(), kPort }, "", {}, {});
+  Timer send(loop, [&] {
+    ledger::SnapshotChunk chunk;
+    chunk.bytes_.bytes_.assign(size_t{ 2 } << 20, 'x');
+    caller.Send(RaftEnvelope{ "b", chunk });
+  });
+  send.StartOnce(100);
+  loop.Run();
+  EXPECT_TRUE(whole);
+  EXPECT_EQ(partial.front(), 0);
+  EXPECT_GT(*std::max_element(partial.begin(), partial.end()), 0);
+  EXPECT_EQ(listener.Activity(kFirstLink).partialBytes_, 0);
+}
+
 } // namespace
 } // namespace cactuswick::transport
