What a replica knows of connected routers is a class of its own

RouterPresence takes over from ControlTask which routers are connected to the leader, from whom that is known and for how long it counts.

--- a/packages/control/src/process/ControlTask.cpp
+++ b/packages/control/src/process/ControlTask.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <chrono>
 #include <ctime>
-#include <optional>
-#include <set>
 #include <utility>
 
 #include "cactuswick/control/process/DataFolder.h"
@@ -20,6 +18,7 @@
 #include "process/ReplicaDriver.h"
 #include "process/TurnWatch.h"
 #include "version/EntryList.h"
+#include "version/RouterPresence.h"
 
 namespace cactuswick::control {
 
@@ -37,9 +36,6 @@
 constexpr int64_t kTickMs = 20;
 /// Interval at which a leader tells the others of connected routers.
 constexpr int64_t kLivenessMs = 400;
-/// A leader's word on connected routers counts for this long; a new leader
-/// waits as long before it has one.
-constexpr int64_t kLivenessValidMs = 2'500;
 /// A turn is long that takes this part of the shortest election timeout.
 constexpr int64_t kLongTurnsPerElection = 4;
 
@@ -269,7 +265,7 @@
     loop_.Defer([this] { service_->OnTurn(); });
     if (now - lastLivenessMs_ >= kLivenessMs) {
       lastLivenessMs_ = now;
-      SpreadLiveness();
+      SpreadLiveness(now);
     }
   }
 
@@ -302,27 +298,15 @@
     }
   }
 
-  void SpreadLiveness()
+  void SpreadLiveness(int64_t aNowMs)
   {
-    if (driver_.Leads()) {
+    if (presence_.MaySpeak(aNowMs)) {
       links_->SendToAll(
         transport::RouterLiveness{ service_->ConnectedRouters() });
-      service_->PushMembers();
     }
-  }
-
-  /// Routers that are connected to the leader, if that is known.
-  std::optional<std::set<ledger::Incarnation>> ConnectedRouters() const
-  {
-    const int64_t now = EventLoop::NowMs();
-    if (driver_.Leads() && now - leadsSinceMs_ >= kLivenessValidMs) {
-      const auto connected = service_->ConnectedRouters();
-      return std::set(connected.begin(), connected.end());
-    }
-    if (now - livenessHeardMs_ <= kLivenessValidMs) {
-      return std::set(liveness_.begin(), liveness_.end());
+    if (driver_.Leads()) {
+      service_->PushMembers();
     }
-    return std::nullopt;
   }
 
   /// Messages of the log; notes who ends this replica's lead.
@@ -359,8 +343,7 @@
       return;
     }
     if (const auto* live = std::get_if<transport::RouterLiveness>(&aMessage)) {
-      liveness_ = live->connected_;
-      livenessHeardMs_ = now;
+      presence_.OnHeard(live->connected_, now);
       return;
     }
     std::visit(
@@ -381,7 +364,7 @@
         driver_.Leads()
           ? Concat("leads in term ", term)
           : Concat("leads no more in term ", term, WhyNoMore(term)));
-    leadsSinceMs_ = EventLoop::NowMs();
+    presence_.OnLeadership(driver_.Leads(), EventLoop::NowMs());
     if (driver_.Leads()) {
       ledTerm_ = term;
     } else {
@@ -474,9 +457,7 @@
   ledger::Term ledTerm_ = 0;
   std::string newTermFrom_;
   int64_t lastLivenessMs_ = 0;
-  int64_t leadsSinceMs_ = 0;
-  std::vector<ledger::Incarnation> liveness_;
-  int64_t livenessHeardMs_ = -kLivenessValidMs;
+  RouterPresence presence_;
 
   transport::Timer tick_;
   MetricsServer metricsServer_;
@@ -572,7 +553,8 @@
 {
   return control::EntryAddresses(
     { .routers_ = state_->driver_.Ledger().Routers(),
-      .connected_ = state_->ConnectedRouters(),
+      .connected_ = state_->presence_.Connected(
+        state_->service_->ConnectedRouters(), EventLoop::NowMs()),
       .failureDomain_ = aFailureDomain });
 }
 
--- /dev/null
+++ b/packages/control/src/version/RouterPresence.cpp
@@ -0,0 +1,41 @@
+#include "version/RouterPresence.h"
+
+#include <utility>
+
+namespace cactuswick::control {
+
+void
+RouterPresence::OnLeadership(bool aLeads, int64_t aNowMs)
+{
+  leads_ = aLeads;
+  leadsSinceMs_ = aNowMs;
+}
+
+void
+RouterPresence::OnHeard(std::vector<ledger::Incarnation> aConnected,
+                        int64_t aNowMs)
+{
+  heard_ = std::move(aConnected);
+  heardMs_ = aNowMs;
+}
+
+bool
+RouterPresence::MaySpeak(int64_t) const
+{
+  return leads_;
+}
+
+std::optional<std::set<ledger::Incarnation>>
+RouterPresence::Connected(const std::vector<ledger::Incarnation>& aOwn,
+                          int64_t aNowMs) const
+{
+  if (leads_ && aNowMs - leadsSinceMs_ >= kPresenceValidMs) {
+    return std::set(aOwn.begin(), aOwn.end());
+  }
+  if (aNowMs - heardMs_ <= kPresenceValidMs) {
+    return std::set(heard_.begin(), heard_.end());
+  }
+  return std::nullopt;
+}
+
+} // namespace cactuswick::control
