A new leader does not speak of connected routers before they can be

After each change of leader, callers who asked another replica than the leader were given a list without the routers that had left the last leader and were still connecting to the new one; those listed got their load.

Cause: a new leader keeps to the last one's word for 2.5 s for its own answers, but told the other replicas of the routers connected to itself from its first tick on, and these took that in place of the last leader's word.

It now says nothing for as long. The others keep to the last word until that is too old, and then list all routers that serve, as the leader does.

RouterPresence.ANewLeaderDoesNotSpeakOfRoutersThatAreStillOnTheirWay failed before (MaySpeak was true 100 ms after the election) and passes.

--- a/packages/control/src/version/RouterPresence.cpp
+++ b/packages/control/src/version/RouterPresence.cpp
@@ -20,16 +20,16 @@
 }
 
 bool
-RouterPresence::MaySpeak(int64_t) const
+RouterPresence::MaySpeak(int64_t aNowMs) const
 {
-  return leads_;
+  return leads_ && aNowMs - leadsSinceMs_ >= kPresenceValidMs;
 }
 
 std::optional<std::set<ledger::Incarnation>>
 RouterPresence::Connected(const std::vector<ledger::Incarnation>& aOwn,
                           int64_t aNowMs) const
 {
-  if (leads_ && aNowMs - leadsSinceMs_ >= kPresenceValidMs) {
+  if (MaySpeak(aNowMs)) {
     return std::set(aOwn.begin(), aOwn.end());
   }
   if (aNowMs - heardMs_ <= kPresenceValidMs) {
--- a/packages/control/src/version/RouterPresence.h
+++ b/packages/control/src/version/RouterPresence.h
@@ -22,7 +22,8 @@
   /// Takes the leader's word.
   void OnHeard(std::vector<ledger::Incarnation> aConnected, int64_t aNowMs);
 
-  /// Whether this replica may say which routers are connected.
+  /// Whether this replica may say which routers are connected: it leads, and
+  /// routers have had the time to come over from the last leader.
   bool MaySpeak(int64_t aNowMs) const;
   /// Routers that are connected to the leader, if that is known; @p aOwn are
   /// connected to this replica.
--- a/tests/control/version/RouterPresenceTest.cpp
+++ b/tests/control/version/RouterPresenceTest.cpp
@@ -27,5 +27,15 @@
             Known({ { 3 } }));
 }
 
+TEST(RouterPresence, ANewLeaderDoesNotSpeakOfRoutersThatAreStillOnTheirWay)
+{
+  RouterPresence presence;
+  presence.OnLeadership(true, 2'000);
+  EXPECT_FALSE(presence.MaySpeak(2'100));
+  EXPECT_TRUE(presence.MaySpeak(2'000 + kPresenceValidMs));
+  presence.OnLeadership(false, 9'000);
+  EXPECT_FALSE(presence.MaySpeak(20'000));
+}
+
 } // namespace
 } // namespace cactuswick::control
