--- a/packages/control/src/connection/ControlService.cpp
+++ b/packages/control/src/connection/ControlService.cpp
@@ -16,28 +16,13 @@
 using telemetry::Log;
 using telemetry::Part;
 
-constexpr size_t kMaxListed = 10'000;
-constexpr std::string_view kBudgetType = "budget";
-
-/// Splits "type/rest" at its first slash.
-struct TypedKey
-{
-  std::string_view type_;
-  std::string_view name_;
-};
-
-TypedKey
-SplitKey(std::string_view aKey)
-{
-  const auto slash = std::min(aKey.find('/'), aKey.size());
-  return { aKey.substr(0, slash),
-           aKey.substr(std::min(slash + 1, aKey.size())) };
-}
-
 } // namespace
 
 ControlService::ControlService(ControlServiceOptions aOptions)
   : options_(std::move(aOptions))
+  , answers_({ .ledger_ = options_.ledger_,
+               .replica_ = options_.replica_,
+               .waiting_ = options_.waiting_ })
 {
 }
 
@@ -288,7 +273,7 @@
 {
   const auto found = queries_.find(aRead);
   if (found != queries_.end()) {
-    options_.send_(found->second.link_, Answer(found->second.query_));
+    options_.send_(found->second.link_, answers_.Answer(found->second.query_));
     queries_.erase(found);
   }
 }
@@ -423,85 +408,4 @@
   deltas_.clear();
 }
 
-transport::QueryReply
-ControlService::Answer(const transport::QueryRequest& aQuery) const
-{
-  const ledger::Ledger& ledger = options_.ledger_;
-  transport::QueryReply reply{ .call_ = aQuery.call_,
-                               .revision_ = ledger.Revision() };
-  const TypedKey key = SplitKey(aQuery.key_);
-  switch (aQuery.query_) {
-    case transport::QueryType::kStatus:
-      reply.status_ = Status();
-      break;
-    case transport::QueryType::kDeployment:
-      reply.deployment_ = ledger.Deployment();
-      break;
-    case transport::QueryType::kResource:
-      if (key.type_ == kBudgetType) {
-        const std::string budget(key.name_);
-        if (const auto* account = ledger.FindAccount(budget)) {
-          reply.accounts_.push_back(
-            { budget, *account, ledger.GrantsOf(budget) });
-        }
-      } else if (const auto* resource = ledger.FindResource(aQuery.key_)) {
-        reply.resources_.push_back(*resource);
-      }
-      break;
-    case transport::QueryType::kResources:
-      if (key.type_ == kBudgetType) {
-        reply.accounts_ = ledger.Accounts(key.name_, kMaxListed);
-        break;
-      }
-      for (const auto& [name, resource] : ledger.Resources()) {
-        if (name.starts_with(aQuery.key_) && !resource.deleted_ &&
-            reply.resources_.size() < kMaxListed) {
-          reply.resources_.push_back(resource);
-        }
-      }
-      break;
-  }
-  return reply;
-}
-
-transport::ControlStatus
-ControlService::Status() const
-{
-  const ledger::Ledger& ledger = options_.ledger_;
-  const ledger::Replica& replica = options_.replica_;
-  transport::ControlStatus status{
-    .leader_ = replica.LeaderId(),
-    .term_ = replica.CurrentTerm(),
-    .commit_ = replica.CommitIndex(),
-    .logBase_ = replica.Log().BaseIndex(),
-    .revision_ = ledger.Revision(),
-    .budgets_ = static_cast<int64_t>(ledger.AccountCount()),
-    .settledKeys_ = static_cast<int64_t>(ledger.SettledKeyCount()),
-    .claims_ = static_cast<int64_t>(ledger.ClaimCount())
-  };
-  for (const auto& member : replica.Members()) {
-    const bool self = member.id_ == replica.LeaderId();
-    status.members_.push_back(
-      { member,
-        self ? replica.Log().LastIndex() : replica.MatchOf(member.id_) });
-  }
-  for (const auto& member : options_.waiting_()) {
-    const auto& members = replica.Members();
-    const bool added =
-      std::any_of(members.begin(), members.end(), [&](const auto& aMember) {
-        return aMember.id_ == member.id_;
-      });
-    if (!added) {
-      status.waiting_.push_back(member);
-    }
-  }
-  for (const auto& [incarnation, router] : ledger.Routers()) {
-    status.routers_.push_back(router);
-  }
-  for (const auto& [endpoint, order] : ledger.Orders()) {
-    status.orders_.push_back(order);
-  }
-  return status;
-}
-
 } // namespace cactuswick::control
--- a/packages/control/src/connection/ControlService.h
+++ b/packages/control/src/connection/ControlService.h
@@ -9,6 +9,7 @@
 #include "cactuswick/ledger/version/Ledger.h"
 #include "cactuswick/ledger/version/Replica.h"
 #include "cactuswick/transport/connection/PeerListener.h"
+#include "connection/QueryAnswers.h"
 #include "version/PushPlan.h"
 
 namespace cactuswick::control {
@@ -90,8 +91,6 @@
   EncodedMessage DeltaSince(int64_t aRevision);
   /// Sends what a subscriber lacks; its size.
   int64_t PushTo(LinkId aLink, Subscriber& aSubscriber);
-  transport::QueryReply Answer(const transport::QueryRequest& aQuery) const;
-  transport::ControlStatus Status() const;
   transport::ControlMembers Members() const;
   void Recall(const ledger::RouterBatch& aBatch,
               const ledger::BatchReply& aReply);
@@ -102,6 +101,7 @@
                   ledger::Incarnation aExcept) const;
 
   ControlServiceOptions options_;
+  QueryAnswers answers_;
   std::multimap<ledger::Index, Waiter> waiters_;
   ledger::ReadId lastRead_ = 0;
   std::map<ledger::ReadId, PendingQuery> queries_;
--- /dev/null
+++ b/packages/control/src/connection/QueryAnswers.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <functional>
+#include <vector>
+
+#include "cactuswick/ledger/version/Ledger.h"
+#include "cactuswick/ledger/version/Replica.h"
+#include "cactuswick/transport/connection/PeerMessage.h"
+
+namespace cactuswick::control {
+
+struct QueryAnswersOptions
+{
+  const ledger::Ledger& ledger_;
+  const ledger::Replica& replica_;
+  /// Replicas that asked to be added.
+  std::function<std::vector<ledger::Member>()> waiting_;
+};
+
+/// Answers routers' and operators' queries from the state of a replica; the
+/// caller has proved that it leads.
+class QueryAnswers
+{
+public:
+  explicit QueryAnswers(QueryAnswersOptions aOptions);
+
+  transport::QueryReply Answer(const transport::QueryRequest& aQuery) const;
+
+private:
+  transport::ControlStatus Status() const;
+
+  QueryAnswersOptions options_;
+};
+
+} // namespace cactuswick::control
--- /dev/null
+++ b/tests/control/connection/QueryAnswersTest.cpp
@@ -0,0 +1,65 @@
+#include <gtest/gtest.h>
+
+#include "connection/QueryAnswers.h"
+
+namespace cactuswick::control {
+namespace {
+
+/// A replica that leads alone, and what it answers.
+class Answers
+{
+public:
+  Answers()
+    : replica_({ .id_ = "r1" }, { .members_ = { { "r1", "a", "d", true } } })
+    , answers_({ .ledger_ = ledger_, .replica_ = replica_, .waiting_ = [] {
+                  return std::vector<ledger::Member>{
+                    { "r1", "a", "d", true }, { "r2", "b", "d", false }
+                  };
+                } })
+  {
+    constexpr ledger::SteadyMs kElectedMs = 10'000;
+    replica_.Tick(kElectedMs);
+  }
+
+  transport::QueryReply To(transport::QueryType aQuery, const std::string& aKey)
+  {
+    return answers_.Answer({ kCall, aQuery, aKey });
+  }
+
+  static constexpr transport::CallId kCall = 7;
+  ledger::Ledger ledger_;
+  ledger::Replica replica_;
+  QueryAnswers answers_;
+};
+
+TEST(QueryAnswers, TheStatusNamesMembersAndOnlyOthersAsWaiting)
+{
+  Answers answers;
+  const auto reply = answers.To(transport::QueryType::kStatus, "");
+  EXPECT_EQ(reply.call_, Answers::kCall);
+  ASSERT_TRUE(reply.status_);
+  EXPECT_EQ(reply.status_->leader_, "r1");
+  ASSERT_EQ(reply.status_->members_.size(), 1U);
+  EXPECT_EQ(reply.status_->members_[0].match_,
+            answers.replica_.Log().LastIndex());
+  ASSERT_EQ(reply.status_->waiting_.size(), 1U);
+  EXPECT_EQ(reply.status_->waiting_[0].id_, "r2");
+}
+
+TEST(QueryAnswers, ABudgetIsAnsweredByItsNameAndByItsPrefix)
+{
+  Answers answers;
+  answers.ledger_.Apply(
+    ledger::ReplaceDeployment{ .version_ = 1, .budgets_ = { { "w", 5 } } }, 1);
+  const std::string budget = "budget/" + model::PrepaidBudgetOf("w");
+  EXPECT_EQ(
+    answers.To(transport::QueryType::kResource, budget).accounts_.size(), 1U);
+  EXPECT_TRUE(answers.To(transport::QueryType::kResource, budget + "x")
+                .accounts_.empty());
+  EXPECT_EQ(
+    answers.To(transport::QueryType::kResources, "budget/w").accounts_.size(),
+    1U);
+}
+
+} // namespace
+} // namespace cactuswick::control
