--- a/packages/ledger/include/cactuswick/ledger/version/Replica.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Replica.h
@@ -122,6 +122,10 @@
   void Tick(SteadyMs aNowMs);
   void Receive(const RaftMessage& aMessage, SteadyMs aNowMs);
 
+  /// Says that bytes of a message from the leader, not whole yet, came at
+  /// @p aHeardMs.
+  void HearLeader(SteadyMs aHeardMs);
+
   /// Appends a command at the leader; nullopt at any other replica.
   std::optional<Index> Propose(Command aCommand, SteadyMs aNowMs);
 
@@ -155,7 +159,8 @@
   /// Last entry known to be at @p aMember; 0 unless leader.
   Index MatchOf(const std::string& aMember) const;
   /// Whether a member follows the leader's log closely enough for a vote: its
-  /// last round of replication was shorter than an election timeout.
+  /// last round of replication was shorter than an election timeout, and no
+  /// large entry is on its way to it.
   bool IsCaughtUp(const std::string& aMember) const;
   /// How long a member has not been heard; 0 for the replica itself.
   SteadyMs SilenceOf(const std::string& aMember) const;
@@ -173,7 +178,11 @@
     SteadyMs lastHeardMs_ = 0;
     /// When the last piece of a snapshot was sent.
     SteadyMs lastChunkMs_ = 0;
-    SteadyMs lastProgressMs_ = 0;
+    /// The round in which that piece was sent, until it is answered.
+    std::optional<int64_t> chunkRound_;
+    /// Where entries were last sent again from, and the round of that time.
+    Index backedUpTo_ = 0;
+    int64_t backedUpRound_ = -1;
     /// When this leader first knew of it.
     SteadyMs sinceMs_ = 0;
     /// Snapshots that were begun for it.
@@ -230,10 +239,17 @@
   void Replicate();
   void SendAppend(const std::string& aTo, Peer& aPeer, bool aEvenIfEmpty);
   void SendSnapshot(const std::string& aTo, Peer& aPeer);
+  /// Says that all that a snapshot covers is held here.
+  void ConfirmSnapshot(const SnapshotChunk& aMessage);
   void NoteTransfer(const std::string& aTo, Peer& aPeer);
   void EndRounds(Peer& aPeer);
+  /// Bytes of documents in the log that a member has not confirmed.
+  size_t LagBytes(const Peer& aPeer) const;
   /// The last entry that no member in reach needs any more.
   Index Unneeded(Index aThrough) const;
+  /// Sends again what a member says it lacks. There is no timer for this: a
+  /// heartbeat behind an entry that was lost is refused.
+  void BackUp(Peer& aPeer, const AppendReply& aRefusal);
   Index NextAfterRefusal(const std::string& aFrom, Peer& aPeer, Index aIndex);
   void EndTransfers();
   void AdvanceCommit();
@@ -263,6 +279,8 @@
   SteadyMs nowMs_ = 0;
   SteadyMs electionDeadlineMs_ = 0;
   SteadyMs lastLeaderMs_ = -1'000'000;
+  /// When the leader was last told that something of it is arriving.
+  SteadyMs lastReceivingMs_ = 0;
   SteadyMs lastBroadcastMs_ = 0;
   /// Log time at @c termStartMs_, from which a leader's log time runs on.
   LogTimeMs termStartTimeMs_ = 0;
--- a/packages/ledger/src/version/ReplicaAppend.cpp
+++ b/packages/ledger/src/version/ReplicaAppend.cpp
@@ -7,19 +7,12 @@
 
 #include "cactuswick/model/process/Error.h"
 #include "cactuswick/model/process/Text.h"
+#include "version/EntrySize.h"
 
 namespace cactuswick::ledger {
 
 namespace {
 
-/// Bytes of an entry that can be large; the rest is small.
-size_t
-DocumentBytes(const Entry& aEntry)
-{
-  const auto* change = std::get_if<ReplaceDeployment>(&aEntry.command_);
-  return change == nullptr ? 0 : change->document_.bytes_.size();
-}
-
 /// Estimate of an entry in memory without its document.
 constexpr size_t kEntryBytes = 256;
 /// A member that is silent for longer does not hold the log back.
@@ -161,13 +154,6 @@
 {
   // A silent member gets heartbeats only, until it answers one.
   const bool silent = nowMs_ - aPeer.lastHeardMs_ > options_.electionMaxMs_;
-  const bool stalled = !silent && aPeer.next_ > aPeer.match_ + 1 &&
-                       nowMs_ - aPeer.lastProgressMs_ > options_.electionMinMs_;
-  if (stalled) {
-    // Of one that has confirmed nothing yet, its refusal says where to begin.
-    aPeer.next_ = aPeer.match_ == 0 ? log_.LastIndex() + 1 : aPeer.match_ + 1;
-    aPeer.lastProgressMs_ = nowMs_;
-  }
   if (aPeer.next_ <= log_.BaseIndex()) {
     SendSnapshot(aTo, aPeer);
   }
@@ -224,6 +210,29 @@
   effects_.sendAfterSync_.push_back({ aMessage.from_, reply });
 }
 
+void
+Replica::HearLeader(SteadyMs aHeardMs)
+{
+  nowMs_ = std::max(nowMs_, aHeardMs);
+  const bool follows = role_ == ReplicaRole::kFollower && !leaderId_.empty();
+  if (!follows || aHeardMs <= lastLeaderMs_) {
+    return;
+  }
+  lastLeaderMs_ = aHeardMs;
+  ResetElectionTimer();
+  if (nowMs_ - lastReceivingMs_ < options_.heartbeatMs_) {
+    return;
+  }
+  lastReceivingMs_ = nowMs_;
+  // Heartbeats stand behind the message: without this the leader would miss
+  // its quorum. What is committed is the same in its log.
+  effects_.sendAfterSync_.push_back({ leaderId_,
+                                      AppendReply{ .from_ = options_.id_,
+                                                   .term_ = hardState_.term_,
+                                                   .success_ = true,
+                                                   .index_ = commit_ } });
+}
+
 void
 Replica::AcceptEntries(const AppendRequest& aMessage)
 {
@@ -274,14 +283,12 @@
   peer.lastHeardMs_ = nowMs_;
   peer.ackedRound_ = std::max(peer.ackedRound_, aMessage.round_);
   if (!aMessage.success_) {
-    peer.next_ = NextAfterRefusal(aMessage.from_, peer, aMessage.index_);
-    replicate_ = true;
+    BackUp(peer, aMessage);
     return;
   }
   peer.soughtMs_.reset();
   if (aMessage.index_ > peer.match_) {
     peer.match_ = aMessage.index_;
-    peer.lastProgressMs_ = nowMs_;
     peer.next_ = std::max(peer.next_, peer.match_ + 1);
     AdvanceCommit();
   }
@@ -294,6 +301,23 @@
   replicate_ = replicate_ || peer.next_ <= log_.LastIndex();
 }
 
+void
+Replica::BackUp(Peer& aPeer, const AppendReply& aRefusal)
+{
+  const Index next = NextAfterRefusal(aRefusal.from_, aPeer, aRefusal.index_);
+  // Links keep the order of messages, so that this one was refused before the
+  // entries that an earlier refusal asked for could arrive.
+  const bool crossed =
+    aRefusal.round_ <= aPeer.backedUpRound_ && next >= aPeer.backedUpTo_;
+  if (crossed) {
+    return;
+  }
+  aPeer.next_ = next;
+  aPeer.backedUpTo_ = next;
+  aPeer.backedUpRound_ = round_;
+  replicate_ = true;
+}
+
 Index
 Replica::NextAfterRefusal(const std::string& aFrom, Peer& aPeer, Index aIndex)
 {
@@ -358,10 +382,11 @@
 void
 Replica::SendSnapshot(const std::string& aTo, Peer& aPeer)
 {
-  // One that has not been heard since may still be at the last piece.
-  const bool waiting =
-    aPeer.source_ && (aPeer.lastHeardMs_ <= aPeer.lastChunkMs_ ||
-                      nowMs_ - aPeer.lastChunkMs_ < options_.electionMaxMs_);
+  // Links keep order: until a later heartbeat is answered, the last piece may
+  // still be on its way.
+  const bool waiting = aPeer.source_ && aPeer.chunkRound_ &&
+                       (aPeer.ackedRound_ <= *aPeer.chunkRound_ ||
+                        nowMs_ - aPeer.lastChunkMs_ < options_.electionMaxMs_);
   if (waiting || !options_.openSnapshot_) {
     return;
   }
@@ -384,6 +409,7 @@
   chunk.done_ = static_cast<int64_t>(chunk.bytes_.bytes_.size()) <
                 options_.snapshotChunkBytes_;
   aPeer.lastChunkMs_ = nowMs_;
+  aPeer.chunkRound_ = round_;
   effects_.sendNow_.push_back({ aTo, std::move(chunk) });
 }
 
@@ -404,6 +430,10 @@
   }
   BecomeFollower(aMessage.term_, aMessage.from_);
   lastLeaderMs_ = nowMs_;
+  if (aMessage.lastIndex_ <= commit_) {
+    ConfirmSnapshot(aMessage);
+    return;
+  }
   if (receiving_.lastIndex_ != aMessage.lastIndex_ || aMessage.offset_ == 0) {
     receiving_ = { aMessage.lastIndex_, aMessage.lastTerm_, "" };
   }
@@ -415,7 +445,7 @@
   if (aMessage.offset_ == have) {
     receiving_.bytes_ += aMessage.bytes_.bytes_;
     reply.offset_ = static_cast<int64_t>(receiving_.bytes_.size());
-    if (aMessage.done_ && aMessage.lastIndex_ > commit_) {
+    if (aMessage.done_) {
       effects_.install_ = std::exchange(receiving_, {});
     }
     reply.done_ = aMessage.done_;
@@ -423,6 +453,19 @@
   effects_.sendAfterSync_.push_back({ aMessage.from_, reply });
 }
 
+void
+Replica::ConfirmSnapshot(const SnapshotChunk& aMessage)
+{
+  const auto size = static_cast<int64_t>(aMessage.bytes_.bytes_.size());
+  effects_.sendAfterSync_.push_back(
+    { aMessage.from_,
+      SnapshotReply{ .from_ = options_.id_,
+                     .term_ = hardState_.term_,
+                     .lastIndex_ = aMessage.lastIndex_,
+                     .offset_ = aMessage.offset_ + size,
+                     .done_ = true } });
+}
+
 void
 Replica::On(const SnapshotReply& aMessage)
 {
@@ -433,7 +476,7 @@
   }
   Peer& peer = found->second;
   peer.lastHeardMs_ = nowMs_;
-  peer.lastChunkMs_ = nowMs_ - options_.electionMaxMs_;
+  peer.chunkRound_.reset();
   if (peer.source_ && aMessage.lastIndex_ == peer.source_->lastIndex_) {
     peer.snapshotOffset_ = aMessage.offset_;
   }
--- a/tests/ledger/version/ReplicaAppendTest.cpp
+++ b/tests/ledger/version/ReplicaAppendTest.cpp
@@ -108,7 +108,54 @@
               options.snapshotEvery_ + 100);
 }
 
-/// A leader of term 4 whose log begins behind entry 10.
+ReplaceDeployment
+LargeDeployment()
+{
+  ReplaceDeployment change{ .version_ = 1 };
+  change.document_.bytes_.assign(size_t{ 300 } * 1'024, 'x');
+  return change;
+}
+
+TEST(ReplicaAppend, ALargeEntryOnASlowLinkDoesNotCostTheLeaderItsLead)
+{
+  // 300 KB take 3 s.
+  SlowCluster cluster(
+    { .size_ = 3, .linkBytesPerMs_ = 100, .entriesPerMs_ = 0.05 });
+  cluster.Run(3'000);
+  ASSERT_NE(cluster.Leader(), nullptr);
+  Replica& leader = *cluster.Leader()->replica_;
+  const Term term = leader.CurrentTerm();
+  const Index large = *leader.Propose(LargeDeployment(), cluster.Now());
+  EXPECT_LT(
+    cluster.RunUntil(8'000, [&] { return cluster.Committed() >= large; }),
+    4'000);
+  EXPECT_EQ(leader.CurrentTerm(), term);
+  EXPECT_EQ(leader.Role(), ReplicaRole::kLeader);
+}
+
+TEST(ReplicaAppend, AFollowerCampaignsOnceBytesOfItsLeaderStopComing)
+{
+  Replica follower({ .id_ = "b" },
+                   { .members_ = { { "a", "", "", true },
+                                   { "b", "", "", true },
+                                   { "c", "", "", true } } });
+  follower.Receive(AppendRequest{ .from_ = "a", .term_ = 1 }, 100);
+  SteadyMs now = 100;
+  for (; now < 3'000; now += 100) {
+    follower.HearLeader(now);
+    follower.Tick(now);
+    ASSERT_EQ(follower.Role(), ReplicaRole::kFollower) << now;
+  }
+  const SteadyMs last = now - 100;
+  for (; now <= last + ReplicaOptions{}.electionMaxMs_; now += 100) {
+    follower.HearLeader(last);
+    follower.Tick(now);
+  }
+  EXPECT_EQ(follower.Role(), ReplicaRole::kPreCandidate);
+}
+
+/// A leader of term 4 whose log begins behind entry 10 and ends at entry 22;
+/// d has no vote.
 Replica
 LeaderBehindEntryTen()
 {
@@ -117,7 +164,8 @@
                       .snapshotTerm_ = 2,
                       .members_ = { { "a", "", "", true },
                                     { "b", "", "", true },
-                                    { "c", "", "", true } } };
+                                    { "c", "", "", true },
+                                    { "d", "", "", false } } };
   for (Index index = 11; index <= 21; ++index) {
     start.entries_.push_back({ index, index == 21 ? 3 : 2, 0, TopUp{} });
   }
@@ -223,5 +271,138 @@
   EXPECT_EQ(leader.StandingOf("b")->snapshotBytes_, -1);
 }
 
+void
+Confirm(Replica& aLeader, const std::string& aFrom, Index aIndex, SteadyMs aMs)
+{
+  aLeader.Receive(
+    AppendReply{
+      .from_ = aFrom, .term_ = 4, .success_ = true, .index_ = aIndex },
+    aMs);
+}
+
+TEST(ReplicaAppend, ALearnerGetsNoVoteWhileALargeEntryIsOnItsWay)
+{
+  Replica leader = LeaderBehindEntryTen();
+  leader.Take();
+  Confirm(leader, "c", 22, 2'010);
+  Confirm(leader, "d", 22, 2'010);
+  ASSERT_TRUE(leader.IsCaughtUp("d"));
+  leader.Propose(TopUp{}, 2'020);
+  EXPECT_TRUE(leader.IsCaughtUp("d"));
+  const Index large = *leader.Propose(LargeDeployment(), 2'020);
+  EXPECT_FALSE(leader.IsCaughtUp("d"));
+  Confirm(leader, "d", large, 2'400);
+  EXPECT_TRUE(leader.IsCaughtUp("d"));
+}
+
+/// Appends with entries among messages for a member.
+size_t
+AppendsFor(const std::string& aTo, const std::vector<Envelope>& aSent)
+{
+  return static_cast<size_t>(
+    std::count_if(aSent.begin(), aSent.end(), [&](const auto& aEnvelope) {
+      const auto* append = std::get_if<AppendRequest>(&aEnvelope.message_);
+      return append != nullptr && aEnvelope.to_ == aTo &&
+             !append->entries_.empty();
+    }));
+}
+
+TEST(ReplicaAppend, AnAppendThatIsOnItsWayIsNotSentAgain)
+{
+  Replica leader = LeaderBehindEntryTen();
+  leader.Take();
+  Confirm(leader, "b", 22, 2'010);
+  Confirm(leader, "c", 22, 2'010);
+  leader.Propose(LargeDeployment(), 2'500);
+  EXPECT_EQ(AppendsFor("b", leader.Take().sendNow_), 1U);
+  for (SteadyMs now = 2'600; now < 4'500; now += 100) {
+    leader.Tick(now);
+    Confirm(leader, "b", 22, now);
+    Confirm(leader, "c", 23, now);
+    EXPECT_EQ(AppendsFor("b", leader.Take().sendNow_), 0U) << now;
+  }
+}
+
+/// b has not got what came behind entry 22.
+AppendReply
+RefusalOfRound(int64_t aRound)
+{
+  return { .from_ = "b", .term_ = 4, .index_ = 23, .round_ = aRound };
+}
+
+TEST(ReplicaAppend, RefusalsThatCrossTheirAnswerDoNotHaveItSentAgain)
+{
+  Replica leader = LeaderBehindEntryTen();
+  leader.Take();
+  Confirm(leader, "b", 22, 2'010);
+  Confirm(leader, "c", 22, 2'010);
+  leader.Propose(LargeDeployment(), 2'020);
+  leader.Take();
+  for (const SteadyMs now : { 2'100, 2'200, 2'300 }) {
+    leader.Tick(now);
+    leader.Take();
+  }
+  // The link broke; three heartbeats were refused before the answer to the
+  // first refusal arrived.
+  leader.Receive(RefusalOfRound(1), 2'310);
+  EXPECT_EQ(AppendsFor("b", leader.Take().sendNow_), 1U);
+  leader.Receive(RefusalOfRound(2), 2'320);
+  leader.Receive(RefusalOfRound(3), 2'330);
+  EXPECT_EQ(AppendsFor("b", leader.Take().sendNow_), 0U);
+  // It is lost again.
+  leader.Tick(2'400);
+  leader.Take();
+  leader.Receive(RefusalOfRound(4), 2'410);
+  EXPECT_EQ(AppendsFor("b", leader.Take().sendNow_), 1U);
+}
+
+size_t
+ChunksIn(const std::vector<Envelope>& aSent)
+{
+  return static_cast<size_t>(
+    std::count_if(aSent.begin(), aSent.end(), [](const auto& aEnvelope) {
+      return std::holds_alternative<SnapshotChunk>(aEnvelope.message_);
+    }));
+}
+
+TEST(ReplicaAppend, APieceOfASnapshotThatIsOnItsWayIsNotSentAgain)
+{
+  Replica leader = LeaderBehindEntryTen();
+  leader.Take();
+  SendsSnapshotAfterRefusal(leader, 2'010);
+  ASSERT_TRUE(SendsSnapshotAfterRefusal(leader, 2'900));
+  // Answers to what was sent before the piece say nothing about it.
+  for (SteadyMs now = 3'000; now < 5'000; now += 100) {
+    leader.Tick(now);
+    Confirm(leader, "c", 22, now);
+    leader.Receive(AppendReply{ .from_ = "b", .term_ = 4, .index_ = 1 }, now);
+    EXPECT_EQ(ChunksIn(leader.Take().sendNow_), 0U) << now;
+  }
+  leader.Receive(
+    AppendReply{ .from_ = "b", .term_ = 4, .index_ = 1, .round_ = 5 }, 5'000);
+  EXPECT_EQ(ChunksIn(leader.Take().sendNow_), 1U);
+}
+
+TEST(ReplicaAppend, ASnapshotWhoseEndWasNotConfirmedDoesNotBeginAnew)
+{
+  Replica follower({ .id_ = "b" }, {});
+  SnapshotChunk chunk{
+    .from_ = "a", .term_ = 4, .lastIndex_ = 12, .lastTerm_ = 2, .offset_ = 0
+  };
+  chunk.bytes_.bytes_ = "first";
+  follower.Receive(chunk, 10);
+  chunk.offset_ = 5;
+  chunk.done_ = true;
+  follower.Receive(chunk, 20);
+  ASSERT_TRUE(follower.Take().install_);
+  follower.SnapshotInstalled({ .snapshotIndex_ = 12, .snapshotTerm_ = 2 });
+  follower.Receive(chunk, 900);
+  const auto answers = follower.Take().sendAfterSync_;
+  ASSERT_EQ(answers.size(), 1U);
+  const auto& reply = std::get<SnapshotReply>(answers[0].message_);
+  EXPECT_TRUE(reply.done_);
+  EXPECT_EQ(reply.offset_, 10);
+}
+
 } // namespace
 } // namespace cactuswick::ledger
