A grant that covers an unreported loan exactly leaves no empty share

Callers saw nothing: totals were right and nothing was overspent. The ledger kept a share of 0 tokens and its own check called that corrupt storage.

Cause: a router that used a part of another's grant before the lender reported the move has a negative share. A grant of exactly that size makes it 0, and only reports, moves and returns dropped a share that had become empty.

Ruled out: a case of the test's model alone, as the shares printed were real states of the ledger.

Before: the new test failed with DATA_LOSS "a grant is not positive" and two shares instead of one.

--- a/packages/ledger/src/version/Ledger.cpp
+++ b/packages/ledger/src/version/Ledger.cpp
@@ -155,6 +155,8 @@
   result.available_ -= result.granted_;
   account.granted_ += result.granted_;
   AddToShare(aOp.budget_, aRouter, result.granted_);
+  // It may just cover what the router used of loans that are not reported yet.
+  DropEmptyShare(aOp.budget_, aRouter);
   return result;
 }
 
--- a/tests/ledger/version/LedgerDeploymentTest.cpp
+++ b/tests/ledger/version/LedgerDeploymentTest.cpp
@@ -173,6 +173,18 @@
   EXPECT_EQ(run.Budget().Available(), kTotal - 5'000);
 }
 
+TEST(LedgerDeployment, AGrantThatCoversAnUnreportedLoanLeavesNoEmptyShare)
+{
+  LateReporters run;
+  const auto lender = run.Register("a");
+  const auto borrower = run.Register("b");
+  run.Grant(lender, 30'000);
+  run.Op(borrower, ReportUse{ kBudget, 5'000 });
+  EXPECT_EQ(run.Grant(borrower, 5'000), 5'000);
+  EXPECT_EQ(run.State().CheckInvariants(), absl::OkStatus());
+  EXPECT_EQ(run.State().GrantsOf(kBudget).size(), 1U);
+}
+
 TEST(LedgerDeployment, ALoanToADeadRouterIsHeld)
 {
   LateReporters run;
