A voter that is receiving something may still lack the start of the log

Any answer that says success ended that time, also the one of that only says that bytes are arriving.

--- a/packages/ledger/src/version/ReplicaAppend.cpp
+++ b/packages/ledger/src/version/ReplicaAppend.cpp
@@ -286,7 +286,10 @@
     BackUp(peer, aMessage);
     return;
   }
-  peer.soughtMs_.reset();
+  // One that only says that something is arriving may still lack the start.
+  if (aMessage.index_ >= log_.BaseIndex()) {
+    peer.soughtMs_.reset();
+  }
   if (aMessage.index_ > peer.match_) {
     peer.match_ = aMessage.index_;
     peer.next_ = std::max(peer.next_, peer.match_ + 1);
--- a/tests/ledger/version/ReplicaAppendTest.cpp
+++ b/tests/ledger/version/ReplicaAppendTest.cpp
@@ -251,6 +251,17 @@
   EXPECT_TRUE(SendsSnapshotAfterRefusal(leader, 2'900));
 }
 
+TEST(ReplicaAppend, BytesThatArriveDoNotDelayTheSnapshotOfAVoter)
+{
+  Replica leader = LeaderBehindEntryTen();
+  leader.Take();
+  EXPECT_FALSE(SendsSnapshotAfterRefusal(leader, 2'010));
+  leader.Receive(
+    AppendReply{ .from_ = "b", .term_ = 4, .success_ = true, .index_ = 3 },
+    2'800);
+  EXPECT_TRUE(SendsSnapshotAfterRefusal(leader, 2'900));
+}
+
 TEST(ReplicaAppend, ATransferEndsThoughItsAnswerIsLost)
 {
   Replica leader = LeaderBehindEntryTen();
