Bytes of one message keep a leader for five seconds at most

Bytes that arrive count as a sign of life until 5 s after the leader's last whole message: the largest message of a link (4 MiB) takes 3.4 s at 10 Mbit/s.

ReplicaAppend.AFollowerCampaignsThoughBytesOfItsLeaderTrickle failed before (still a follower after 6 s) and passes.

--- a/packages/ledger/include/cactuswick/ledger/version/Replica.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Replica.h
@@ -35,6 +35,8 @@
   /// A follower campaigns after a random silence in this range.
   SteadyMs electionMinMs_ = 500;
   SteadyMs electionMaxMs_ = 1'000;
+  /// Bytes of one message of the leader are a sign of life for this long.
+  SteadyMs longestMessageMs_ = 5'000;
   size_t maxEntriesPerAppend_ = 512;
   int64_t snapshotChunkBytes_ = int64_t{ 256 } * 1'024;
   /// Largest sum of declared documents in one append; one always fits.
@@ -279,6 +281,8 @@
   SteadyMs nowMs_ = 0;
   SteadyMs electionDeadlineMs_ = 0;
   SteadyMs lastLeaderMs_ = -1'000'000;
+  /// When the last whole message of a leader came.
+  SteadyMs lastMessageMs_ = 0;
   /// When the leader was last told that something of it is arriving.
   SteadyMs lastReceivingMs_ = 0;
   SteadyMs lastBroadcastMs_ = 0;
--- a/packages/ledger/src/version/ReplicaAppend.cpp
+++ b/packages/ledger/src/version/ReplicaAppend.cpp
@@ -187,6 +187,7 @@
   }
   BecomeFollower(aMessage.term_, aMessage.from_);
   lastLeaderMs_ = nowMs_;
+  lastMessageMs_ = nowMs_;
   reply.term_ = hardState_.term_;
   const Index previous = aMessage.previousIndex_;
   const bool covered = previous < log_.BaseIndex();
@@ -215,7 +216,8 @@
 {
   nowMs_ = std::max(nowMs_, aHeardMs);
   const bool follows = role_ == ReplicaRole::kFollower && !leaderId_.empty();
-  if (!follows || aHeardMs <= lastLeaderMs_) {
+  const bool tooLong = aHeardMs - lastMessageMs_ > options_.longestMessageMs_;
+  if (!follows || tooLong || aHeardMs <= lastLeaderMs_) {
     return;
   }
   lastLeaderMs_ = aHeardMs;
@@ -433,6 +435,7 @@
   }
   BecomeFollower(aMessage.term_, aMessage.from_);
   lastLeaderMs_ = nowMs_;
+  lastMessageMs_ = nowMs_;
   if (aMessage.lastIndex_ <= commit_) {
     ConfirmSnapshot(aMessage);
     return;
--- a/tests/ledger/version/ReplicaAppendTest.cpp
+++ b/tests/ledger/version/ReplicaAppendTest.cpp
@@ -154,6 +154,22 @@
   EXPECT_EQ(follower.Role(), ReplicaRole::kPreCandidate);
 }
 
+TEST(ReplicaAppend, AFollowerCampaignsThoughBytesOfItsLeaderTrickle)
+{
+  const ReplicaOptions options{ .id_ = "b" };
+  Replica follower(options,
+                   { .members_ = { { "a", "", "", true },
+                                   { "b", "", "", true },
+                                   { "c", "", "", true } } });
+  follower.Receive(AppendRequest{ .from_ = "a", .term_ = 1 }, 100);
+  const SteadyMs end = 100 + options.longestMessageMs_ + options.electionMaxMs_;
+  for (SteadyMs now = 100; now <= end + 100; now += 100) {
+    follower.HearLeader(now);
+    follower.Tick(now);
+  }
+  EXPECT_EQ(follower.Role(), ReplicaRole::kPreCandidate);
+}
+
 /// A leader of term 4 whose log begins behind entry 10 and ends at entry 22;
 /// d has no vote.
 Replica
