Name the prompt's parts in lines of requests at which an endpoint failed

Logs could not tell a prompt that crashes engines from load or from crashes by themselves. The line of a request at which an endpoint failed ends with parts= now (at most 16 ids).

--- a/packages/router/src/request/Attempts.cpp
+++ b/packages/router/src/request/Attempts.cpp
@@ -66,6 +66,7 @@
                   ":",
                   TimeAtEndpointMs(),
                   "ms");
+  hasFailed_ |= aOutcome == routing::AttemptOutcome::kFailed;
   options_.dispatcher_.Release(serves_, endpoint_.endpoint_, aOutcome);
 }
 
--- a/packages/router/src/request/Attempts.h
+++ b/packages/router/src/request/Attempts.h
@@ -63,6 +63,8 @@
   /// Records that an attempt was sent and may have run.
   void MarkMayHaveRun() { mayHaveRun_ = true; }
   bool MayHaveRun() const { return mayHaveRun_; }
+  /// Whether an endpoint failed in an attempt.
+  bool HasFailed() const { return hasFailed_; }
 
   /// Endpoint, outcome and duration of each attempt so far, for the log.
   const std::string& History() const { return history_; }
@@ -79,6 +81,7 @@
   std::string history_;
   bool atEndpoint_ = false;
   bool mayHaveRun_ = false;
+  bool hasFailed_ = false;
 };
 
 } // namespace cactuswick::router
--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -24,6 +24,8 @@
 /// Unsent bytes for a slow caller above which reading from the endpoint pauses.
 constexpr size_t kMaxPendingBytes = size_t{ 256 } << 10;
 constexpr int64_t kBackpressurePollMs = 20;
+/// Maximum number of prompt parts in a request's log line.
+constexpr size_t kMaxLoggedParts = 16;
 /// Retry-After of an exhausted budget, which only a top-up can change.
 constexpr int64_t kTopUpRetryAfterMs = 30'000;
 
@@ -54,6 +56,18 @@
            .startMs_ = aPlan.startMs_ };
 }
 
+/// Returns the log field that lists a prompt's parts; empty without any.
+std::string
+DescribeParts(const std::vector<PromptPart>& aParts)
+{
+  std::string text;
+  const size_t count = std::min(aParts.size(), kMaxLoggedParts);
+  for (size_t i = 0; i < count; ++i) {
+    model::AppendTo(text, i == 0 ? " parts=" : ",", aParts[i].id_);
+  }
+  return text;
+}
+
 ResponseRelayOptions
 RelayOptions(const ForwardPlan& aPlan)
 {
@@ -492,7 +506,9 @@
                   relay_.UsedTokens(),
                   " grant_left=",
                   dependencies_.biller_.Free(plan_.budget_),
-                  grantWaitFields_) };
+                  grantWaitFields_,
+                  attempts_.HasFailed() ? DescribeParts(plan_.request_.parts_)
+                                        : "") };
 }
 
 } // namespace cactuswick::router
