--- a/tests/system/platform_run.py
+++ b/tests/system/platform_run.py
@@ -1,8 +1,11 @@
 """A deployment as the users' platform starts it, with simulated endpoints."""
 
+import contextlib
 import http.server
 import json
+import socket
 import socketserver
+import struct
 import threading
 import time
 
@@ -13,6 +16,8 @@
 # Preloaded library that injects disk faults; built with the tests.
 FAULTY_DISK = BIN.parent / "lib" / "libfaulty_disk.so"
 KEY = "key-of-w"
+# Seconds until a crashed endpoint is back as a new incarnation.
+RESTART_SECONDS = 1
 # Chunks of streams that end before their last event is complete.
 UNFINISHED = {"no_event": b"", "half_event": b"7\r\nid: 3\r\n\r\n"}
 
@@ -32,9 +37,16 @@
         self.events = 5
         # Whether the events of a stream have ids.
         self.numbered = True
-        # Seconds that a call takes and seconds between the events of a stream.
+        # Seconds that a call takes, seconds until a stream begins and seconds
+        # between its events.
         self.work_s = 0
+        self.prefill_s = 0
         self.gap_s = 0
+        # Ids of prompt parts that crash this endpoint when it begins to
+        # respond, and the number of such crashes.
+        self.deadly_parts = set()
+        self.crashes = 0
+        self.connections = set()
         # Fault of the next requests: "" (none), "refuse", "reset", "break"
         # (closes in the middle of the third event), "fail", "break_failure"
         # (closes in the middle of a long error body), "again" (restarts at the
@@ -45,12 +57,26 @@
         self._fault = ""
         # Fault of the next requests that resume a stream.
         self.resumed_fault = ""
+        self.listen()
+        self.stopped = threading.Event()
+        threading.Thread(target=self.announce, daemon=True).start()
+
+    def listen(self):
+        """Starts the server of this incarnation."""
         host, port = self.address.split(":")
         endpoint = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
 
+            def setup(self):
+                super().setup()
+                endpoint.connections.add(self.request)
+
+            def finish(self):
+                endpoint.connections.discard(self.request)
+                super().finish()
+
             def do_GET(self):
                 endpoint.serve(self)
 
@@ -67,8 +93,36 @@
         self.server.handle_error = lambda *_: None
         threading.Thread(target=self.server.serve_forever,
                          daemon=True).start()
-        self.stopped = threading.Event()
-        threading.Thread(target=self.announce, daemon=True).start()
+
+    def crash(self, restart_s=RESTART_SECONDS):
+        """Resets all connections; comes back as a new incarnation."""
+        server, self.server = self.server, None
+        if server is None:
+            return
+        self.crashes += 1
+        server.socket.close()
+        reset = struct.pack("ii", 1, 0)
+        for connection in list(self.connections):
+            with contextlib.suppress(OSError):
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                      reset)
+                connection.shutdown(socket.SHUT_RDWR)
+        threading.Thread(target=server.shutdown, daemon=True).start()
+        threading.Timer(restart_s, self.restart).start()
+
+    def restart(self):
+        if not self.stopped.is_set():
+            self.id = f"{self.id.split('.')[0]}.{self.crashes}"
+            self.born = int(time.time() * 1000)
+            self.sequence = 0
+            self.listen()
+
+    def is_deadly(self, call):
+        """Returns whether one of the prompt's shared parts crashes this
+        endpoint."""
+        parts = call.headers.get("X-Prompt-Prefix", "").split(",")
+        return not self.deadly_parts.isdisjoint(
+            part.split(":")[0] for part in parts[:-1])
 
     @property
     def fault(self):
@@ -137,9 +191,14 @@
         call.wfile.write(body)
 
     def stream(self, call):
+        time.sleep(self.prefill_s)
         call.send_header("Content-Type", "text/event-stream")
         call.send_header("Transfer-Encoding", "chunked")
         call.end_headers()
+        if self.is_deadly(call):
+            time.sleep(0.02)
+            self.crash()
+            return
         if call.fault in UNFINISHED:
             call.wfile.write(UNFINISHED[call.fault] + b"0\r\n\r\n")
             return
@@ -160,7 +219,8 @@
 
     def announce(self):
         while not self.stopped.wait(0.2):
-            self.send_heartbeat()
+            if self.server is not None:
+                self.send_heartbeat()
 
     def announced_address(self):
         return self.address
@@ -177,8 +237,9 @@
 
     def stop(self):
         self.stopped.set()
-        self.server.shutdown()
-        self.server.server_close()
+        if self.server is not None:
+            self.server.shutdown()
+            self.server.server_close()
 
 
 class PlatformRun(Deployment):
@@ -328,3 +389,35 @@
         for router in routers:
             wait_for(lambda r=router: self.is_ready(r), 15,
                      f"router {router} is ready")
+
+
+@contextlib.contextmanager
+def running_platform(services=("desk", "desk", "engine", "engine"), routers=2):
+    """Runs control replicas, routers and one endpoint for each service; all
+    routers know and serve them."""
+    deployment = PlatformRun(controls=3, routers=routers)
+    endpoints = deployment.endpoints = []
+    numbers = range(1, routers + 1)
+    try:
+        for number in (1, 2, 3):
+            deployment.start_replica(number, founds="true")
+        for number in numbers:
+            deployment.start_forwarder(number)
+        wait_for(lambda: deployment.declare(1).status == 200, 15,
+                 "the first deployment is acknowledged")
+        for number, service in enumerate(services, 1):
+            endpoints.append(SimulatedEndpoint(deployment, number, service))
+        deployment.wait_ready(numbers)
+        deployment.wait_known(endpoints)
+        for router in numbers:
+            for path in ("/call/x", "/stream/x"):
+                wait_for(lambda r=router, p=path:
+                         deployment.ask(p, r).status == 200, 10,
+                         f"router {router} serves {path}")
+        for endpoint in endpoints:
+            endpoint.received.clear()
+        yield deployment
+    finally:
+        for endpoint in endpoints:
+            endpoint.stop()
+        deployment.close()
--- a/tests/system/test_platform.py
+++ b/tests/system/test_platform.py
@@ -10,7 +10,7 @@
 
 import endless
 from deployment import request, wait_for
-from platform_run import HOST, PlatformRun, SimulatedEndpoint
+from platform_run import HOST, running_platform
 
 
 # A valid change is acknowledged within this time without faults (AckMs), and
@@ -27,33 +27,8 @@
 
 @pytest.fixture
 def run():
-    deployment = PlatformRun(controls=3, routers=2)
-    endpoints = []
-    try:
-        for number in (1, 2, 3):
-            deployment.start_replica(number, founds="true")
-        for number in (1, 2):
-            deployment.start_forwarder(number)
-        wait_for(lambda: deployment.declare(1).status == 200, 15,
-                 "the first deployment is acknowledged")
-        deployment.endpoints = endpoints
-        for number, service in ((1, "desk"), (2, "desk"), (3, "engine"),
-                                (4, "engine")):
-            endpoints.append(SimulatedEndpoint(deployment, number, service))
-        deployment.wait_ready()
-        deployment.wait_known(endpoints)
-        for router in (1, 2):
-            for path in ("/call/x", "/stream/x"):
-                wait_for(lambda r=router, p=path:
-                         deployment.ask(p, r).status == 200, 10,
-                         f"router {router} serves {path}")
-        for endpoint in endpoints:
-            endpoint.received.clear()
+    with running_platform() as deployment:
         yield deployment
-    finally:
-        for endpoint in endpoints:
-            endpoint.stop()
-        deployment.close()
 
 
 def received(run, path):
