Quarantine prompt parts that crash endpoints

Callers saw engines crash one after the other while one prompt part was in use (BUDGET), and sound requests cut and refused with them.

Cause: nothing tied a crash to what the request held. Each router took the broken connection for a failure of the endpoint and sent the request to the next one, the caller repeated it, and no router knew of the others' crashes. A poison pill with retries as its amplifier.

Evidence: with parts= in the request lines one part was in 33 of 34, 38 of 38 and 38 of 38 attempts that broke while an engine began to answer.

Change: routers report to the leader which prompts were at an endpoint when it broke, and whether it had begun to respond (SuspectParts scores them; a response clears a part, repeats and crashes at one moment count little, the deepest proved part goes first). The leader asks all routers for responses to suspect parts and then commits a quarantine, which all routers get with the configuration, also restarted and new ones. They refuse such requests with 503 and a Retry-After, without reserving budget. A router without control decides on its own evidence. The ledger grants one probe an interval, which grows; any response ends the quarantine. All tables are bounded.

--- a/packages/control/src/connection/QueryAnswers.cpp
+++ b/packages/control/src/connection/QueryAnswers.cpp
@@ -110,6 +110,9 @@
   for (const auto& [endpoint, order] : ledger.Orders()) {
     status.orders_.push_back(order);
   }
+  for (const auto& [part, record] : ledger.Quarantine()) {
+    status.quarantine_.push_back(record);
+  }
   return status;
 }
 
--- a/packages/control/src/process/ControlTask.cpp
+++ b/packages/control/src/process/ControlTask.cpp
@@ -15,6 +15,7 @@
 #include "connection/MemberLinks.h"
 #include "process/EndpointRelay.h"
 #include "process/Membership.h"
+#include "process/PartQuarantine.h"
 #include "process/ReplicaDriver.h"
 #include "process/LoopMonitor.h"
 #include "version/EntryPoints.h"
@@ -34,6 +35,7 @@
 using transport::EventLoop;
 
 constexpr int64_t kTickMs = 20;
+constexpr int64_t kMsPerSecond = 1'000;
 /// Interval at which the leader reports the connected routers to the other
 /// replicas.
 constexpr int64_t kLivenessIntervalMs = 400;
@@ -109,6 +111,7 @@
     }
     MakeService();
     MakeMembership();
+    MakeQuarantine();
     LoadRetiredEndpoints();
     status = listener_->Listen(settings_.GetAddress(settings::kControlListen));
     if (status.ok() &&
@@ -214,6 +217,26 @@
         } });
   }
 
+  void MakeQuarantine()
+  {
+    quarantine_ = std::make_unique<PartQuarantine>(PartQuarantineOptions{
+      .crashes_ = settings_.Get(settings::kQuarantineCrashes),
+      .windowMs_ = settings_.Get(settings::kQuarantineWindowS) * kMsPerSecond,
+      .probeIntervalMs_ =
+        settings_.Get(settings::kQuarantineProbeS) * kMsPerSecond,
+      .ledger_ = driver_.Ledger(),
+      .metrics_ = metrics_,
+      .propose_ =
+        [this](ledger::Command aCommand) {
+          service_->On(kLocalLink,
+                       transport::ProposeRequest{ 0, std::move(aCommand) });
+        },
+      .sendToRouters_ =
+        [this](const transport::PeerMessage& aMessage) {
+          service_->PushToRouters(aMessage);
+        } });
+  }
+
   bool IsAutomatic() const
   {
     return !settings_.Get(settings::kControlSeeds).empty();
@@ -263,6 +286,7 @@
     DialMembers();
     membership_->OnTick(now);
     relay_->OnTick(driver_.IsLeader(), now);
+    quarantine_->OnTick(driver_.IsLeader(), now);
     localCalls_.Expire(now);
     loop_.Defer([this] { service_->OnTurn(); });
     if (now - lastLivenessMs_ >= kLivenessIntervalMs) {
@@ -351,6 +375,10 @@
       presence_.OnLeaderReport(live->connected_, now);
       return;
     }
+    if (const auto* crash = std::get_if<transport::CrashEvidence>(&aMessage)) {
+      quarantine_->On(*crash, now);
+      return;
+    }
     std::visit(
       [&](const auto& aOne) {
         if constexpr (requires { service_->On(aLink, aOne); }) {
@@ -452,6 +480,8 @@
     metrics_.Set(Gauge::kConfigRevision, driver_.Ledger().Revision());
     metrics_.Set(Gauge::kSettledKeys,
                  static_cast<int64_t>(driver_.Ledger().SettledKeyCount()));
+    metrics_.Set(Gauge::kQuarantinedParts,
+                 static_cast<int64_t>(driver_.Ledger().Quarantine().size()));
     return metrics_.Expose();
   }
 
@@ -473,6 +503,7 @@
   std::unique_ptr<MemberLinks> links_;
   std::unique_ptr<EndpointRelay> relay_;
   std::unique_ptr<Membership> membership_;
+  std::unique_ptr<PartQuarantine> quarantine_;
   LocalCalls localCalls_;
   ReplicaDriver driver_;
 };
--- a/packages/ledger/include/cactuswick/ledger/request/OpResult.h
+++ b/packages/ledger/include/cactuswick/ledger/request/OpResult.h
@@ -76,14 +76,27 @@
   bool operator==(const OrderResult&) const = default;
 };
 
+/// Result of ProbePart.
+struct ProbeResult
+{
+  /// The router may send one request with the part.
+  bool granted_ = false;
+
+  bool operator==(const ProbeResult&) const = default;
+};
+
 /// Result of the operations that return no data.
 struct EmptyResult
 {
   bool operator==(const EmptyResult&) const = default;
 };
 
-using OpResult = std::
-  variant<EmptyResult, GrantResult, SettleResult, ClaimResult, OrderResult>;
+using OpResult = std::variant<EmptyResult,
+                              GrantResult,
+                              SettleResult,
+                              ClaimResult,
+                              OrderResult,
+                              ProbeResult>;
 
 constexpr std::array<std::string_view, 4>
 EnumNames(const SettleState*)
@@ -117,6 +130,17 @@
   return "claimed";
 }
 
+constexpr std::string_view
+TypeNameOf(const ProbeResult*)
+{
+  return "probe";
+}
+
+constexpr auto
+FieldsOf(const ProbeResult*)
+{
+  return model::MakeFields(model::Field{ "granted", &ProbeResult::granted_ });
+}
 constexpr auto
 FieldsOf(const OrderResult*)
 {
--- a/packages/ledger/include/cactuswick/ledger/request/RouterOp.h
+++ b/packages/ledger/include/cactuswick/ledger/request/RouterOp.h
@@ -183,6 +183,25 @@
   bool operator==(const Heartbeat&) const = default;
 };
 
+/// Requests to send one request with a quarantined prompt part.
+struct ProbePart
+{
+  std::string part_;
+
+  bool operator==(const ProbePart&) const = default;
+};
+
+/// Reports that an endpoint responded to a request with a quarantined prompt
+/// part, which ends the quarantine.
+struct ClearPart
+{
+  std::string part_;
+  /// Start of the quarantine that the response disproves.
+  LogTimeMs sinceMs_ = 0;
+
+  bool operator==(const ClearPart&) const = default;
+};
+
 using RouterOp = std::variant<AcquireGrant,
                               ReturnGrant,
                               Settle,
@@ -195,7 +214,9 @@
                               DeregisterRouter,
                               Heartbeat,
                               ReportUsage,
-                              MoveGrant>;
+                              MoveGrant,
+                              ProbePart,
+                              ClearPart>;
 
 constexpr std::array<std::string_view, 4>
 EnumNames(const ClaimState*)
@@ -274,6 +295,17 @@
   return "move";
 }
 
+constexpr std::string_view
+TypeNameOf(const ProbePart*)
+{
+  return "probe_part";
+}
+constexpr std::string_view
+TypeNameOf(const ClearPart*)
+{
+  return "clear_part";
+}
+
 constexpr auto
 FieldsOf(const AcquireGrant*)
 {
@@ -343,6 +375,17 @@
                            model::Field{ "state", &EndOrder::state_ });
 }
 constexpr auto
+FieldsOf(const ProbePart*)
+{
+  return model::MakeFields(model::Field{ "part", &ProbePart::part_ });
+}
+constexpr auto
+FieldsOf(const ClearPart*)
+{
+  return model::MakeFields(model::Field{ "part", &ClearPart::part_ },
+                           model::Field{ "since_ms", &ClearPart::sinceMs_ });
+}
+constexpr auto
 FieldsOf(const ConfirmNoCopies*)
 {
   return model::MakeFields(
--- a/packages/ledger/include/cactuswick/ledger/version/Command.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Command.h
@@ -144,6 +144,27 @@
   bool operator==(const RetireEndpoint&) const = default;
 };
 
+/// Quarantines a prompt part that crashes endpoints: routers refuse requests
+/// with it.
+struct QuarantinePart
+{
+  std::string part_;
+  /// Crashes that prove it; 0 on an operator's request.
+  int64_t crashes_ = 0;
+  /// Time until one request with the part may be tried; the longest if 0.
+  LogTimeMs probeIntervalMs_ = 0;
+
+  bool operator==(const QuarantinePart&) const = default;
+};
+
+/// Ends the quarantine of a prompt part on an operator's request.
+struct LiftQuarantine
+{
+  std::string part_;
+
+  bool operator==(const LiftQuarantine&) const = default;
+};
+
 using Command = std::variant<ChangeMembers,
                              ApplyResource,
                              DeleteResource,
@@ -153,7 +174,9 @@
                              RegisterRouter,
                              RouterBatch,
                              ReplaceDeployment,
-                             RetireEndpoint>;
+                             RetireEndpoint,
+                             QuarantinePart,
+                             LiftQuarantine>;
 
 /// Reply to a committed change.
 struct Accepted
@@ -247,6 +270,16 @@
   return "retire";
 }
 constexpr std::string_view
+TypeNameOf(const QuarantinePart*)
+{
+  return "quarantine";
+}
+constexpr std::string_view
+TypeNameOf(const LiftQuarantine*)
+{
+  return "lift";
+}
+constexpr std::string_view
 TypeNameOf(const Accepted*)
 {
   return "accepted";
@@ -362,6 +395,19 @@
     model::Field{ "incarnation", &RetireEndpoint::incarnation_ });
 }
 constexpr auto
+FieldsOf(const QuarantinePart*)
+{
+  return model::MakeFields(
+    model::Field{ "part", &QuarantinePart::part_ },
+    model::Field{ "crashes", &QuarantinePart::crashes_ },
+    model::Field{ "probe_interval_ms", &QuarantinePart::probeIntervalMs_ });
+}
+constexpr auto
+FieldsOf(const LiftQuarantine*)
+{
+  return model::MakeFields(model::Field{ "part", &LiftQuarantine::part_ });
+}
+constexpr auto
 FieldsOf(const Accepted*)
 {
   return model::MakeFields(model::Field{ "version", &Accepted::version_ },
--- a/packages/ledger/include/cactuswick/ledger/version/Ledger.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Ledger.h
@@ -35,6 +35,19 @@
 /// How long the record of a retired endpoint is kept.
 inline constexpr LogTimeMs kRetiredHorizonMs = 10LL * 60 * 1'000;
 
+/// How long a quarantine outlasts the time of its next probe if no request asks
+/// for the probe.
+inline constexpr LogTimeMs kQuarantineIdleMs = 24LL * 3'600 * 1'000;
+
+/// Factor by which the time between two probes of a quarantined part grows.
+inline constexpr int64_t kProbeBackoffFactor = 4;
+
+/// Longest time between two probes of a quarantined part.
+inline constexpr LogTimeMs kMaxProbeIntervalMs = 3'600LL * 1'000;
+
+/// Maximum number of quarantined parts; the oldest quarantine gives way.
+inline constexpr size_t kMaxQuarantinedParts = 256;
+
 /// Maximum number of claims. Further ones are refused: evicting a claim could
 /// let a call run twice.
 inline constexpr size_t kMaxClaims = 1'000'000;
@@ -77,6 +90,12 @@
     return retired_;
   }
 
+  /// Quarantined prompt parts by id.
+  const std::map<std::string, QuarantineRecord>& Quarantine() const
+  {
+    return quarantine_;
+  }
+
   const Account* FindAccount(const std::string& aBudget) const;
   size_t AccountCount() const { return accounts_.size(); }
   /// Returns up to @p aLimit accounts whose names start with @p aPrefix, sorted
@@ -116,6 +135,8 @@
   Reply On(const RouterBatch& aCommand);
   Reply On(const ReplaceDeployment& aCommand);
   Reply On(const RetireEndpoint& aCommand);
+  Reply On(const QuarantinePart& aCommand);
+  Reply On(const LiftQuarantine& aCommand);
 
   OpResult OnOp(Incarnation aRouter, const AcquireGrant& aOp);
   OpResult OnOp(Incarnation aRouter, const ReturnGrant& aOp);
@@ -130,6 +151,8 @@
   OpResult OnOp(Incarnation aRouter, const Heartbeat& aOp);
   OpResult OnOp(Incarnation aRouter, const ReportUsage& aOp);
   OpResult OnOp(Incarnation aRouter, const MoveGrant& aOp);
+  OpResult OnOp(Incarnation aRouter, const ProbePart& aOp);
+  OpResult OnOp(Incarnation aRouter, const ClearPart& aOp);
 
   /// Stores and returns the reply to an operator's request.
   Reply StoreReply(const std::string& aRequestId, Reply aReply);
@@ -167,6 +190,9 @@
   void MarkRouterChanged(RouterRecord& aRouter);
   void RemoveRouter(Incarnation aIncarnation);
 
+  /// Gives the quarantined parts a new revision, so that all routers get them.
+  void MarkQuarantineChanged();
+  void ExpireQuarantine();
   void ExpireRecords();
   void EvictSettledKeys();
 
@@ -183,6 +209,7 @@
   std::map<std::string, OrderRecord> orders_;
   DeploymentRecord deployment_;
   std::map<std::string, RetiredRecord> retired_;
+  std::map<std::string, QuarantineRecord> quarantine_;
   absl::flat_hash_map<std::string, TopUpRecord> topUps_;
   std::deque<std::string> topUpsByTime_;
   absl::flat_hash_map<std::string, OperatorRecord> operatorReplies_;
--- a/packages/ledger/include/cactuswick/ledger/version/Records.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Records.h
@@ -99,6 +99,21 @@
   bool operator==(const RetiredRecord&) const = default;
 };
 
+/// A prompt part that crashes endpoints.
+struct QuarantineRecord
+{
+  std::string part_;
+  int64_t crashes_ = 0;
+  LogTimeMs sinceMs_ = 0;
+  /// From this log time on, one request may be sent as a probe.
+  LogTimeMs nextProbeMs_ = 0;
+  /// Time between two probes; grows with each.
+  LogTimeMs probeIntervalMs_ = 0;
+  int64_t probes_ = 0;
+
+  bool operator==(const QuarantineRecord&) const = default;
+};
+
 /// Configuration changes since a revision.
 struct ConfigDelta
 {
@@ -114,6 +129,8 @@
   /// Set only if the deployment changed.
   std::optional<DeploymentRecord> deployment_;
   std::vector<RetiredRecord> retired_;
+  /// All quarantined prompt parts; set only if one was added, probed or lifted.
+  std::optional<std::vector<QuarantineRecord>> quarantine_;
 
   bool operator==(const ConfigDelta&) const = default;
 };
@@ -208,6 +225,8 @@
   Incarnation lastIncarnation_ = 0;
   LogTimeMs timeMs_ = 0;
   LogTimeMs evictedThroughMs_ = -1;
+  /// Revision of the last change of the quarantined parts.
+  int64_t quarantineRevision_ = 0;
 
   bool operator==(const CountersRecord&) const = default;
 };
@@ -223,7 +242,8 @@
                                     TopUpRecord,
                                     OperatorRecord,
                                     DeploymentRecord,
-                                    RetiredRecord>;
+                                    RetiredRecord,
+                                    QuarantineRecord>;
 
 constexpr std::array<std::string_view, 3>
 EnumNames(const RouterState*)
@@ -287,6 +307,12 @@
   return "retired";
 }
 
+constexpr std::string_view
+TypeNameOf(const QuarantineRecord*)
+{
+  return "quarantined";
+}
+
 constexpr auto
 FieldsOf(const Account*)
 {
@@ -342,6 +368,17 @@
     model::Field{ "at_ms", &RetiredRecord::atMs_ });
 }
 constexpr auto
+FieldsOf(const QuarantineRecord*)
+{
+  return model::MakeFields(
+    model::Field{ "part", &QuarantineRecord::part_ },
+    model::Field{ "crashes", &QuarantineRecord::crashes_ },
+    model::Field{ "since_ms", &QuarantineRecord::sinceMs_ },
+    model::Field{ "next_probe_ms", &QuarantineRecord::nextProbeMs_ },
+    model::Field{ "probe_interval_ms", &QuarantineRecord::probeIntervalMs_ },
+    model::Field{ "probes", &QuarantineRecord::probes_ });
+}
+constexpr auto
 FieldsOf(const ConfigDelta*)
 {
   return model::MakeFields(
@@ -352,7 +389,8 @@
     model::Field{ "routers", &ConfigDelta::routers_ },
     model::Field{ "known_routers", &ConfigDelta::knownRouters_ },
     model::Field{ "deployment", &ConfigDelta::deployment_ },
-    model::Field{ "retired", &ConfigDelta::retired_ });
+    model::Field{ "retired", &ConfigDelta::retired_ },
+    model::Field{ "quarantine", &ConfigDelta::quarantine_ });
 }
 constexpr auto
 FieldsOf(const ClaimRecord*)
@@ -426,7 +464,9 @@
     model::Field{ "forgotten_revision", &CountersRecord::lastRemovalRevision_ },
     model::Field{ "last_incarnation", &CountersRecord::lastIncarnation_ },
     model::Field{ "time_ms", &CountersRecord::timeMs_ },
-    model::Field{ "forgotten_through_ms", &CountersRecord::evictedThroughMs_ });
+    model::Field{ "forgotten_through_ms", &CountersRecord::evictedThroughMs_ },
+    model::Field{ "quarantine_revision",
+                  &CountersRecord::quarantineRevision_ });
 }
 
 } // namespace cactuswick::ledger
--- a/packages/ledger/src/version/Ledger.cpp
+++ b/packages/ledger/src/version/Ledger.cpp
@@ -80,6 +80,7 @@
   std::erase_if(retired_, [now](const auto& aPair) {
     return aPair.second.atMs_ < now - kRetiredHorizonMs;
   });
+  ExpireQuarantine();
 }
 
 Reply
--- a/packages/ledger/src/version/LedgerSnapshot.cpp
+++ b/packages/ledger/src/version/LedgerSnapshot.cpp
@@ -38,6 +38,12 @@
       delta.retired_.push_back(retired);
     }
   }
+  if (counters_.quarantineRevision_ > aRevision) {
+    delta.quarantine_.emplace();
+    for (const auto& [part, record] : quarantine_) {
+      delta.quarantine_->push_back(record);
+    }
+  }
   return delta;
 }
 
@@ -78,6 +84,9 @@
   for (const auto& [endpoint, retired] : retired_) {
     aSink(retired);
   }
+  for (const auto& [part, record] : quarantine_) {
+    aSink(record);
+  }
   const auto saveByTime = [&](const auto& aTable, const auto& aKeysByTime) {
     for (const auto& key : aKeysByTime) {
       if (const auto found = aTable.find(key); found != aTable.end()) {
@@ -154,6 +163,10 @@
   {
     ledger_.retired_[aRecord.endpoint_] = aRecord;
   }
+  void operator()(const QuarantineRecord& aRecord) const
+  {
+    ledger_.quarantine_[aRecord.part_] = aRecord;
+  }
   void operator()(const TopUpRecord& aRecord) const
   {
     ledger_.topUps_[aRecord.id_] = aRecord;
--- a/packages/model/include/cactuswick/model/process/Error.h
+++ b/packages/model/include/cactuswick/model/process/Error.h
@@ -35,6 +35,8 @@
   kStarting,
   kInProgress,
   kUpstreamFailed,
+  /// The request has a prompt part that crashes endpoints.
+  kPartQuarantined,
   kOutcomeUnknown,
   kCorruptStorage,
   kIo,
--- a/packages/model/src/process/Error.cpp
+++ b/packages/model/src/process/Error.cpp
@@ -46,6 +46,7 @@
   KindTraits{ "starting", 503, StatusCode::kUnavailable, true },
   KindTraits{ "in_progress", 409, StatusCode::kUnavailable, true },
   KindTraits{ "upstream_failed", 502, StatusCode::kUnavailable, true },
+  KindTraits{ "part_quarantined", 503, StatusCode::kUnavailable, true },
   KindTraits{ "outcome_unknown", 504, StatusCode::kUnknown, false },
   KindTraits{ "corrupt_storage", 500, StatusCode::kDataLoss, false },
   KindTraits{ "io", 500, StatusCode::kInternal, false },
--- a/packages/router/src/connection/ForwardApi.cpp
+++ b/packages/router/src/connection/ForwardApi.cpp
@@ -5,6 +5,7 @@
 
 #include "cactuswick/model/process/Error.h"
 #include "cactuswick/telemetry/process/Log.h"
+#include "request/ForwardPrompt.h"
 
 namespace cactuswick::router {
 
@@ -57,6 +58,15 @@
     Refuse(*aExchange, name, plan.status());
     return;
   }
+  const auto quarantined = options_.services_.quarantine_.Find(plan->prompt_);
+  if (quarantined && !quarantined->probeDue_) {
+    Refuse(*aExchange,
+           name,
+           QuarantineError(quarantined->part_),
+           quarantined->retryAfterMs_);
+    return;
+  }
+  plan->probedPart_ = quarantined ? quarantined->part_ : "";
   const routing::RequestId id = plan->id_;
   auto exchange = std::make_unique<ForwardExchange>(
     options_.services_, std::move(aExchange), *std::move(plan), [this, id] {
@@ -95,6 +105,7 @@
                     .priority_ = route->priority_,
                     .deploymentVersion_ = deployment_->Spec().version_,
                     .startMs_ = EventLoop::NowMs() };
+  plan.prompt_ = SharedPromptOf(plan.request_);
   SetDeadlines(plan);
   absl::Status status = ResolveWorkspace(plan);
   if (status.ok()) {
@@ -190,7 +201,8 @@
 void
 ForwardApi::Refuse(transport::HttpExchange& aExchange,
                    const std::string& aId,
-                   const absl::Status& aStatus)
+                   const absl::Status& aStatus,
+                   std::optional<int64_t> aRetryAfterMs)
 {
   const auto kind = model::KindOf(aStatus);
   if (kind == ErrorKind::kMalformed) {
@@ -198,13 +210,14 @@
     // cannot be found.
     aExchange.CloseAfterReply();
   }
-  const int64_t now = EventLoop::NowMs();
-  const bool transient = model::IsTransient(kind);
-  const int status = ReplyForwardError(
-    aExchange,
-    aStatus,
-    ExecutionState::kNotRun,
-    transient ? RetryAfterMs(now + kRetryAfterDivisor * kMaxRetryAfterMs) : 0);
+  const int64_t deadline =
+    EventLoop::NowMs() + kRetryAfterDivisor * kMaxRetryAfterMs;
+  const int64_t transientMs =
+    model::IsTransient(kind) ? RetryAfterMs(deadline) : 0;
+  const int status = ReplyForwardError(aExchange,
+                                       aStatus,
+                                       ExecutionState::kNotRun,
+                                       aRetryAfterMs.value_or(transientMs));
   options_.services_.metrics_.Count(Counter::kRefused, 1, model::NameOf(kind));
   LogRequest(Part::kCaller,
              Level::kWarning,
@@ -213,6 +226,8 @@
                     model::NameOf(kind),
                     " status=",
                     status,
+                    " field=",
+                    model::FieldOf(aStatus),
                     " path=",
                     aExchange.Path(),
                     " version=",
@@ -221,6 +236,14 @@
                     InFlight()));
 }
 
+void
+ForwardApi::OnQuarantined()
+{
+  for (const auto& [id, exchange] : exchanges_) {
+    exchange->OnQuarantined();
+  }
+}
+
 routing::RetryBudget&
 ForwardApi::RetryBudgetOf(const std::string& aService)
 {
--- a/packages/router/src/connection/ForwardApi.h
+++ b/packages/router/src/connection/ForwardApi.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -38,6 +39,8 @@
   const DeploymentView* Deployment() const { return deployment_.get(); }
 
   void Handle(std::unique_ptr<transport::HttpExchange> aExchange);
+  /// Refuses waiting requests with prompt parts that are quarantined now.
+  void OnQuarantined();
   int64_t InFlight() const { return static_cast<int64_t>(exchanges_.size()); }
 
 private:
@@ -50,7 +53,8 @@
                        const model::ForwardWorkspace& aWorkspace);
   void Refuse(transport::HttpExchange& aExchange,
               const std::string& aId,
-              const absl::Status& aStatus);
+              const absl::Status& aStatus,
+              std::optional<int64_t> aRetryAfterMs = std::nullopt);
   routing::RetryBudget& RetryBudgetOf(const std::string& aService);
   int64_t RetryAfterMs(int64_t aDeadlineMs);
 
--- a/packages/router/src/connection/ForwardErrors.cpp
+++ b/packages/router/src/connection/ForwardErrors.cpp
@@ -34,6 +34,14 @@
   }
 }
 
+absl::Status
+QuarantineError(const std::string& aPart)
+{
+  return model::MakeError(model::ErrorKind::kPartQuarantined,
+                          aPart,
+                          "requests with this prompt part crash endpoints");
+}
+
 bool
 NeedsTopUp(model::ErrorKind aKind)
 {
--- a/packages/router/src/connection/ForwardErrors.h
+++ b/packages/router/src/connection/ForwardErrors.h
@@ -16,6 +16,10 @@
   kMayHaveRun,
 };
 
+/// Returns the error of a request that has a quarantined prompt part.
+absl::Status
+QuarantineError(const std::string& aPart);
+
 /// Returns the HTTP status for a request that the router answers itself.
 /// Callers retry on 429 and 503, so only a request that has not run and never
 /// will gets one of these.
--- a/packages/router/src/connection/OperatorApi.cpp
+++ b/packages/router/src/connection/OperatorApi.cpp
@@ -115,6 +115,10 @@
     HandleCommand(aExchange, DecodeCommand("release", aExchange->Body()));
   } else if (aPath == "end-router" && post) {
     HandleCommand(aExchange, DecodeCommand("end_router", aExchange->Body()));
+  } else if (aPath == "quarantine" && post) {
+    HandleCommand(aExchange, DecodeCommand("quarantine", aExchange->Body()));
+  } else if (aPath == "quarantine/lift" && post) {
+    HandleCommand(aExchange, DecodeCommand("lift", aExchange->Body()));
   } else if (ConsumePrefix(aPath, "replicas/")) {
     HandleReplica(aExchange, aPath);
   } else if (aPath == "status") {
--- a/packages/router/src/process/ControlClient.cpp
+++ b/packages/router/src/process/ControlClient.cpp
@@ -237,6 +237,9 @@
                         link_.Target().ToString(),
                         " after_ms=",
                         EventLoop::NowMs() - link_.DialedMs()));
+      if (options_.onConnected_) {
+        options_.onConnected_();
+      }
     }
   }
 
@@ -314,6 +317,13 @@
     }
   }
 
+  void On(const transport::WatchParts& aMessage)
+  {
+    if (options_.onWatch_) {
+      options_.onWatch_(aMessage);
+    }
+  }
+
   void On(const transport::ControlMembers& aMessage)
   {
     OnLeaderActivity();
@@ -419,6 +429,14 @@
   }
 }
 
+void
+ControlClient::SendUnreliable(const transport::PeerMessage& aMessage)
+{
+  if (state_->isServing_) {
+    state_->link_.Send(aMessage);
+  }
+}
+
 void
 ControlClient::Propose(ledger::Command aCommand, ReplyHook aHook)
 {
--- a/packages/router/src/process/ControlClient.h
+++ b/packages/router/src/process/ControlClient.h
@@ -30,6 +30,10 @@
   std::function<void(const std::string& aBudget)> onRecall_;
   /// Called with endpoint announcements relayed by control.
   std::function<void(const transport::Gossip&)> onEndpoints_;
+  /// Called with the prompt parts whose responses the leader wants to know.
+  std::function<void(const transport::WatchParts&)> onWatch_;
+  /// Called when a leader has answered for the first time on this link.
+  std::function<void()> onConnected_;
   /// Called with the round-trip time of an answered batch, in milliseconds from
   /// its first send.
   std::function<void(int64_t)> onRoundTrip_;
@@ -59,6 +63,10 @@
   /// result.
   void Submit(ledger::RouterOp aOp, OpHook aHook = nullptr);
 
+  /// Sends a message that is neither acknowledged nor sent again; it is lost
+  /// while no leader is connected.
+  void SendUnreliable(const transport::PeerMessage& aMessage);
+
   /// Proposes an operator's command, which must be idempotent: it may be sent
   /// more than once.
   void Propose(ledger::Command aCommand, ReplyHook aHook);
--- a/packages/router/src/process/ForwardRole.cpp
+++ b/packages/router/src/process/ForwardRole.cpp
@@ -44,6 +44,7 @@
 constexpr int64_t kRefillPercent = 85;
 constexpr int64_t kMarginPercent = 140;
 constexpr int kHttpUnavailable = 503;
+constexpr int64_t kMsPerSecond = 1'000;
 
 } // namespace
 
@@ -63,8 +64,11 @@
 ForwardRole::ForwardRole(ForwardRoleOptions aOptions)
   : options_(std::move(aOptions))
   , pool_(options_.loop_)
-  , services_{ options_.loop_,    options_.biller_, options_.dispatcher_, pool_,
-               options_.metrics_, options_.burn_,   options_.dialect_ }
+  , quarantine_(options_.loop_, QuarantineOptions())
+  , services_{ options_.loop_,       options_.biller_,
+               options_.dispatcher_, pool_,
+               options_.metrics_,    options_.burn_,
+               options_.dialect_,    quarantine_ }
   , api_({ .services_ = services_,
            .retries_ = [this] { return RetryOptions(); },
            .isReady_ = options_.isReady_,
@@ -115,9 +119,32 @@
                   ready ? "{\"ready\":true}" : "{\"ready\":false}");
 }
 
+PromptQuarantineOptions
+ForwardRole::QuarantineOptions()
+{
+  const auto& settings = options_.settings_;
+  return {
+    .crashes_ = settings.Get(settings::kQuarantineCrashes),
+    .windowMs_ = settings.Get(settings::kQuarantineWindowS) * kMsPerSecond,
+    .localMs_ = settings.Get(settings::kQuarantineProbeS) * kMsPerSecond,
+    .metrics_ = options_.metrics_,
+    .send_ =
+      [this](const transport::CrashEvidence& aEvidence) {
+        options_.control_.SendUnreliable(aEvidence);
+      },
+    .submit_ =
+      [this](ledger::RouterOp aOp, ControlClient::OpHook aHook) {
+        options_.control_.Submit(std::move(aOp), std::move(aHook));
+      },
+    .isControlReachable_ = [this] { return options_.control_.IsReachable(); },
+    .onQuarantined_ = [this] { api_.OnQuarantined(); }
+  };
+}
+
 void
 ForwardRole::OnConfig(const ledger::ConfigDelta& aDelta)
 {
+  quarantine_.OnConfig(aDelta);
   const int64_t now = EventLoop::NowMs();
   for (const auto& retired : aDelta.retired_) {
     Log(Part::kEndpoint,
--- a/packages/router/src/process/ForwardRole.h
+++ b/packages/router/src/process/ForwardRole.h
@@ -20,6 +20,7 @@
   telemetry::Metrics& metrics_;
   telemetry::BurnTable& burn_;
   const ConfigView& config_;
+  ControlClient& control_;
   std::function<ledger::Incarnation()> self_;
   std::function<bool()> isReady_;
   std::function<bool()> isLeaving_;
@@ -44,10 +45,12 @@
   /// Applies endpoint announcements relayed by control.
   void OnEndpoints(const transport::Gossip& aGossip);
 
+  PromptQuarantine& Quarantine() { return quarantine_; }
   bool HasDeployment() const { return api_.Deployment() != nullptr; }
   int64_t InFlight() const { return api_.InFlight(); }
 
 private:
+  PromptQuarantineOptions QuarantineOptions();
   void OnReadyRequest(transport::HttpExchange& aExchange) const;
   void ApplyDeployment(const ledger::DeploymentRecord& aRecord);
   /// Sets the minimum that this router keeps of each budget.
@@ -56,6 +59,7 @@
 
   ForwardRoleOptions options_;
   transport::HttpPool pool_;
+  PromptQuarantine quarantine_;
   ForwardDependencies services_;
   ForwardApi api_;
   transport::HttpServer server_;
--- a/packages/router/src/process/RouterTask.cpp
+++ b/packages/router/src/process/RouterTask.cpp
@@ -203,6 +203,7 @@
       .metrics_ = metrics_,
       .burn_ = burn_,
       .config_ = config_,
+      .control_ = *control_,
       .self_ = [this] { return control_->Incarnation(); },
       .isReady_ = [this] { return IsReady(); },
       .isLeaving_ = [this] { return shutdown_.IsLeaving(); },
@@ -249,6 +250,18 @@
               forward_->OnEndpoints(aGossip);
             }
           },
+        .onWatch_ =
+          [this](const transport::WatchParts& aWatch) {
+            if (forward_) {
+              forward_->Quarantine().OnWatch(aWatch);
+            }
+          },
+        .onConnected_ =
+          [this] {
+            if (forward_) {
+              forward_->Quarantine().OnConnected();
+            }
+          },
         .onRoundTrip_ =
           [this](int64_t aRoundTripMs) {
             metrics_.Observe(telemetry::Summary::kControlRoundTripMs,
--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -26,6 +26,8 @@
 constexpr int64_t kBackpressurePollMs = 20;
 /// Maximum number of prompt parts in a request's log line.
 constexpr size_t kMaxLoggedParts = 16;
+/// Events after which a response shows that the prompt does no harm.
+constexpr int64_t kEventsOfAnswer = 3;
 /// Retry-After of an exhausted budget, which only a top-up can change.
 constexpr int64_t kTopUpRetryAfterMs = 30'000;
 
@@ -112,6 +114,28 @@
   exchange_->SetClosedHook([this] { OnCallerDisconnected(); });
   deadlineTimer_.StartOnce(
     std::max(int64_t{ 1 }, plan_.deadlineMs_ - EventLoop::NowMs()));
+  if (plan_.probedPart_.empty()) {
+    Reserve();
+  } else {
+    RequestProbe();
+  }
+}
+
+void
+ForwardExchange::RequestProbe()
+{
+  dependencies_.quarantine_.RequestProbe(
+    plan_.probedPart_, plan_.id_, [this](bool aGranted) {
+      isProbe_ = aGranted;
+      if (!FailIfQuarantined()) {
+        Reserve();
+      }
+    });
+}
+
+void
+ForwardExchange::Reserve()
+{
   if (plan_.tokensToReserve_ == 0) {
     Enqueue();
     return;
@@ -185,6 +209,10 @@
 {
   telemetry_.OnPlaced();
   prefillTokens_ = aPrefillTokens;
+  answered_ = false;
+  if (FailIfQuarantined()) {
+    return;
+  }
   relay_.BeginAttempt();
   const int64_t left =
     std::max(int64_t{ 1 }, plan_.deadlineMs_ - EventLoop::NowMs());
@@ -232,6 +260,8 @@
     return;
   }
   relay_.SetHead(std::move(head));
+  dependencies_.quarantine_.OnAlive(attempts_.Endpoint(),
+                                    attempts_.TimeAtEndpointMs());
 }
 
 void
@@ -244,6 +274,9 @@
   }
   if (output.hasEvents_) {
     ReportPrefill();
+    if (relay_.AttemptEventCount() >= kEventsOfAnswer) {
+      RecordAnswer();
+    }
   }
   if (!output.bytes_.empty()) {
     exchange_->SendChunk(output.bytes_);
@@ -296,6 +329,9 @@
                         sent);
       return;
     case AttemptEnd::kTruncated:
+      if (sent) {
+        RecordBreak();
+      }
       OnAttemptUnusable(TruncationLabel(aStatus, sent),
                         aStatus.ok() ? MakeError(ErrorKind::kUpstreamFailed,
                                                  attempts_.Endpoint().endpoint_,
@@ -305,6 +341,50 @@
   }
 }
 
+void
+ForwardExchange::RecordAnswer()
+{
+  if (!std::exchange(answered_, true)) {
+    dependencies_.quarantine_.OnAnswered(plan_.prompt_);
+  }
+}
+
+void
+ForwardExchange::RecordBreak()
+{
+  if (!answered_) {
+    brokeUnanswered_ = true;
+    dependencies_.quarantine_.OnBroken(
+      attempts_.Endpoint(), plan_.prompt_, relay_.Head().IsSuccess());
+  }
+}
+
+bool
+ForwardExchange::FailIfQuarantined()
+{
+  if (isProbe_) {
+    return false;
+  }
+  quarantinedPart_ = dependencies_.quarantine_.Find(plan_.prompt_);
+  if (!quarantinedPart_) {
+    return false;
+  }
+  MarkMayHaveRunIfSent();
+  LeaveEndpoint(AttemptOutcome::kNeutral, "quarantined");
+  Fail(QuarantineError(quarantinedPart_->part_));
+  return true;
+}
+
+void
+ForwardExchange::OnQuarantined()
+{
+  const bool isResponding = call_ && relay_.Head().status_ != 0;
+  const bool awaitsProbe = !plan_.probedPart_.empty() && !isProbe_;
+  if (!ended_ && !isResponding && !awaitsProbe) {
+    FailIfQuarantined();
+  }
+}
+
 void
 ForwardExchange::OnServerError()
 {
@@ -349,7 +429,11 @@
 bool
 ForwardExchange::TryRetry(bool aWasSent)
 {
-  return !exchange_->IsClosed() && attempts_.TryRetry(aWasSent);
+  const bool mayCrashEndpoint =
+    brokeUnanswered_ &&
+    (isProbe_ || dependencies_.quarantine_.IsSuspect(plan_.prompt_));
+  return !mayCrashEndpoint && !exchange_->IsClosed() &&
+         attempts_.TryRetry(aWasSent);
 }
 
 void
@@ -368,6 +452,9 @@
 void
 ForwardExchange::OnResponseComplete()
 {
+  if (relay_.Head().IsSuccess()) {
+    RecordAnswer();
+  }
   LeaveEndpoint(AttemptOutcome::kServed, "whole");
   attempts_.MarkMayHaveRun();
   const std::string remainder = relay_.TakeRemainder();
@@ -451,9 +538,7 @@
   const bool mayHaveRun = attempts_.MayHaveRun();
   const ExecutionState state =
     mayHaveRun ? ExecutionState::kMayHaveRun : ExecutionState::kNotRun;
-  const int64_t retryAfter = NeedsTopUp(model::KindOf(aStatus))
-                               ? kTopUpRetryAfterMs
-                               : plan_.retryAfterMs_();
+  const int64_t retryAfter = RetryAfterMs(aStatus);
   const int status =
     ReplyForwardError(*exchange_, aStatus, state, mayHaveRun ? 0 : retryAfter);
   if (mayHaveRun) {
@@ -466,6 +551,16 @@
   onEnd_();
 }
 
+int64_t
+ForwardExchange::RetryAfterMs(const absl::Status& aStatus) const
+{
+  if (quarantinedPart_) {
+    return quarantinedPart_->retryAfterMs_;
+  }
+  return NeedsTopUp(model::KindOf(aStatus)) ? kTopUpRetryAfterMs
+                                            : plan_.retryAfterMs_();
+}
+
 void
 ForwardExchange::StopAndSettle()
 {
@@ -473,6 +568,7 @@
   deadlineTimer_.Stop();
   backpressureTimer_.Stop();
   attempts_.Cancel();
+  dependencies_.quarantine_.CancelProbe(plan_.id_);
   dependencies_.biller_.CancelReserve(plan_.id_);
   if (reserved_ > 0) {
     dependencies_.biller_.RecordUsage(
@@ -507,8 +603,9 @@
                   " grant_left=",
                   dependencies_.biller_.Free(plan_.budget_),
                   grantWaitFields_,
-                  attempts_.HasFailed() ? DescribeParts(plan_.request_.parts_)
-                                        : "") };
+                  attempts_.HasFailed() || quarantinedPart_
+                    ? DescribeParts(plan_.request_.parts_)
+                    : "") };
 }
 
 } // namespace cactuswick::router
--- a/packages/router/src/request/ForwardExchange.h
+++ b/packages/router/src/request/ForwardExchange.h
@@ -2,12 +2,14 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "cactuswick/router/connection/ForwardDialect.h"
 #include "cactuswick/transport/connection/HttpCall.h"
 #include "connection/ForwardErrors.h"
 #include "process/Biller.h"
+#include "process/PromptQuarantine.h"
 #include "request/ResponseRelay.h"
 #include "request/Attempts.h"
 #include "request/RequestTelemetry.h"
@@ -24,6 +26,7 @@
   telemetry::Metrics& metrics_;
   telemetry::BurnTable& burn_;
   const ForwardDialect& dialect_;
+  PromptQuarantine& quarantine_;
 };
 
 /// An admitted request with its route, limits and reservation.
@@ -31,6 +34,9 @@
 {
   routing::RequestId id_ = 0;
   ForwardRequest request_;
+  model::SharedPrompt prompt_;
+  /// Quarantined part that the request may probe; empty for none.
+  std::string probedPart_;
   model::ForwardRoute route_;
   std::string service_;
   /// Maximum number of tokens in one event of the service's streams.
@@ -68,8 +74,16 @@
   ForwardExchange& operator=(const ForwardExchange&) = delete;
 
   void Start();
+  /// Refuses the request if a part of its prompt has been quarantined and no
+  /// endpoint is responding to it.
+  void OnQuarantined();
 
 private:
+  void Reserve();
+  void RequestProbe();
+  /// Fails the request if a part of its prompt is quarantined; returns whether
+  /// it did.
+  bool FailIfQuarantined();
   void Enqueue();
   void OnPlaced(const model::Announcement& aEndpoint,
                 ledger::Tokens aPrefillTokens);
@@ -78,6 +92,10 @@
   void OnCallDone(const absl::Status& aStatus);
   void OnNotRun();
   void OnServerError();
+  /// Records that the endpoint responds normally to the prompt's parts.
+  void RecordAnswer();
+  /// Reports a broken attempt as evidence against the prompt's parts.
+  void RecordBreak();
   /// Ends an attempt whose response, if any, cannot be used for the caller.
   void OnAttemptUnusable(std::string_view aLabel,
                          const absl::Status& aStatus,
@@ -95,6 +113,7 @@
   void MarkMayHaveRunIfSent();
   void LeaveEndpoint(routing::AttemptOutcome aOutcome, std::string_view aLabel);
   void Fail(const absl::Status& aStatus);
+  int64_t RetryAfterMs(const absl::Status& aStatus) const;
   /// Ends the exchange: stops timers, leaves the queue and replaces the
   /// reservation by the tokens used.
   void StopAndSettle();
@@ -118,6 +137,13 @@
   ledger::Tokens reserved_ = 0;
   /// Log fields of the wait for a grant; empty if there was no wait.
   std::string grantWaitFields_;
+  /// Refusal because of a quarantined part.
+  std::optional<QuarantinedPart> quarantinedPart_;
+  bool isProbe_ = false;
+  /// The endpoint of this attempt has responded normally.
+  bool answered_ = false;
+  /// An attempt broke before the endpoint had responded.
+  bool brokeUnanswered_ = false;
   bool ended_ = false;
 };
 
--- a/packages/router/src/request/ForwardPrompt.cpp
+++ b/packages/router/src/request/ForwardPrompt.cpp
@@ -25,4 +25,21 @@
   return prompt;
 }
 
+model::SharedPrompt
+SharedPromptOf(const ForwardRequest& aRequest)
+{
+  model::SharedPrompt prompt;
+  const auto& parts = aRequest.parts_;
+  if (parts.size() < 2) {
+    return prompt;
+  }
+  prompt.requestHash_ = static_cast<int64_t>(model::Hash64(parts.back().id_));
+  const size_t shared = parts.size() - 1;
+  const size_t first = shared - std::min(shared, model::kMaxTrackedParts);
+  for (size_t i = first; i < shared; ++i) {
+    prompt.parts_.push_back(model::TrackedPartId(parts[i].id_));
+  }
+  return prompt;
+}
+
 } // namespace cactuswick::router
--- a/packages/router/src/request/ForwardPrompt.h
+++ b/packages/router/src/request/ForwardPrompt.h
@@ -2,6 +2,7 @@
 
 #include <optional>
 
+#include "cactuswick/model/version/CrashReport.h"
 #include "cactuswick/router/connection/ForwardDialect.h"
 #include "cactuswick/routing/process/EndpointTable.h"
 
@@ -13,4 +14,9 @@
 std::optional<routing::PromptLoad>
 PromptLoadOf(const ForwardRequest& aRequest);
 
+/// Returns the parts of a prompt that other requests may share: all but the
+/// last one. Pure.
+model::SharedPrompt
+SharedPromptOf(const ForwardRequest& aRequest);
+
 } // namespace cactuswick::router
--- a/packages/router/src/request/ResponseRelay.h
+++ b/packages/router/src/request/ResponseRelay.h
@@ -83,6 +83,11 @@
   /// Id of the last event that the caller has; empty for none.
   const std::string& LastEventId() const { return events_.LastId(); }
   int64_t EventCount() const { return events_.Count(); }
+  /// Number of events that this attempt has delivered.
+  int64_t AttemptEventCount() const
+  {
+    return events_.Count() - eventCountAtStart_;
+  }
   /// Tokens to bill; 0 if nothing of the response was forwarded to the caller.
   ledger::Tokens UsedTokens() const;
 
--- a/packages/settings/include/cactuswick/settings/process/SettingList.h
+++ b/packages/settings/include/cactuswick/settings/process/SettingList.h
@@ -346,6 +346,39 @@
   1'000'000
 };
 
+inline constexpr IntegerSetting kQuarantineCrashes{
+  "quarantine",
+  "crashes",
+  3,
+  ValueFormat::kInteger,
+  "crashes",
+  "Crashes of endpoints, by different requests with the same prompt part, "
+  "after which requests with the part are refused; 0 turns this off.",
+  0,
+  1'000
+};
+inline constexpr IntegerSetting kQuarantineWindowS{
+  "quarantine",
+  "window_s",
+  600,
+  ValueFormat::kInteger,
+  "s",
+  "How long a crash counts against the parts of a prompt.",
+  1,
+  86'400
+};
+inline constexpr IntegerSetting kQuarantineProbeS{
+  "quarantine",
+  "probe_s",
+  30,
+  ValueFormat::kInteger,
+  "s",
+  "Time until one request with a refused prompt part is tried; four times as "
+  "long after each failed try.",
+  1,
+  3'600
+};
+
 inline constexpr TextSetting kOperatorKeySha256{
   "operator",
   "key_sha256",
--- a/packages/telemetry/include/cactuswick/telemetry/process/Metrics.h
+++ b/packages/telemetry/include/cactuswick/telemetry/process/Metrics.h
@@ -37,6 +37,9 @@
   kVotesDenied,
   kElectionsFailed,
   kTrafficBytes,
+  kEndpointBreaks,
+  kPartsQuarantined,
+  kPartProbes,
 };
 
 /// Distributions. Count and sum are exact; the quantiles are estimated by the
@@ -70,6 +73,7 @@
   kSettledKeys,
   kVoters,
   kLearners,
+  kQuarantinedParts,
 };
 
 /// Metrics of one task. Not thread-safe: only for use on that task's loop.
--- a/packages/telemetry/src/process/Metrics.cpp
+++ b/packages/telemetry/src/process/Metrics.cpp
@@ -56,6 +56,9 @@
   MetricName{ "votes_denied_total" },
   MetricName{ "elections_failed_total" },
   MetricName{ "traffic_bytes_total", "way" },
+  MetricName{ "endpoint_breaks_total" },
+  MetricName{ "parts_quarantined_total" },
+  MetricName{ "part_probes_total", "result" },
 };
 constexpr std::array kSummaryNames = {
   MetricName{ "first_token_ms", "rank" },
@@ -82,13 +85,15 @@
   MetricName{ "settled_keys" },
   MetricName{ "voters" },
   MetricName{ "learners" },
+  MetricName{ "quarantined_parts" },
 };
 
 static_assert(kCounterNames.size() ==
-              static_cast<size_t>(Counter::kTrafficBytes) + 1);
+              static_cast<size_t>(Counter::kPartProbes) + 1);
 static_assert(kSummaryNames.size() ==
               static_cast<size_t>(Summary::kCatchUpMs) + 1);
-static_assert(kGaugeNames.size() == static_cast<size_t>(Gauge::kLearners) + 1);
+static_assert(kGaugeNames.size() ==
+              static_cast<size_t>(Gauge::kQuarantinedParts) + 1);
 
 constexpr std::string_view kPrefix = "cactuswick_";
 
--- a/packages/transport/include/cactuswick/transport/connection/PeerMessage.h
+++ b/packages/transport/include/cactuswick/transport/connection/PeerMessage.h
@@ -10,6 +10,7 @@
 #include "cactuswick/ledger/version/RaftMessage.h"
 #include "cactuswick/ledger/version/Records.h"
 #include "cactuswick/model/version/Announcement.h"
+#include "cactuswick/model/version/CrashReport.h"
 
 /// Messages between the processes of the fleet.
 namespace cactuswick::transport {
@@ -120,6 +121,7 @@
   std::vector<ledger::Member> waiting_;
   std::vector<ledger::RouterRecord> routers_;
   std::vector<ledger::OrderRecord> orders_;
+  std::vector<ledger::QuarantineRecord> quarantine_;
 
   bool operator==(const ControlStatus&) const = default;
 };
@@ -272,6 +274,27 @@
   bool operator==(const LendReply&) const = default;
 };
 
+/// What a router knows of crashed endpoints and of the parts of the prompts
+/// that were there.
+struct CrashEvidence
+{
+  std::vector<model::CrashReport> reports_;
+  /// Watched parts with which an endpoint has responded.
+  std::vector<model::AnsweredPart> answered_;
+  /// Endpoints that were reported and responded later.
+  std::vector<model::EndpointRun> alive_;
+
+  bool operator==(const CrashEvidence&) const = default;
+};
+
+/// Lists the prompt parts under suspicion; routers report responses to them.
+struct WatchParts
+{
+  std::vector<std::string> parts_;
+
+  bool operator==(const WatchParts&) const = default;
+};
+
 using PeerMessage = std::variant<KeepAlive,
                                  RaftEnvelope,
                                  ProposeRequest,
@@ -291,6 +314,8 @@
                                  RouterLiveness,
                                  ControlMembers,
                                  LendRequest,
-                                 LendReply>;
+                                 LendReply,
+                                 CrashEvidence,
+                                 WatchParts>;
 
 } // namespace cactuswick::transport
--- a/packages/transport/include/cactuswick/transport/connection/PeerMessageFields.h
+++ b/packages/transport/include/cactuswick/transport/connection/PeerMessageFields.h
@@ -316,7 +316,35 @@
     model::Field{ "members", &ControlStatus::members_ },
     model::Field{ "waiting", &ControlStatus::waiting_ },
     model::Field{ "routers", &ControlStatus::routers_ },
-    model::Field{ "orders", &ControlStatus::orders_ });
+    model::Field{ "orders", &ControlStatus::orders_ },
+    model::Field{ "quarantine", &ControlStatus::quarantine_ });
+}
+
+constexpr std::string_view
+TypeNameOf(const CrashEvidence*)
+{
+  return "crash_evidence";
+}
+
+constexpr auto
+FieldsOf(const CrashEvidence*)
+{
+  return model::MakeFields(
+    model::Field{ "reports", &CrashEvidence::reports_ },
+    model::Field{ "answered", &CrashEvidence::answered_ },
+    model::Field{ "alive", &CrashEvidence::alive_ });
+}
+
+constexpr std::string_view
+TypeNameOf(const WatchParts*)
+{
+  return "watch_parts";
+}
+
+constexpr auto
+FieldsOf(const WatchParts*)
+{
+  return model::MakeFields(model::Field{ "parts", &WatchParts::parts_ });
 }
 
 constexpr auto
--- a/tests/system/platform_run.py
+++ b/tests/system/platform_run.py
@@ -1,6 +1,7 @@
 """A deployment as the users' platform starts it, with simulated endpoints."""
 
 import contextlib
+import hashlib
 import http.server
 import json
 import socket
@@ -10,7 +11,8 @@
 import time
 
 import endless
-from deployment import BIN, Deployment, HttpResponse, request, wait_for
+from deployment import (BIN, OPERATOR_KEY, Deployment, HttpResponse, request,
+                        wait_for)
 
 HOST = "shop.example"
 # Preloaded library that injects disk faults; built with the tests.
@@ -246,6 +248,8 @@
     """Control replicas that form their own cluster, and forwarding routers."""
 
     tenants = [{"Name": "w", "ApiKeys": [KEY], "Prepaid": 10000}]
+    # Settings of the section [quarantine] of all processes.
+    quarantine = {}
 
     def control_api(self, number):
         return f"{self.net}.0.{number}:7010"
@@ -273,6 +277,7 @@
                         "entry_listen": self.entry_address(number),
                         "endpoint_heartbeat_ms": 200,
                         "election_ms": 300},
+            "quarantine": self.quarantine,
             "log": {"format": "json"}})
         self.start(f"c{number}", BIN / "cactuswickd", "--config", settings,
                    env=self.control_environment(number))
@@ -311,9 +316,13 @@
         settings = self.write_settings(f"r{number}", {
             "process": {"vm": f"r{number}", "roles": "router",
                         "failure_domain": self.domain(number)},
-            "router": {"peer_listen": self.router_peer_listen(number),
+            "router": {"listen": self.router_address(number),
+                       "peer_listen": self.router_peer_listen(number),
                        "peer_advertise": self.router_peer_address(number),
                        **self.router_control()},
+            "operator": {"key_sha256":
+                         hashlib.sha256(OPERATOR_KEY.encode()).hexdigest()},
+            "quarantine": self.quarantine,
             "forward": {"listen": self.forward_address(number),
                         "ready_listen": self.ready_address(number),
                         "leave_ms": 500, "grace_s": 4},
