--- a/packages/client/src/process/Commands.cpp
+++ b/packages/client/src/process/Commands.cpp
@@ -306,6 +306,24 @@
               Concat("router ", aIncarnation, " ended"));
 }
 
+absl::Status
+Quarantine(const CommandContext& aContext, const std::string& aPart)
+{
+  return Post(aContext,
+              "quarantine",
+              { { "part", aPart } },
+              Concat("part ", aPart, " quarantined"));
+}
+
+absl::Status
+LiftQuarantine(const CommandContext& aContext, const std::string& aPart)
+{
+  return Post(aContext,
+              "quarantine/lift",
+              { { "part", aPart } },
+              Concat("quarantine of part ", aPart, " lifted"));
+}
+
 absl::Status
 ChangeReplica(const CommandContext& aContext,
               const std::string& aAction,
--- a/packages/client/src/process/Commands.h
+++ b/packages/client/src/process/Commands.h
@@ -60,6 +60,14 @@
 absl::Status
 EndRouter(const CommandContext& aContext, int64_t aIncarnation);
 
+/// Makes all routers refuse requests with a prompt part.
+absl::Status
+Quarantine(const CommandContext& aContext, const std::string& aPart);
+
+/// Ends the quarantine of a prompt part.
+absl::Status
+LiftQuarantine(const CommandContext& aContext, const std::string& aPart);
+
 /// Adds a waiting control replica, or removes one.
 absl::Status
 ChangeReplica(const CommandContext& aContext,
--- a/packages/client/src/process/Output.cpp
+++ b/packages/client/src/process/Output.cpp
@@ -126,6 +126,13 @@
       order.fence_,
       std::string(kOrderStateNames[static_cast<size_t>(order.state_)]));
   }
+  for (const auto& part : aStatus.quarantine_) {
+    absl::StrAppendFormat(&text,
+                          "quarantined part %s: %d crashes, %d probes\n",
+                          part.part_,
+                          part.crashes_,
+                          part.probes_);
+  }
   return text;
 }
 
