--- a/tests/platform/connection/AnnouncementDocumentTest.cpp
+++ b/tests/platform/connection/AnnouncementDocumentTest.cpp
@@ -68,6 +68,47 @@
   EXPECT_FALSE(DecodeAnnouncement("", ReadyDocument().dump(), 1).ok());
 }
 
+TEST(AnnouncementDocument, RejectsDeeplyNestedDocument)
+{
+  const std::string deep(1'000'000, '[');
+  EXPECT_FALSE(DecodeAnnouncement("i-1", deep, 1).ok());
+  const std::string text = ReadyDocument().dump();
+  const std::string nested = text.substr(0, text.size() - 1) +
+                             ",\"x\":" + std::string(100'000, '[') +
+                             std::string(100'000, ']') + "}";
+  EXPECT_FALSE(DecodeAnnouncement("i-1", nested, 1).ok());
+  EXPECT_EQ(DecodeLeavingIncarnation(deep), std::nullopt);
+}
+
+TEST(AnnouncementDocument, RejectsImplausibleNumbers)
+{
+  for (const char* name : { "Slots", "Sequence", "born" }) {
+    for (const char* number : { "18446744073709551615",
+                                "9223372036854775808",
+                                "9223372036854775807",
+                                "1e300",
+                                "1e999",
+                                "-1" }) {
+      auto document = ReadyDocument();
+      document[name] = "NUMBER";
+      std::string text = document.dump();
+      text.replace(text.find("\"NUMBER\""), 8, number);
+      EXPECT_FALSE(DecodeAnnouncement("i-1", text, 1).ok()) << text;
+    }
+  }
+  EXPECT_EQ(DecodeLeavingIncarnation(R"({"born":18446744073709551615})"),
+            std::nullopt);
+}
+
+TEST(AnnouncementDocument, RejectsPortOutOfRange)
+{
+  for (const char* port : { "0", "65536", "99999999999999999999", "-1", "" }) {
+    auto document = ReadyDocument();
+    document["Address"] = std::string("10.0.0.9:") + port;
+    EXPECT_FALSE(DecodeAnnouncement("i-1", document.dump(), 1).ok()) << port;
+  }
+}
+
 TEST(AnnouncementDocument, LeavingIncarnationIsOptional)
 {
   EXPECT_EQ(DecodeLeavingIncarnation(R"({"born":7})"), 7);
--- a/tests/system/test_platform.py
+++ b/tests/system/test_platform.py
@@ -339,6 +339,46 @@
         assert response.status == 400
 
 
+@pytest.mark.parametrize("field, value", [
+    ("Extra", "[" * 100_000 + "]" * 100_000), ("Extra", "[" * 1_000_000),
+    ("Sequence", "18446744073709551615"), ("born", "18446744073709551615"),
+    ("Slots", "9223372036854775807"), ("Slots", "1e999"),
+    ("Address", '"127.0.0.9:65536"'), ("Address", '"127.0.0.9:0"')],
+    ids=["nested", "unclosed", "sequence", "born", "slots", "infinite", "port",
+         "no-port"])
+def test_odd_heartbeat_harms_neither_control_nor_endpoints(run, field, value):
+    endpoint = run.endpoints[0]
+    fields = {"Service": '"desk"', "Address": '"127.0.0.9:9001"',
+              "Zone": '"a"', "Version": '"v1"', "Slots": "8",
+              "State": '"ready"', "ColdLeftMs": "0", "Sequence": "1",
+              "born": "1", field: value}
+    body = "{" + ",".join(f'"{k}":{v}' for k, v in fields.items()) + "}"
+    for name in ("i-odd", endpoint.id):
+        response = run.control_call(
+            "POST", f"/cactuswick/Instances.Heartbeat/{name}", body)
+        assert response.status == 400
+    # Longer than an endpoint's lease.
+    time.sleep(1.5)
+    assert all(process.poll() is None for process in run.processes.values())
+    endpoint.received.clear()
+    for number in range(8):
+        assert run.ask(f"/call/odd{number}",
+                       router=1 + number % 2).status == 200
+    assert endpoint.received
+
+
+@pytest.mark.parametrize("request_id", ["", "earlier"])
+def test_stale_refusal_on_kept_connection_is_no_promise(run, request_id):
+    for endpoint in run.endpoints[:2]:
+        endpoint.stale_refusal = request_id
+        endpoint.fault = "stale_refusal"
+    for number in range(4):
+        path = f"/once/{number}"
+        response = run.ask(path, request_id=f"new{number}")
+        assert response.status not in (429, 503)
+        assert len(received(run, path)) == 1
+
+
 def test_stopping_router_is_unlisted_and_finishes_requests(run):
     def listed():
         response = request(run.entry_address(1), "GET",
