Take a refusal without a request id for no promise

An endpoint that wrote an earlier refusal once more on a kept connection, without a request id, made the router answer 503 to a request that ran, and send it to a second endpoint. With the id of the earlier request it was recognised before. A response that says 'not run' has to name the request now; otherwise the request may have run. test_stale_refusal_on_kept_connection_is_no_promise failed before without an id.

--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -251,8 +251,10 @@
 {
   ForwardResponseHead head =
     dependencies_.dialect_.decodeResponseHead_(aStatus, aHeaders);
+  // A refusal without an id may be an earlier one that was sent again.
+  const bool mustHaveId = head.notRun_ || !head.requestId_.empty();
   const bool belongsToOtherRequest =
-    !head.requestId_.empty() && head.requestId_ != plan_.request_.id_;
+    mustHaveId && head.requestId_ != plan_.request_.id_;
   if (belongsToOtherRequest) {
     OnCallDone(MakeError(ErrorKind::kUpstreamFailed,
                          attempts_.Endpoint().endpoint_,
--- a/tests/system/platform_run.py
+++ b/tests/system/platform_run.py
@@ -53,10 +53,13 @@
         # (closes in the middle of the third event), "fail", "break_failure"
         # (closes in the middle of a long error body), "again" (restarts at the
         # first event whatever Last-Event-Id says), "other_body" (not a stream),
+        # "stale_refusal" (a refusal of another request, then the response),
         # "no_event" (an empty stream), "half_event" (the stream ends inside an
         # event), "hints" (an interim response shortly before the response) or
         # a kind of endless.ENDLESS.
         self._fault = ""
+        # Request id in the refusal of another request; empty for none.
+        self.stale_refusal = ""
         # Fault of the next requests that resume a stream.
         self.resumed_fault = ""
         self.listen()
@@ -155,6 +158,11 @@
         if call.fault in ("refuse", "fail", "break_failure"):
             self.send_error(call)
             return
+        if call.fault == "stale_refusal":
+            name = (f"X-Request-Id: {self.stale_refusal}\r\n"
+                    if self.stale_refusal else "")
+            call.wfile.write(b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n"
+                             + name.encode() + b"Content-Length: 0\r\n\r\n")
         if call.fault == "hints":
             call.wfile.write(b"HTTP/1.1 103 Early Hints\r\n\r\n")
             time.sleep(0.05)
