--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -121,18 +121,6 @@
   }
 }
 
-void
-ForwardExchange::RequestProbe()
-{
-  dependencies_.quarantine_.RequestProbe(
-    plan_.probedPart_, plan_.id_, [this](bool aGranted) {
-      isProbe_ = aGranted;
-      if (!FailIfQuarantined()) {
-        Reserve();
-      }
-    });
-}
-
 void
 ForwardExchange::Reserve()
 {
@@ -343,50 +331,6 @@
   }
 }
 
-void
-ForwardExchange::RecordAnswer()
-{
-  if (!std::exchange(answered_, true)) {
-    dependencies_.quarantine_.OnAnswered(plan_.prompt_);
-  }
-}
-
-void
-ForwardExchange::RecordBreak()
-{
-  if (!answered_) {
-    brokeUnanswered_ = true;
-    dependencies_.quarantine_.OnBroken(
-      attempts_.Endpoint(), plan_.prompt_, relay_.Head().IsSuccess());
-  }
-}
-
-bool
-ForwardExchange::FailIfQuarantined()
-{
-  if (isProbe_) {
-    return false;
-  }
-  quarantinedPart_ = dependencies_.quarantine_.Find(plan_.prompt_);
-  if (!quarantinedPart_) {
-    return false;
-  }
-  MarkMayHaveRunIfSent();
-  LeaveEndpoint(AttemptOutcome::kNeutral, "quarantined");
-  Fail(QuarantineError(quarantinedPart_->part_));
-  return true;
-}
-
-void
-ForwardExchange::OnQuarantined()
-{
-  const bool isResponding = call_ && relay_.Head().status_ != 0;
-  const bool awaitsProbe = !plan_.probedPart_.empty() && !isProbe_;
-  if (!ended_ && !isResponding && !awaitsProbe) {
-    FailIfQuarantined();
-  }
-}
-
 void
 ForwardExchange::OnServerError()
 {
