--- a/packages/router/src/process/PromptQuarantine.cpp
+++ b/packages/router/src/process/PromptQuarantine.cpp
@@ -20,6 +20,9 @@
 /// All connections to a crashed endpoint break within this time, so that one
 /// report covers them.
 constexpr int64_t kCollectMs = 20;
+/// Minimum time between two reports, which bounds the leader's work if
+/// responses break all the time.
+constexpr int64_t kReportIntervalMs = 200;
 /// Minimum time between two reports of responses to the same watched part.
 constexpr int64_t kAnswerReportMs = 500;
 /// Score from which a request with the part is not repeated: more than one
@@ -34,6 +37,8 @@
 constexpr size_t kMaxLocal = 64;
 /// Maximum number of crashes in one report.
 constexpr size_t kMaxPendingReports = 32;
+/// Maximum number of requests in the report of one crash.
+constexpr size_t kMaxReportedRequests = 32;
 
 model::EndpointRun
 RunOf(const model::Announcement& aEndpoint)
@@ -79,7 +84,9 @@
       return aOne.endpoint_ == run;
     });
   if (same != reports.end()) {
-    same->requests_.push_back(report.requests_.front());
+    if (same->requests_.size() < kMaxReportedRequests) {
+      same->requests_.push_back(report.requests_.front());
+    }
   } else if (reports.size() < kMaxPendingReports) {
     reports.push_back(report);
   }
@@ -303,7 +310,9 @@
 PromptQuarantine::ScheduleFlush()
 {
   if (!std::exchange(flushScheduled_, true)) {
-    flushTimer_.StartOnce(kCollectMs);
+    const int64_t sinceLastMs = EventLoop::NowMs() - lastFlushMs_;
+    flushTimer_.StartOnce(
+      std::max(kCollectMs, kReportIntervalMs - sinceLastMs));
   }
 }
 
@@ -311,6 +320,7 @@
 PromptQuarantine::Flush()
 {
   flushScheduled_ = false;
+  lastFlushMs_ = EventLoop::NowMs();
   for (const auto& report : pending_.reports_) {
     Log(
       Part::kEndpoint,
--- a/packages/router/src/process/PromptQuarantine.h
+++ b/packages/router/src/process/PromptQuarantine.h
@@ -138,6 +138,7 @@
   /// Not sent yet.
   transport::CrashEvidence pending_;
   std::map<routing::RequestId, PendingProbe> probes_;
+  int64_t lastFlushMs_ = 0;
   bool evidenceChanged_ = false;
   bool flushScheduled_ = false;
   transport::Timer flushTimer_;
