Repeat sound requests while their shared part is watched

The leader watches a shared part for some 100 ms after each second crash; sound requests that broke then were not sent again. A watched part counts as suspect only where the router has seen no response to it.

--- a/packages/router/src/process/PromptQuarantine.cpp
+++ b/packages/router/src/process/PromptQuarantine.cpp
@@ -172,10 +172,11 @@
 PromptQuarantine::IsSuspect(const model::SharedPrompt& aPrompt) const
 {
   const auto& parts = aPrompt.parts_;
-  const auto isWatched = [this](const std::string& aPart) {
-    return watched_.contains(aPart);
+  const auto isNeverAnswered = [this](const std::string& aPart) {
+    const auto found = watched_.find(aPart);
+    return found != watched_.end() && found->second == 0;
   };
-  if (std::any_of(parts.begin(), parts.end(), isWatched)) {
+  if (std::any_of(parts.begin(), parts.end(), isNeverAnswered)) {
     return true;
   }
   if (ownEvidence_.CrashCount() < 2) {
--- a/packages/router/src/process/PromptQuarantine.h
+++ b/packages/router/src/process/PromptQuarantine.h
@@ -133,7 +133,8 @@
   std::map<std::string, Quarantined> quarantined_;
   /// End of the quarantine that this router decided alone, by part.
   std::map<std::string, int64_t> localUntilMs_;
-  /// Time of the last report of a response, by watched part.
+  /// Time of the last response that is known or was reported, by watched part;
+  /// 0 for none.
   std::map<std::string, int64_t> watched_;
   /// Not sent yet.
   transport::CrashEvidence pending_;
--- a/tests/router/process/PromptQuarantineTest.cpp
+++ b/tests/router/process/PromptQuarantineTest.cpp
@@ -251,6 +251,10 @@
   router.Crash(2, { "hot", "bad" });
   EXPECT_TRUE(router.quarantine_.IsSuspect({ 2, { "hot", "bad" } }));
   EXPECT_FALSE(router.quarantine_.IsSuspect({ 3, { "hot", "other" } }));
+  // A watched part is suspect unless this router has seen a response to it.
+  router.quarantine_.OnWatch({ { "hot", "elsewhere" } });
+  EXPECT_TRUE(router.quarantine_.IsSuspect({ 4, { "elsewhere" } }));
+  EXPECT_FALSE(router.quarantine_.IsSuspect({ 5, { "hot" } }));
 }
 
 } // namespace
