Do not reuse the connection of a call that was given up

A caller sees 502 for a sound request.

Cause: a response with another request's id makes the router give the call up in the header callback. A refusal without a body is complete at that moment, so evhttp reports completion next, and the connection went back to the pool although the real response was still to come on it. The next request took that connection and met the other one's response. Ruled out: ejection of both endpoints (the request's attempt line would say so, and the status was 502, not 503 or 504).

--- a/packages/transport/src/connection/HttpCall.cpp
+++ b/packages/transport/src/connection/HttpCall.cpp
@@ -183,7 +183,8 @@
   }
 
   /// Returns the connection to the pool if it can be reused. Unread bytes after
-  /// the response belong to no request, so they rule out reuse.
+  /// the response belong to no request, so they rule out reuse. So does a call
+  /// that was given up during its response: more may follow.
   void ReturnConnection()
   {
     bufferevent* stream = evhttp_connection_get_bufferevent(connection_.get());
@@ -191,8 +192,8 @@
     evbuffer* input = bufferevent_get_input(stream);
     evbuffer_remove_cb(output, &OnOutput, this);
     evbuffer_remove_cb(input, &OnInput, this);
-    const bool reusable = bufferevent_getfd(stream) >= 0 && keepAliveMs_ > 0 &&
-                          evbuffer_get_length(input) == 0 &&
+    const bool reusable = !finished_ && bufferevent_getfd(stream) >= 0 &&
+                          keepAliveMs_ > 0 && evbuffer_get_length(input) == 0 &&
                           evbuffer_get_length(output) == 0;
     if (options_.pool_ != nullptr && reusable) {
       options_.pool_->Put(
--- a/tests/transport/connection/HttpCallTest.cpp
+++ b/tests/transport/connection/HttpCallTest.cpp
@@ -9,6 +9,7 @@
 
 #include "cactuswick/model/process/Error.h"
 #include "cactuswick/model/process/Text.h"
+#include "cactuswick/transport/connection/HttpPool.h"
 #include "connection/CannedResponseServer.h"
 #include "connection/EndlessServer.h"
 
@@ -215,6 +216,33 @@
   EXPECT_EQ(result.dataBytes_, kChunkBytes);
 }
 
+TEST(HttpCall, ConnectionOfAbandonedCallIsNotReused)
+{
+  constexpr int64_t kSettleMs = 100;
+  const Address address{ ProcessLoopbackHost(), kPort };
+  for (const bool abandons : { false, true }) {
+    CannedResponseServer server(
+      kPort, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", false);
+    EventLoop loop;
+    HttpPool pool(loop);
+    Timer end(loop, [&] { loop.Stop(); });
+    std::unique_ptr<HttpCall> call = std::make_unique<HttpCall>(
+      loop,
+      HttpCallOptions{ .address_ = address,
+                       .firstByteTimeoutMs_ = kTimeoutMs,
+                       .progressTimeoutMs_ = kTimeoutMs,
+                       .pool_ = &pool,
+                       .onHeaders_ = [&](int, const Headers&) {
+                         end.StartOnce(kSettleMs);
+                         if (abandons) {
+                           call.reset();
+                         }
+                       } });
+    loop.Run();
+    EXPECT_EQ(pool.Take(address) == nullptr, abandons);
+  }
+}
+
 struct BackpressureCase
 {
   std::string name_;
