Place a prompt without tokens without a null dereference

A request with X-Token-Count: 0,20 ended the router that placed it at an idle engine: the caller lost its connection, and repeats ended the next router.

Cause: the tie-break weighs the best engine so far while there is none, if the first engine's cost is 0. The engine is compared only with another one now. PromptPlacement.PromptWithoutTokensIsPlacedAtAnIdleEngine (SIGSEGV) and test_prompt_without_tokens_of_its_own_ends_no_router[0,20-] failed before.

--- a/packages/routing/src/process/EndpointTable.cpp
+++ b/packages/routing/src/process/EndpointTable.cpp
@@ -248,9 +248,10 @@
     const ledger::Tokens cost = prefillTokens +
                                 endpoint->pendingPrefillTokens_ + delay +
                                 endpoint->inFlight_ * kTokensPerRunningRequest;
-    const bool winsTie =
-      cost == bestCost && hashWeight(endpoint) > hashWeight(best);
-    if (best == nullptr || cost < bestCost || winsTie) {
+    const bool isBetter =
+      best == nullptr || cost < bestCost ||
+      (cost == bestCost && hashWeight(endpoint) > hashWeight(best));
+    if (isBetter) {
       best = endpoint;
       bestCost = cost;
       placement = { endpoint->announcement_.endpoint_, prefillTokens };
--- a/tests/routing/process/EndpointTableTest.cpp
+++ b/tests/routing/process/EndpointTableTest.cpp
@@ -223,6 +223,16 @@
   }
 }
 
+TEST(PromptPlacement, PromptWithoutTokensIsPlacedAtAnIdleEngine)
+{
+  for (const int engines : { 1, 3 }) {
+    auto table = MakeTable(engines);
+    const auto placement = table.AcquireForPrompt(kModel, {}, {}, 0);
+    ASSERT_TRUE(placement);
+    EXPECT_EQ(placement->prefillTokens_, 0);
+  }
+}
+
 TEST(PromptPlacement, HotPrefixSpreadsToEnginesThatThenCacheIt)
 {
   auto table = MakeTable(3);
--- a/tests/system/test_platform.py
+++ b/tests/system/test_platform.py
@@ -379,6 +379,16 @@
         assert len(received(run, path)) == 1
 
 
+@pytest.mark.parametrize("tokens, parts", [
+    ("0,20", ""), ("10,20", "aa:10,bb:10"), ("10,20", "aa:999,bb:1")])
+def test_prompt_without_tokens_of_its_own_ends_no_router(run, tokens, parts):
+    for number in range(4):
+        response = run.ask("/stream/x", router=1 + number % 2,
+                           X_Token_Count=tokens, X_Prompt_Prefix=parts)
+        assert response.status == 200
+    assert all(process.poll() is None for process in run.processes.values())
+
+
 def test_late_copy_of_a_response_reaches_no_other_request(run):
     for endpoint in run.endpoints[:2]:
         endpoint.fault = "late_copy"
