--- a/packages/control/src/process/PartQuarantine.cpp
+++ b/packages/control/src/process/PartQuarantine.cpp
@@ -21,8 +21,6 @@
 /// The list of watched parts is sent again at this interval, for routers that
 /// have connected meanwhile.
 constexpr int64_t kWatchRepeatMs = 1'000;
-/// Score from which a part is watched: more than one crash by a single request.
-constexpr int64_t kWatchScore = routing::SuspectParts::kRespondingScore + 1;
 constexpr size_t kMaxWatched = 32;
 /// A report that is older comes from a router that has reconnected.
 constexpr int64_t kRepeatedReportMs = 500;
@@ -141,7 +139,8 @@
   std::map<std::string, int64_t> watched;
   bool added = false;
   for (const auto& evidence : aEvidence) {
-    if (evidence.score_ < kWatchScore || watched.size() >= kMaxWatched) {
+    if (evidence.score_ < routing::SuspectParts::kSuspectScore ||
+        watched.size() >= kMaxWatched) {
       break;
     }
     const auto earlier = watchedSinceMs_.find(evidence.part_);
--- a/packages/router/src/process/PromptQuarantine.cpp
+++ b/packages/router/src/process/PromptQuarantine.cpp
@@ -25,9 +25,6 @@
 constexpr int64_t kReportIntervalMs = 200;
 /// Minimum time between two reports of responses to the same watched part.
 constexpr int64_t kAnswerReportMs = 500;
-/// Score from which a request with the part is not repeated: more than one
-/// crash by a single request.
-constexpr int64_t kSuspectScore = routing::SuspectParts::kRespondingScore + 1;
 /// A probe that the ledger has not granted after this time is refused.
 constexpr int64_t kProbeTimeoutMs = 1'000;
 constexpr int64_t kMinRetryAfterMs = 1'000;
@@ -184,7 +181,7 @@
   }
   for (const auto& evidence :
        ownEvidence_.Assess([](const std::string&) { return false; })) {
-    if (evidence.score_ >= kSuspectScore &&
+    if (evidence.score_ >= routing::SuspectParts::kSuspectScore &&
         std::find(parts.begin(), parts.end(), evidence.part_) != parts.end()) {
       return true;
     }
--- a/packages/routing/include/cactuswick/routing/process/SuspectParts.h
+++ b/packages/routing/include/cactuswick/routing/process/SuspectParts.h
@@ -51,6 +51,9 @@
 public:
   /// Score of one crash while the endpoint was beginning to respond.
   static constexpr int64_t kRespondingScore = 2;
+  /// Score from which a part is suspect: more than one crash by a single
+  /// request.
+  static constexpr int64_t kSuspectScore = kRespondingScore + 1;
 
   explicit SuspectParts(SuspectPartsOptions aOptions);
 
