Bound the size of one message of crash evidence

By reading: a router's message after a break, and its first one to a new leader, could carry 32 crashes of 16 (32) requests of 32 parts of 64 bytes, one to two megabytes if callers fill every bound; control has 7 KB/s per node. A message names at most 1,024 parts now. A new leader gets the newest crashes first. PromptQuarantine.OneMessageIsBoundedWhateverCallersSend.

--- a/packages/router/src/process/PromptQuarantine.cpp
+++ b/packages/router/src/process/PromptQuarantine.cpp
@@ -36,6 +36,8 @@
 constexpr size_t kMaxPendingReports = 32;
 /// Maximum number of requests in the report of one crash.
 constexpr size_t kMaxReportedRequests = 32;
+/// Maximum number of prompt parts in one message to the leader.
+constexpr size_t kMaxReportedParts = 1'024;
 
 model::EndpointRun
 RunOf(const model::Announcement& aEndpoint)
@@ -43,6 +45,18 @@
   return { aEndpoint.endpoint_, aEndpoint.incarnation_ };
 }
 
+size_t
+PartCountOf(const std::vector<model::CrashReport>& aReports)
+{
+  size_t count = 0;
+  for (const auto& report : aReports) {
+    for (const auto& request : report.requests_) {
+      count += request.prompt_.parts_.size();
+    }
+  }
+  return count;
+}
+
 } // namespace
 
 PromptQuarantine::PromptQuarantine(transport::EventLoop& aLoop,
@@ -75,6 +89,11 @@
                                    .requests_ = { { aPrompt, aResponding } } };
   ownEvidence_.AddReport(report, now);
   evidenceChanged_ = true;
+  ScheduleFlush();
+  if (pendingParts_ + aPrompt.parts_.size() > kMaxReportedParts) {
+    return;
+  }
+  pendingParts_ += aPrompt.parts_.size();
   auto& reports = pending_.reports_;
   const auto same =
     std::find_if(reports.begin(), reports.end(), [&](const auto& aOne) {
@@ -87,7 +106,6 @@
   } else if (reports.size() < kMaxPendingReports) {
     reports.push_back(report);
   }
-  ScheduleFlush();
 }
 
 void
@@ -280,7 +298,8 @@
   const int64_t now = EventLoop::NowMs();
   ownEvidence_.Expire(now);
   watched_.clear();
-  pending_ = { .reports_ = ownEvidence_.Reports(now) };
+  pending_ = { .reports_ = ownEvidence_.Reports(now, kMaxReportedParts) };
+  pendingParts_ = PartCountOf(pending_.reports_);
   AddAnswersToReports(now);
   if (!pending_.reports_.empty()) {
     ScheduleFlush();
@@ -335,6 +354,7 @@
                            [](const auto& aOne) { return aOne.responding_; })));
     options_.metrics_.Count(Counter::kEndpointBreaks);
   }
+  pendingParts_ = 0;
   options_.send_(std::exchange(pending_, {}));
 }
 
--- a/packages/router/src/process/PromptQuarantine.h
+++ b/packages/router/src/process/PromptQuarantine.h
@@ -138,6 +138,8 @@
   std::map<std::string, int64_t> watched_;
   /// Not sent yet.
   transport::CrashEvidence pending_;
+  /// Number of prompt parts in the reports that are not sent yet.
+  size_t pendingParts_ = 0;
   std::map<routing::RequestId, PendingProbe> probes_;
   int64_t lastFlushMs_ = 0;
   bool evidenceChanged_ = false;
--- a/packages/routing/include/cactuswick/routing/process/SuspectParts.h
+++ b/packages/routing/include/cactuswick/routing/process/SuspectParts.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cactuswick/model/version/CrashReport.h"
@@ -80,8 +81,10 @@
 
   size_t CrashCount() const { return crashes_.size(); }
   size_t AnswerCount() const { return answeredMs_.size(); }
-  /// Returns the crashes as reports, for another process.
-  std::vector<model::CrashReport> Reports(int64_t aNowMs) const;
+  /// Returns the crashes as reports for another process, the newest first, with
+  /// at most @p aMaxParts parts in all.
+  std::vector<model::CrashReport> Reports(int64_t aNowMs,
+                                          size_t aMaxParts) const;
 
 private:
   struct Crash
@@ -98,6 +101,8 @@
   /// of time.
   void VisitEvidence(const IsExplained& aIsKnown,
                      const Visitor& aVisitor) const;
+  /// Returns all crashes in order of time.
+  std::vector<std::pair<model::EndpointRun, const Crash*>> Ordered() const;
   bool IsProof(const PartEvidence& aEvidence) const;
   /// Returns whether most crashes of the part are also crashes of another part
   /// behind it, which has to be decided first.
--- a/packages/routing/src/process/SuspectParts.cpp
+++ b/packages/routing/src/process/SuspectParts.cpp
@@ -179,18 +179,24 @@
   });
 }
 
-void
-SuspectParts::VisitEvidence(const IsExplained& aIsKnown,
-                            const Visitor& aVisitor) const
+std::vector<std::pair<model::EndpointRun, const SuspectParts::Crash*>>
+SuspectParts::Ordered() const
 {
-  std::vector<const Crash*> ordered;
+  std::vector<std::pair<model::EndpointRun, const Crash*>> ordered;
   for (const auto& [endpoint, crash] : crashes_) {
-    ordered.push_back(&crash);
+    ordered.emplace_back(endpoint, &crash);
   }
-  std::sort(ordered.begin(), ordered.end(), [](const auto* a, const auto* b) {
-    return a->atMs_ < b->atMs_;
+  std::sort(ordered.begin(), ordered.end(), [](const auto& a, const auto& b) {
+    return a.second->atMs_ < b.second->atMs_;
   });
-  for (const Crash* crash : ordered) {
+  return ordered;
+}
+
+void
+SuspectParts::VisitEvidence(const IsExplained& aIsKnown,
+                            const Visitor& aVisitor) const
+{
+  for (const auto& [endpoint, crash] : Ordered()) {
     std::vector<const model::BrokenRequest*> counted;
     for (const auto& request : crash->requests_) {
       if (request.responding_ == crash->responding_) {
@@ -298,11 +304,20 @@
 }
 
 std::vector<model::CrashReport>
-SuspectParts::Reports(int64_t aNowMs) const
+SuspectParts::Reports(int64_t aNowMs, size_t aMaxParts) const
 {
   std::vector<model::CrashReport> reports;
-  for (const auto& [endpoint, crash] : crashes_) {
-    reports.push_back({ endpoint, aNowMs - crash.atMs_, crash.requests_ });
+  size_t parts = 0;
+  const auto ordered = Ordered();
+  for (auto item = ordered.rbegin(); item != ordered.rend(); ++item) {
+    const auto& [endpoint, crash] = *item;
+    for (const auto& request : crash->requests_) {
+      parts += request.prompt_.parts_.size();
+    }
+    if (parts > aMaxParts) {
+      break;
+    }
+    reports.push_back({ endpoint, aNowMs - crash->atMs_, crash->requests_ });
   }
   return reports;
 }
--- a/tests/router/process/PromptQuarantineTest.cpp
+++ b/tests/router/process/PromptQuarantineTest.cpp
@@ -240,6 +240,34 @@
   EXPECT_FALSE(router.Refuses("bad"));
 }
 
+TEST(PromptQuarantine, OneMessageIsBoundedWhateverCallersSend)
+{
+  constexpr size_t kMaxParts = 1'024;
+  QuarantineOfRouter router;
+  for (int64_t request = 0; request < 2'000; ++request) {
+    std::vector<std::string> parts;
+    for (int part = 0; part < 32; ++part) {
+      parts.push_back(Concat(request, ".", part));
+    }
+    router.quarantine_.OnBroken(
+      { .endpoint_ = Concat("e", request % 30) }, { request, parts }, true);
+  }
+  router.Run(250);
+  router.quarantine_.OnConnected();
+  router.Run(250);
+  ASSERT_EQ(router.sent_.size(), 2U);
+  for (const auto& evidence : router.sent_) {
+    size_t parts = 0;
+    for (const auto& report : evidence.reports_) {
+      for (const auto& request : report.requests_) {
+        parts += request.prompt_.parts_.size();
+      }
+    }
+    EXPECT_GT(parts, 0U);
+    EXPECT_LE(parts, kMaxParts);
+  }
+}
+
 TEST(PromptQuarantine, RequestIsNotRepeatedOnceItsPartWasInOtherCrashes)
 {
   QuarantineOfRouter router;
--- a/tests/routing/process/SuspectPartsTest.cpp
+++ b/tests/routing/process/SuspectPartsTest.cpp
@@ -13,6 +13,8 @@
 using model::CrashReport;
 
 constexpr int64_t kSecondMs = 1'000;
+/// Maximum number of parts in the reports for another process.
+constexpr size_t kMaxParts = 1'024;
 
 bool
 NoneKnown(const std::string&)
@@ -256,7 +258,8 @@
     crashes.Add(request, { "bad" });
   }
   SuspectParts other({});
-  for (const auto& report : crashes.suspects_.Reports(crashes.nowMs_)) {
+  for (const auto& report :
+       crashes.suspects_.Reports(crashes.nowMs_, kMaxParts)) {
     other.AddReport(report, kSecondMs);
   }
   EXPECT_EQ(other.Assess(NoneKnown), [&] {
@@ -284,12 +287,18 @@
   }
   EXPECT_EQ(crashes.suspects_.CrashCount(), options.maxCrashes_);
   EXPECT_LE(crashes.suspects_.AnswerCount(), 1'024U);
-  for (const auto& report : crashes.suspects_.Reports(crashes.nowMs_)) {
+  size_t partCount = 0;
+  const auto reports = crashes.suspects_.Reports(crashes.nowMs_, kMaxParts);
+  for (const auto& report : reports) {
     EXPECT_LE(report.requests_.size(), 16U);
     for (const auto& request : report.requests_) {
       EXPECT_LE(request.prompt_.parts_.size(), model::kMaxTrackedParts);
+      partCount += request.prompt_.parts_.size();
     }
   }
+  EXPECT_LE(partCount, kMaxParts);
+  ASSERT_FALSE(reports.empty());
+  EXPECT_EQ(reports.front().endpoint_.endpoint_, "e199");
 }
 
 } // namespace
