Keep a router's own quarantine until the leader can have decided

By reading: a router that came back from a partition dropped its own quarantines with the next committed change, also one about another part, some 200 ms before the leader can decide on the evidence that the router has just repeated. Requests with the part were sent in between. On the other hand a part that the leader had cleared stayed refused for up to probe_s.

Both end 2 s after the router is connected again, or with the committed quarantine of the part.

--- a/packages/router/src/process/PromptQuarantine.cpp
+++ b/packages/router/src/process/PromptQuarantine.cpp
@@ -38,6 +38,9 @@
 constexpr size_t kMaxReportedRequests = 32;
 /// Maximum number of prompt parts in one message to the leader.
 constexpr size_t kMaxReportedParts = 1'024;
+/// How long this router's own quarantines outlast its return to control: time
+/// for the leader to hear the evidence and to commit its decision.
+constexpr int64_t kHandOverMs = 2'000;
 
 model::EndpointRun
 RunOf(const model::Announcement& aEndpoint)
@@ -263,7 +266,7 @@
     added |= !known;
   }
   quarantined_ = std::move(current);
-  localUntilMs_.clear();
+  HandOverLocal(now);
   Log(Part::kEndpoint,
       Level::kInfo,
       Concat("quarantine in force parts=",
@@ -298,6 +301,7 @@
   const int64_t now = EventLoop::NowMs();
   ownEvidence_.Expire(now);
   watched_.clear();
+  HandOverLocal(now);
   pending_ = { .reports_ = ownEvidence_.Reports(now, kMaxReportedParts) };
   pendingParts_ = PartCountOf(pending_.reports_);
   AddAnswersToReports(now);
@@ -408,4 +412,15 @@
   options_.onQuarantined_();
 }
 
+void
+PromptQuarantine::HandOverLocal(int64_t aNowMs)
+{
+  std::erase_if(localUntilMs_, [this](const auto& aPair) {
+    return quarantined_.contains(aPair.first);
+  });
+  for (auto& [part, untilMs] : localUntilMs_) {
+    untilMs = std::min(untilMs, aNowMs + kHandOverMs);
+  }
+}
+
 } // namespace cactuswick::router
--- a/packages/router/src/process/PromptQuarantine.h
+++ b/packages/router/src/process/PromptQuarantine.h
@@ -121,6 +121,8 @@
   /// hear of when it was not connected.
   void AddAnswersToReports(int64_t aNowMs);
   void DecideLocally(int64_t aNowMs);
+  /// Ends this router's own quarantines shortly, as the leader decides now.
+  void HandOverLocal(int64_t aNowMs);
   void ReportAnswer(const std::string& aPart, int64_t aNowMs);
   void EndProbe(routing::RequestId aRequest, bool aGranted);
 
