--- a/packages/routing/src/process/SuspectParts.cpp
+++ b/packages/routing/src/process/SuspectParts.cpp
@@ -308,9 +308,9 @@
 {
   std::vector<model::CrashReport> reports;
   size_t parts = 0;
-  const auto ordered = Ordered();
-  for (auto item = ordered.rbegin(); item != ordered.rend(); ++item) {
-    const auto& [endpoint, crash] = *item;
+  auto newestFirst = Ordered();
+  std::reverse(newestFirst.begin(), newestFirst.end());
+  for (const auto& [endpoint, crash] : newestFirst) {
     for (const auto& request : crash->requests_) {
       parts += request.prompt_.parts_.size();
     }
