Forget the crashes of a part when its quarantine ends

An operator lifts the quarantine of a part; it was back with the next crash of any endpoint, whatever the cause, as the crashes from before still counted at the leader and at routers for ten minutes. Callers got 503 again (docs/OPERATIONS.md says otherwise). Only an answer with the part cleared it, which an operator's lift does not bring.

Routers take the end of a quarantine like a response with the part, which clears it of earlier crashes; a leader asks them before it decides, so it hears of it, a new one too. test_lifted_part_is_not_quarantined_again_for_earlier_crashes failed before (503), CrashesBeforeTheEndOfAQuarantineAreForgotten is new.

--- a/packages/router/src/process/PromptQuarantine.cpp
+++ b/packages/router/src/process/PromptQuarantine.cpp
@@ -265,6 +265,11 @@
                               .cleared_ = known && earlier->second.cleared_ };
     added |= !known;
   }
+  for (const auto& [part, earlier] : quarantined_) {
+    if (!current.contains(part)) {
+      ForgetCrashes(part, now);
+    }
+  }
   quarantined_ = std::move(current);
   HandOverLocal(now);
   Log(Part::kEndpoint,
@@ -412,6 +417,13 @@
   options_.onQuarantined_();
 }
 
+void
+PromptQuarantine::ForgetCrashes(const std::string& aPart, int64_t aNowMs)
+{
+  answered_.Add(aPart, aNowMs);
+  ownEvidence_.AddAnswer(aPart, aNowMs);
+}
+
 void
 PromptQuarantine::HandOverLocal(int64_t aNowMs)
 {
--- a/packages/router/src/process/PromptQuarantine.h
+++ b/packages/router/src/process/PromptQuarantine.h
@@ -121,6 +121,9 @@
   /// hear of when it was not connected.
   void AddAnswersToReports(int64_t aNowMs);
   void DecideLocally(int64_t aNowMs);
+  /// Makes earlier crashes count no longer against a part, as after a response
+  /// with it; the leader hears of it when it asks for responses.
+  void ForgetCrashes(const std::string& aPart, int64_t aNowMs);
   /// Ends this router's own quarantines shortly, as the leader decides now.
   void HandOverLocal(int64_t aNowMs);
   void ReportAnswer(const std::string& aPart, int64_t aNowMs);
--- a/tests/router/process/PromptQuarantineTest.cpp
+++ b/tests/router/process/PromptQuarantineTest.cpp
@@ -178,6 +178,30 @@
   EXPECT_FALSE(router.Refuses("bad"));
 }
 
+TEST(PromptQuarantine, CrashesBeforeTheEndOfAQuarantineAreForgotten)
+{
+  QuarantineOfRouter router;
+  for (int64_t request = 1; request <= 3; ++request) {
+    router.Crash(request, { "bad" });
+    router.Run(150);
+  }
+  router.Quarantine({ { .part_ = "bad", .sinceMs_ = 5 } });
+  router.Quarantine({});
+  EXPECT_FALSE(router.quarantine_.IsSuspect({ 4, { "bad" } }));
+  // The leader hears of it when it suspects the part again, and a new leader
+  // together with the crashes.
+  router.sent_.clear();
+  router.quarantine_.OnWatch({ { "bad" } });
+  router.Run(250);
+  router.quarantine_.OnConnected();
+  router.Run(250);
+  ASSERT_EQ(router.sent_.size(), 2U);
+  for (const auto& evidence : router.sent_) {
+    ASSERT_EQ(evidence.answered_.size(), 1U);
+    EXPECT_EQ(evidence.answered_.front().part_, "bad");
+  }
+}
+
 TEST(PromptQuarantine, ProbeIsAskedOfTheLedgerOnceItIsDue)
 {
   QuarantineOfRouter router;
--- a/tests/system/test_quarantine.py
+++ b/tests/system/test_quarantine.py
@@ -236,3 +236,15 @@
                                                  router=r).status == 200, 2,
                  "the part is allowed again")
     assert run.cli("lift", DEADLY, check=False).returncode != 0
+
+
+def test_lifted_part_is_not_quarantined_again_for_earlier_crashes(run):
+    make_deadly(run, DEADLY)
+    quarantine(run)
+    run.cli("lift", DEADLY)
+    make_deadly(run, "dead02")
+    for number in range(2):
+        ask_with_parts(run, f"other{number}", "dead02", router=1 + number)
+        time.sleep(1)
+    for router in (1, 2):
+        assert ask_with_parts(run, "again", DEADLY, router=router).status == 200
