Ask for more crashes before a part that was answered is quarantined

Routers remember answers of before the crashes and tell them to the leader when a part comes under suspicion. A part that was answered before needs four crashes more, seven in all: a sound part before up to three deadly ones is found out later than each of them, and then their crashes count against it no more. A sound part that turns deadly is still refused within the three sends after the fifth crash. The expectation of ResponseClearsPartOfEarlierCrashes follows: the response still clears, and six crashes after it prove nothing, where two did before.

SoundPartBeforeSeveralDeadlyOnesIsNotFound failed before the change of the count.

--- a/packages/router/src/process/PromptQuarantine.cpp
+++ b/packages/router/src/process/PromptQuarantine.cpp
@@ -400,6 +400,11 @@
   const auto isKnown = [this](const std::string& aPart) {
     return quarantined_.contains(aPart) || localUntilMs_.contains(aPart);
   };
+  for (const auto& evidence : ownEvidence_.Assess(isKnown)) {
+    if (const auto answered = answered_.Find(evidence.part_)) {
+      ownEvidence_.AddAnswer(evidence.part_, *answered);
+    }
+  }
   const auto proof = ownEvidence_.FindProof(isKnown);
   if (!proof || localUntilMs_.size() >= kMaxLocal) {
     return;
--- a/packages/routing/include/cactuswick/routing/process/SuspectParts.h
+++ b/packages/routing/include/cactuswick/routing/process/SuspectParts.h
@@ -36,6 +36,8 @@
   size_t position_ = 0;
   /// Time of the first of these crashes.
   int64_t sinceMs_ = 0;
+  /// An endpoint is known to have responded to the part before.
+  bool wasAnswered_ = false;
 
   bool operator==(const PartEvidence&) const = default;
 };
@@ -44,7 +46,9 @@
 ///
 /// Every crash is evidence against the parts of the requests that the endpoint
 /// was beginning to respond to or, if there is none, of those that waited for
-/// it. A response clears a part of all earlier crashes. Several crashes at the
+/// it. A response clears a part of all earlier crashes, and more of the later
+/// ones are needed: requests with several harmful parts have sound ones in
+/// common. Several crashes at the
 /// same moment, such as the loss of a failure domain, count once, and repeats
 /// of a request count less than other requests. Pure.
 class SuspectParts
--- a/packages/routing/src/process/SuspectParts.cpp
+++ b/packages/routing/src/process/SuspectParts.cpp
@@ -19,6 +19,9 @@
 /// Crashes of a part after which it is not held back for a companion that was
 /// in a single request.
 constexpr size_t kMaxUndecidedCrashes = 5;
+/// Crashes that are needed in addition against a part to which an endpoint has
+/// responded before.
+constexpr int64_t kMoreCrashesIfAnswered = 4;
 /// Maximum number of requests remembered of a crash, of those that the
 /// endpoint was responding to and of the others each.
 constexpr int64_t kMaxRequestsPerCrash = 8;
@@ -236,14 +239,20 @@
                              aRequest,
                              aCrash.atMs_);
                 });
-  return scores.Ranked();
+  std::vector<PartEvidence> ranked = scores.Ranked();
+  for (PartEvidence& evidence : ranked) {
+    evidence.wasAnswered_ = answeredMs_.contains(evidence.part_);
+  }
+  return ranked;
 }
 
 bool
 SuspectParts::IsProof(const PartEvidence& aEvidence) const
 {
+  const int64_t crashes =
+    options_.crashes_ + (aEvidence.wasAnswered_ ? kMoreCrashesIfAnswered : 0);
   return options_.crashes_ > 0 &&
-         aEvidence.score_ >= options_.crashes_ * kRespondingScore &&
+         aEvidence.score_ >= crashes * kRespondingScore &&
          aEvidence.requests_ >= kMinRequests;
 }
 
