--- a/packages/routing/include/cactuswick/routing/process/SuspectParts.h
+++ b/packages/routing/include/cactuswick/routing/process/SuspectParts.h
@@ -47,10 +47,10 @@
 /// Every crash is evidence against the parts of the requests that the endpoint
 /// was beginning to respond to or, if there is none, of those that waited for
 /// it. A response clears a part of all earlier crashes, and more of the later
-/// ones are needed: requests with several harmful parts have sound ones in
-/// common. Several crashes at the
-/// same moment, such as the loss of a failure domain, count once, and repeats
-/// of a request count less than other requests. Pure.
+/// ones are needed then: prompts with several harmful parts have sound ones in
+/// common. Several crashes at the same moment, such as the loss of a failure
+/// domain, count once, and repeats of a request count less than other requests.
+/// Pure.
 class SuspectParts
 {
 public:
