Take no late request that the end of the grace period would cut

Callers of a router in a planned stop whose request came up to 4 s after the stop signal lost it when the process ended 7.1 s after the signal: the connection closed without a reply, also for requests that may not be repeated.

Cause: a router that leaves accepted every request until leave_ms, whatever its time limit, and ended with requests in flight without a word.

Now all requests are accepted in the first third of the grace period, later ones only if they end within it; the others get 503 and a short Retry-After. What is at work at the end gets 503 if it was not sent and 502 if it was.

--- a/packages/router/src/connection/ForwardApi.cpp
+++ b/packages/router/src/connection/ForwardApi.cpp
@@ -24,6 +24,9 @@
 /// together do not return together.
 constexpr int64_t kMinRetryAfterMs = 250;
 constexpr int64_t kMaxRetryAfterMs = 900;
+/// The same for callers that another router can serve at once.
+constexpr int64_t kMinElsewhereRetryAfterMs = 10;
+constexpr int64_t kMaxElsewhereRetryAfterMs = 50;
 /// Retry-After is at most the caller's remaining time divided by this, as
 /// callers do not follow a longer wait.
 constexpr int64_t kRetryAfterDivisor = 3;
@@ -86,7 +89,7 @@
     return MakeError(ErrorKind::kStarting, "", "no deployment received yet");
   }
   if (options_.refusesNew_()) {
-    return MakeError(ErrorKind::kDraining, "", "this router is stopping");
+    return DrainingError();
   }
   if (!aRequest.ok()) {
     return aRequest.status();
@@ -107,6 +110,9 @@
                     .startMs_ = EventLoop::NowMs() };
   plan.prompt_ = SharedPromptOf(plan.request_);
   SetDeadlines(plan);
+  if (!options_.accepts_(plan.deadlineMs_)) {
+    return DrainingError();
+  }
   absl::Status status = ResolveWorkspace(plan);
   if (status.ok()) {
     status = ChooseService(plan);
@@ -118,8 +124,8 @@
   plan.tryTakeRetry_ = [this, service = plan.service_] {
     return RetryBudgetOf(service).TryTake();
   };
-  plan.retryAfterMs_ = [this, deadline = plan.deadlineMs_] {
-    return RetryAfterMs(deadline);
+  plan.retryAfterMs_ = [this, deadline = plan.deadlineMs_](ErrorKind aKind) {
+    return RetryAfterMs(aKind, deadline);
   };
   return plan;
 }
@@ -213,7 +219,7 @@
   const int64_t deadline =
     EventLoop::NowMs() + kRetryAfterDivisor * kMaxRetryAfterMs;
   const int64_t transientMs =
-    model::IsTransient(kind) ? RetryAfterMs(deadline) : 0;
+    model::IsTransient(kind) ? RetryAfterMs(kind, deadline) : 0;
   const int status = ReplyForwardError(aExchange,
                                        aStatus,
                                        ExecutionState::kNotRun,
@@ -236,6 +242,14 @@
                     InFlight()));
 }
 
+void
+ForwardApi::EndAll()
+{
+  for (const auto& [id, exchange] : exchanges_) {
+    exchange->OnRouterStops();
+  }
+}
+
 void
 ForwardApi::OnQuarantined()
 {
@@ -254,12 +268,16 @@
 }
 
 int64_t
-ForwardApi::RetryAfterMs(int64_t aDeadlineMs)
+ForwardApi::RetryAfterMs(ErrorKind aKind, int64_t aDeadlineMs)
 {
+  const bool elsewhere = aKind == ErrorKind::kDraining;
   const int64_t remaining = aDeadlineMs - EventLoop::NowMs();
   const int64_t upper =
-    std::clamp(remaining / kRetryAfterDivisor, int64_t{ 1 }, kMaxRetryAfterMs);
-  const int64_t lower = std::min(upper, kMinRetryAfterMs);
+    std::clamp(remaining / kRetryAfterDivisor,
+               int64_t{ 1 },
+               elsewhere ? kMaxElsewhereRetryAfterMs : kMaxRetryAfterMs);
+  const int64_t lower =
+    std::min(upper, elsewhere ? kMinElsewhereRetryAfterMs : kMinRetryAfterMs);
   return std::uniform_int_distribution<int64_t>(lower, upper)(random_);
 }
 
--- a/packages/router/src/connection/ForwardApi.h
+++ b/packages/router/src/connection/ForwardApi.h
@@ -23,6 +23,9 @@
   std::function<bool()> isReady_;
   /// Returns whether new requests are refused because the router is stopping.
   std::function<bool()> refusesNew_;
+  /// Returns whether a request that ends by @p aDeadlineMs is accepted by the
+  /// router in its present phase.
+  std::function<bool(int64_t aDeadlineMs)> accepts_;
   /// Returns whether connections are to be closed after the next reply.
   std::function<bool()> isLeaving_;
   uint64_t seed_ = 1;
@@ -41,6 +44,8 @@
   void Handle(std::unique_ptr<transport::HttpExchange> aExchange);
   /// Refuses waiting requests with prompt parts that are quarantined now.
   void OnQuarantined();
+  /// Ends all requests in flight because the router stops.
+  void EndAll();
   int64_t InFlight() const { return static_cast<int64_t>(exchanges_.size()); }
 
 private:
@@ -56,7 +61,7 @@
               const absl::Status& aStatus,
               std::optional<int64_t> aRetryAfterMs = std::nullopt);
   routing::RetryBudget& RetryBudgetOf(const std::string& aService);
-  int64_t RetryAfterMs(int64_t aDeadlineMs);
+  int64_t RetryAfterMs(model::ErrorKind aKind, int64_t aDeadlineMs);
 
   ForwardApiOptions options_;
   std::mt19937_64 random_;
--- a/packages/router/src/connection/ForwardErrors.cpp
+++ b/packages/router/src/connection/ForwardErrors.cpp
@@ -42,6 +42,13 @@
                           "requests with this prompt part crash endpoints");
 }
 
+absl::Status
+DrainingError()
+{
+  return model::MakeError(
+    model::ErrorKind::kDraining, "", "this router is stopping");
+}
+
 bool
 NeedsTopUp(model::ErrorKind aKind)
 {
--- a/packages/router/src/connection/ForwardErrors.h
+++ b/packages/router/src/connection/ForwardErrors.h
@@ -20,6 +20,10 @@
 absl::Status
 QuarantineError(const std::string& aPart);
 
+/// Returns the error of a request that a stopping router does not accept.
+absl::Status
+DrainingError();
+
 /// Returns the HTTP status for a request that the router answers itself.
 /// Callers retry on 429 and 503, so only a request that has not run and never
 /// will gets one of these.
--- a/packages/router/src/process/ForwardRole.cpp
+++ b/packages/router/src/process/ForwardRole.cpp
@@ -73,6 +73,7 @@
            .retries_ = [this] { return RetryOptions(); },
            .isReady_ = options_.isReady_,
            .refusesNew_ = options_.refusesNew_,
+           .accepts_ = options_.accepts_,
            .isLeaving_ = options_.isLeaving_,
            .seed_ = model::Hash64(model::RandomHex()) })
   , server_(options_.loop_,
--- a/packages/router/src/process/ForwardRole.h
+++ b/packages/router/src/process/ForwardRole.h
@@ -25,6 +25,7 @@
   std::function<bool()> isReady_;
   std::function<bool()> isLeaving_;
   std::function<bool()> refusesNew_;
+  std::function<bool(int64_t aDeadlineMs)> accepts_;
 };
 
 /// Configures billing of forwarded requests: usage is reported at intervals,
@@ -47,6 +48,8 @@
 
   PromptQuarantine& Quarantine() { return quarantine_; }
   bool HasDeployment() const { return api_.Deployment() != nullptr; }
+  /// Ends all requests in flight because the router stops.
+  void EndAll() { api_.EndAll(); }
   int64_t InFlight() const { return api_.InFlight(); }
 
 private:
--- a/packages/router/src/process/RouterShutdown.cpp
+++ b/packages/router/src/process/RouterShutdown.cpp
@@ -14,6 +14,11 @@
 
 /// Timeout for the deregistration to be committed.
 constexpr int64_t kDeregisterTimeoutMs = 3'000;
+/// Time to send the replies of requests that the timeout has ended.
+constexpr int64_t kReplyTimeoutMs = 300;
+/// All requests are accepted during the first part of the grace period, its
+/// length divided by this, so that each has most of the period to finish.
+constexpr int64_t kAcceptAllDivisor = 3;
 
 } // namespace
 
@@ -33,8 +38,10 @@
   refuseFromMs_ = aNowMs + (wasRegistered ? options_.leaveMs_ : 0);
   drainByMs_ =
     options_.drainMs_ == 0 ? INT64_MAX : refuseFromMs_ + options_.drainMs_;
+  acceptAllUntilMs_ = refuseFromMs_;
   if (options_.graceMs_) {
     drainByMs_ = aNowMs + *options_.graceMs_;
+    acceptAllUntilMs_ = aNowMs + *options_.graceMs_ / kAcceptAllDivisor;
   }
   if (wasRegistered) {
     options_.onLeave_();
@@ -42,6 +49,15 @@
   Log(Part::kRouter, Level::kInfo, "leaving the entry list");
 }
 
+bool
+RouterShutdown::Accepts(int64_t aNowMs, int64_t aDeadlineMs) const
+{
+  if (phase_ == Phase::kLeaving) {
+    return aNowMs < acceptAllUntilMs_ || aDeadlineMs <= drainByMs_;
+  }
+  return phase_ == Phase::kServing;
+}
+
 void
 RouterShutdown::OnTick(int64_t aNowMs)
 {
@@ -61,7 +77,7 @@
 RouterShutdown::CheckDrained(int64_t aNowMs)
 {
   const bool idle = options_.isIdle_();
-  if (!idle && aNowMs < drainByMs_) {
+  if (!idle && !HasTimedOut(aNowMs)) {
     return;
   }
   phase_ = Phase::kDeregistering;
@@ -73,6 +89,19 @@
   options_.onDeregister_();
 }
 
+bool
+RouterShutdown::HasTimedOut(int64_t aNowMs)
+{
+  if (aNowMs < drainByMs_) {
+    return false;
+  }
+  if (!std::exchange(timedOut_, true)) {
+    Log(Part::kRouter, Level::kWarning, "ending the requests in flight");
+    options_.onDrainTimeout_();
+  }
+  return aNowMs - drainByMs_ >= kReplyTimeoutMs;
+}
+
 void
 RouterShutdown::Stop(absl::Status aStatus)
 {
--- a/packages/router/src/process/RouterShutdown.h
+++ b/packages/router/src/process/RouterShutdown.h
@@ -22,6 +22,9 @@
   std::function<bool()> isRegistered_;
   /// Returns whether no request is in flight and no settlement is pending.
   std::function<bool()> isIdle_;
+  /// Ends the requests that are still in flight at the timeout, each with a
+  /// reply if its response has not begun. Called at most once.
+  std::function<void()> onDrainTimeout_;
   /// Removes the router from the entry list.
   std::function<void()> onLeave_;
   /// Returns the router's grants and deregisters it; @c Stop is called
@@ -33,7 +36,8 @@
 
 /// State machine of a router's shutdown: leaves the entry list and serves while
 /// callers may use an outdated one, refuses new requests until those in flight
-/// are done, deregisters from control, and stops. The caller supplies the time.
+/// are done or the timeout ends them, deregisters from control, and stops. The
+/// caller supplies the time.
 class RouterShutdown
 {
 public:
@@ -48,6 +52,9 @@
   /// Returns whether the router has left the entry list.
   bool IsLeaving() const { return phase_ >= Phase::kLeaving; }
   bool RefusesNew() const { return phase_ >= Phase::kDraining; }
+  /// Returns whether a new request is accepted that ends by @p aDeadlineMs. In
+  /// a grace period, late requests are accepted only if they end within it.
+  bool Accepts(int64_t aNowMs, int64_t aDeadlineMs) const;
   /// Returns whether deregistration has begun; after it no heartbeat is sent.
   bool IsDeregistered() const { return phase_ >= Phase::kDeregistering; }
 
@@ -64,11 +71,16 @@
   };
 
   void CheckDrained(int64_t aNowMs);
+  /// Ends the requests in flight; returns whether the time to send their
+  /// replies is over as well.
+  bool HasTimedOut(int64_t aNowMs);
 
   RouterShutdownOptions options_;
   Phase phase_ = Phase::kServing;
+  int64_t acceptAllUntilMs_ = 0;
   int64_t refuseFromMs_ = 0;
   int64_t drainByMs_ = 0;
+  bool timedOut_ = false;
   int64_t deregisterByMs_ = 0;
 };
 
--- a/packages/router/src/process/RouterTask.cpp
+++ b/packages/router/src/process/RouterTask.cpp
@@ -88,6 +88,12 @@
       .isRegistered_ = [this] { return control_->IsRegistered(); },
       .isIdle_ =
         [this] { return InFlight() == 0 && biller_->PendingCount() == 0; },
+      .onDrainTimeout_ =
+        [this] {
+          if (forward_) {
+            forward_->EndAll();
+          }
+        },
       .onLeave_ = [this] { control_->Submit(ledger::SetDraining{}); },
       .onDeregister_ = [this] { Deregister(); },
       .onStopped_ = std::move(aOnStopped)
@@ -207,7 +213,11 @@
       .self_ = [this] { return control_->Incarnation(); },
       .isReady_ = [this] { return IsReady(); },
       .isLeaving_ = [this] { return shutdown_.IsLeaving(); },
-      .refusesNew_ = [this] { return shutdown_.RefusesNew(); } });
+      .refusesNew_ = [this] { return shutdown_.RefusesNew(); },
+      .accepts_ =
+        [this](int64_t aDeadlineMs) {
+          return shutdown_.Accepts(EventLoop::NowMs(), aDeadlineMs);
+        } });
     return forward_->Listen();
   }
 
--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -390,6 +390,17 @@
   Fail(status);
 }
 
+void
+ForwardExchange::OnRouterStops()
+{
+  if (ended_) {
+    return;
+  }
+  MarkMayHaveRunIfSent();
+  LeaveEndpoint(AttemptOutcome::kNeutral, "router_stops");
+  Fail(DrainingError());
+}
+
 void
 ForwardExchange::OnCallerDisconnected()
 {
@@ -465,8 +476,8 @@
   if (quarantinedPart_) {
     return quarantinedPart_->retryAfterMs_;
   }
-  return NeedsTopUp(model::KindOf(aStatus)) ? kTopUpRetryAfterMs
-                                            : plan_.retryAfterMs_();
+  const ErrorKind kind = model::KindOf(aStatus);
+  return NeedsTopUp(kind) ? kTopUpRetryAfterMs : plan_.retryAfterMs_(kind);
 }
 
 void
--- a/packages/router/src/request/ForwardExchange.h
+++ b/packages/router/src/request/ForwardExchange.h
@@ -57,7 +57,7 @@
   /// Takes one retry from the service's retry budget; false if it is exhausted.
   std::function<bool()> tryTakeRetry_;
   /// Returns the delay after which a refused caller may retry, in milliseconds.
-  std::function<int64_t()> retryAfterMs_;
+  std::function<int64_t(model::ErrorKind aKind)> retryAfterMs_;
 };
 
 /// Handles one forwarded request: reserves budget, queues, sends it to an
@@ -77,6 +77,8 @@
   /// Refuses the request if a part of its prompt has been quarantined and no
   /// endpoint is responding to it.
   void OnQuarantined();
+  /// Fails the request because the router stops.
+  void OnRouterStops();
 
 private:
   void Reserve();
--- a/tests/system/test_platform.py
+++ b/tests/system/test_platform.py
@@ -31,6 +31,13 @@
         yield deployment
 
 
+@pytest.fixture
+def patient_run():
+    """Routers that accept requests for most of their grace period."""
+    with running_platform(leave_ms=2500) as deployment:
+        yield deployment
+
+
 def received(run, path):
     return [call for endpoint in run.endpoints for call in endpoint.received
             if call["path"] == path]
@@ -430,6 +437,47 @@
     assert run.processes["r1"].wait(timeout=8) == 0
 
 
+def ask_stopping_router(run, path, work_s, after_s):
+    """Stops router 1 and sends it a request later; returns the response."""
+    for endpoint in run.endpoints[:2]:
+        endpoint.work_s = work_s
+    run.processes["r1"].send_signal(signal.SIGTERM)
+    time.sleep(after_s)
+    return run.ask(path, router=1, request_id="late")
+
+
+# The router ends its requests 0.9 s before the grace period of 4 s is over;
+# the route's timeout is 2 s.
+@pytest.mark.parametrize("path", ["/once/late", "/call/late"])
+def test_request_that_may_outlast_the_grace_period_is_not_taken(
+        patient_run, path):
+    response = ask_stopping_router(patient_run, path, 1.6, after_s=2)
+    assert response.whole
+    assert response.status == 503
+    assert float(response.headers["Retry-After"]) <= 0.05
+    time.sleep(0.5)
+    assert not received(patient_run, path)
+
+
+def test_late_request_that_ends_within_the_grace_period_is_served(patient_run):
+    response = ask_stopping_router(patient_run, "/once/x", 0.4, after_s=1)
+    assert response.status == 200
+    assert patient_run.processes["r1"].wait(timeout=4) == 0
+
+
+def test_request_at_work_at_the_end_of_the_grace_period_gets_a_reply(
+        patient_run):
+    routes = [{"Name": "once", "Host": HOST, "PathPrefix": "/once/",
+               "Type": "unsafe", "TimeoutMs": 9000, "Service": "desk",
+               "MaxAttempts": 2}]
+    assert patient_run.declare(2, Routes=routes).status == 200
+    time.sleep(1)
+    response = ask_stopping_router(patient_run, "/once/x", 5, after_s=0.5)
+    assert response.whole
+    assert response.status == 502
+    assert patient_run.processes["r1"].wait(timeout=2) == 0
+
+
 def test_quorum_survives_next_failure_after_wiped_replica_rejoins(run):
     run.kill("c3")
     shutil.rmtree(run.directory / "c3.data")
