Accept fractions for bounds that the platform gives

Cause: retry_slack and grace_s were integers, while the platform's bounds may be fractions. Both are decimals now; decimals have an upper limit of 1e9, as the grace period is converted to milliseconds.

--- a/packages/router/src/process/ForwardRole.cpp
+++ b/packages/router/src/process/ForwardRole.cpp
@@ -266,8 +266,7 @@
 ForwardRole::RetryOptions() const
 {
   const auto& settings = options_.settings_;
-  const auto slack =
-    static_cast<double>(settings.Get(settings::kForwardRetrySlack));
+  const double slack = settings.GetDecimal(settings::kForwardRetrySlack);
   const auto routers = static_cast<double>(
     std::max(int64_t{ 1 }, options_.config_.ServingRouters()));
   return { .ratio_ =
--- a/packages/router/src/process/RouterTask.cpp
+++ b/packages/router/src/process/RouterTask.cpp
@@ -1,6 +1,7 @@
 #include "cactuswick/router/process/RouterTask.h"
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 #include <utility>
 
@@ -100,7 +101,9 @@
     };
     if (Forwards()) {
       options.graceMs_ =
-        settings_.Get(settings::kForwardGraceS) * kMsPerSecond - kGraceMarginMs;
+        std::llround(settings_.GetDecimal(settings::kForwardGraceS) *
+                     static_cast<double>(kMsPerSecond)) -
+        kGraceMarginMs;
     }
     return options;
   }
--- a/packages/settings/include/cactuswick/settings/process/SettingList.h
+++ b/packages/settings/include/cactuswick/settings/process/SettingList.h
@@ -325,26 +325,20 @@
   0,
   3'600'000
 };
-inline constexpr IntegerSetting kForwardGraceS{
+inline constexpr TextSetting kForwardGraceS{
   "forward", "grace_s",
-  8,         ValueFormat::kInteger,
-  "s",       "Time from the stop signal until the process is killed.",
-  1,         3'600
+  "8",       ValueFormat::kDecimal,
+  "s",       "Time from the stop signal until the process is killed."
 };
 inline constexpr TextSetting kForwardRetryRatio{
   "forward", "retry_ratio",
   "0.1",     ValueFormat::kDecimal,
   "",        "Retries allowed per request, over all routers."
 };
-inline constexpr IntegerSetting kForwardRetrySlack{
-  "forward",
-  "retry_slack",
-  20,
-  ValueFormat::kInteger,
-  "requests",
-  "Retries allowed beyond the ratio in one window, over all routers.",
-  0,
-  1'000'000
+inline constexpr TextSetting kForwardRetrySlack{
+  "forward", "retry_slack",
+  "20",      ValueFormat::kDecimal,
+  "",        "Retries allowed beyond the ratio in one window, over all routers."
 };
 
 inline constexpr IntegerSetting kQuarantineCrashes{
--- a/packages/settings/src/process/Settings.cpp
+++ b/packages/settings/src/process/Settings.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cmath>
 #include <cstring>
 #include <fstream>
 #include <iterator>
@@ -23,6 +22,7 @@
 using model::ErrorKind;
 
 constexpr size_t kSha256HexBytes = 64;
+constexpr double kMaxDecimal = 1e9;
 
 std::string
 KeyPath(std::string_view aSection, std::string_view aKey)
@@ -89,7 +89,7 @@
                     " ",
                     aSetting.unitOrChoices_);
     case ValueFormat::kDecimal:
-      return "a number of 0 or more, such as 0.2";
+      return "a number from 0 to 1000000000, such as 0.2";
     case ValueFormat::kName:
       return "1 to 63 of lower-case letters, digits, '-', '_', '.'";
     case ValueFormat::kAddress:
@@ -125,7 +125,7 @@
 {
   double number = 0;
   return absl::SimpleAtod(model::ToAbsl(aText), &number) && number >= 0 &&
-         std::isfinite(number);
+         number <= kMaxDecimal;
 }
 
 bool
--- a/tests/settings/process/SettingsTest.cpp
+++ b/tests/settings/process/SettingsTest.cpp
@@ -28,6 +28,18 @@
   EXPECT_FALSE(settings->HasRole("control"));
 }
 
+TEST(Settings, AcceptsFractionsOfBoundsThatThePlatformGives)
+{
+  const auto settings = Settings::Parse("f",
+                                        std::string(kValidText) +
+                                          "[forward]\n"
+                                          "grace_s = 7.5\n"
+                                          "retry_slack = 35.166666666666664\n");
+  ASSERT_TRUE(settings.ok()) << settings.status().ToString();
+  EXPECT_EQ(settings->GetDecimal(kForwardGraceS), 7.5);
+  EXPECT_NEAR(settings->GetDecimal(kForwardRetrySlack), 35.17, 0.01);
+}
+
 struct InvalidSetting
 {
   const char* lines_;
@@ -78,6 +90,9 @@
     InvalidSetting{ "metrics_listen = 1.2.3.4:70000\n",
                     "f:8: [router] metrics_listen",
                     "IPv4:port" },
+    InvalidSetting{ "[forward]\ngrace_s = 1e300\n",
+                    "f:9: [forward] grace_s",
+                    "a number from 0 to 1000000000" },
     InvalidSetting{ "[operator]\nkey_sha256 = abc\n",
                     "f:9: [operator] key_sha256",
                     "64 hexadecimal digits" },
