--- a/packages/settings/include/cactuswick/settings/process/SettingList.h
+++ b/packages/settings/include/cactuswick/settings/process/SettingList.h
@@ -320,8 +320,8 @@
   ValueFormat::kInteger,
   "ms",
   "How long a router that shuts down still accepts requests: as long as "
-  "callers may cache an old list of routers. After the first third of the "
-  "grace period only requests that end within it are accepted.",
+  "callers may cache an old list of routers. Late ones must end within the "
+  "grace period.",
   0,
   3'600'000
 };
