Place prompts by all their shared parts, not by the first alone

Cause: the engine of a prompt was chosen by the hash of its first part. All prompts of that class begin with one of four parts, so 94 requests a second went to four engines of 117 (busiest/mean 19.3). On small fleets a router sees enough of the load to turn to others; one of 191 routers sees a request every two seconds and never does.

ForwardPrompt.PromptsWithOneLeadingPartSpreadOverTheEnginesOfALargeFleet failed before with 300 on the busiest engine, where 90 are allowed.

Trial without gain: entry lists of twelve routers of the caller's own domain, a different subset for each caller: callers of one workspace still use one router.

--- a/packages/router/src/request/ForwardPrompt.cpp
+++ b/packages/router/src/request/ForwardPrompt.cpp
@@ -15,10 +15,13 @@
   routing::PromptLoad prompt;
   if (aRequest.parts_.size() > 1) {
     // All parts but the last may be shared with other requests.
+    // The hash is over all of them: a first part that most prompts have in
+    // common would send them all to one engine.
     for (size_t i = 0; i + 1 < aRequest.parts_.size(); ++i) {
-      prompt.sharedTokens_ += aRequest.parts_[i].tokens_;
+      const auto& part = aRequest.parts_[i];
+      prompt.sharedTokens_ += part.tokens_;
+      prompt.prefixHash_ = model::Hash64(part.id_, prompt.prefixHash_);
     }
-    prompt.prefixHash_ = model::Hash64(aRequest.parts_.front().id_);
   }
   prompt.uniqueTokens_ = std::max(
     ledger::Tokens{ 0 }, *aRequest.promptTokens_ - prompt.sharedTokens_);
