Send the last reply early enough for a full link

Cause: the deadline runs from when the request was read, and the reply waits at the link once more. The router now takes the shortest recent round trip, to control or to a new connection's endpoint, off the deadline, at most a quarter of it. A slow peer delays some round trips, a full link all.

--- a/packages/router/src/connection/ForwardApi.cpp
+++ b/packages/router/src/connection/ForwardApi.cpp
@@ -33,6 +33,9 @@
 /// A request waits for an endpoint for at most the caller's time divided by
 /// this.
 constexpr int64_t kQueueTimeDivisor = 2;
+/// The deadline is moved forward by at most the caller's time divided by this
+/// for packets that wait at this VM's link.
+constexpr int64_t kLinkDelayDivisor = 4;
 
 } // namespace
 
@@ -136,7 +139,12 @@
   const int64_t timeout = aPlan.route_.timeoutMs_;
   const int64_t wait =
     std::min(timeout, aPlan.request_.deadlineMs_.value_or(timeout));
-  aPlan.deadlineMs_ = aPlan.startMs_ + wait;
+  // The request has waited at the link before it was read, and its response
+  // will; a round trip is both.
+  const int64_t atLink =
+    std::min(options_.services_.linkDelay_.EstimateMs(aPlan.startMs_),
+             wait / kLinkDelayDivisor);
+  aPlan.deadlineMs_ = aPlan.startMs_ + wait - atLink;
   aPlan.queueDeadlineMs_ = aPlan.startMs_ + wait / kQueueTimeDivisor;
 }
 
--- a/packages/router/src/process/ForwardRole.cpp
+++ b/packages/router/src/process/ForwardRole.cpp
@@ -68,7 +68,8 @@
   , services_{ options_.loop_,       options_.biller_,
                options_.dispatcher_, pool_,
                options_.metrics_,    options_.burn_,
-               options_.dialect_,    quarantine_ }
+               options_.dialect_,    quarantine_,
+               options_.linkDelay_ }
   , api_({ .services_ = services_,
            .retries_ = [this] { return RetryOptions(); },
            .isReady_ = options_.isReady_,
--- a/packages/router/src/process/ForwardRole.h
+++ b/packages/router/src/process/ForwardRole.h
@@ -19,6 +19,7 @@
   Dispatcher& dispatcher_;
   telemetry::Metrics& metrics_;
   telemetry::BurnTable& burn_;
+  routing::LinkDelay& linkDelay_;
   const ConfigView& config_;
   ControlClient& control_;
   std::function<ledger::Incarnation()> self_;
--- a/packages/router/src/process/RouterTask.cpp
+++ b/packages/router/src/process/RouterTask.cpp
@@ -211,6 +211,7 @@
       .dispatcher_ = dispatcher_,
       .metrics_ = metrics_,
       .burn_ = burn_,
+      .linkDelay_ = linkDelay_,
       .config_ = config_,
       .control_ = *control_,
       .self_ = [this] { return control_->Incarnation(); },
@@ -277,6 +278,7 @@
           },
         .onRoundTrip_ =
           [this](int64_t aRoundTripMs) {
+            linkDelay_.Observe(aRoundTripMs, EventLoop::NowMs());
             metrics_.Observe(telemetry::Summary::kControlRoundTripMs,
                              static_cast<double>(aRoundTripMs));
           },
@@ -445,6 +447,7 @@
   size_t maxBodyBytes_;
   telemetry::Metrics metrics_;
   telemetry::BurnTable burn_;
+  routing::LinkDelay linkDelay_;
   ConfigView config_;
   Dispatcher dispatcher_;
   std::unique_ptr<transport::HttpServer> server_;
--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -184,6 +184,10 @@
       .progressTimeoutMs_ = left + kConnectTimeoutMs,
       .pool_ = &dependencies_.pool_,
       .acceptsUnframed_ = true,
+      .onConnected_ =
+        [this](int64_t aElapsedMs) {
+          dependencies_.linkDelay_.Observe(aElapsedMs, EventLoop::NowMs());
+        },
       .onHeaders_ =
         [this](int aStatus, const transport::Headers& aHeaders) {
           OnHead(aStatus, aHeaders);
--- a/packages/router/src/request/ForwardExchange.h
+++ b/packages/router/src/request/ForwardExchange.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "cactuswick/router/connection/ForwardDialect.h"
+#include "cactuswick/routing/process/LinkDelay.h"
 #include "cactuswick/transport/connection/HttpCall.h"
 #include "connection/ForwardErrors.h"
 #include "process/Biller.h"
@@ -27,6 +28,7 @@
   telemetry::BurnTable& burn_;
   const ForwardDialect& dialect_;
   PromptQuarantine& quarantine_;
+  routing::LinkDelay& linkDelay_;
 };
 
 /// An admitted request with its route, limits and reservation.
@@ -46,7 +48,7 @@
   /// Version of the deployment from which the plan was made.
   int64_t deploymentVersion_ = 0;
   int64_t startMs_ = 0;
-  /// Time at which the caller stops waiting for a response.
+  /// Time at which a response has to be sent to reach the caller in time.
   int64_t deadlineMs_ = 0;
   /// Time at which a request that still waits for an endpoint is refused.
   int64_t queueDeadlineMs_ = 0;
--- /dev/null
+++ b/packages/routing/include/cactuswick/routing/process/LinkDelay.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstdint>
+
+namespace cactuswick::routing {
+
+/// Estimates how long packets wait at this VM's own link, from round trips to
+/// different peers. A slow peer delays some of them, a full link all: the
+/// estimate is the shortest recent round trip.
+class LinkDelay
+{
+public:
+  /// Records a round trip that ended now.
+  void Observe(int64_t aRoundTripMs, int64_t aNowMs);
+
+  /// Returns the shortest round trip of the last one to two seconds in
+  /// milliseconds; 0 if there was none.
+  int64_t EstimateMs(int64_t aNowMs) const;
+
+private:
+  /// Shortest round trip that ended in one window of time.
+  struct Window
+  {
+    int64_t number_ = -1;
+    int64_t shortestMs_ = 0;
+  };
+
+  Window current_;
+  Window previous_;
+};
+
+} // namespace cactuswick::routing
--- a/packages/transport/include/cactuswick/transport/connection/HttpCall.h
+++ b/packages/transport/include/cactuswick/transport/connection/HttpCall.h
@@ -36,6 +36,8 @@
   /// server closes the connection.
   bool acceptsUnframed_ = false;
 
+  /// Called when a new connection is established, after @p aElapsedMs.
+  std::function<void(int64_t aElapsedMs)> onConnected_;
   std::function<void(int aStatus, const Headers& aHeaders)> onHeaders_;
   std::function<void(std::string_view aData)> onData_;
   /// Called once. OK if the response is complete by its framing, or by the
--- a/packages/transport/src/connection/HttpCall.cpp
+++ b/packages/transport/src/connection/HttpCall.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <map>
+#include <optional>
 #include <utility>
 
 #include <event2/buffer.h>
@@ -127,6 +128,7 @@
       connection_ = options_.pool_->Take(options_.address_);
     }
     if (!connection_) {
+      connectsSinceMs_ = EventLoop::NowMs();
       connection_.reset(
         evhttp_connection_base_new(loop_.Base(),
                                    nullptr,
@@ -228,6 +230,14 @@
     if (aInfo->n_added > 0 && !self->dispatched_) {
       self->dispatched_ = true;
       self->timer_.StartOnce(self->options_.firstByteTimeoutMs_);
+      self->ReportConnected();
+    }
+  }
+
+  void ReportConnected()
+  {
+    if (connectsSinceMs_ && options_.onConnected_) {
+      options_.onConnected_(EventLoop::NowMs() - *connectsSinceMs_);
     }
   }
 
@@ -345,6 +355,8 @@
   Timer timer_;
   HttpConnectionPointer connection_;
   evhttp_request* request_ = nullptr;
+  /// Start of a new connection; nullopt for one from the pool.
+  std::optional<int64_t> connectsSinceMs_;
   int64_t keepAliveMs_ = 0;
   /// Bytes read since the head or a part of the body was last delivered.
   size_t unparsedBytes_ = 0;
