Keep a larger reserve of budgets in large fleets

Cause: what a router holds ahead follows its own recent use, and one of 191 routers sees a workspace's requests too seldom for that to say anything. So callers met routers without a grant, and the reserve of 8 % of a budget, sized for fleets of a dozen, was used up after three seconds of the cut.

What remains: the reserve is still used up before the end of the cut.

--- a/packages/router/src/process/ForwardRole.cpp
+++ b/packages/router/src/process/ForwardRole.cpp
@@ -1,6 +1,7 @@
 #include "process/ForwardRole.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "cactuswick/model/process/Error.h"
@@ -28,10 +29,7 @@
 constexpr int64_t kIdleMarginMs = 5'000;
 /// Control reports lost endpoints, so their lease must not expire here first.
 constexpr int64_t kLeaseMs = 3'600'000;
-/// Share of a budget that its reserve holders together always keep, for callers
-/// who first reach a router while it cannot reach control.
-constexpr ledger::Tokens kFloorPercent = 8;
-constexpr ledger::Tokens kPercent = 100;
+constexpr double kPercent = 100;
 /// Safety factors: retry budgets of restarted routers overlap with those from
 /// before the restart.
 constexpr double kSlackSafety = 0.5;
@@ -212,6 +210,8 @@
     return;
   }
   const auto& routers = options_.config_.Routers();
+  const double reservePercent =
+    routing::ReservePercent(options_.config_.ServingRouters());
   const auto self = options_.self_();
   for (const auto& workspace : api_.Deployment()->Spec().workspaces_) {
     if (workspace.prepaidTokens_) {
@@ -219,10 +219,11 @@
       const auto holders = routing::SelectReserveHolders(budget, routers);
       const bool holdsReserve =
         std::find(holders.begin(), holders.end(), self) != holders.end();
+      const double reserve = static_cast<double>(*workspace.prepaidTokens_) *
+                             reservePercent / kPercent;
       const ledger::Tokens floor =
         holdsReserve
-          ? *workspace.prepaidTokens_ * kFloorPercent /
-              (kPercent * static_cast<ledger::Tokens>(holders.size()))
+          ? std::llround(reserve / static_cast<double>(holders.size()))
           : 0;
       options_.biller_.SetFloor(budget, floor);
       if (floor > 0) {
--- a/packages/routing/include/cactuswick/routing/process/FleetGrants.h
+++ b/packages/routing/include/cactuswick/routing/process/FleetGrants.h
@@ -19,6 +19,14 @@
 SelectReserveHolders(const std::string& aBudget,
                      const std::vector<ledger::RouterRecord>& aRouters);
 
+/// Returns the share of a budget, in percent, that its reserve holders together
+/// keep, for callers of routers that cannot reach control and have no grant
+/// left. It grows with the number of routers: the more there are, the fewer
+/// requests of a workspace each one sees, and the less its recent use says
+/// about what it will need.
+double
+ReservePercent(int64_t aServingRouters);
+
 /// Returns the interval between a router's usage reports. It grows with the
 /// number of routers, so that their reports together take a bounded part of the
 /// leader's CPU time.
--- a/packages/routing/src/process/FleetGrants.cpp
+++ b/packages/routing/src/process/FleetGrants.cpp
@@ -12,6 +12,12 @@
 
 /// Reserve holders of a budget per failure domain; one may fail.
 constexpr size_t kReserveHoldersPerDomain = 2;
+/// Reserve of a fleet of up to @c kSmallFleet routers, and the limit that it
+/// approaches in large ones. The limit leaves a part of what the ledger grants
+/// ahead to the routers' recent use.
+constexpr double kMinReservePercent = 8;
+constexpr double kMaxReservePercent = 24;
+constexpr double kSmallFleet = 12;
 constexpr int64_t kMinReportIntervalMs = 500;
 /// Maximum rate of usage reports at the leader, from all routers together.
 constexpr int64_t kMaxReportsPerSecond = 100;
@@ -43,6 +49,15 @@
   return holders;
 }
 
+double
+ReservePercent(int64_t aServingRouters)
+{
+  const double routers =
+    std::max(kSmallFleet, static_cast<double>(aServingRouters));
+  const double growth = kMaxReservePercent - kMinReservePercent;
+  return kMaxReservePercent - growth * kSmallFleet / routers;
+}
+
 int64_t
 ReportIntervalMs(int64_t aServingRouters)
 {
--- a/tests/routing/process/FleetGrantsTest.cpp
+++ b/tests/routing/process/FleetGrantsTest.cpp
@@ -238,5 +238,41 @@
     kReserve / 2);
 }
 
+TEST(FleetGrants, ReserveGrowsWithTheFleetUpToALimit)
+{
+  EXPECT_EQ(ReservePercent(0), 8);
+  EXPECT_EQ(ReservePercent(12), 8);
+  EXPECT_EQ(ReservePercent(24), 16);
+  EXPECT_NEAR(ReservePercent(191), 23, 0.1);
+  EXPECT_LT(ReservePercent(100'000), 24);
+}
+
+// Load: one workspace, whose requests each go to another router of a fleet that
+// is cut off from control. Holders lend what a request needs until the reserve
+// is used up.
+TEST(FleetGrants, ReserveOfALargeFleetCoversTheUseOfACut)
+{
+  constexpr Tokens kTotal = 10'000'000;
+  constexpr int64_t kRouters = 191;
+  constexpr size_t kHolders = 10;
+  constexpr Tokens kRequest = 17'000;
+  // Use of a cut of 8.6 s on a day of 34 s whose budget is 1.3 times its use.
+  constexpr Tokens kUseInCut = kTotal * 86 / 340 * 10 / 13;
+  std::vector<GrantTable> holders(kHolders);
+  const auto share =
+    static_cast<Tokens>(kTotal * ReservePercent(kRouters) / 100) /
+    static_cast<Tokens>(kHolders);
+  for (auto& holder : holders) {
+    holder.OnGranted("b", share);
+  }
+  Tokens lent = 0;
+  for (size_t i = 0; lent < kUseInCut && i < holders.size();) {
+    const Tokens amount = holders[i].Lend("b", kRequest, kRequest);
+    lent += amount;
+    i += amount == 0 ? 1 : 0;
+  }
+  EXPECT_GE(lent, kUseInCut);
+}
+
 } // namespace
 } // namespace cactuswick::routing
