Judge the delay of the own link by connections alone

A slow leader or an election made all round trips to control long, and a router that opened no connection meanwhile would have ended its callers' requests up to a quarter of their time too early (by reading). The time in which the kernel establishes a connection contains no work of the peer.

--- a/packages/router/src/process/RouterTask.cpp
+++ b/packages/router/src/process/RouterTask.cpp
@@ -278,7 +278,6 @@
           },
         .onRoundTrip_ =
           [this](int64_t aRoundTripMs) {
-            linkDelay_.Observe(aRoundTripMs, EventLoop::NowMs());
             metrics_.Observe(telemetry::Summary::kControlRoundTripMs,
                              static_cast<double>(aRoundTripMs));
           },
--- a/packages/routing/include/cactuswick/routing/process/LinkDelay.h
+++ b/packages/routing/include/cactuswick/routing/process/LinkDelay.h
@@ -4,9 +4,10 @@
 
 namespace cactuswick::routing {
 
-/// Estimates how long packets wait at this VM's own link, from round trips to
-/// different peers. A slow peer delays some of them, a full link all: the
-/// estimate is the shortest recent round trip.
+/// Estimates how long packets wait at this VM's own link, from the times that
+/// connections to different peers took to be established. A slow path delays
+/// some of them, a full link all: the estimate is the shortest recent one.
+/// Replies of peers don't count, since they contain the peers' own work.
 class LinkDelay
 {
 public:
