--- a/tests/routing/process/FleetGrantsTest.cpp
+++ b/tests/routing/process/FleetGrantsTest.cpp
@@ -248,8 +248,8 @@
 }
 
 // Load: one workspace, whose requests each go to another router of a fleet that
-// is cut off from control, and use a fifth of the budget meanwhile. Holders lend
-// what a request needs until the reserve is used up.
+// is cut off from control, and use a fifth of the budget meanwhile. Holders
+// lend what a request needs until the reserve is used up.
 TEST(FleetGrants, ReserveOfALargeFleetCoversTheUseOfACut)
 {
   constexpr Tokens kTotal = 10'000'000;
