--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -193,7 +193,9 @@
             return
         try:
             with self.free_slots:
-                self.answer(call)
+                # A request whose channel was closed in the queue is dropped.
+                if not call.is_closed():
+                    self.answer(call)
         finally:
             with self.lock:
                 self.active -= 1
@@ -255,15 +257,25 @@
         self.refused = True
         self.reply(status, b"", {"X-Not-Executed": "1"}, stamp=False)
 
-    def work(self, seconds):
-        """Works for a while; returns False if the channel was closed."""
-        readable, _, _ = select.select([self.channel], [], [], seconds)
+    def is_closed(self):
+        """Whether the channel was closed."""
+        readable, _, _ = select.select([self.channel], [], [], 0)
         if not readable:
-            return True
+            return False
         try:
-            return bool(self.channel.recv(1, socket.MSG_PEEK))
+            return not self.channel.recv(1, socket.MSG_PEEK)
         except OSError:
+            return True
+
+    def work(self, seconds):
+        """Works for a while; returns False if the channel was closed."""
+        end = time.monotonic() + seconds
+        readable, _, _ = select.select([self.channel], [], [], seconds)
+        if readable and self.is_closed():
             return False
+        # Another request on the channel waits until this one is done.
+        time.sleep(max(0, end - time.monotonic()))
+        return True
 
     def begin_stream(self):
         self.send(self.head(200, {"Content-Type": "text/event-stream",
@@ -576,7 +588,7 @@
         deployment.record(f"the rule was {verdict}")
         print(f"the rule was {verdict}")
         return BROKEN if broken else HELD
-    except CannotRun as error:
+    except Exception as error:  # Any other failure is not the rule's.
         print(f"cannot run: {error}", file=sys.stderr)
         if deployment is not None:
             deployment.record(f"cannot run: {error}")
