--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,14 +12,17 @@
 
 # As in pocas-linha: slots and work of the reporting desk.
 SLOTS, WORK_S = 6, 0.03
-# garble: the largest share of the answers that a runner spoils there.
+QUEUE = 4
+# garble: the largest share of the answers that a runner spoils there. One of
+# two runners does: a share of 0.5 of the runners, 0.6 is the largest there.
 SPOILED_SHARE = 0.05
-ROUTERS = ["r1", "r2", "r3", "r4"]
-CONSUMERS = 16
+RUNNERS = 2
+ROUTERS = ["r1", "r2"]
+CONSUMERS = 32
 # Between two requests of a consumer, and the longest Retry-After it follows
 # (a third of its time).
 THINK_S, MAX_WAIT_S = 0.02, 0.8
-SECONDS = 20
+SECONDS = 30
 
 MANIFEST = {
     "Version": 7,
@@ -38,12 +41,13 @@
 
 
 def case(deployment):
-    runner = deployment.add_runner("balcao", answer, slots=SLOTS)
+    runners = [deployment.add_runner("balcao", answer, slots=SLOTS, queue=QUEUE)
+               for _ in range(RUNNERS)]
     deployment.declare(MANIFEST)
     deployment.wait_ready()
     deployment.warm_up(ROUTERS, "POST", "/registo/1", body=b"{}")
     if dep.TROUBLE:
-        runner.spoiled_share = SPOILED_SHARE
+        runners[0].spoiled_share = SPOILED_SHARE
     end = time.monotonic() + SECONDS
     answers = {}
 
