The router frames every request that it sends itself

Callers saw: a PATCH with a body reached its endpoint without a length. The endpoint took the body for the next request of the connection and ran it, though no caller had sent it as one (UNASKED); honest PATCH bodies were lost.

Cause: evhttp adds Content-Length only for POST and PUT. NeedsLengthHeader trusted it for PATCH as well, since TakesBody, which says what evhttp reads as a server, was taken for what it sends as a client.

Change: HttpCall sets Content-Length in one place, for every request with a body and every method that takes one, and drops framing headers that it is given.

Evidence: RequestMethods.BodyIsForwardedWithItsLength/PATCH reads the endpoint's connection with a strict reading of RFC 9112; on it found other requests than were forwarded, POST and PUT held.

--- a/packages/transport/src/connection/HttpCall.cpp
+++ b/packages/transport/src/connection/HttpCall.cpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <utility>
 
+#include <absl/strings/match.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -53,6 +54,14 @@
   return found == kCommands.end() ? EVHTTP_REQ_POST : found->second;
 }
 
+/// Returns whether a header tells where its message ends.
+bool
+FramesMessage(const Header& aHeader)
+{
+  return absl::EqualsIgnoreCase(aHeader.name_, "Content-Length") ||
+         absl::EqualsIgnoreCase(aHeader.name_, "Transfer-Encoding");
+}
+
 /// Adds a body to a buffer without copying it.
 void
 AddBody(evbuffer* aBuffer, const RequestBody& aBody)
@@ -72,13 +81,6 @@
     kept);
 }
 
-/// evhttp adds Content-Length only for methods that usually have a body.
-bool
-NeedsLengthHeader(const HttpCallOptions& aOptions)
-{
-  return !aOptions.body_.Text().empty() && !TakesBody(aOptions.method_);
-}
-
 /// Returns whether the final response is still to come (status 1xx).
 bool
 IsInterim(int aStatus)
@@ -181,11 +183,14 @@
     TuneSocket(bufferevent_getfd(stream));
   }
 
+  /// Adds the headers; those that frame the request are always this call's own.
   void AddHeaders()
   {
     evkeyvalq* output = evhttp_request_get_output_headers(request_);
     for (const auto& header : options_.headers_) {
-      evhttp_add_header(output, header.name_.c_str(), header.value_.c_str());
+      if (!FramesMessage(header)) {
+        evhttp_add_header(output, header.name_.c_str(), header.value_.c_str());
+      }
     }
     if (evhttp_find_header(output, "Host") == nullptr) {
       const std::string host = options_.address_.ToString();
@@ -194,9 +199,10 @@
     if (options_.pool_ == nullptr) {
       evhttp_add_header(output, "Connection", "close");
     }
-    if (NeedsLengthHeader(options_)) {
-      const std::string length = std::to_string(options_.body_.Text().size());
-      evhttp_add_header(output, "Content-Length", length.c_str());
+    const size_t bodyBytes = options_.body_.Text().size();
+    if (bodyBytes > 0 || TakesBody(options_.method_)) {
+      evhttp_add_header(
+        output, "Content-Length", std::to_string(bodyBytes).c_str());
     }
   }
 
