Responses are read strictly, and only whole heads are passed on

Cause: as for requests, we trusted evhttp to frame what we receive; HttpCall checked little of what was left of a head.

Change: HttpCall reads the input with MessageReader before evhttp does. Heads are held until they are complete, bodies pass as they come, and a response that breaks the grammar counts as broken off. Responses to other requests can be skipped (skips_), within kMaxSkippedBytes and the call's time; the connection is then not used again. Nothing uses this yet.

The case LinesForAChunkSize of HttpCallEndless expects upstream_failed now: the first blank line in the place of a size is malformed, where evhttp read them without end; it still has to end as promptly and with as few bytes.

--- a/packages/transport/include/cactuswick/transport/connection/HttpCall.h
+++ b/packages/transport/include/cactuswick/transport/connection/HttpCall.h
@@ -39,6 +39,10 @@
   /// server closes the connection.
   bool acceptsUnframed_ = false;
 
+  /// Returns whether the response that begins belongs to another request; then
+  /// it is skipped, and the next one on the connection is read. Called on
+  /// connections from a pool; null takes the first response.
+  std::function<bool(int aStatus, const Headers& aHeaders)> skips_;
   /// Called when a new connection is established, after @p aElapsedMs.
   std::function<void(int64_t aElapsedMs)> onConnected_;
   std::function<void(int aStatus, const Headers& aHeaders)> onHeaders_;
--- a/packages/transport/src/connection/HttpCall.cpp
+++ b/packages/transport/src/connection/HttpCall.cpp
@@ -15,7 +15,9 @@
 #include <event2/util.h>
 
 #include "cactuswick/model/process/Error.h"
+#include "cactuswick/model/process/Text.h"
 #include "connection/HttpRequests.h"
+#include "connection/MessageReader.h"
 #include "connection/SocketOptions.h"
 
 namespace cactuswick::transport {
@@ -37,6 +39,8 @@
 constexpr size_t kMaxUnparsedBytes = size_t{ 1 } << 20;
 /// Limit of interim (1xx) responses before the final response.
 constexpr int kMaxInterimResponses = 16;
+/// Limit of responses to other requests that are read before the awaited one.
+constexpr size_t kMaxSkippedBytes = size_t{ 256 } << 10;
 constexpr int kHttpContinue = 100;
 constexpr int kHttpSwitchingProtocols = 101;
 constexpr int kHttpSuccess = 200;
@@ -106,28 +110,18 @@
   return seconds * kMsPerSecond - kKeepAliveMarginMs;
 }
 
-/// Returns whether the body is sent with this transfer coding.
-bool
-HasCoding(evkeyvalq* aHeaders, const char* aCoding)
-{
-  const char* value = evhttp_find_header(aHeaders, "Transfer-Encoding");
-  return value != nullptr && evutil_ascii_strcasecmp(value, aCoding) == 0;
-}
-
-/// evhttp passes on bodies in other transfer codings without decoding them.
-bool
-IsCodingSupported(evkeyvalq* aHeaders)
-{
-  return evhttp_find_header(aHeaders, "Transfer-Encoding") == nullptr ||
-         HasCoding(aHeaders, "chunked") || HasCoding(aHeaders, "identity");
-}
-
-/// If false, evhttp takes a closed connection as the end of the response.
-bool
-HasDefinedLength(evkeyvalq* aHeaders)
+/// Removes everything from @p aBuffer and returns what was behind its first
+/// @p aKept bytes, which are put back.
+std::string
+TakeBehind(evbuffer* aBuffer, size_t aKept)
 {
-  return evhttp_find_header(aHeaders, "Content-Length") != nullptr ||
-         HasCoding(aHeaders, "chunked");
+  evbuffer* kept = evbuffer_new();
+  evbuffer_remove_buffer(aBuffer, kept, aKept);
+  std::string taken(evbuffer_get_length(aBuffer), '\0');
+  evbuffer_remove(aBuffer, taken.data(), taken.size());
+  evbuffer_add_buffer(aBuffer, kept);
+  evbuffer_free(kept);
+  return taken;
 }
 
 } // namespace
@@ -139,7 +133,10 @@
     : loop_(aLoop)
     , options_(std::move(aOptions))
     , timer_(aLoop, [this] { Finish(ErrorKind::kUpstreamFailed, "timed out"); })
+    , reader_({ .kind_ = MessageReaderOptions::Kind::kResponses,
+                .maxHeadBytes_ = kMaxHeadBytes })
   {
+    reader_.SetRequestMethod(options_.method_);
   }
 
   void Start()
@@ -206,9 +203,10 @@
     }
   }
 
-  /// Returns the connection to the pool if it can be reused. Unread bytes after
-  /// the response belong to no request, so they rule out reuse. So does a call
-  /// that was given up during its response: more may follow.
+  /// Returns the connection to the pool if it can be reused. Bytes after the
+  /// response belong to no request, so they rule out reuse. So do a response of
+  /// another request before it, and a call that was given up during its
+  /// response: more may follow.
   void ReturnConnection()
   {
     bufferevent* stream = evhttp_connection_get_bufferevent(connection_.get());
@@ -218,7 +216,8 @@
     evbuffer_remove_cb(input, &OnInput, this);
     const bool reusable = !finished_ && bufferevent_getfd(stream) >= 0 &&
                           keepAliveMs_ > 0 && evbuffer_get_length(input) == 0 &&
-                          evbuffer_get_length(output) == 0;
+                          evbuffer_get_length(output) == 0 &&
+                          skippedBytes_ == 0 && !hasSurplus_;
     if (options_.pool_ != nullptr && reusable) {
       options_.pool_->Put(
         options_.address_, std::move(connection_), keepAliveMs_);
@@ -276,21 +275,105 @@
     }
   }
 
-  /// Limits what evhttp buffers in any state of its parser.
-  static void OnInput(evbuffer*, const evbuffer_cb_info* aInfo, void* aSelf)
+  static void OnInput(evbuffer* aInput,
+                      const evbuffer_cb_info* aInfo,
+                      void* aSelf)
   {
     auto* self = static_cast<State*>(aSelf);
+    if (aInfo->n_added == 0 || self->passing_) {
+      return;
+    }
     self->loop_.TrafficCounters().AddRead(Remote::kEndpoint, aInfo->n_added);
+    self->passing_ = true;
+    self->PassOn(aInput, aInfo->n_added);
+    self->passing_ = false;
+    // Limits what evhttp buffers in any state of its parser.
     self->unparsedBytes_ += aInfo->n_added;
-    if (self->unparsedBytes_ > kMaxUnparsedBytes && !self->finished_) {
+    if (self->unparsedBytes_ > kMaxUnparsedBytes) {
       self->FailTooLarge();
     }
   }
 
+  /// Passes what belongs to the awaited response on to evhttp: heads once they
+  /// are complete, and bodies as they come.
+  void PassOn(evbuffer* aInput, size_t aAddedBytes)
+  {
+    const std::string added =
+      TakeBehind(aInput, evbuffer_get_length(aInput) - aAddedBytes);
+    std::string_view rest = added;
+    MessageStep step = MessageStep::kNeedsMore;
+    do {
+      step = ended_ ? MessageStep::kNeedsMore : reader_.Read(rest, &held_);
+      OnStep(step);
+      if (passes_) {
+        evbuffer_add(aInput, held_.data(), held_.size());
+      }
+      if (passes_ || skips_) {
+        held_.clear();
+      }
+      if (step == MessageStep::kEnd) {
+        passes_ = skips_ = false;
+      }
+    } while (!ended_ &&
+             (step == MessageStep::kHead || step == MessageStep::kEnd));
+    hasSurplus_ |= ended_ && !rest.empty();
+  }
+
+  void OnStep(MessageStep aStep)
+  {
+    if (aStep == MessageStep::kHead) {
+      OnReadHead();
+    } else if (aStep == MessageStep::kError) {
+      FailMalformed();
+    }
+    if (skips_) {
+      skippedBytes_ += held_.size();
+      if (skippedBytes_ > kMaxSkippedBytes) {
+        FailTooLarge();
+      }
+    }
+    // An interim response is followed by another one.
+    ended_ |= aStep == MessageStep::kEnd && passes_ &&
+              !IsInterim(reader_.Head().status_);
+  }
+
+  /// Decides whether the response that begins is the awaited one.
+  void OnReadHead()
+  {
+    const MessageHead& head = reader_.Head();
+    // On a new connection there is no earlier request to send copies for.
+    const bool maySkip = !connectsSinceMs_ && !IsInterim(head.status_) &&
+                         head.framing_ != BodyFraming::kUntilClose;
+    skips_ = maySkip && options_.skips_ && !finished_ &&
+             options_.skips_(head.status_, head.headers_);
+    passes_ = !skips_;
+    endsByClose_ = passes_ && head.framing_ == BodyFraming::kUntilClose;
+  }
+
+  /// Deferred, since evhttp is still processing the input.
+  void FailMalformed()
+  {
+    if (finished_) {
+      return;
+    }
+    const MessageError& error = reader_.Error();
+    if (error.kind_ == MessageErrorKind::kTooLarge) {
+      FailTooLarge();
+      return;
+    }
+    loop_.Defer([this] {
+      Finish(ErrorKind::kUpstreamFailed,
+             model::Concat("malformed response, ",
+                           reader_.Error().field_,
+                           ": ",
+                           reader_.Error().detail_));
+    });
+  }
+
   /// Deferred, since evhttp is still processing the input.
   void FailTooLarge()
   {
-    if (!std::exchange(tooLarge_, true)) {
+    if (!finished_ && !std::exchange(tooLarge_, true)) {
       loop_.Defer([this] { FinishTooLarge(); });
     }
   }
@@ -321,12 +404,10 @@
     }
     evkeyvalq* input = evhttp_request_get_input_headers(aRequest);
     self->unparsedBytes_ = 0;
-    self->endsByClose_ = !HasDefinedLength(input);
     self->rejectedUnframed_ =
       !self->options_.acceptsUnframed_ && self->endsByClose_;
     self->keepAliveMs_ = KeepAliveMsOf(input);
-    if (self->finished_ || self->rejectedUnframed_ ||
-        !IsCodingSupported(input)) {
+    if (self->finished_ || self->rejectedUnframed_) {
       return -1;
     }
     self->timer_.StartOnce(self->options_.progressTimeoutMs_);
@@ -391,6 +472,21 @@
   /// Bytes read since the head or a part of the body was last delivered.
   size_t unparsedBytes_ = 0;
   int interimResponses_ = 0;
+  /// Reads the input before evhttp does.
+  MessageReader reader_;
+  /// Bytes of a head that is not complete.
+  std::string held_;
+  /// Bytes of responses to other requests.
+  size_t skippedBytes_ = 0;
+  /// The present response is passed on to evhttp, or skipped.
+  bool passes_ = false;
+  bool skips_ = false;
+  /// The awaited response is complete.
+  bool ended_ = false;
+  /// Bytes followed the awaited response.
+  bool hasSurplus_ = false;
+  /// The input is being changed.
+  bool passing_ = false;
   bool dispatched_ = false;
   bool endsByClose_ = false;
   bool rejectedUnframed_ = false;
