A connection to an endpoint carries each request id once

Callers would see: a caller that gives two requests the same id can get, for the second one, a late copy of the response to the first (MIXED), or a refusal of it (REFUSED).

Cause: only the attempts of one request avoided connections that had carried its id.

--- a/packages/transport/src/connection/HttpCall.cpp
+++ b/packages/transport/src/connection/HttpCall.cpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <utility>
+#include <vector>
 
 #include <absl/strings/match.h>
 #include <event2/buffer.h>
@@ -142,7 +143,10 @@
   void Start()
   {
     if (options_.pool_ != nullptr && !options_.opensNewConnection_) {
-      connection_ = options_.pool_->Take(options_.address_);
+      PooledConnection taken =
+        options_.pool_->Take(options_.address_, options_.requestId_);
+      connection_ = std::move(taken.connection_);
+      carried_ = std::move(taken.carried_);
     }
     if (!connection_) {
       connectsSinceMs_ = EventLoop::NowMs();
@@ -219,8 +223,9 @@
                           evbuffer_get_length(output) == 0 &&
                           skippedBytes_ == 0 && !hasSurplus_;
     if (options_.pool_ != nullptr && reusable) {
-      options_.pool_->Put(
-        options_.address_, std::move(connection_), keepAliveMs_);
+      PooledConnection returned{ std::move(connection_), std::move(carried_) };
+      returned.AddCarried(options_.requestId_);
+      options_.pool_->Put(options_.address_, std::move(returned), keepAliveMs_);
     }
   }
 
@@ -465,6 +470,8 @@
   HttpCallOptions options_;
   Timer timer_;
   HttpConnectionPointer connection_;
+  /// Hashes of the ids of earlier requests on the connection.
+  std::vector<uint64_t> carried_;
   evhttp_request* request_ = nullptr;
   /// Start of a new connection; nullopt for one from the pool.
   std::optional<int64_t> connectsSinceMs_;
