Split by topic: the gate of responses, the grammar, what skips a response

ResponseGate lets the awaited response through, MessageGrammar holds the character rules; behaviour is unchanged, the tests of HttpCall and MessageReader pass as before.

--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -209,20 +209,6 @@
   }
 }
 
-bool
-ForwardExchange::SkipsResponse(int aStatus, const transport::Headers& aHeaders)
-{
-  const ForwardResponseHead head =
-    dependencies_.dialect_.decodeResponseHead_(aStatus, aHeaders);
-  if (OwnerOf(head, plan_.request_.id_) != ResponseOwner::kOtherRequest) {
-    return false;
-  }
-  ++skippedResponses_;
-  dependencies_.metrics_.Count(telemetry::Counter::kResponsesSkipped);
-  LogSkippedResponse(head);
-  return true;
-}
-
 bool
 ForwardExchange::IsMisdirected() const
 {
--- a/packages/router/src/request/ForwardExchangeEndpoints.cpp
+++ b/packages/router/src/request/ForwardExchangeEndpoints.cpp
@@ -4,6 +4,7 @@
 #include "cactuswick/model/process/Text.h"
 #include "cactuswick/telemetry/process/Log.h"
 #include "request/ForwardExchange.h"
+#include "request/ResponseOwner.h"
 
 namespace cactuswick::router {
 
@@ -79,4 +80,18 @@
   Enqueue();
 }
 
+bool
+ForwardExchange::SkipsResponse(int aStatus, const transport::Headers& aHeaders)
+{
+  const ForwardResponseHead head =
+    dependencies_.dialect_.decodeResponseHead_(aStatus, aHeaders);
+  if (OwnerOf(head, plan_.request_.id_) != ResponseOwner::kOtherRequest) {
+    return false;
+  }
+  ++skippedResponses_;
+  dependencies_.metrics_.Count(telemetry::Counter::kResponsesSkipped);
+  LogSkippedResponse(head);
+  return true;
+}
+
 } // namespace cactuswick::router
--- a/packages/transport/src/connection/HttpCall.cpp
+++ b/packages/transport/src/connection/HttpCall.cpp
@@ -18,7 +18,7 @@
 #include "cactuswick/model/process/Error.h"
 #include "cactuswick/model/process/Text.h"
 #include "connection/HttpRequests.h"
-#include "connection/MessageReader.h"
+#include "connection/ResponseGate.h"
 #include "connection/SocketOptions.h"
 
 namespace cactuswick::transport {
@@ -40,8 +40,6 @@
 constexpr size_t kMaxUnparsedBytes = size_t{ 1 } << 20;
 /// Limit of interim (1xx) responses before the final response.
 constexpr int kMaxInterimResponses = 16;
-/// Limit of responses to other requests that are read before the awaited one.
-constexpr size_t kMaxSkippedBytes = size_t{ 256 } << 10;
 constexpr int kHttpContinue = 100;
 constexpr int kHttpSwitchingProtocols = 101;
 constexpr int kHttpSuccess = 200;
@@ -134,10 +132,11 @@
     : loop_(aLoop)
     , options_(std::move(aOptions))
     , timer_(aLoop, [this] { Finish(ErrorKind::kUpstreamFailed, "timed out"); })
-    , reader_({ .kind_ = MessageReaderOptions::Kind::kResponses,
-                .maxHeadBytes_ = kMaxHeadBytes })
+    , gate_(
+        { .method_ = options_.method_,
+          .maxHeadBytes_ = kMaxHeadBytes,
+          .skips_ = [this](const MessageHead& aHead) { return Skips(aHead); } })
   {
-    reader_.SetRequestMethod(options_.method_);
   }
 
   void Start()
@@ -220,8 +219,7 @@
     evbuffer_remove_cb(input, &OnInput, this);
     const bool reusable = !finished_ && bufferevent_getfd(stream) >= 0 &&
                           keepAliveMs_ > 0 && evbuffer_get_length(input) == 0 &&
-                          evbuffer_get_length(output) == 0 &&
-                          skippedBytes_ == 0 && !hasSurplus_;
+                          evbuffer_get_length(output) == 0 && gate_.IsExact();
     if (options_.pool_ != nullptr && reusable) {
       PooledConnection returned{ std::move(connection_), std::move(carried_) };
       returned.AddCarried(options_.requestId_);
@@ -280,6 +278,14 @@
     }
   }
 
+  /// Returns whether a response belongs to another request. On a new connection
+  /// there is no earlier request that it could belong to.
+  bool Skips(const MessageHead& aHead) const
+  {
+    return !finished_ && !connectsSinceMs_ && options_.skips_ &&
+           options_.skips_(aHead.status_, aHead.headers_);
+  }
+
   static void OnInput(evbuffer* aInput,
                       const evbuffer_cb_info* aInfo,
                       void* aSelf)
@@ -290,8 +296,14 @@
     }
     self->loop_.TrafficCounters().AddRead(Remote::kEndpoint, aInfo->n_added);
     self->passing_ = true;
-    self->PassOn(aInput, aInfo->n_added);
+    const std::string added =
+      TakeBehind(aInput, evbuffer_get_length(aInput) - aInfo->n_added);
+    const std::string passed = self->gate_.Pass(added);
+    evbuffer_add(aInput, passed.data(), passed.size());
     self->passing_ = false;
+    if (self->gate_.Error()) {
+      self->FailMalformed(*self->gate_.Error());
+    }
     // Limits what evhttp buffers in any state of its parser.
     self->unparsedBytes_ += aInfo->n_added;
     if (self->unparsedBytes_ > kMaxUnparsedBytes) {
@@ -299,80 +311,18 @@
     }
   }
 
-  /// Passes what belongs to the awaited response on to evhttp: heads once they
-  /// are complete, and bodies as they come.
-  void PassOn(evbuffer* aInput, size_t aAddedBytes)
-  {
-    const std::string added =
-      TakeBehind(aInput, evbuffer_get_length(aInput) - aAddedBytes);
-    std::string_view rest = added;
-    MessageStep step = MessageStep::kNeedsMore;
-    do {
-      step = ended_ ? MessageStep::kNeedsMore : reader_.Read(rest, &held_);
-      OnStep(step);
-      if (passes_) {
-        evbuffer_add(aInput, held_.data(), held_.size());
-      }
-      if (passes_ || skips_) {
-        held_.clear();
-      }
-      if (step == MessageStep::kEnd) {
-        passes_ = skips_ = false;
-      }
-    } while (!ended_ &&
-             (step == MessageStep::kHead || step == MessageStep::kEnd));
-    hasSurplus_ |= ended_ && !rest.empty();
-  }
-
-  void OnStep(MessageStep aStep)
-  {
-    if (aStep == MessageStep::kHead) {
-      OnReadHead();
-    } else if (aStep == MessageStep::kError) {
-      FailMalformed();
-    }
-    if (skips_) {
-      skippedBytes_ += held_.size();
-      if (skippedBytes_ > kMaxSkippedBytes) {
-        FailTooLarge();
-      }
-    }
-    // An interim response is followed by another one.
-    ended_ |= aStep == MessageStep::kEnd && passes_ &&
-              !IsInterim(reader_.Head().status_);
-  }
-
-  /// Decides whether the response that begins is the awaited one.
-  void OnReadHead()
-  {
-    const MessageHead& head = reader_.Head();
-    // On a new connection there is no earlier request to send copies for.
-    const bool maySkip = !connectsSinceMs_ && !IsInterim(head.status_) &&
-                         head.framing_ != BodyFraming::kUntilClose;
-    skips_ = maySkip && options_.skips_ && !finished_ &&
-             options_.skips_(head.status_, head.headers_);
-    passes_ = !skips_;
-    endsByClose_ = passes_ && head.framing_ == BodyFraming::kUntilClose;
-  }
-
   /// Deferred, since evhttp is still processing the input.
-  void FailMalformed()
+  void FailMalformed(const MessageError& aError)
   {
-    if (finished_) {
-      return;
-    }
-    const MessageError& error = reader_.Error();
-    if (error.kind_ == MessageErrorKind::kTooLarge) {
+    if (aError.kind_ == MessageErrorKind::kTooLarge) {
       FailTooLarge();
-      return;
+    } else if (!finished_) {
+      loop_.Defer([this, aError] {
+        Finish(ErrorKind::kUpstreamFailed,
+               model::Concat(
+                 "malformed response, ", aError.field_, ": ", aError.detail_));
+      });
     }
-    loop_.Defer([this] {
-      Finish(ErrorKind::kUpstreamFailed,
-             model::Concat("malformed response, ",
-                           reader_.Error().field_,
-                           ": ",
-                           reader_.Error().detail_));
-    });
   }
 
   /// Deferred, since evhttp is still processing the input.
@@ -410,7 +360,7 @@
     evkeyvalq* input = evhttp_request_get_input_headers(aRequest);
     self->unparsedBytes_ = 0;
     self->rejectedUnframed_ =
-      !self->options_.acceptsUnframed_ && self->endsByClose_;
+      !self->options_.acceptsUnframed_ && self->gate_.EndsByClose();
     self->keepAliveMs_ = KeepAliveMsOf(input);
     if (self->finished_ || self->rejectedUnframed_) {
       return -1;
@@ -480,22 +430,10 @@
   size_t unparsedBytes_ = 0;
   int interimResponses_ = 0;
   /// Reads the input before evhttp does.
-  MessageReader reader_;
-  /// Bytes of a head that is not complete.
-  std::string held_;
-  /// Bytes of responses to other requests.
-  size_t skippedBytes_ = 0;
-  /// The present response is passed on to evhttp, or skipped.
-  bool passes_ = false;
-  bool skips_ = false;
-  /// The awaited response is complete.
-  bool ended_ = false;
-  /// Bytes followed the awaited response.
-  bool hasSurplus_ = false;
+  ResponseGate gate_;
   /// The input is being changed.
   bool passing_ = false;
   bool dispatched_ = false;
-  bool endsByClose_ = false;
   bool rejectedUnframed_ = false;
   bool tooLarge_ = false;
   bool finished_ = false;
@@ -541,7 +479,7 @@
 bool
 HttpCall::EndsByClose() const
 {
-  return state_->endsByClose_;
+  return state_->gate_.EndsByClose();
 }
 
 } // namespace cactuswick::transport
--- a/packages/transport/src/connection/MessageReader.cpp
+++ b/packages/transport/src/connection/MessageReader.cpp
@@ -1,8 +1,6 @@
 #include "connection/MessageReader.h"
 
 #include <algorithm>
-#include <charconv>
-#include <limits>
 #include <utility>
 
 #include <absl/strings/ascii.h>
@@ -10,6 +8,7 @@
 
 #include "cactuswick/model/process/Text.h"
 #include "connection/HttpRequests.h"
+#include "connection/MessageGrammar.h"
 
 namespace cactuswick::transport {
 
@@ -21,54 +20,10 @@
 constexpr int kHexadecimal = 16;
 /// Limit of the line with a chunk's size and extensions, in bytes.
 constexpr size_t kMaxChunkLineBytes = size_t{ 4 } << 10;
-/// Larger bodies and chunks are rejected, so that sums do not overflow.
-constexpr uint64_t kMaxLength = std::numeric_limits<int64_t>::max() / 2;
 constexpr int kInterimEnd = 200;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
-/// Characters of methods and header names.
-bool
-IsTokenCharacter(char aCharacter)
-{
-  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
-  return absl::ascii_isalnum(static_cast<unsigned char>(aCharacter)) ||
-         kMarks.find(aCharacter) != std::string_view::npos;
-}
-
-bool
-IsToken(std::string_view aText)
-{
-  return !aText.empty() &&
-         std::all_of(aText.begin(), aText.end(), &IsTokenCharacter);
-}
-
-/// Characters of header values, without the tab; bytes of other alphabets too.
-bool
-IsTextCharacter(char aCharacter)
-{
-  constexpr unsigned char kDelete = 0x7f;
-  const auto code = static_cast<unsigned char>(aCharacter);
-  return code >= ' ' && code != kDelete;
-}
-
-bool
-IsFieldText(std::string_view aText)
-{
-  return std::all_of(aText.begin(), aText.end(), [](char aOne) {
-    return aOne == '\t' || IsTextCharacter(aOne);
-  });
-}
-
-bool
-IsTarget(std::string_view aText)
-{
-  return !aText.empty() &&
-         std::all_of(aText.begin(), aText.end(), [](char aOne) {
-           return aOne != ' ' && IsTextCharacter(aOne);
-         });
-}
-
 /// Returns the name of a header line for a log, in which nothing else of a
 /// request may appear.
 std::string
@@ -79,24 +34,6 @@
                                                      : "line";
 }
 
-std::string_view
-TrimBlanks(std::string_view aText)
-{
-  constexpr std::string_view kBlanks = " \t";
-  const size_t begin = std::min(aText.find_first_not_of(kBlanks), aText.size());
-  aText.remove_prefix(begin);
-  return aText.substr(0, aText.find_last_not_of(kBlanks) + 1);
-}
-
-/// Parses a number of digits only, without a sign or blanks.
-bool
-ParseLength(std::string_view aText, int aBase, uint64_t& aLength)
-{
-  const char* end = aText.data() + aText.size();
-  const auto result = std::from_chars(aText.data(), end, aLength, aBase);
-  return result.ec == std::errc() && result.ptr == end && aLength <= kMaxLength;
-}
-
 bool
 IsNamed(const Header& aHeader, std::string_view aName)
 {
