--- a/tests/system/test_platform.py
+++ b/tests/system/test_platform.py
@@ -215,11 +215,12 @@
 
 
 @pytest.mark.parametrize("second", ["fail", "refuse", "reset", "other_body",
-                                    "half_event", "no_event"])
+                                    "half_event", "no_event", "cut_head"])
 def test_stream_that_cannot_resume_is_cut_without_foreign_bytes(
         run, second):
     for endpoint in run.endpoints[2:]:
         endpoint.fault, endpoint.resumed_fault = "break", second
+        endpoint.head_bytes = 60
     response = run.ask("/stream/x")
     assert len(received(run, "/stream/x")) == 2
     assert response.body == "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n"
