Take back: a connection to an endpoint carries each request id once

A failed try. Cause for taking it back, by reading: a caller that uses one id for all its requests would have a new connection opened for each of them, while the connections that have carried the id stay in the pool until they expire, without a bound. test_warm_up's callers do so.

--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -183,7 +183,6 @@
            .firstByteTimeoutMs_ = left + kConnectTimeoutMs,
            .progressTimeoutMs_ = left + kConnectTimeoutMs,
            .pool_ = &dependencies_.pool_,
-           .requestId_ = plan_.request_.id_,
            // A late copy of the endpoint's earlier response would carry this
            // request's id and be taken for the response to this attempt.
            .opensNewConnection_ = attempts_.HasTried(aEndpoint),
--- a/packages/transport/include/cactuswick/transport/connection/HttpCall.h
+++ b/packages/transport/include/cactuswick/transport/connection/HttpCall.h
@@ -33,9 +33,6 @@
   /// Pool to take the connection from and to return it to; null opens a
   /// connection for this call only.
   HttpPool* pool_ = nullptr;
-  /// Id by which a response names its request; a pooled connection that has
-  /// carried a request with this id is not used. Empty for none.
-  std::string requestId_;
   /// Opens a new connection even if the pool has one.
   bool opensNewConnection_ = false;
   /// Accepts a response that has neither a length nor chunks and ends when the
--- a/packages/transport/src/connection/HttpCall.cpp
+++ b/packages/transport/src/connection/HttpCall.cpp
@@ -4,7 +4,6 @@
 #include <map>
 #include <optional>
 #include <utility>
-#include <vector>
 
 #include <absl/strings/match.h>
 #include <event2/buffer.h>
@@ -142,10 +141,7 @@
   void Start()
   {
     if (options_.pool_ != nullptr && !options_.opensNewConnection_) {
-      PooledConnection taken =
-        options_.pool_->Take(options_.address_, options_.requestId_);
-      connection_ = std::move(taken.connection_);
-      carried_ = std::move(taken.carried_);
+      connection_ = options_.pool_->Take(options_.address_);
     }
     if (!connection_) {
       connectsSinceMs_ = EventLoop::NowMs();
@@ -221,9 +217,8 @@
                           keepAliveMs_ > 0 && evbuffer_get_length(input) == 0 &&
                           evbuffer_get_length(output) == 0 && gate_.IsExact();
     if (options_.pool_ != nullptr && reusable) {
-      PooledConnection returned{ std::move(connection_), std::move(carried_) };
-      returned.AddCarried(options_.requestId_);
-      options_.pool_->Put(options_.address_, std::move(returned), keepAliveMs_);
+      options_.pool_->Put(
+        options_.address_, std::move(connection_), keepAliveMs_);
     }
   }
 
@@ -420,8 +415,6 @@
   HttpCallOptions options_;
   Timer timer_;
   HttpConnectionPointer connection_;
-  /// Hashes of the ids of earlier requests on the connection.
-  std::vector<uint64_t> carried_;
   evhttp_request* request_ = nullptr;
   /// Start of a new connection; nullopt for one from the pool.
   std::optional<int64_t> connectsSinceMs_;
--- a/packages/transport/src/connection/HttpPool.cpp
+++ b/packages/transport/src/connection/HttpPool.cpp
@@ -1,21 +1,15 @@
 #include "cactuswick/transport/connection/HttpPool.h"
 
-#include <algorithm>
-#include <iterator>
 #include <utility>
 
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 
-#include "cactuswick/model/process/Hash.h"
-
 namespace cactuswick::transport {
 
 namespace {
 
 constexpr int64_t kExpiryCheckMs = 500;
-/// Requests that one connection carries, whose ids are remembered.
-constexpr size_t kMaxCarried = 1'000;
 
 /// evhttp closes the socket of an idle connection when its server closes it.
 bool
@@ -33,62 +27,38 @@
   evhttp_connection_free(aConnection);
 }
 
-bool
-PooledConnection::HasCarried(const std::string& aRequestId) const
-{
-  return !aRequestId.empty() &&
-         std::find(carried_.begin(),
-                   carried_.end(),
-                   model::Hash64(aRequestId)) != carried_.end();
-}
-
-void
-PooledConnection::AddCarried(const std::string& aRequestId)
-{
-  if (!aRequestId.empty()) {
-    carried_.push_back(model::Hash64(aRequestId));
-  }
-}
-
 HttpPool::HttpPool(EventLoop& aLoop)
   : expiryTimer_(aLoop, [this] { DropExpired(); })
 {
   expiryTimer_.StartRepeating(kExpiryCheckMs);
 }
 
-PooledConnection
-HttpPool::Take(const Address& aAddress, const std::string& aRequestId)
+HttpConnectionPointer
+HttpPool::Take(const Address& aAddress)
 {
   const auto found = idle_.find(aAddress.ToString());
   if (found == idle_.end()) {
-    return {};
+    return nullptr;
   }
   auto& list = found->second;
   const int64_t now = EventLoop::NowMs();
-  std::erase_if(list, [now](const Idle& aIdle) {
-    return now >= aIdle.expiresMs_ || !IsOpen(aIdle.pooled_.connection_);
-  });
-  const auto fresh =
-    std::find_if(list.rbegin(), list.rend(), [&](const Idle& aIdle) {
-      return !aIdle.pooled_.HasCarried(aRequestId);
-    });
-  if (fresh == list.rend()) {
-    return {};
+  while (!list.empty()) {
+    Idle last = std::move(list.back());
+    list.pop_back();
+    if (now < last.expiresMs_ && IsOpen(last.connection_)) {
+      return std::move(last.connection_);
+    }
   }
-  PooledConnection taken = std::move(fresh->pooled_);
-  list.erase(std::next(fresh).base());
-  return taken;
+  return nullptr;
 }
 
 void
 HttpPool::Put(const Address& aAddress,
-              PooledConnection aConnection,
+              HttpConnectionPointer aConnection,
               int64_t aIdleMs)
 {
-  if (aConnection.carried_.size() < kMaxCarried) {
-    idle_[aAddress.ToString()].push_back(
-      { std::move(aConnection), EventLoop::NowMs() + aIdleMs });
-  }
+  idle_[aAddress.ToString()].push_back(
+    { std::move(aConnection), EventLoop::NowMs() + aIdleMs });
 }
 
 void
@@ -97,7 +67,7 @@
   const int64_t now = EventLoop::NowMs();
   for (auto& [address, list] : idle_) {
     std::erase_if(list, [now](const Idle& aIdle) {
-      return now >= aIdle.expiresMs_ || !IsOpen(aIdle.pooled_.connection_);
+      return now >= aIdle.expiresMs_ || !IsOpen(aIdle.connection_);
     });
   }
   std::erase_if(idle_, [](const auto& aPair) { return aPair.second.empty(); });
