An idle connection does not hold the headers of its last request

Callers saw nothing yet; found on reading the change once more. Cause: MessageReader kept the parsed head until the next message, and no budget counts it: an idle connection of a caller that had sent 16 KiB of short header lines would hold some 200 KB (by arithmetic, not played).

Change: the headers are dropped as soon as reading goes on behind the head.

Evidence: MessageReader.HoldsNoHeadersOfACompleteMessage failed before the change.

--- a/packages/transport/src/connection/MessageReader.cpp
+++ b/packages/transport/src/connection/MessageReader.cpp
@@ -401,6 +401,8 @@
 MessageStep
 MessageReader::BeginBody()
 {
+  // An idle connection must not hold the head of its last message.
+  head_.headers_ = Headers();
   missingBytes_ = head_.bodyBytes_;
   switch (head_.framing_) {
     case BodyFraming::kNone:
--- a/packages/transport/src/connection/MessageReader.h
+++ b/packages/transport/src/connection/MessageReader.h
@@ -105,7 +105,8 @@
   /// chunks without extensions and without trailers, all else unchanged.
   MessageStep Read(std::string_view& aBytes, std::string* aPassed = nullptr);
 
-  /// Returns the head that was read last.
+  /// Returns the head that was read last; its headers only until the next call
+  /// of Read.
   const MessageHead& Head() const { return head_; }
   const MessageError& Error() const { return error_; }
 
--- a/tests/transport/connection/MessageReaderTest.cpp
+++ b/tests/transport/connection/MessageReaderTest.cpp
@@ -178,6 +178,18 @@
   EXPECT_EQ(reader.Read(rest), MessageStep::kEnd);
 }
 
+// Guards against memory that no budget counts: an idle connection held the
+// headers of its last request.
+TEST(MessageReader, HoldsNoHeadersOfACompleteMessage)
+{
+  MessageReader reader({});
+  std::string_view rest = "GET / HTTP/1.1\r\nX-A: b\r\n\r\n";
+  EXPECT_EQ(reader.Read(rest), MessageStep::kHead);
+  EXPECT_EQ(reader.Head().headers_.size(), 1U);
+  EXPECT_EQ(reader.Read(rest), MessageStep::kEnd);
+  EXPECT_EQ(reader.Head().headers_.capacity(), 0U);
+}
+
 TEST(MessageReader, LimitsHeadsAndTrailers)
 {
   const std::string header = "X-A: " + std::string(40, 'a') + "\r\n";
