--- a/packages/control/include/cactuswick/control/process/SnapshotTask.h
+++ b/packages/control/include/cactuswick/control/process/SnapshotTask.h
@@ -43,6 +43,10 @@
   SnapshotTask& operator=(const SnapshotTask&) = delete;
   ~SnapshotTask();
 
+  /// Ends the thread once all queued entries are applied. Returns what another
+  /// task needs to go on from there; this one must not be used afterwards.
+  SnapshotTaskOptions Stop();
+
   /// Queues committed entries, in log order.
   void Apply(std::vector<ledger::Entry> aEntries);
 
--- a/packages/control/src/process/ReplicaDriver.cpp
+++ b/packages/control/src/process/ReplicaDriver.cpp
@@ -309,10 +309,15 @@
     return false;
   }
   // Stops the local snapshot writer first, as both use the same file.
-  snapshots_.reset();
+  SnapshotTaskOptions writer = snapshots_->Stop();
   const auto installed = ledger::InstallReceivedSnapshot(directory_);
   if (!installed.ok()) {
-    options_.onFatal_(installed);
+    // The disk may be full; the state from before still holds.
+    Log(Part::kStorage,
+        Level::kWarning,
+        Concat("received snapshot not installed: ",
+               std::string(installed.message())));
+    snapshots_ = std::make_unique<SnapshotTask>(std::move(writer));
     return false;
   }
   ledger_ = fresh;
--- a/packages/control/src/process/SnapshotTask.cpp
+++ b/packages/control/src/process/SnapshotTask.cpp
@@ -1,6 +1,7 @@
 #include "cactuswick/control/process/SnapshotTask.h"
 
 #include <chrono>
+#include <optional>
 #include <utility>
 
 #include "cactuswick/transport/process/Worker.h"
@@ -14,9 +15,9 @@
   explicit State(SnapshotTaskOptions aOptions)
     : options_(std::move(aOptions))
     , lastSnapshot_(options_.header_.lastIndex_)
-    , worker_(
-        [this](const std::vector<Batch>& aBatches) { ApplyBatches(aBatches); })
   {
+    worker_.emplace(
+      [this](const std::vector<Batch>& aBatches) { ApplyBatches(aBatches); });
   }
 
   void ApplyBatches(const std::vector<Batch>& aBatches)
@@ -60,7 +61,7 @@
   SnapshotTaskOptions options_;
   ledger::Index lastSnapshot_;
   /// Declared last, as its thread uses the other members.
-  transport::Worker<Batch> worker_;
+  std::optional<transport::Worker<Batch>> worker_;
 };
 
 SnapshotTask::SnapshotTask(SnapshotTaskOptions aOptions)
@@ -70,11 +71,18 @@
 
 SnapshotTask::~SnapshotTask() = default;
 
+SnapshotTaskOptions
+SnapshotTask::Stop()
+{
+  state_->worker_.reset();
+  return std::move(state_->options_);
+}
+
 void
 SnapshotTask::Apply(std::vector<ledger::Entry> aEntries)
 {
   if (!aEntries.empty()) {
-    state_->worker_.Send(std::move(aEntries));
+    state_->worker_->Send(std::move(aEntries));
   }
 }
 
--- a/tests/system/faulty_disk.cpp
+++ b/tests/system/faulty_disk.cpp
@@ -1,8 +1,14 @@
-// Injects disk faults into a process that preloads this library: writes to
-// regular files fail, or syncs block, for as long as a control file says so.
-//
-// FAULTY_DISK names the control file, which holds "full", "stalled" or nothing.
+// Injects disk faults into a process that preloads this library, for as long as
+// a control file says so. FAULTY_DISK names the control file, which holds one
+// of
+// - "full": writes to regular files fail;
+// - "crowded": writes to regular files, standard output aside, are cut short
+//   until they fail;
+// - "fixed": files can neither be created nor renamed;
+// - "stalled": syncs block;
+// - nothing.
 
+#include <algorithm>
 #include <cerrno>
 #include <cstdio>
 #include <cstdlib>
@@ -17,6 +23,8 @@
 namespace {
 
 constexpr useconds_t kPollUs = 10'000;
+/// Mode of created files; those of a replica need no other one.
+constexpr mode_t kFileMode = 0644;
 
 template<class Function>
 Function
@@ -39,18 +47,47 @@
   return length > 0 && strncmp(state, aState, strlen(aState)) == 0;
 }
 
-/// Returns whether a write to `aHandle` must fail, and sets errno if so.
 bool
-ShouldFailWrite(int aHandle)
+IsRegularFile(int aHandle)
 {
   struct stat status
   {};
-  const bool shouldFail = fstat(aHandle, &status) == 0 &&
-                          S_ISREG(status.st_mode) && IsDiskState("full");
-  if (shouldFail) {
-    errno = ENOSPC;
-  }
-  return shouldFail;
+  return fstat(aHandle, &status) == 0 && S_ISREG(status.st_mode);
+}
+
+bool
+FailForWantOfSpace()
+{
+  errno = ENOSPC;
+  return true;
+}
+
+/// Returns whether a write to `aHandle` must fail, and sets errno if so.
+bool
+ShouldFailWrite(int aHandle)
+{
+  return IsRegularFile(aHandle) && IsDiskState("full") && FailForWantOfSpace();
+}
+
+/// Returns whether the change of a folder must fail, and sets errno if so.
+bool
+ShouldFailInFolder()
+{
+  return IsDiskState("fixed") && FailForWantOfSpace();
+}
+
+bool
+IsCrowded(int aHandle)
+{
+  return aHandle > STDERR_FILENO && IsRegularFile(aHandle) &&
+         IsDiskState("crowded");
+}
+
+/// Returns how many bytes of a write of `aSize` bytes fit.
+size_t
+FittingBytes(int aHandle, size_t aSize)
+{
+  return IsCrowded(aHandle) ? aSize / 2 : aSize;
 }
 
 void
@@ -67,16 +104,48 @@
 write(int aHandle, const void* aData, size_t aSize)
 {
   static const auto kOriginal = OriginalFunction(&write, "write");
-  return ShouldFailWrite(aHandle) ? -1 : kOriginal(aHandle, aData, aSize);
+  const size_t fitting = FittingBytes(aHandle, aSize);
+  if (fitting == 0 && aSize > 0) {
+    errno = ENOSPC;
+    return -1;
+  }
+  return ShouldFailWrite(aHandle) ? -1 : kOriginal(aHandle, aData, fitting);
 }
 
 extern "C" ssize_t
 writev(int aHandle, const iovec* aParts, int aCount)
 {
   static const auto kOriginal = OriginalFunction(&writev, "writev");
+  if (IsCrowded(aHandle)) {
+    const auto* part =
+      std::find_if(aParts, aParts + aCount, [](const auto& aOne) {
+        return aOne.iov_len > 0;
+      });
+    return part == aParts + aCount
+             ? 0
+             : write(aHandle, part->iov_base, part->iov_len);
+  }
   return ShouldFailWrite(aHandle) ? -1 : kOriginal(aHandle, aParts, aCount);
 }
 
+extern "C" int
+open(const char* aPath, int aFlags, ...)
+{
+  static const auto kOriginal = OriginalFunction(&open, "open");
+  if ((aFlags & O_CREAT) == 0) {
+    return kOriginal(aPath, aFlags);
+  }
+  const bool fails = access(aPath, F_OK) != 0 && ShouldFailInFolder();
+  return fails ? -1 : kOriginal(aPath, aFlags, kFileMode);
+}
+
+extern "C" int
+rename(const char* aFrom, const char* aTo) noexcept
+{
+  static const auto kOriginal = OriginalFunction(&rename, "rename");
+  return ShouldFailInFolder() ? -1 : kOriginal(aFrom, aTo);
+}
+
 extern "C" int
 fdatasync(int aHandle)
 {
--- a/tests/system/test_platform.py
+++ b/tests/system/test_platform.py
@@ -19,6 +19,8 @@
 RECOVERY_SECONDS = 5
 # How long the disk of a replica is full.
 FULL_SECONDS = 2
+# After this time a leader keeps no entries for a replica that is not heard of.
+UNREACHABLE_SECONDS = 3.5
 # Memory of the smallest router VMs that users have, and concurrent calls to an
 # endpoint, as many as it has slots.
 ROUTER_KB = 88 << 10
@@ -573,12 +575,15 @@
 
 # Guards against lost acknowledgements: after the disks of all replicas had been
 # full one after another, never two at once, every later change is acknowledged.
-@pytest.mark.parametrize("order", [(1, 2, 3), (3, 1, 2)])
-def test_disks_full_in_turn_hold_up_no_later_change(snapshot_run, order):
+@pytest.mark.parametrize("order, fault", [((1, 2, 3), "full"),
+                                          ((3, 1, 2), "full"),
+                                          ((1, 2, 3), "crowded"),
+                                          ((3, 1, 2), "fixed")])
+def test_disks_full_in_turn_hold_up_no_later_change(snapshot_run, order, fault):
     run = snapshot_run
     version = 1
     for number in order * 2:
-        run.set_disk(number, "full")
+        run.set_disk(number, fault)
         end = time.monotonic() + FULL_SECONDS
         while time.monotonic() < end:
             version += 1
@@ -595,6 +600,32 @@
     assert all(process.poll() is None for process in run.processes.values())
 
 
+# Guards against a replica that ends because its disk has no room to install the
+# leader's snapshot.
+def test_follower_that_cannot_install_a_snapshot_goes_on(snapshot_run):
+    run = snapshot_run
+    leader = run.leader()
+    follower, other = leader % 3 + 1, (leader + 1) % 3 + 1
+    run.kill(f"c{follower}")
+    time.sleep(UNREACHABLE_SECONDS)
+    for version in range(2, 102):
+        assert run.declare(version).status == 200
+    run.set_disk(follower, "fixed")
+    run.start_replica(follower)
+    process = run.processes[f"c{follower}"]
+    wait_for(lambda: process.poll() is not None
+             or any("snapshot not installed" in line
+                    for line in run.log_lines()),
+             10, "the snapshot is not installed")
+    time.sleep(1)
+    assert process.poll() is None
+    run.set_disk(follower, "")
+    run.kill(f"c{other}")
+    wait_for(lambda: run.declare(102).status == 200,
+             ACK_SECONDS + RECOVERY_SECONDS,
+             "the follower is part of a quorum")
+
+
 def test_full_disks_refuse_writes_and_lose_nothing(run):
     assert run.declare(2).status == 200
     for number in (1, 2, 3):
