--- a/tests/transport/connection/HttpCallTest.cpp
+++ b/tests/transport/connection/HttpCallTest.cpp
@@ -352,8 +352,8 @@
                 aBody);
 }
 
-/// Makes two calls on one connection; the second one skips responses with the
-/// id "first".
+/// Makes two calls on one connection that skip responses with the id "first".
+/// The first call opens the connection, so that it does not skip its own.
 SkippedResponse
 CallTwice(const std::string& aSecondResponse)
 {
