review: case 7 also with real processes

Nine routers, five killed at the same moment, twelve times; after the final kill none of 40 requests is served, though the tenant has got less than 60 % of its prepaid tokens.

--- a/review/common-2/deployed.py
+++ b/review/common-2/deployed.py
@@ -233,12 +233,14 @@
             "Sticky": False, "Resumable": False, **more}
 
 
-def manifest(version, routes, services):
+def manifest(version, routes, services, prepaid=8716847):
+    """Returns a manifest; `services` maps names to engines, or None."""
     return {"Version": version, "Routes": routes,
             "Services": [{"Name": name, "HealthPath": "/healthz",
-                          "MaxConnections": 110, "Protocol": "h1",
-                          "Tls": False} for name in services],
+                          "MaxConnections": 370, "Protocol": "h1",
+                          "Tls": False, **({"Engine": engine} if engine else {})}
+                         for name, engine in services.items()],
             "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304,
                        "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
             "Tenants": [{"Name": TENANT, "ApiKeys": [KEY], "Priority": 1,
-                         "Prepaid": 8716847}]}
+                         "Prepaid": prepaid}]}
--- a/review/common-2/runner.py
+++ b/review/common-2/runner.py
@@ -8,6 +8,9 @@
 
 from deployed import HEARTBEAT_MS, RUNNER_PORT
 
+# Tokens of one event of a stream.
+STRIDE = 4
+
 
 class Server(socketserver.ThreadingTCPServer):
     allow_reuse_address = True
@@ -60,8 +63,28 @@
         self.runs.append(name)
         self.platform.record(f"{self.id} runs {name}: {call.command} "
                              f"{call.path}")
-        self.answer(call, 200, f"{name} by {self.id}\n".encode(),
-                    {"X-Response-Stamp": f"3e1b.{name}"})
+        if "X-Token-Count" in call.headers:
+            self.stream(call)
+        else:
+            self.answer(call, 200, f"{name} by {self.id}\n".encode(),
+                        {"X-Response-Stamp": f"3e1b.{name}"})
+
+    @staticmethod
+    def stream(call):
+        """Sends as many events as the request asks for at most."""
+        name = call.headers["X-Request-Id"]
+        tokens = int(call.headers["X-Token-Count"].split(",")[1])
+        call.send_response(200)
+        call.send_header("X-Request-Id", name)
+        call.send_header("X-Response-Stamp", f"3e1b.{name}")
+        call.send_header("Content-Type", "text/event-stream")
+        call.send_header("Transfer-Encoding", "chunked")
+        call.end_headers()
+        first = int(call.headers.get("Last-Event-Id", 0)) + 1
+        for number in range(first, tokens // STRIDE + 1):
+            event = f"id: {number}\ndata: {name}\n\n".encode()
+            call.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+        call.wfile.write(b"0\r\n\r\n")
 
     def answer(self, call, status, body, headers):
         call.send_response(status)
