A router that ends reads no request that it cannot answer

Cause: a router looked once whether nothing was in flight or unsent, then deregistered and ended. It read and refused requests until its thread was gone, also after "stopped"; the last replies were never written. On a full link requests arrive for as long as they have queued, so there are always some.

Ruled out by the same lines: replies that were written and reset, and replies held up on the link.

Change: after the deregistration, or once the end of the grace period has ended the requests, nothing more is read; the router stops when the replies to what it has read are sent, after 300 ms at the latest. So nothing comes after the last look.

--- a/packages/router/src/process/ForwardRole.h
+++ b/packages/router/src/process/ForwardRole.h
@@ -55,6 +55,8 @@
   /// Ends all requests in flight because the router stops.
   void EndAll() { api_.EndAll(); }
   int64_t InFlight() const { return api_.InFlight(); }
+  /// Accepts no more connections of callers and reads no more requests.
+  void StopReading() { server_.StopReading(); }
 
 private:
   PromptQuarantineOptions QuarantineOptions();
--- a/packages/router/src/process/RouterShutdown.cpp
+++ b/packages/router/src/process/RouterShutdown.cpp
@@ -14,7 +14,8 @@
 
 /// Timeout for the deregistration to be committed.
 constexpr int64_t kDeregisterTimeoutMs = 3'000;
-/// Time to send the replies of requests that the timeout has ended.
+/// Time to send the replies of requests that the timeout has ended, and the
+/// last replies before the router stops.
 constexpr int64_t kReplyTimeoutMs = 300;
 /// All requests are accepted during the first part of the grace period, its
 /// length divided by this, so that each has most of the period to finish.
@@ -69,10 +70,27 @@
     CheckDrained(aNowMs);
   }
   if (phase_ == Phase::kDeregistering && aNowMs >= deregisterByMs_) {
+    OnDeregistered(aNowMs);
+  }
+  if (phase_ == Phase::kFlushing &&
+      (options_.isIdle_() || aNowMs >= flushByMs_)) {
     Stop(absl::OkStatus());
   }
 }
 
+void
+RouterShutdown::OnDeregistered(int64_t aNowMs)
+{
+  if (phase_ != Phase::kDeregistering) {
+    return;
+  }
+  // Requests have been read since the router was idle, and a reply that is
+  // still queued when the process ends is lost.
+  phase_ = Phase::kFlushing;
+  flushByMs_ = aNowMs + kReplyTimeoutMs;
+  options_.onStopReading_();
+}
+
 void
 RouterShutdown::CheckDrained(int64_t aNowMs)
 {
@@ -82,11 +100,13 @@
   }
   phase_ = Phase::kDeregistering;
   deregisterByMs_ = aNowMs + kDeregisterTimeoutMs;
-  if (!idle || !options_.isRegistered_()) {
+  if (!idle) {
     Stop(absl::OkStatus());
-    return;
+  } else if (options_.isRegistered_()) {
+    options_.onDeregister_();
+  } else {
+    OnDeregistered(aNowMs);
   }
-  options_.onDeregister_();
 }
 
 bool
@@ -98,6 +118,7 @@
   if (!std::exchange(timedOut_, true)) {
     Log(Part::kRouter, Level::kWarning, "ending the requests in flight");
     options_.onDrainTimeout_();
+    options_.onStopReading_();
   }
   return aNowMs - drainByMs_ >= kReplyTimeoutMs;
 }
--- a/packages/router/src/process/RouterShutdown.h
+++ b/packages/router/src/process/RouterShutdown.h
@@ -27,17 +27,19 @@
   std::function<void()> onDrainTimeout_;
   /// Removes the router from the entry list.
   std::function<void()> onLeave_;
-  /// Returns the router's grants and deregisters it; @c Stop is called
-  /// afterwards.
+  /// Returns the router's grants and deregisters it; @c OnDeregistered is
+  /// called afterwards.
   std::function<void()> onDeregister_;
+  /// Accepts no more connections and reads no more requests.
+  std::function<void()> onStopReading_ = [] {};
   /// Called once.
   std::function<void(absl::Status)> onStopped_;
 };
 
 /// State machine of a router's shutdown: leaves the entry list and serves while
 /// callers may use an outdated one, refuses new requests until those in flight
-/// are done or the timeout ends them, deregisters from control, and stops. The
-/// caller supplies the time.
+/// are done or the timeout ends them, deregisters from control, reads no more
+/// requests, sends the last replies, and stops. The caller supplies the time.
 class RouterShutdown
 {
 public:
@@ -46,6 +48,8 @@
   /// Begins the shutdown; later calls have no effect.
   void Begin(int64_t aNowMs);
   void OnTick(int64_t aNowMs);
+  /// The router has been deregistered, or control has not replied.
+  void OnDeregistered(int64_t aNowMs);
   /// Stops at once.
   void Stop(absl::Status aStatus);
 
@@ -67,6 +71,8 @@
     /// New requests are refused; those in flight continue.
     kDraining,
     kDeregistering,
+    /// No more requests are read; the replies to those that were are sent.
+    kFlushing,
     kStopped,
   };
 
@@ -82,6 +88,7 @@
   int64_t drainByMs_ = 0;
   bool timedOut_ = false;
   int64_t deregisterByMs_ = 0;
+  int64_t flushByMs_ = 0;
 };
 
 } // namespace cactuswick::router
--- a/packages/router/src/process/RouterTask.cpp
+++ b/packages/router/src/process/RouterTask.cpp
@@ -109,6 +109,13 @@
         },
       .onLeave_ = [this] { control_->Submit(ledger::SetDraining{}); },
       .onDeregister_ = [this] { Deregister(); },
+      .onStopReading_ =
+        [this] {
+          server_->StopReading();
+          if (forward_) {
+            forward_->StopReading();
+          }
+        },
       .onStopped_ = std::move(aOnStopped)
     };
     if (Forwards()) {
@@ -125,7 +132,9 @@
     biller_->ReturnAll();
     control_->Submit(
       ledger::DeregisterRouter{},
-      [this](const ledger::OpResult&) { shutdown_.Stop(absl::OkStatus()); });
+      [this](const ledger::OpResult&) {
+        shutdown_.OnDeregistered(EventLoop::NowMs());
+      });
   }
 
   void MakePeers()
--- a/packages/transport/include/cactuswick/transport/connection/HttpServer.h
+++ b/packages/transport/include/cactuswick/transport/connection/HttpServer.h
@@ -54,6 +54,9 @@
   void Refuse(IntakeId aId, const EarlyResponse& aResponse);
   /// Stops accepting connections; open ones are still served.
   void StopListening();
+  /// Accepts no more connections and reads nothing more from open ones.
+  /// Requests that have been read can still be replied to.
+  void StopReading();
 
 private:
   void UpdateAccepting();
--- a/packages/transport/src/connection/HttpServer.cpp
+++ b/packages/transport/src/connection/HttpServer.cpp
@@ -273,4 +273,13 @@
   }
 }
 
+void
+HttpServer::StopReading()
+{
+  StopListening();
+  for (const auto& [stream, connection] : state_->connections_) {
+    bufferevent_disable(stream, EV_READ);
+  }
+}
+
 } // namespace cactuswick::transport
--- a/tests/router/process/RouterShutdownTest.cpp
+++ b/tests/router/process/RouterShutdownTest.cpp
@@ -25,6 +25,7 @@
              .onDrainTimeout_ = [this] { steps_.emplace_back("end"); },
              .onLeave_ = [this] { steps_.emplace_back("leave"); },
              .onDeregister_ = [this] { steps_.emplace_back("deregister"); },
+             .onStopReading_ = [this] { isReading_ = false; },
              .onStopped_ =
                [this](const absl::Status& aStatus) {
                  steps_.emplace_back(aStatus.ok() ? "stopped" : "failed");
@@ -33,6 +34,7 @@
 
   bool registered_ = true;
   bool idle_ = true;
+  bool isReading_ = true;
   std::vector<std::string> steps_;
 };
 
@@ -81,6 +83,51 @@
   EXPECT_EQ(router.steps_, (Steps{ "leave", "deregister", "stopped" }));
 }
 
+TEST(RouterShutdown, RequestReadDuringDeregistrationIsAnsweredBeforeItStops)
+{
+  constexpr int64_t kDeregisteredMs = kLeaveMs + 10;
+  FakeRouter router;
+  RouterShutdown shutdown(router.Options());
+  shutdown.Begin(0);
+  shutdown.OnTick(kLeaveMs);
+  EXPECT_TRUE(router.isReading_);
+  router.idle_ = false;
+  shutdown.OnDeregistered(kDeregisteredMs);
+  EXPECT_FALSE(router.isReading_);
+  shutdown.OnTick(kDeregisteredMs + 1);
+  EXPECT_EQ(router.steps_, (Steps{ "leave", "deregister" }));
+  router.idle_ = true;
+  shutdown.OnTick(kDeregisteredMs + 2);
+  EXPECT_EQ(router.steps_, (Steps{ "leave", "deregister", "stopped" }));
+}
+
+TEST(RouterShutdown, CallerThatDoesNotReadItsReplyDelaysTheStopBriefly)
+{
+  constexpr int64_t kDeregisteredMs = kLeaveMs + 10;
+  FakeRouter router;
+  RouterShutdown shutdown(router.Options());
+  shutdown.Begin(0);
+  shutdown.OnTick(kLeaveMs);
+  router.idle_ = false;
+  shutdown.OnDeregistered(kDeregisteredMs);
+  shutdown.OnTick(kDeregisteredMs + kReplyTimeoutMs - 1);
+  EXPECT_EQ(router.steps_, (Steps{ "leave", "deregister" }));
+  shutdown.OnTick(kDeregisteredMs + kReplyTimeoutMs);
+  EXPECT_EQ(router.steps_, (Steps{ "leave", "deregister", "stopped" }));
+}
+
+TEST(RouterShutdown, NothingIsReadOnceTheTimeoutHasEndedTheRequests)
+{
+  FakeRouter router;
+  router.idle_ = false;
+  RouterShutdown shutdown(router.Options());
+  shutdown.Begin(0);
+  shutdown.OnTick(kLeaveMs + kDrainMs - 1);
+  EXPECT_TRUE(router.isReading_);
+  shutdown.OnTick(kLeaveMs + kDrainMs);
+  EXPECT_FALSE(router.isReading_);
+}
+
 TEST(RouterShutdown, DrainTimesOut)
 {
   FakeRouter router;
--- a/tests/transport/connection/HttpServerTest.cpp
+++ b/tests/transport/connection/HttpServerTest.cpp
@@ -1,5 +1,6 @@
 #include "cactuswick/transport/connection/HttpServer.h"
 
+#include <chrono>
 #include <memory>
 #include <ostream>
 #include <string>
@@ -70,6 +71,34 @@
   EXPECT_EQ(loop.TrafficCounters().CountOf(Remote::kEndpoint), TrafficCount{});
 }
 
+TEST(HttpServer, NothingIsReadBehindTheLastReply)
+{
+  constexpr std::string_view kRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  constexpr int64_t kQuietMs = 100;
+  EventLoop loop;
+  int requests = 0;
+  HttpServer server(loop, { .onRequest_ = [&](auto aExchange) {
+                      ++requests;
+                      aExchange->Reply(200, {}, kServed);
+                      server.StopReading();
+                    } });
+  ASSERT_TRUE(server.Listen({ ProcessLoopbackHost(), kPort }).ok());
+  Waker done(loop, [&] { loop.Stop(); });
+  std::thread caller([&] {
+    const int kept = ConnectTo(kPort);
+    const int first = ConnectTo(kPort);
+    EXPECT_TRUE(SendRequest(first, kRequest, kServed));
+    send(kept, kRequest.data(), kRequest.size(), MSG_NOSIGNAL);
+    std::this_thread::sleep_for(std::chrono::milliseconds(kQuietMs));
+    done.Wake();
+    close(first);
+    close(kept);
+  });
+  loop.Run();
+  caller.join();
+  EXPECT_EQ(requests, 1);
+}
+
 class HttpServerEndless : public testing::TestWithParam<EndlessCase>
 {};
 
