Control admits software versions in the log and keeps where streams began

Announcements keep the version of the endpoint's software, which the adapter checked and dropped; control's lines name it, without which the logs could not tell a take-up at another version from an endpoint that has restarted under its name.

The leader admits a version of a service in the log before routers send anything there, so that the versions at which streams can have begun outlive all processes.

--- a/packages/control/src/process/ControlTask.cpp
+++ b/packages/control/src/process/ControlTask.cpp
@@ -20,6 +20,8 @@
 #include "process/PrefillRelay.h"
 #include "process/ReplicaDriver.h"
 #include "process/LoopMonitor.h"
+#include "process/StreamDirectory.h"
+#include "process/VersionAdmission.h"
 #include "version/EntryPoints.h"
 #include "version/RouterPresence.h"
 
@@ -116,6 +118,7 @@
     MakeMembership();
     MakeQuarantine();
     MakePrefillRelay();
+    MakeStreamVersions();
     LoadRetiredEndpoints();
     status = listener_->Listen(settings_.GetAddress(settings::kControlListen));
     if (status.ok() &&
@@ -155,15 +158,16 @@
             OnMessage(aLink, aMessage);
           },
         .onDown_ = [this](LinkId aLink) { service_->OnLinkDown(aLink); } });
-    relay_ = std::make_unique<EndpointRelay>(
-      EndpointRelayOptions{ .sendToReplicas_ =
-                              [this](const transport::PeerMessage& aMessage) {
-                                links_->SendToAll(aMessage);
-                              },
-                            .sendToRouters_ =
-                              [this](const transport::PeerMessage& aMessage) {
-                                service_->PushToRouters(aMessage);
-                              } });
+    relay_ = std::make_unique<EndpointRelay>(EndpointRelayOptions{
+      .sendToReplicas_ =
+        [this](const transport::PeerMessage& aMessage) {
+          links_->SendToAll(aMessage);
+        },
+      .sendToRouters_ =
+        [this](const transport::PeerMessage& aMessage) {
+          service_->PushToRouters(aMessage);
+        },
+      .onChanged_ = [this] { admission_->OnEndpointsChanged(); } });
     links_ = std::make_unique<MemberLinks>(
       loop_,
       MemberLinksOptions{
@@ -252,6 +256,22 @@
         } });
   }
 
+  void MakeStreamVersions()
+  {
+    admission_ = std::make_unique<VersionAdmission>(VersionAdmissionOptions{
+      .ledger_ = driver_.Ledger(),
+      .announced_ = [this] { return relay_->Origins(); },
+      .propose_ =
+        [this](ledger::Command aCommand) {
+          service_->On(kLocalLink,
+                       transport::ProposeRequest{ 0, std::move(aCommand) });
+        } });
+    streams_ = std::make_unique<StreamDirectory>(StreamDirectoryOptions{
+      .sendToReplicas_ = [this](const transport::PeerMessage& aMessage) {
+        links_->SendToAll(aMessage);
+      } });
+  }
+
   bool IsAutomatic() const
   {
     return !settings_.Get(settings::kControlSeeds).empty();
@@ -303,6 +323,8 @@
     relay_->OnTick(driver_.IsLeader(), now);
     quarantine_->OnTick(driver_.IsLeader(), now);
     prefill_->OnTick(driver_.IsLeader(), now);
+    admission_->OnTick(driver_.IsLeader(), now);
+    streams_->OnTick(now);
     localCalls_.Expire(now);
     loop_.Defer([this] { service_->OnTurn(); });
     if (now - lastLivenessMs_ >= kLivenessIntervalMs) {
@@ -384,8 +406,7 @@
       return;
     }
     if (const auto* gossip = std::get_if<transport::Gossip>(&aMessage)) {
-      relay_->OnGossip(*gossip, now);
-      prefill_->OnGossip(*gossip, now);
+      OnGossip(aLink, *gossip, now);
       return;
     }
     if (const auto* live = std::get_if<transport::RouterLiveness>(&aMessage)) {
@@ -405,6 +426,16 @@
       aMessage);
   }
 
+  void OnGossip(LinkId aLink, const transport::Gossip& aGossip, int64_t aNowMs)
+  {
+    relay_->OnGossip(aGossip, aNowMs);
+    prefill_->OnGossip(aGossip, aNowMs);
+    auto answer = streams_->OnGossip(aGossip, aNowMs);
+    if (answer && driver_.IsLeader()) {
+      Answer(aLink, transport::Gossip{ .streams_ = std::move(answer) });
+    }
+  }
+
   void OnLeadershipChange()
   {
     metrics_.Count(Counter::kElections);
@@ -549,6 +580,8 @@
   std::unique_ptr<Membership> membership_;
   std::unique_ptr<PartQuarantine> quarantine_;
   std::unique_ptr<PrefillRelay> prefill_;
+  std::unique_ptr<VersionAdmission> admission_;
+  std::unique_ptr<StreamDirectory> streams_;
   LocalCalls localCalls_;
   ReplicaDriver driver_;
 };
--- a/packages/control/src/process/EndpointDirectory.cpp
+++ b/packages/control/src/process/EndpointDirectory.cpp
@@ -78,11 +78,11 @@
     DropOthersAtAddress(aAnnouncement);
   }
   const int64_t elapsedMs = contactMs - known.lastContactMs_;
-  const bool renewal =
-    model::IsRenewal(aAnnouncement, known.announcement_, elapsedMs);
-  known = { renewal ? model::KeepColdEnd(
-                        aAnnouncement, known.announcement_, elapsedMs)
-                    : aAnnouncement,
+  const model::Announcement next =
+    model::KeepSoftwareVersion(aAnnouncement, known.announcement_);
+  const bool renewal = model::IsRenewal(next, known.announcement_, elapsedMs);
+  known = { renewal ? model::KeepColdEnd(next, known.announcement_, elapsedMs)
+                    : next,
             std::max(known.lastContactMs_, contactMs) };
   return renewal ? AnnouncementResult::kRenewal : AnnouncementResult::kChange;
 }
@@ -142,4 +142,14 @@
   return all;
 }
 
+void
+EndpointDirectory::AddOrigins(std::set<model::StreamOrigin>& aOrigins) const
+{
+  for (const auto& [name, known] : endpoints_) {
+    for (const auto& service : known.announcement_.serves_) {
+      aOrigins.insert({ service, known.announcement_.softwareVersion_ });
+    }
+  }
+}
+
 } // namespace cactuswick::control
--- a/packages/control/src/process/EndpointDirectory.h
+++ b/packages/control/src/process/EndpointDirectory.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,8 @@
 
   /// All known endpoints, for a router that has just connected.
   std::vector<transport::RelayedAnnouncement> All(int64_t aNowMs) const;
+  /// Adds the services and software versions of all known endpoints.
+  void AddOrigins(std::set<model::StreamOrigin>& aOrigins) const;
   /// Current incarnation of an endpoint; nullopt when it is not known.
   std::optional<int64_t> KnownIncarnation(const std::string& aEndpoint) const;
 
--- a/packages/control/src/process/EndpointRelay.cpp
+++ b/packages/control/src/process/EndpointRelay.cpp
@@ -31,7 +31,9 @@
                 " sequence=",
                 aOne.sequence_,
                 " address=",
-                aOne.address_);
+                aOne.address_,
+                " version=",
+                aOne.softwareVersion_);
 }
 
 } // namespace
@@ -67,6 +69,7 @@
   if (result == AnnouncementResult::kChange) {
     pendingUpdate_.endpoints_.push_back(aRelayed);
     encodedAll_.reset();
+    options_.onChanged_();
     Log(
       Part::kEndpoint,
       Level::kInfo,
@@ -135,6 +138,14 @@
   }
 }
 
+std::set<model::StreamOrigin>
+EndpointRelay::Origins() const
+{
+  std::set<model::StreamOrigin> origins;
+  directory_.AddOrigins(origins);
+  return origins;
+}
+
 transport::EncodedMessage
 EndpointRelay::All(int64_t aNowMs)
 {
--- a/packages/control/src/process/EndpointRelay.h
+++ b/packages/control/src/process/EndpointRelay.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "cactuswick/ledger/version/Records.h"
@@ -16,6 +17,8 @@
   std::function<void(const transport::PeerMessage&)> sendToReplicas_;
   /// Sends a message to every router that is connected to this replica.
   std::function<void(const transport::PeerMessage&)> sendToRouters_;
+  /// Called when an endpoint is new or has changed.
+  std::function<void()> onChanged_ = [] {};
 };
 
 /// Distributes endpoint announcements: to the other replicas, so that a new
@@ -37,6 +40,8 @@
   /// All known endpoints, encoded for a router that has just connected. The
   /// encoding is cached until a change, but for a second at most.
   transport::EncodedMessage All(int64_t aNowMs);
+  /// Services and software versions of all known endpoints.
+  std::set<model::StreamOrigin> Origins() const;
   /// Current incarnation of an endpoint; nullopt when it is not known.
   std::optional<int64_t> KnownIncarnation(const std::string& aEndpoint) const
   {
--- a/packages/ledger/include/cactuswick/ledger/version/Command.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Command.h
@@ -181,6 +181,25 @@
   bool operator==(const FinishEvacuation&) const = default;
 };
 
+/// Admits a software version of a service: from now on streams may begin there.
+struct AdmitVersion
+{
+  std::string service_;
+  std::string softwareVersion_;
+
+  bool operator==(const AdmitVersion&) const = default;
+};
+
+/// Withdraws a software version of a service, where no stream can have begun
+/// that may still be taken up again.
+struct WithdrawVersion
+{
+  std::string service_;
+  std::string softwareVersion_;
+
+  bool operator==(const WithdrawVersion&) const = default;
+};
+
 using Command = std::variant<ChangeMembers,
                              ApplyResource,
                              DeleteResource,
@@ -194,7 +213,9 @@
                              QuarantinePart,
                              LiftQuarantine,
                              StartEvacuation,
-                             FinishEvacuation>;
+                             FinishEvacuation,
+                             AdmitVersion,
+                             WithdrawVersion>;
 
 /// Reply to a committed change.
 struct Accepted
@@ -308,6 +329,16 @@
   return "finish_evacuation";
 }
 constexpr std::string_view
+TypeNameOf(const AdmitVersion*)
+{
+  return "admit_version";
+}
+constexpr std::string_view
+TypeNameOf(const WithdrawVersion*)
+{
+  return "withdraw_version";
+}
+constexpr std::string_view
 TypeNameOf(const Accepted*)
 {
   return "accepted";
@@ -448,6 +479,20 @@
     model::Field{ "failure_domain", &FinishEvacuation::failureDomain_ });
 }
 constexpr auto
+FieldsOf(const AdmitVersion*)
+{
+  return model::MakeFields(
+    model::Field{ "service", &AdmitVersion::service_ },
+    model::Field{ "software_version", &AdmitVersion::softwareVersion_ });
+}
+constexpr auto
+FieldsOf(const WithdrawVersion*)
+{
+  return model::MakeFields(
+    model::Field{ "service", &WithdrawVersion::service_ },
+    model::Field{ "software_version", &WithdrawVersion::softwareVersion_ });
+}
+constexpr auto
 FieldsOf(const Accepted*)
 {
   return model::MakeFields(model::Field{ "version", &Accepted::version_ },
--- a/packages/ledger/include/cactuswick/ledger/version/Ledger.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Ledger.h
@@ -54,6 +54,16 @@
 /// Longest name of a failure domain that can be evacuated, in bytes.
 inline constexpr size_t kMaxFailureDomainBytes = 256;
 
+/// Maximum number of services with admitted software versions.
+inline constexpr size_t kMaxVersionedServices = 1'024;
+
+/// Maximum number of admitted software versions of one service.
+inline constexpr size_t kMaxAdmittedVersions = 32;
+
+/// Longest name of a service or a software version that can be admitted, in
+/// bytes.
+inline constexpr size_t kMaxVersionBytes = 256;
+
 /// Maximum number of claims. Further ones are refused: evicting a claim could
 /// let a call run twice.
 inline constexpr size_t kMaxClaims = 1'000'000;
@@ -108,6 +118,12 @@
     return evacuations_;
   }
 
+  /// Admitted software versions by service; services without any are missing.
+  const std::map<std::string, std::vector<std::string>>& Versions() const
+  {
+    return versions_;
+  }
+
   const Account* FindAccount(const std::string& aBudget) const;
   size_t AccountCount() const { return accounts_.size(); }
   /// Returns up to @p aLimit accounts whose names start with @p aPrefix, sorted
@@ -151,6 +167,8 @@
   Reply On(const LiftQuarantine& aCommand);
   Reply On(const StartEvacuation& aCommand);
   Reply On(const FinishEvacuation& aCommand);
+  Reply On(const AdmitVersion& aCommand);
+  Reply On(const WithdrawVersion& aCommand);
 
   OpResult OnOp(Incarnation aRouter, const AcquireGrant& aOp);
   OpResult OnOp(Incarnation aRouter, const ReturnGrant& aOp);
@@ -225,6 +243,7 @@
   std::map<std::string, RetiredRecord> retired_;
   std::map<std::string, QuarantineRecord> quarantine_;
   std::map<std::string, EvacuationRecord> evacuations_;
+  std::map<std::string, std::vector<std::string>> versions_;
   absl::flat_hash_map<std::string, TopUpRecord> topUps_;
   std::deque<std::string> topUpsByTime_;
   absl::flat_hash_map<std::string, OperatorRecord> operatorReplies_;
--- a/packages/ledger/include/cactuswick/ledger/version/Records.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Records.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "cactuswick/ledger/version/Command.h"
+#include "cactuswick/model/version/StreamOrigin.h"
 
 /// State of the ledger, which is also the record format of its snapshots.
 namespace cactuswick::ledger {
@@ -142,6 +143,9 @@
   std::optional<std::vector<QuarantineRecord>> quarantine_;
   /// All evacuated failure domains; set only if one was added or removed.
   std::optional<std::vector<EvacuationRecord>> evacuations_;
+  /// The admitted software versions of all services; set only if one was
+  /// admitted or withdrawn.
+  std::optional<std::vector<model::ServiceVersions>> versions_;
 
   bool operator==(const ConfigDelta&) const = default;
 };
@@ -240,6 +244,8 @@
   int64_t quarantineRevision_ = 0;
   /// Revision of the last start or end of an evacuation.
   int64_t evacuationRevision_ = 0;
+  /// Revision of the last change of the admitted software versions.
+  int64_t versionsRevision_ = 0;
 
   bool operator==(const CountersRecord&) const = default;
 };
@@ -257,7 +263,8 @@
                                     DeploymentRecord,
                                     RetiredRecord,
                                     QuarantineRecord,
-                                    EvacuationRecord>;
+                                    EvacuationRecord,
+                                    model::ServiceVersions>;
 
 constexpr std::array<std::string_view, 3>
 EnumNames(const RouterState*)
@@ -417,7 +424,8 @@
     model::Field{ "deployment", &ConfigDelta::deployment_ },
     model::Field{ "retired", &ConfigDelta::retired_ },
     model::Field{ "quarantine", &ConfigDelta::quarantine_ },
-    model::Field{ "evacuations", &ConfigDelta::evacuations_ });
+    model::Field{ "evacuations", &ConfigDelta::evacuations_ },
+    model::Field{ "versions", &ConfigDelta::versions_ });
 }
 constexpr auto
 FieldsOf(const ClaimRecord*)
@@ -493,8 +501,8 @@
     model::Field{ "time_ms", &CountersRecord::timeMs_ },
     model::Field{ "forgotten_through_ms", &CountersRecord::evictedThroughMs_ },
     model::Field{ "quarantine_revision", &CountersRecord::quarantineRevision_ },
-    model::Field{ "evacuation_revision",
-                  &CountersRecord::evacuationRevision_ });
+    model::Field{ "evacuation_revision", &CountersRecord::evacuationRevision_ },
+    model::Field{ "versions_revision", &CountersRecord::versionsRevision_ });
 }
 
 } // namespace cactuswick::ledger
--- a/packages/ledger/src/version/LedgerSnapshot.cpp
+++ b/packages/ledger/src/version/LedgerSnapshot.cpp
@@ -50,6 +50,12 @@
       delta.evacuations_->push_back(record);
     }
   }
+  if (counters_.versionsRevision_ > aRevision) {
+    delta.versions_.emplace();
+    for (const auto& [service, versions] : versions_) {
+      delta.versions_->push_back({ service, versions });
+    }
+  }
   return delta;
 }
 
@@ -96,6 +102,9 @@
   for (const auto& [domain, record] : evacuations_) {
     aSink(record);
   }
+  for (const auto& [service, versions] : versions_) {
+    aSink(model::ServiceVersions{ service, versions });
+  }
   const auto saveByTime = [&](const auto& aTable, const auto& aKeysByTime) {
     for (const auto& key : aKeysByTime) {
       if (const auto found = aTable.find(key); found != aTable.end()) {
@@ -180,6 +189,10 @@
   {
     ledger_.evacuations_[aRecord.failureDomain_] = aRecord;
   }
+  void operator()(const model::ServiceVersions& aRecord) const
+  {
+    ledger_.versions_[aRecord.service_] = aRecord.versions_;
+  }
   void operator()(const TopUpRecord& aRecord) const
   {
     ledger_.topUps_[aRecord.id_] = aRecord;
--- a/packages/ledger/src/version/LogFormat.cpp
+++ b/packages/ledger/src/version/LogFormat.cpp
@@ -5,6 +5,7 @@
 namespace {
 
 constexpr int64_t kEvacuationFormat = 1;
+constexpr int64_t kSoftwareVersionFormat = 2;
 
 } // namespace
 
@@ -13,6 +14,12 @@
 {
   const bool evacuation = std::holds_alternative<StartEvacuation>(aCommand) ||
                           std::holds_alternative<FinishEvacuation>(aCommand);
+  const bool softwareVersion =
+    std::holds_alternative<AdmitVersion>(aCommand) ||
+    std::holds_alternative<WithdrawVersion>(aCommand);
+  if (softwareVersion) {
+    return kSoftwareVersionFormat;
+  }
   return evacuation ? kEvacuationFormat : 0;
 }
 
--- a/packages/model/include/cactuswick/model/process/Error.h
+++ b/packages/model/include/cactuswick/model/process/Error.h
@@ -37,6 +37,8 @@
   kUpstreamFailed,
   /// The request has a prompt part that crashes endpoints.
   kPartQuarantined,
+  /// Where the stream began, which is to be taken up again, is not known.
+  kOriginUnknown,
   kOutcomeUnknown,
   kCorruptStorage,
   kIo,
--- a/packages/model/include/cactuswick/model/version/Announcement.h
+++ b/packages/model/include/cactuswick/model/version/Announcement.h
@@ -47,6 +47,9 @@
   /// How long the endpoint will be cold, which means that it bears only a few
   /// requests per second; 0 when it is warm.
   int64_t coldLeftMs_ = 0;
+  /// Version of the endpoint's software; empty if it announces none. What two
+  /// versions write does not fit together in one stream.
+  std::string softwareVersion_;
 
   bool operator==(const Announcement&) const = default;
 };
@@ -90,6 +93,11 @@
 Announcement
 KeepColdEnd(Announcement aNew, const Announcement& aOld, int64_t aElapsedMs);
 
+/// Returns @p aNew with the software version of @p aOld if it has none and is
+/// of the same incarnation: an earlier release has relayed it without.
+Announcement
+KeepSoftwareVersion(Announcement aNew, const Announcement& aOld);
+
 constexpr std::array<std::string_view, 2>
 EnumNames(const EndpointType*)
 {
@@ -99,19 +107,21 @@
 constexpr auto
 FieldsOf(const Announcement*)
 {
-  return MakeFields(Field{ "endpoint", &Announcement::endpoint_ },
-                    Field{ "endpoint_type", &Announcement::endpointType_ },
-                    Field{ "serves", &Announcement::serves_ },
-                    Field{ "address", &Announcement::address_ },
-                    Field{ "failure_domain", &Announcement::failureDomain_ },
-                    Field{ "slots", &Announcement::slots_ },
-                    Field{ "incarnation", &Announcement::incarnation_ },
-                    Field{ "sequence", &Announcement::sequence_ },
-                    Field{ "lease_ms", &Announcement::leaseMs_ },
-                    Field{ "leaving", &Announcement::leaving_ },
-                    Field{ "in_flight", &Announcement::inFlight_ },
-                    Field{ "checks_fencing", &Announcement::checksFencing_ },
-                    Field{ "cold_left_ms", &Announcement::coldLeftMs_ });
+  return MakeFields(
+    Field{ "endpoint", &Announcement::endpoint_ },
+    Field{ "endpoint_type", &Announcement::endpointType_ },
+    Field{ "serves", &Announcement::serves_ },
+    Field{ "address", &Announcement::address_ },
+    Field{ "failure_domain", &Announcement::failureDomain_ },
+    Field{ "slots", &Announcement::slots_ },
+    Field{ "incarnation", &Announcement::incarnation_ },
+    Field{ "sequence", &Announcement::sequence_ },
+    Field{ "lease_ms", &Announcement::leaseMs_ },
+    Field{ "leaving", &Announcement::leaving_ },
+    Field{ "in_flight", &Announcement::inFlight_ },
+    Field{ "checks_fencing", &Announcement::checksFencing_ },
+    Field{ "cold_left_ms", &Announcement::coldLeftMs_ },
+    Field{ "software_version", &Announcement::softwareVersion_ });
 }
 
 } // namespace cactuswick::model
--- a/packages/model/src/process/Error.cpp
+++ b/packages/model/src/process/Error.cpp
@@ -47,6 +47,7 @@
   KindTraits{ "in_progress", 409, StatusCode::kUnavailable, true },
   KindTraits{ "upstream_failed", 502, StatusCode::kUnavailable, true },
   KindTraits{ "part_quarantined", 503, StatusCode::kUnavailable, true },
+  KindTraits{ "origin_unknown", 503, StatusCode::kUnavailable, true },
   KindTraits{ "outcome_unknown", 504, StatusCode::kUnknown, false },
   KindTraits{ "corrupt_storage", 500, StatusCode::kDataLoss, false },
   KindTraits{ "io", 500, StatusCode::kInternal, false },
--- a/packages/model/src/version/Announcement.cpp
+++ b/packages/model/src/version/Announcement.cpp
@@ -49,4 +49,13 @@
   return aNew;
 }
 
+Announcement
+KeepSoftwareVersion(Announcement aNew, const Announcement& aOld)
+{
+  if (aNew.softwareVersion_.empty() && aNew.incarnation_ == aOld.incarnation_) {
+    aNew.softwareVersion_ = aOld.softwareVersion_;
+  }
+  return aNew;
+}
+
 } // namespace cactuswick::model
--- a/packages/routing/include/cactuswick/routing/process/EndpointTable.h
+++ b/packages/routing/include/cactuswick/routing/process/EndpointTable.h
@@ -3,11 +3,13 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "cactuswick/ledger/request/RouterOp.h"
 #include "cactuswick/model/version/Announcement.h"
+#include "cactuswick/routing/process/AdmittedVersions.h"
 #include "cactuswick/routing/process/EndpointSignals.h"
 #include "cactuswick/routing/process/EndpointState.h"
 #include "cactuswick/routing/process/Evacuations.h"
@@ -70,6 +72,17 @@
   void SetEvacuations(Evacuations aEvacuations);
   const Evacuations& Evacuated() const { return evacuations_; }
 
+  /// Keeps requests from endpoints of software versions that have not been
+  /// admitted.
+  void SetAdmittedVersions(AdmittedVersions aVersions);
+  const AdmittedVersions& Admitted() const { return admitted_; }
+  /// Returns the software versions of the known endpoints of a service, also of
+  /// those that leave.
+  std::set<std::string> VersionsOf(const std::string& aServes) const;
+  /// Returns whether any endpoint of the origin's service and software version
+  /// may get requests, even if all slots are taken.
+  bool ServesAt(const model::StreamOrigin& aOrigin, int64_t aNowMs) const;
+
   /// What this router may send to cold endpoints.
   WarmUp& ColdEndpoints() { return warmUp_; }
   const WarmUp& ColdEndpoints() const { return warmUp_; }
@@ -89,21 +102,26 @@
   /// Selects an endpoint for a model or service and takes a slot of its window;
   /// nullopt when none has a free slot. Skips the endpoints in @p aExcluded,
   /// which were tried before. Requests with the same non-zero @p aPrefixHash go
-  /// to the same endpoint while its load allows.
-  std::optional<std::string> Acquire(const std::string& aServes,
-                                     uint64_t aPrefixHash,
-                                     const std::vector<std::string>& aExcluded,
-                                     int64_t aNowMs);
+  /// to the same endpoint while its load allows. With @p aVersion, only
+  /// endpoints of that software version.
+  std::optional<std::string> Acquire(
+    const std::string& aServes,
+    uint64_t aPrefixHash,
+    const std::vector<std::string>& aExcluded,
+    int64_t aNowMs,
+    const std::optional<std::string>& aVersion = std::nullopt);
 
   /// Selects the engine that is expected to finish the prefill of a prompt
   /// first and takes a slot; nullopt when none has a free slot. Counts the
   /// prefill pending there and the part of the prompt that isn't in its prefix
-  /// cache. For load with many long prompts that share prefixes.
+  /// cache. For load with many long prompts that share prefixes. With
+  /// @p aVersion, only endpoints of that software version.
   std::optional<PromptPlacement> AcquireForPrompt(
     const std::string& aServes,
     const PromptLoad& aPrompt,
     const std::vector<std::string>& aExcluded,
-    int64_t aNowMs);
+    int64_t aNowMs,
+    const std::optional<std::string>& aVersion = std::nullopt);
 
   /// Records that the prefill of @p aTokens ended or was abandoned after
   /// @p aElapsedMs. Time beyond the expected one counts against the engine for
@@ -184,7 +202,11 @@
   std::vector<EndpointState*> Candidates(
     const std::string& aServes,
     const std::vector<std::string>& aExcluded,
-    int64_t aNowMs);
+    int64_t aNowMs,
+    const std::optional<std::string>& aVersion);
+  /// Returns whether an endpoint is of @p aVersion, if one is given.
+  static bool IsOfVersion(const EndpointState& aEndpoint,
+                          const std::optional<std::string>& aVersion);
   void TakeSlot(EndpointState& aEndpoint,
                 const std::string& aServes,
                 int64_t aNowMs);
@@ -216,6 +238,7 @@
 
   EndpointTableOptions options_;
   Evacuations evacuations_;
+  AdmittedVersions admitted_;
   WarmUp warmUp_;
   PrefillView othersPrefill_;
   std::map<std::string, EndpointState> endpoints_;
--- a/packages/routing/src/process/EndpointTable.cpp
+++ b/packages/routing/src/process/EndpointTable.cpp
@@ -73,8 +73,10 @@
   }
   SupersedeAtAddress(aAnnouncement);
   const int64_t elapsedMs = aNowMs - aAgeMs - endpoint.announcedMs_;
+  const model::Announcement next =
+    model::KeepSoftwareVersion(aAnnouncement, endpoint.announcement_);
   const bool renewal =
-    model::IsRenewal(aAnnouncement, endpoint.announcement_, elapsedMs);
+    model::IsRenewal(next, endpoint.announcement_, elapsedMs);
   if (aAnnouncement.incarnation_ != endpoint.announcement_.incarnation_) {
     endpoint.failures_ = 0;
     endpoint.ejectedUntilMs_ = 0;
@@ -82,9 +84,8 @@
     endpoint.window_ = static_cast<double>(aAnnouncement.slots_);
   }
   endpoint.announcement_ =
-    renewal
-      ? model::KeepColdEnd(aAnnouncement, endpoint.announcement_, elapsedMs)
-      : aAnnouncement;
+    renewal ? model::KeepColdEnd(next, endpoint.announcement_, elapsedMs)
+            : next;
   endpoint.announcedMs_ = std::max(endpoint.announcedMs_, aNowMs - aAgeMs);
   UpdateCold(aAnnouncement, aAgeMs, aNowMs);
   return !renewal;
@@ -191,7 +192,45 @@
                         int64_t aNowMs) const
 {
   return IsAvailable(aEndpoint, aServes, aNowMs) &&
-         !evacuations_.Contains(aEndpoint.announcement_.failureDomain_);
+         !evacuations_.Contains(aEndpoint.announcement_.failureDomain_) &&
+         admitted_.Admits(aServes, aEndpoint.announcement_.softwareVersion_);
+}
+
+void
+EndpointTable::SetAdmittedVersions(AdmittedVersions aVersions)
+{
+  admitted_ = std::move(aVersions);
+}
+
+std::set<std::string>
+EndpointTable::VersionsOf(const std::string& aServes) const
+{
+  std::set<std::string> versions;
+  for (const auto& [name, endpoint] : endpoints_) {
+    const auto& serves = endpoint.announcement_.serves_;
+    if (std::find(serves.begin(), serves.end(), aServes) != serves.end()) {
+      versions.insert(endpoint.announcement_.softwareVersion_);
+    }
+  }
+  return versions;
+}
+
+bool
+EndpointTable::ServesAt(const model::StreamOrigin& aOrigin,
+                        int64_t aNowMs) const
+{
+  return std::any_of(
+    endpoints_.begin(), endpoints_.end(), [&](const auto& aPair) {
+      return IsOfVersion(aPair.second, aOrigin.softwareVersion_) &&
+             IsUsable(aPair.second, aOrigin.service_, aNowMs);
+    });
+}
+
+bool
+EndpointTable::IsOfVersion(const EndpointState& aEndpoint,
+                           const std::optional<std::string>& aVersion)
+{
+  return !aVersion || aEndpoint.announcement_.softwareVersion_ == *aVersion;
 }
 
 bool
@@ -295,13 +334,15 @@
 std::vector<EndpointState*>
 EndpointTable::Candidates(const std::string& aServes,
                           const std::vector<std::string>& aExcluded,
-                          int64_t aNowMs)
+                          int64_t aNowMs,
+                          const std::optional<std::string>& aVersion)
 {
   std::vector<EndpointState*> usable;
   for (auto& [name, endpoint] : endpoints_) {
     const bool excluded =
       std::find(aExcluded.begin(), aExcluded.end(), name) != aExcluded.end();
-    if (!excluded && IsUsable(endpoint, aServes, aNowMs) &&
+    if (!excluded && IsOfVersion(endpoint, aVersion) &&
+        IsUsable(endpoint, aServes, aNowMs) &&
         MayTakeRequest(endpoint, aServes, aNowMs)) {
       usable.push_back(&endpoint);
     }
@@ -322,9 +363,10 @@
 EndpointTable::AcquireForPrompt(const std::string& aServes,
                                 const PromptLoad& aPrompt,
                                 const std::vector<std::string>& aExcluded,
-                                int64_t aNowMs)
+                                int64_t aNowMs,
+                                const std::optional<std::string>& aVersion)
 {
-  const auto candidates = Candidates(aServes, aExcluded, aNowMs);
+  const auto candidates = Candidates(aServes, aExcluded, aNowMs, aVersion);
   if (candidates.empty()) {
     return std::nullopt;
   }
@@ -391,9 +433,10 @@
 EndpointTable::Acquire(const std::string& aServes,
                        uint64_t aPrefixHash,
                        const std::vector<std::string>& aExcluded,
-                       int64_t aNowMs)
+                       int64_t aNowMs,
+                       const std::optional<std::string>& aVersion)
 {
-  const auto candidates = Candidates(aServes, aExcluded, aNowMs);
+  const auto candidates = Candidates(aServes, aExcluded, aNowMs, aVersion);
   if (candidates.empty()) {
     return std::nullopt;
   }
--- a/packages/transport/include/cactuswick/transport/connection/PeerMessage.h
+++ b/packages/transport/include/cactuswick/transport/connection/PeerMessage.h
@@ -12,6 +12,7 @@
 #include "cactuswick/model/version/Announcement.h"
 #include "cactuswick/model/version/CrashReport.h"
 #include "cactuswick/model/version/PendingPrefill.h"
+#include "cactuswick/model/version/StreamOrigin.h"
 
 /// Messages between the processes of the fleet.
 namespace cactuswick::transport {
@@ -226,6 +227,20 @@
   bool operator==(const EndpointLost&) const = default;
 };
 
+/// What routers and control tell each other of the origins of streams.
+struct StreamGossip
+{
+  /// From a router those that began there, between replicas all, and to a
+  /// router those that it asked for.
+  std::vector<model::StreamGroup> began_;
+  /// Streams that a router asks for.
+  std::vector<model::StreamKey> sought_;
+  /// Streams that a router asked for and the leader does not know.
+  std::vector<model::StreamKey> unknown_;
+
+  bool operator==(const StreamGossip&) const = default;
+};
+
 /// Soft state exchanged among routers and between routers and control.
 struct Gossip
 {
@@ -238,6 +253,9 @@
   /// own, from the leader the sum over all routers. A field of this message, as
   /// earlier releases close a link on which a message of a new type arrives.
   std::optional<model::PendingPrefill> prefill_;
+  /// Where streams began. A field of this message for the same reason, as are
+  /// the next ones.
+  std::optional<StreamGossip> streams_;
 
   bool operator==(const Gossip&) const = default;
 };
--- a/packages/transport/include/cactuswick/transport/connection/PeerMessageFields.h
+++ b/packages/transport/include/cactuswick/transport/connection/PeerMessageFields.h
@@ -228,7 +228,16 @@
                            model::Field{ "load", &Gossip::load_ },
                            model::Field{ "endpoints", &Gossip::endpoints_ },
                            model::Field{ "lost", &Gossip::lost_ },
-                           model::Field{ "prefill", &Gossip::prefill_ });
+                           model::Field{ "prefill", &Gossip::prefill_ },
+                           model::Field{ "streams", &Gossip::streams_ });
+}
+
+constexpr auto
+FieldsOf(const StreamGossip*)
+{
+  return model::MakeFields(model::Field{ "began", &StreamGossip::began_ },
+                           model::Field{ "sought", &StreamGossip::sought_ },
+                           model::Field{ "unknown", &StreamGossip::unknown_ });
 }
 
 constexpr auto
