Streams go on only at the software version that began them

Cause: no state of a router named a version. A take-up was placed like a new request.

Change: after its first event a stream's further attempts go to its version only. A take-up finds where the stream began in the router's own memory, by the only admitted version, or by asking control; where nobody knows, it is refused with 503 origin_unknown, which has not run. Lines of requests say began_at= or taken_up_at=.

--- a/packages/router/include/cactuswick/router/connection/ForwardDialect.h
+++ b/packages/router/include/cactuswick/router/connection/ForwardDialect.h
@@ -44,6 +44,9 @@
   std::optional<int64_t> deadlineMs_;
   /// Id of the last event that the caller received, when it resumes a stream.
   std::string lastEventId_;
+  /// Id of the request that brought the stream's first event, when the caller
+  /// resumes a stream; empty if it names none.
+  std::string resumedId_;
   /// Prompt tokens; set only for generation requests, which also set
   /// @c maxOutputTokens_.
   std::optional<int64_t> promptTokens_;
--- a/packages/router/src/connection/ForwardApi.cpp
+++ b/packages/router/src/connection/ForwardApi.cpp
@@ -134,14 +134,14 @@
     status = ChooseService(plan);
   }
   if (status.ok()) {
-    status = ApplyEngineTraits(plan);
+    status = ApplyServiceTraits(plan);
   }
   if (!status.ok()) {
     return status;
   }
   RetryBudgetOf(plan.service_).OnRequest();
-  plan.tryTakeRetry_ = [this, service = plan.service_] {
-    return RetryBudgetOf(service).TryTake();
+  plan.moveTo_ = [this](ForwardPlan& aPlan, const std::string& aService) {
+    return MoveTo(aPlan, aService);
   };
   plan.retryAfterMs_ = [this, deadline = plan.deadlineMs_](ErrorKind aKind) {
     return RetryAfterMs(aKind, deadline);
@@ -212,8 +212,28 @@
 }
 
 absl::Status
-ForwardApi::ApplyEngineTraits(ForwardPlan& aPlan) const
+ForwardApi::MoveTo(ForwardPlan& aPlan, const std::string& aService)
 {
+  const auto& split = aPlan.route_.split_;
+  const bool leadsThere =
+    std::any_of(split.begin(), split.end(), [&](const auto& aShare) {
+      return aShare.weight_ > 0 && aShare.service_ == aService;
+    });
+  if (!leadsThere) {
+    return MakeError(ErrorKind::kNoEndpoint,
+                     aPlan.route_.name_,
+                     "the route does not lead to the stream's service");
+  }
+  aPlan.service_ = aService;
+  return ApplyServiceTraits(aPlan);
+}
+
+absl::Status
+ForwardApi::ApplyServiceTraits(ForwardPlan& aPlan)
+{
+  aPlan.tryTakeRetry_ = [this, service = aPlan.service_] {
+    return RetryBudgetOf(service).TryTake();
+  };
   const auto* service = deployment_->FindService(aPlan.service_);
   if (service == nullptr || !service->engine_) {
     return absl::OkStatus();
--- a/packages/router/src/connection/ForwardApi.h
+++ b/packages/router/src/connection/ForwardApi.h
@@ -60,9 +60,12 @@
                                    absl::StatusOr<ForwardRequest> aRequest);
   absl::Status ResolveWorkspace(ForwardPlan& aPlan) const;
   absl::Status ChooseService(ForwardPlan& aPlan);
-  /// Applies what the deployment says of the chosen service's engines; returns
-  /// an error if none of them can run the request.
-  absl::Status ApplyEngineTraits(ForwardPlan& aPlan) const;
+  /// Moves a plan to another service of its route; fails if the route does not
+  /// lead there or none of its engines can run the request.
+  absl::Status MoveTo(ForwardPlan& aPlan, const std::string& aService);
+  /// Applies the retry budget of the plan's service and what the deployment
+  /// says of its engines; returns an error if none of them can run the request.
+  absl::Status ApplyServiceTraits(ForwardPlan& aPlan);
   /// Returns the error of a route without a service that can be used.
   absl::Status NoServiceError(const model::ForwardRoute& aRoute) const;
   void SetDeadlines(ForwardPlan& aPlan) const;
--- a/packages/router/src/connection/ForwardErrors.cpp
+++ b/packages/router/src/connection/ForwardErrors.cpp
@@ -57,6 +57,24 @@
                           "all endpoints are in evacuated failure domains");
 }
 
+absl::Status
+OriginUnknownError()
+{
+  return model::MakeError(
+    model::ErrorKind::kOriginUnknown,
+    "",
+    "it is not known at which software version the stream began");
+}
+
+absl::Status
+VersionGoneError(const model::StreamOrigin& aOrigin)
+{
+  return model::MakeError(
+    model::ErrorKind::kNoEndpoint,
+    aOrigin.service_,
+    "no endpoint runs the software version that began the stream");
+}
+
 bool
 NeedsTopUp(model::ErrorKind aKind)
 {
--- a/packages/router/src/connection/ForwardErrors.h
+++ b/packages/router/src/connection/ForwardErrors.h
@@ -5,6 +5,7 @@
 #include <absl/status/status.h>
 
 #include "cactuswick/model/process/Error.h"
+#include "cactuswick/model/version/StreamOrigin.h"
 #include "cactuswick/transport/connection/HttpExchange.h"
 
 namespace cactuswick::router {
@@ -29,6 +30,16 @@
 absl::Status
 EvacuatedError(const std::string& aField);
 
+/// Returns the error of a request to take up a stream of which it is not known
+/// where it began.
+absl::Status
+OriginUnknownError();
+
+/// Returns the error of a request to take up a stream that no endpoint is left
+/// to go on with.
+absl::Status
+VersionGoneError(const model::StreamOrigin& aOrigin);
+
 /// Returns the HTTP status for a request that the router answers itself.
 /// Callers retry on 429 and 503, so only a request that has not run and never
 /// will gets one of these.
--- a/packages/router/src/process/Dispatcher.cpp
+++ b/packages/router/src/process/Dispatcher.cpp
@@ -82,6 +82,15 @@
   }
 }
 
+void
+Dispatcher::SetAdmittedVersions(routing::AdmittedVersions aVersions)
+{
+  endpoints_.SetAdmittedVersions(std::move(aVersions));
+  for (const auto& [serves, serviceQueue] : serviceQueues_) {
+    ScheduleDispatch(serves);
+  }
+}
+
 void
 Dispatcher::Enqueue(DispatchRequest aRequest)
 {
@@ -112,12 +121,23 @@
 Dispatcher::DispatchQueued(const std::string& aServes)
 {
   ServiceQueue& serviceQueue = serviceQueues_[aServes];
-  while (serviceQueue.queue_.Size() > 0 && PlaceNext(aServes, serviceQueue)) {
+  std::vector<routing::QueuedRequest> unplaced;
+  while (serviceQueue.queue_.Size() > 0 &&
+         PlaceNext(aServes, serviceQueue, unplaced)) {
+  }
+  for (const auto& request : unplaced) {
+    // It has not used its turn. A hook may have cancelled it meanwhile.
+    serviceQueue.queue_.CorrectCost(request, 0);
+    if (requests_.contains(request.id_)) {
+      serviceQueue.queue_.Push(request);
+    }
   }
 }
 
 bool
-Dispatcher::PlaceNext(const std::string& aServes, ServiceQueue& aServiceQueue)
+Dispatcher::PlaceNext(const std::string& aServes,
+                      ServiceQueue& aServiceQueue,
+                      std::vector<routing::QueuedRequest>& aUnplaced)
 {
   const int64_t now = EventLoop::NowMs();
   // Without a free slot nothing is popped, as a popped request has used its
@@ -127,14 +147,18 @@
   }
   const auto next = aServiceQueue.queue_.Pop();
   const auto found = requests_.find(next->id_);
-  const DispatchRequest request = std::move(found->second);
-  requests_.erase(found);
-  auto place = Acquire(request, request.excluded_, now);
+  auto place = Acquire(found->second, found->second.excluded_, now);
   if (!place) {
     // Only endpoints at which earlier attempts failed have a free slot: better
     // than none.
-    place = Acquire(request, {}, now);
+    place = Acquire(found->second, {}, now);
+  }
+  if (!place) {
+    aUnplaced.push_back(*next);
+    return true;
   }
+  const DispatchRequest request = std::move(found->second);
+  requests_.erase(found);
   const model::Announcement announcement = *endpoints_.Find(place->endpoint_);
   request.onPlaced_(announcement, place->prefillTokens_);
   return true;
@@ -146,11 +170,17 @@
                     int64_t aNowMs)
 {
   if (aRequest.prompt_) {
-    return endpoints_.AcquireForPrompt(
-      aRequest.serves_, *aRequest.prompt_, aExcluded, aNowMs);
+    return endpoints_.AcquireForPrompt(aRequest.serves_,
+                                       *aRequest.prompt_,
+                                       aExcluded,
+                                       aNowMs,
+                                       aRequest.softwareVersion_);
   }
-  const auto endpoint = endpoints_.Acquire(
-    aRequest.serves_, aRequest.prefixHash_, aExcluded, aNowMs);
+  const auto endpoint = endpoints_.Acquire(aRequest.serves_,
+                                           aRequest.prefixHash_,
+                                           aExcluded,
+                                           aNowMs,
+                                           aRequest.softwareVersion_);
   if (!endpoint) {
     return std::nullopt;
   }
@@ -274,6 +304,12 @@
   return endpoints_.Serves(aServes, EventLoop::NowMs());
 }
 
+bool
+Dispatcher::ServesAt(const model::StreamOrigin& aOrigin) const
+{
+  return endpoints_.ServesAt(aOrigin, EventLoop::NowMs());
+}
+
 bool
 Dispatcher::IsEvacuated(const std::string& aServes) const
 {
--- a/packages/router/src/process/Dispatcher.h
+++ b/packages/router/src/process/Dispatcher.h
@@ -29,6 +29,8 @@
   std::optional<routing::PromptLoad> prompt_;
   /// Endpoints at which earlier attempts failed.
   std::vector<std::string> excluded_;
+  /// Set if only endpoints of this software version may serve the request.
+  std::optional<std::string> softwareVersion_;
   /// Called once an endpoint has a free slot, with its announcement and the
   /// prompt tokens that it is expected to read.
   std::function<void(const model::Announcement&, ledger::Tokens)> onPlaced_;
@@ -93,7 +95,13 @@
   /// after.
   void SetEvacuations(routing::Evacuations aEvacuations);
 
+  /// Sets the software versions whose endpoints get requests.
+  void SetAdmittedVersions(routing::AdmittedVersions aVersions);
+
   bool Serves(const std::string& aServes) const;
+  /// Returns whether any endpoint of a service and software version may get
+  /// requests.
+  bool ServesAt(const model::StreamOrigin& aOrigin) const;
   /// Returns whether only evacuations prevent a service from being served.
   bool IsEvacuated(const std::string& aServes) const;
   /// Returns the number of queued requests of this priority or a more urgent
@@ -121,7 +129,12 @@
   void EndEvacuated(int64_t aNowMs);
   void ScheduleDispatch(const std::string& aServes);
   void DispatchQueued(const std::string& aServes);
-  bool PlaceNext(const std::string& aServes, ServiceQueue& aServiceQueue);
+  /// Places the request whose turn it is, or moves it to @p aUnplaced if no
+  /// endpoint of its software version has a free slot. Returns false if no
+  /// endpoint has.
+  bool PlaceNext(const std::string& aServes,
+                 ServiceQueue& aServiceQueue,
+                 std::vector<routing::QueuedRequest>& aUnplaced);
   std::optional<routing::PromptPlacement> Acquire(
     const DispatchRequest& aRequest,
     const std::vector<std::string>& aExcluded,
--- a/packages/router/src/process/ForwardRole.cpp
+++ b/packages/router/src/process/ForwardRole.cpp
@@ -67,11 +67,12 @@
   , pool_(options_.loop_)
   , quarantine_(options_.loop_, QuarantineOptions())
   , prefill_(ReporterOptions())
+  , origins_(OriginsOptions())
   , services_{ options_.loop_,       options_.biller_,
                options_.dispatcher_, pool_,
                options_.metrics_,    options_.burn_,
                options_.dialect_,    quarantine_,
-               options_.linkDelay_ }
+               options_.linkDelay_,  origins_ }
   , api_({ .services_ = services_,
            .retries_ = [this] { return RetryOptions(); },
            .isReady_ = options_.isReady_,
@@ -156,6 +157,16 @@
            } };
 }
 
+StreamOriginsOptions
+ForwardRole::OriginsOptions()
+{
+  return { .endpoints_ = options_.dispatcher_.Endpoints(),
+           .self_ = options_.self_,
+           .send_ = [this](const transport::PeerMessage& aMessage) {
+             options_.control_.SendUnreliable(aMessage);
+           } };
+}
+
 bool
 ForwardRole::HasEngines() const
 {
@@ -174,6 +185,14 @@
   if (HasEngines()) {
     prefill_.OnTick(aNowMs);
   }
+  origins_.OnTick(aNowMs);
+}
+
+void
+ForwardRole::OnConnected()
+{
+  quarantine_.OnConnected();
+  origins_.ReportAll();
 }
 
 void
@@ -191,6 +210,11 @@
                retired.revision_));
     options_.dispatcher_.Retire(retired.endpoint_, retired.incarnation_);
   }
+  if (aDelta.versions_) {
+    options_.dispatcher_.SetAdmittedVersions(
+      routing::AdmittedVersions(*aDelta.versions_));
+    origins_.ReportAll();
+  }
   if (aDelta.routersChanged_) {
     SetWarmUpRouters();
   }
@@ -315,6 +339,7 @@
 ForwardRole::OnGossip(const transport::Gossip& aGossip)
 {
   prefill_.OnGossip(aGossip, EventLoop::NowMs());
+  origins_.OnGossip(aGossip);
   for (const auto& relayed : aGossip.endpoints_) {
     model::Announcement announcement = relayed.announcement_;
     announcement.leaseMs_ = kLeaseMs;
@@ -330,7 +355,9 @@
                  " age_ms=",
                  relayed.ageMs_,
                  " cold_ms=",
-                 announcement.coldLeftMs_));
+                 announcement.coldLeftMs_,
+                 " version=",
+                 announcement.softwareVersion_));
     }
   }
   for (const auto& lost : aGossip.lost_) {
--- a/packages/router/src/process/ForwardRole.h
+++ b/packages/router/src/process/ForwardRole.h
@@ -7,6 +7,7 @@
 #include "cactuswick/transport/connection/HttpServer.h"
 #include "connection/ForwardApi.h"
 #include "process/PrefillReporter.h"
+#include "process/StreamOrigins.h"
 #include "version/ConfigView.h"
 
 namespace cactuswick::router {
@@ -51,6 +52,8 @@
   void OnGossip(const transport::Gossip& aGossip);
 
   PromptQuarantine& Quarantine() { return quarantine_; }
+  /// Repeats to a new leader what only routers know.
+  void OnConnected();
   bool HasDeployment() const { return api_.Deployment() != nullptr; }
   /// Ends all requests in flight because the router stops.
   void EndAll() { api_.EndAll(); }
@@ -61,6 +64,7 @@
 private:
   PromptQuarantineOptions QuarantineOptions();
   PrefillReporterOptions ReporterOptions();
+  StreamOriginsOptions OriginsOptions();
   /// Returns whether a service of the deployment has model engines.
   bool HasEngines() const;
   void OnReadyRequest(transport::HttpExchange& aExchange) const;
@@ -80,6 +84,7 @@
   transport::HttpPool pool_;
   PromptQuarantine quarantine_;
   PrefillReporter prefill_;
+  StreamOrigins origins_;
   ForwardDependencies services_;
   ForwardApi api_;
   transport::HttpServer server_;
--- a/packages/router/src/process/RouterTask.cpp
+++ b/packages/router/src/process/RouterTask.cpp
@@ -130,11 +130,10 @@
   void Deregister()
   {
     biller_->ReturnAll();
-    control_->Submit(
-      ledger::DeregisterRouter{},
-      [this](const ledger::OpResult&) {
-        shutdown_.OnDeregistered(EventLoop::NowMs());
-      });
+    control_->Submit(ledger::DeregisterRouter{},
+                     [this](const ledger::OpResult&) {
+                       shutdown_.OnDeregistered(EventLoop::NowMs());
+                     });
   }
 
   void MakePeers()
@@ -287,7 +286,7 @@
         .onConnected_ =
           [this] {
             if (forward_) {
-              forward_->Quarantine().OnConnected();
+              forward_->OnConnected();
             }
           },
         .onRoundTrip_ =
--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -70,6 +70,16 @@
   exchange_->SetClosedHook([this] { OnCallerDisconnected(); });
   deadlineTimer_.StartOnce(
     std::max(int64_t{ 1 }, plan_.deadlineMs_ - EventLoop::NowMs()));
+  if (TakesUpStream(plan_)) {
+    FindOrigin();
+  } else {
+    Admit();
+  }
+}
+
+void
+ForwardExchange::Admit()
+{
   if (plan_.probedPart_.empty()) {
     Reserve();
   } else {
@@ -104,24 +114,27 @@
 void
 ForwardExchange::Enqueue()
 {
-  if (RefuseIfBackingOff()) {
+  if (RefuseIfBackingOff() || FailIfVersionGone()) {
     return;
   }
-  attempts_.Enqueue({ .queued_ = { .id_ = plan_.id_,
-                                   .workspace_ = plan_.workspace_,
-                                   .priority_ = plan_.priority_,
-                                   .cost_ = std::max(ledger::Tokens{ 1 },
-                                                     plan_.tokensToReserve_),
-                                   .deadlineMs_ = plan_.queueDeadlineMs_ },
-                      .serves_ = plan_.service_,
-                      .prompt_ = PromptLoadOf(plan_.request_),
-                      .onPlaced_ =
-                        [this](const model::Announcement& aEndpoint,
-                               ledger::Tokens aPrefillTokens) {
-                          OnPlaced(aEndpoint, aPrefillTokens);
-                        },
-                      .onExpired_ = [this] { Fail(QueueDeadlineError()); },
-                      .onEvacuated_ = [this] { OnAllEvacuated(); } });
+  attempts_.Enqueue(
+    { .queued_ = { .id_ = plan_.id_,
+                   .workspace_ = plan_.workspace_,
+                   .priority_ = plan_.priority_,
+                   .cost_ =
+                     std::max(ledger::Tokens{ 1 }, plan_.tokensToReserve_),
+                   .deadlineMs_ = plan_.queueDeadlineMs_ },
+      .serves_ = plan_.service_,
+      .prompt_ = PromptLoadOf(plan_.request_),
+      .softwareVersion_ =
+        origin_ ? std::optional(origin_->softwareVersion_) : std::nullopt,
+      .onPlaced_ =
+        [this](const model::Announcement& aEndpoint,
+               ledger::Tokens aPrefillTokens) {
+          OnPlaced(aEndpoint, aPrefillTokens);
+        },
+      .onExpired_ = [this] { Fail(QueueDeadlineError()); },
+      .onEvacuated_ = [this] { OnAllEvacuated(); } });
 }
 
 void
@@ -221,6 +234,7 @@
   if (output.startsResponse_) {
     telemetry_.OnFirstToken();
     exchange_->StartStream(relay_.Head().status_, relay_.Head().headers_);
+    RecordOrigin();
   }
   if (output.hasEvents_) {
     prefill_.OnEvent(attempts_);
@@ -480,6 +494,7 @@
   backpressureTimer_.Stop();
   attempts_.Cancel();
   dependencies_.quarantine_.CancelProbe(plan_.id_);
+  dependencies_.origins_.Cancel(plan_.id_);
   dependencies_.biller_.CancelReserve(plan_.id_);
   if (reserved_ > 0) {
     dependencies_.biller_.RecordUsage(
--- a/packages/router/src/request/ForwardExchange.h
+++ b/packages/router/src/request/ForwardExchange.h
@@ -11,6 +11,7 @@
 #include "connection/ForwardErrors.h"
 #include "process/Biller.h"
 #include "process/PromptQuarantine.h"
+#include "process/StreamOrigins.h"
 #include "request/Attempts.h"
 #include "request/ForwardPlan.h"
 #include "request/PrefillProgress.h"
@@ -31,6 +32,7 @@
   const ForwardDialect& dialect_;
   PromptQuarantine& quarantine_;
   routing::LinkDelay& linkDelay_;
+  StreamOrigins& origins_;
 };
 
 /// Handles one forwarded request: reserves budget, queues, sends it to an
@@ -58,6 +60,16 @@
   void OnRouterStops();
 
 private:
+  /// Finds where the stream began that the request takes up.
+  void FindOrigin();
+  void OnOriginFound(std::optional<model::StreamOrigin> aOrigin);
+  /// Records the origin of a resumable stream whose first event has been sent.
+  void RecordOrigin();
+  /// Fails the request if no endpoint is left that may go on with its stream;
+  /// returns whether it did.
+  bool FailIfVersionGone();
+  /// Begins with the reservation, once the request may be sent.
+  void Admit();
   void Reserve();
   void RequestProbe();
   /// Fails the request if a part of its prompt is quarantined; returns whether
@@ -127,6 +139,8 @@
   ledger::Tokens reserved_ = 0;
   /// Log fields of the wait for a grant; empty if there was no wait.
   std::string grantWaitFields_;
+  /// Where the caller's stream began; unset before its first event.
+  std::optional<model::StreamOrigin> origin_;
   /// Refusal because of a quarantined part.
   std::optional<QuarantinedPart> quarantinedPart_;
   bool isProbe_ = false;
--- a/packages/router/src/request/ForwardExchangeEndpoints.cpp
+++ b/packages/router/src/request/ForwardExchangeEndpoints.cpp
@@ -68,7 +68,9 @@
     return;
   }
   if (attempts_.IsQueued()) {
-    RefuseIfBackingOff();
+    if (!RefuseIfBackingOff()) {
+      FailIfVersionGone();
+    }
     return;
   }
   if (!call_ || call_->WasDispatched() || attempts_.MayBeSent()) {
--- a/packages/router/src/request/ForwardExchangeLog.cpp
+++ b/packages/router/src/request/ForwardExchangeLog.cpp
@@ -30,6 +30,16 @@
   return text;
 }
 
+/// Returns the log field of the software version that began a stream; empty
+/// before its first event.
+std::string
+DescribeOrigin(const std::optional<model::StreamOrigin>& aOrigin, bool aTakenUp)
+{
+  return aOrigin ? Concat(aTakenUp ? " taken_up_at=" : " began_at=",
+                          aOrigin->softwareVersion_)
+                 : "";
+}
+
 } // namespace
 
 void
@@ -73,6 +83,7 @@
                   plan_.deploymentVersion_,
                   " attempts=",
                   attempts_.History(),
+                  DescribeOrigin(origin_, TakesUpStream(plan_)),
                   " first_ms=",
                   telemetry_.FirstTokenMs(),
                   " total_ms=",
--- /dev/null
+++ b/packages/router/src/request/ForwardExchangeOrigin.cpp
@@ -0,0 +1,67 @@
+// ForwardExchange: streams stay at the software version that began them.
+
+#include <utility>
+
+#include "request/ForwardExchange.h"
+
+namespace cactuswick::router {
+
+using transport::EventLoop;
+
+void
+ForwardExchange::FindOrigin()
+{
+  dependencies_.origins_.Find(
+    plan_.id_,
+    StreamQueryOf(plan_),
+    [this](std::optional<model::StreamOrigin> aOrigin) {
+      OnOriginFound(std::move(aOrigin));
+    },
+    EventLoop::NowMs());
+}
+
+void
+ForwardExchange::OnOriginFound(std::optional<model::StreamOrigin> aOrigin)
+{
+  if (!aOrigin) {
+    dependencies_.metrics_.Count(telemetry::Counter::kOriginsUnknown);
+    Fail(OriginUnknownError());
+    return;
+  }
+  origin_ = std::move(aOrigin);
+  if (origin_->service_ != plan_.service_) {
+    const absl::Status status = plan_.moveTo_(plan_, origin_->service_);
+    if (!status.ok()) {
+      Fail(status);
+      return;
+    }
+  }
+  if (!FailIfVersionGone()) {
+    Admit();
+  }
+}
+
+void
+ForwardExchange::RecordOrigin()
+{
+  if (!IsResumableStream(plan_)) {
+    return;
+  }
+  if (!origin_) {
+    origin_ = { plan_.service_, attempts_.Endpoint().softwareVersion_ };
+  }
+  dependencies_.origins_.OnBegan(
+    StreamKeyOf(plan_), *origin_, EventLoop::NowMs());
+}
+
+bool
+ForwardExchange::FailIfVersionGone()
+{
+  if (!origin_ || dependencies_.dispatcher_.ServesAt(*origin_)) {
+    return false;
+  }
+  Fail(VersionGoneError(*origin_));
+  return true;
+}
+
+} // namespace cactuswick::router
--- a/packages/router/src/request/ForwardPlan.cpp
+++ b/packages/router/src/request/ForwardPlan.cpp
@@ -13,6 +13,44 @@
 
 } // namespace
 
+bool
+IsResumableStream(const ForwardPlan& aPlan)
+{
+  return aPlan.route_.type_ == model::RouteType::kStreaming &&
+         aPlan.route_.resumable_;
+}
+
+bool
+TakesUpStream(const ForwardPlan& aPlan)
+{
+  return IsResumableStream(aPlan) && !(aPlan.request_.lastEventId_.empty() &&
+                                       aPlan.request_.resumedId_.empty());
+}
+
+StreamQuery
+StreamQueryOf(const ForwardPlan& aPlan)
+{
+  StreamQuery query{ .service_ = aPlan.service_ };
+  if (!aPlan.request_.resumedId_.empty()) {
+    query.stream_ = StreamKeyOf(aPlan);
+  }
+  for (const auto& share : aPlan.route_.split_) {
+    if (share.weight_ > 0) {
+      query.services_.push_back(share.service_);
+    }
+  }
+  return query;
+}
+
+model::StreamKey
+StreamKeyOf(const ForwardPlan& aPlan)
+{
+  const auto& request = aPlan.request_;
+  const std::string& beganBy =
+    request.resumedId_.empty() ? request.id_ : request.resumedId_;
+  return model::StreamKeyOf(aPlan.workspace_, beganBy);
+}
+
 RequestInfo
 RequestInfoOf(const ForwardPlan& aPlan)
 {
--- a/packages/router/src/request/ForwardPlan.h
+++ b/packages/router/src/request/ForwardPlan.h
@@ -9,6 +9,7 @@
 #include "cactuswick/model/version/Deployment.h"
 #include "cactuswick/router/connection/ForwardDialect.h"
 #include "process/Dispatcher.h"
+#include "process/StreamOrigins.h"
 #include "request/RequestTelemetry.h"
 #include "request/ResponseRelay.h"
 
@@ -24,6 +25,10 @@
   std::string probedPart_;
   model::ForwardRoute route_;
   std::string service_;
+  /// Moves the plan to another service of its route; fails if the route does
+  /// not lead there.
+  std::function<absl::Status(ForwardPlan& aPlan, const std::string& aService)>
+    moveTo_;
   /// Maximum number of tokens in one event of the service's streams.
   int64_t tokensPerEvent_ = 1;
   std::string workspace_;
@@ -45,6 +50,23 @@
   std::function<int64_t(model::ErrorKind aKind)> retryAfterMs_;
 };
 
+/// Returns whether the responses are streams that may go on at another
+/// endpoint.
+bool
+IsResumableStream(const ForwardPlan& aPlan);
+
+/// Returns whether the request takes up a stream that has begun before.
+bool
+TakesUpStream(const ForwardPlan& aPlan);
+
+/// Returns the question where the stream began that the request takes up.
+StreamQuery
+StreamQueryOf(const ForwardPlan& aPlan);
+
+/// Returns the key under which the origin of the request's stream is kept.
+model::StreamKey
+StreamKeyOf(const ForwardPlan& aPlan);
+
 /// Returns the telemetry's data of a forwarded request. Objectives are not kept
 /// per workspace, as there may be too many workspaces.
 RequestInfo
--- a/packages/telemetry/include/cactuswick/telemetry/process/Metrics.h
+++ b/packages/telemetry/include/cactuswick/telemetry/process/Metrics.h
@@ -49,6 +49,8 @@
   kResponsesSkipped,
   /// Complete responses that were read behind skipped ones.
   kResponsesAfterSkipped,
+  /// Streams that were not taken up, as it is not known where they began.
+  kOriginsUnknown,
 };
 
 /// Distributions. Count and sum are exact; the quantiles are estimated by the
--- a/packages/telemetry/src/process/Metrics.cpp
+++ b/packages/telemetry/src/process/Metrics.cpp
@@ -66,6 +66,7 @@
   MetricName{ "connections_cut_total", "reason" },
   MetricName{ "responses_skipped_total" },
   MetricName{ "responses_after_skipped_total" },
+  MetricName{ "origins_unknown_total" },
 };
 constexpr std::array kSummaryNames = {
   MetricName{ "first_token_ms", "rank" },
@@ -107,7 +108,7 @@
 };
 
 static_assert(kCounterNames.size() ==
-              static_cast<size_t>(Counter::kResponsesAfterSkipped) + 1);
+              static_cast<size_t>(Counter::kOriginsUnknown) + 1);
 static_assert(kSummaryNames.size() ==
               static_cast<size_t>(Summary::kCatchUpMs) + 1);
 static_assert(kGaugeNames.size() ==
