--- /dev/null
+++ b/tests/control/process/VersionAdmissionTest.cpp
@@ -0,0 +1,99 @@
+#include "process/VersionAdmission.h"
+
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace cactuswick::control {
+namespace {
+
+constexpr int64_t kProposalTimeoutMs = 2'000;
+
+class VersionAdmissionTest : public testing::Test
+{
+protected:
+  VersionAdmissionTest()
+    : admission_({ .ledger_ = ledger_,
+                   .announced_ = [this] { return announced_; },
+                   .propose_ =
+                     [this](ledger::Command aCommand) {
+                       ++proposals_;
+                       if (commits_) {
+                         ledger_.Apply(aCommand, 1);
+                       }
+                     } })
+  {
+  }
+
+  std::vector<std::string> Admitted()
+  {
+    const auto found = ledger_.Versions().find("s");
+    return found == ledger_.Versions().end() ? std::vector<std::string>()
+                                             : found->second;
+  }
+
+  ledger::Ledger ledger_;
+  std::set<model::StreamOrigin> announced_;
+  bool commits_ = true;
+  int proposals_ = 0;
+  VersionAdmission admission_;
+};
+
+using Versions = std::vector<std::string>;
+
+TEST_F(VersionAdmissionTest, LeaderAdmitsAVersionAtItsFirstAnnouncement)
+{
+  announced_ = { { "s", "1" } };
+  admission_.OnTick(true, 0);
+  EXPECT_EQ(Admitted(), (Versions{ "1" }));
+  announced_.insert({ "s", "2" });
+  admission_.OnEndpointsChanged();
+  admission_.OnTick(true, 1);
+  EXPECT_EQ(Admitted(), (Versions{ "1", "2" }));
+}
+
+TEST_F(VersionAdmissionTest, FollowerAdmitsNothing)
+{
+  announced_ = { { "s", "1" } };
+  admission_.OnEndpointsChanged();
+  admission_.OnTick(false, 0);
+  EXPECT_EQ(proposals_, 0);
+}
+
+TEST_F(VersionAdmissionTest, ProposalThatIsNotCommittedIsMadeAgain)
+{
+  commits_ = false;
+  announced_ = { { "s", "1" } };
+  for (int64_t now = 0; now <= kProposalTimeoutMs; now += 20) {
+    admission_.OnTick(true, now);
+  }
+  EXPECT_EQ(proposals_, 2);
+}
+
+TEST_F(VersionAdmissionTest, VersionIsWithdrawnLongAfterItsLastAnnouncement)
+{
+  constexpr int64_t kKeptMs = VersionAdmission::kVersionKeptMs;
+  announced_ = { { "s", "1" }, { "s", "2" } };
+  admission_.OnTick(true, 0);
+  announced_ = { { "s", "2" } };
+  admission_.OnTick(true, kKeptMs - 1);
+  EXPECT_EQ(Admitted(), (Versions{ "1", "2" }));
+  admission_.OnTick(true, kKeptMs + 5'000);
+  EXPECT_EQ(Admitted(), (Versions{ "2" }));
+}
+
+TEST_F(VersionAdmissionTest, NewLeaderWaitsTheWholeTimeItself)
+{
+  constexpr int64_t kKeptMs = VersionAdmission::kVersionKeptMs;
+  announced_ = { { "s", "1" } };
+  admission_.OnTick(true, 0);
+  announced_ = {};
+  admission_.OnTick(false, kKeptMs);
+  admission_.OnTick(true, kKeptMs + 1);
+  admission_.OnTick(true, 2 * kKeptMs);
+  EXPECT_EQ(Admitted(), (Versions{ "1" }));
+}
+
+} // namespace
+} // namespace cactuswick::control
--- a/tests/platform/connection/AnnouncementDocumentTest.cpp
+++ b/tests/platform/connection/AnnouncementDocumentTest.cpp
@@ -42,6 +42,18 @@
   EXPECT_TRUE(DecodeAnnouncement("i-1", document.dump(), 1)->leaving_);
 }
 
+TEST(AnnouncementDocument, DecodesSoftwareVersion)
+{
+  auto document = ReadyDocument();
+  EXPECT_EQ(DecodeAnnouncement("i-1", document.dump(), 1)->softwareVersion_,
+            "v1");
+  document.erase("Version");
+  EXPECT_EQ(DecodeAnnouncement("i-1", document.dump(), 1)->softwareVersion_,
+            "");
+  document["Version"] = std::string(257, 'v');
+  EXPECT_FALSE(DecodeAnnouncement("i-1", document.dump(), 1).ok());
+}
+
 TEST(AnnouncementDocument, DecodesColdTime)
 {
   auto document = ReadyDocument();
--- a/tests/platform/connection/ForwardHeadersTest.cpp
+++ b/tests/platform/connection/ForwardHeadersTest.cpp
@@ -39,7 +39,8 @@
     DecodeRequest("/a/b?q=1",
                   With({ { "X-Token-Count", "1460,80" },
                          { "X-Prompt-Prefix", "5c:800,91:410,e4:250" },
-                         { "Last-Event-Id", "12" } }));
+                         { "Last-Event-Id", "12" },
+                         { "Resumes", "id-0" } }));
   ASSERT_TRUE(request.ok()) << request.status();
   EXPECT_EQ(request->id_, "abc");
   EXPECT_EQ(request->host_, "shop.example");
@@ -49,6 +50,7 @@
   EXPECT_EQ(request->promptTokens_, 1'460);
   EXPECT_EQ(request->maxOutputTokens_, 80);
   EXPECT_EQ(request->lastEventId_, "12");
+  EXPECT_EQ(request->resumedId_, "id-0");
   EXPECT_EQ(request->parts_,
             (std::vector<router::PromptPart>{
               { "5c", 800 }, { "91", 410 }, { "e4", 250 } }));
--- a/tests/router/process/DispatcherTest.cpp
+++ b/tests/router/process/DispatcherTest.cpp
@@ -131,5 +131,44 @@
   EXPECT_EQ(expired_, 1);
 }
 
+TEST_F(DispatcherTest, RequestOfABusyVersionDoesNotHoldUpOthers)
+{
+  for (const std::string version : { "1", "2" }) {
+    dispatcher_.ApplyAnnouncement({ .endpoint_ = "v" + version,
+                                    .serves_ = { "m" },
+                                    .address_ = "v" + version + ":1",
+                                    .slots_ = 1,
+                                    .incarnation_ = 1,
+                                    .sequence_ = 1,
+                                    .leaseMs_ = 60'000,
+                                    .softwareVersion_ = version },
+                                  0);
+  }
+  const auto enqueue = [this](routing::RequestId aId,
+                              std::optional<std::string> aVersion) {
+    dispatcher_.Enqueue(
+      { .queued_ = { .id_ = aId, .deadlineMs_ = EventLoop::NowMs() + kWaitMs },
+        .serves_ = "m",
+        .softwareVersion_ = std::move(aVersion),
+        .onPlaced_ =
+          [this](const model::Announcement& aEndpoint, ledger::Tokens) {
+            placed_.push_back(aEndpoint.endpoint_);
+          },
+        .onExpired_ = [this] { ++expired_; } });
+  };
+  enqueue(1, "1");
+  enqueue(2, "1");
+  enqueue(3, "1");
+  enqueue(4, std::nullopt);
+  RunFor(10);
+  EXPECT_EQ(placed_, (std::vector<std::string>{ "v1", "v2" }));
+  EXPECT_EQ(dispatcher_.Queued(), 2U);
+  dispatcher_.Cancel(2);
+  dispatcher_.Release("m", "v1", routing::AttemptOutcome::kServed);
+  RunFor(10);
+  EXPECT_EQ(placed_, (std::vector<std::string>{ "v1", "v2", "v1" }));
+  EXPECT_EQ(dispatcher_.Queued(), 0U);
+}
+
 } // namespace
 } // namespace cactuswick::router
--- /dev/null
+++ b/tests/router/process/StreamOriginsTest.cpp
@@ -0,0 +1,209 @@
+#include "process/StreamOrigins.h"
+
+#include <gtest/gtest.h>
+
+namespace cactuswick::router {
+namespace {
+
+constexpr ledger::Incarnation kSelf = 7;
+constexpr int64_t kTimeoutMs = 1'000;
+constexpr int64_t kAskAgainMs = 150;
+constexpr model::StreamKey kStream = 1;
+const model::StreamOrigin kOld{ "s", "1" };
+const model::StreamOrigin kNew{ "s", "2" };
+const StreamQuery kQuery{ .stream_ = kStream,
+                          .service_ = "s",
+                          .services_ = { "s" } };
+
+class StreamOriginsTest : public testing::Test
+{
+protected:
+  StreamOriginsTest()
+    : table_({})
+    , origins_({ .timeoutMs_ = kTimeoutMs,
+                 .endpoints_ = table_,
+                 .self_ = [] { return kSelf; },
+                 .send_ =
+                   [this](const transport::PeerMessage& aMessage) {
+                     sent_.push_back(
+                       *std::get<transport::Gossip>(aMessage).streams_);
+                   } })
+  {
+  }
+
+  void Admit(std::vector<std::string> aVersions)
+  {
+    const std::vector<model::ServiceVersions> services{
+      { "s", std::move(aVersions) }
+    };
+    table_.SetAdmittedVersions(routing::AdmittedVersions(services));
+  }
+
+  void Find(const StreamQuery& aQuery)
+  {
+    origins_.Find(
+      1,
+      aQuery,
+      [this](std::optional<model::StreamOrigin> aOrigin) {
+        ++replies_;
+        found_ = std::move(aOrigin);
+      },
+      0);
+  }
+
+  void Receive(transport::StreamGossip aGossip)
+  {
+    origins_.OnGossip({ .streams_ = std::move(aGossip) });
+  }
+
+  routing::EndpointTable table_;
+  std::vector<transport::StreamGossip> sent_;
+  StreamOrigins origins_;
+  int replies_ = 0;
+  std::optional<model::StreamOrigin> found_;
+};
+
+TEST_F(StreamOriginsTest, OnlyAdmittedVersionNeedsNoQuestionAndNoReport)
+{
+  Admit({ "1" });
+  Find(kQuery);
+  EXPECT_EQ(found_, kOld);
+  origins_.OnBegan(kStream, kOld, 0);
+  origins_.OnTick(1);
+  EXPECT_TRUE(sent_.empty());
+}
+
+TEST_F(StreamOriginsTest, OwnStreamIsKnownAmongSeveralVersions)
+{
+  Admit({ "1", "2" });
+  origins_.OnBegan(kStream, kOld, 0);
+  Find(kQuery);
+  EXPECT_EQ(found_, kOld);
+  EXPECT_TRUE(sent_.empty());
+}
+
+TEST_F(StreamOriginsTest, StreamsAreReportedAmongSeveralVersions)
+{
+  Admit({ "1", "2" });
+  origins_.OnBegan(kStream, kOld, 0);
+  origins_.OnBegan(2, kNew, 0);
+  origins_.OnTick(1);
+  ASSERT_EQ(sent_.size(), 1U);
+  EXPECT_EQ(sent_.front().began_,
+            (std::vector<model::StreamGroup>{ { kOld, { kStream } },
+                                              { kNew, { 2 } } }));
+}
+
+TEST_F(StreamOriginsTest, StreamsUnderWayAreReportedWhenASecondVersionComes)
+{
+  Admit({ "1" });
+  origins_.OnBegan(kStream, kOld, 0);
+  Admit({ "1", "2" });
+  origins_.ReportAll();
+  origins_.OnTick(1);
+  ASSERT_EQ(sent_.size(), 1U);
+  EXPECT_EQ(sent_.front().began_.front(),
+            (model::StreamGroup{ kOld, { kStream } }));
+}
+
+TEST_F(StreamOriginsTest, StreamOfAnotherRouterIsAskedFor)
+{
+  Admit({ "1", "2" });
+  Find(kQuery);
+  EXPECT_EQ(replies_, 0);
+  ASSERT_EQ(sent_.size(), 1U);
+  EXPECT_EQ(sent_.front().sought_, std::vector<model::StreamKey>{ kStream });
+  Receive({ .began_ = { { kNew, { kStream } } } });
+  EXPECT_EQ(found_, kNew);
+  Receive({ .began_ = { { kNew, { kStream } } } });
+  EXPECT_EQ(replies_, 1);
+}
+
+TEST_F(StreamOriginsTest, UnknownStreamIsAskedForOnceMore)
+{
+  Admit({ "1", "2" });
+  Find(kQuery);
+  Receive({ .unknown_ = { kStream } });
+  EXPECT_EQ(replies_, 0);
+  origins_.OnTick(kAskAgainMs);
+  EXPECT_EQ(sent_.size(), 2U);
+  Receive({ .unknown_ = { kStream } });
+  EXPECT_EQ(replies_, 1);
+  EXPECT_EQ(found_, std::nullopt);
+}
+
+TEST_F(StreamOriginsTest, QuestionWithoutReplyIsGivenUp)
+{
+  Admit({ "1", "2" });
+  Find(kQuery);
+  origins_.OnTick(kTimeoutMs - 1);
+  EXPECT_EQ(replies_, 0);
+  origins_.OnTick(kTimeoutMs);
+  EXPECT_EQ(replies_, 1);
+  EXPECT_EQ(found_, std::nullopt);
+}
+
+TEST_F(StreamOriginsTest, CancelledQuestionGetsNoReply)
+{
+  Admit({ "1", "2" });
+  Find(kQuery);
+  origins_.Cancel(1);
+  Receive({ .began_ = { { kNew, { kStream } } } });
+  origins_.OnTick(kTimeoutMs);
+  EXPECT_EQ(replies_, 0);
+}
+
+TEST_F(StreamOriginsTest, StreamThatNamesNoRequestIsUnknownAmongSeveral)
+{
+  Admit({ "1", "2" });
+  Find({ .service_ = "s", .services_ = { "s" } });
+  EXPECT_EQ(replies_, 1);
+  EXPECT_EQ(found_, std::nullopt);
+  Admit({ "2" });
+  Find({ .service_ = "s", .services_ = { "s" } });
+  EXPECT_EQ(found_, kNew);
+}
+
+TEST_F(StreamOriginsTest, IdOfStreamsAtTwoVersionsIsUnknown)
+{
+  Admit({ "1", "2" });
+  origins_.OnBegan(kStream, kOld, 0);
+  origins_.OnBegan(kStream, kNew, 0);
+  Find(kQuery);
+  EXPECT_EQ(replies_, 0);
+}
+
+TEST_F(StreamOriginsTest, OtherServiceOfTheRouteMayHaveSeveralVersions)
+{
+  const std::vector<model::ServiceVersions> services{ { "s", { "1" } },
+                                                      { "t", { "1", "2" } } };
+  table_.SetAdmittedVersions(routing::AdmittedVersions(services));
+  Find({ .stream_ = kStream, .service_ = "s", .services_ = { "s", "t" } });
+  EXPECT_EQ(replies_, 0);
+  Receive({ .began_ = { { { "t", "2" }, { kStream } } } });
+  EXPECT_EQ(found_, (model::StreamOrigin{ "t", "2" }));
+}
+
+TEST_F(StreamOriginsTest, WithoutAdmittedVersionsTheEndpointsDecide)
+{
+  const auto announce = [this](const std::string& aName,
+                               const std::string& aVersion) {
+    table_.ApplyAnnouncement({ .endpoint_ = aName,
+                               .serves_ = { "s" },
+                               .address_ = aName + ":1",
+                               .incarnation_ = 1,
+                               .sequence_ = 1,
+                               .softwareVersion_ = aVersion },
+                             0,
+                             0);
+  };
+  announce("a", "1");
+  Find(kQuery);
+  EXPECT_EQ(found_, kOld);
+  announce("b", "2");
+  Find(kQuery);
+  EXPECT_EQ(replies_, 1);
+}
+
+} // namespace
+} // namespace cactuswick::router
