--- a/packages/standin/src/process/SlopesMain.cpp
+++ b/packages/standin/src/process/SlopesMain.cpp
@@ -18,6 +18,7 @@
 #include "cactuswick/routing/process/EndpointTable.h"
 #include "cactuswick/routing/request/FairQueue.h"
 #include "cactuswick/transport/connection/PeerMessage.h"
+#include "process/StreamDirectory.h"
 #include "request/EngineStreamParser.h"
 #include "request/ChatRequest.h"
 #include "version/ConfigView.h"
@@ -340,6 +341,43 @@
   Print("apply gossip of one endpoint", applyMs * 1'000 / kMessages, "us");
 }
 
+void
+MeasureStreamOrigins()
+{
+  constexpr model::StreamKey kSpread = 0x1e37'79b9'7f4a'7c15;
+  constexpr int kStreams = 174'000;
+  constexpr int kKeptMs = 60'000;
+  control::StreamDirectory directory(
+    { .sendToReplicas_ = [](const transport::PeerMessage&) {} });
+  const auto report = [](model::StreamKey aStream) {
+    return transport::Gossip{
+      .from_ = 1,
+      .streams_ = transport::StreamGossip{
+        .began_ = { { { "language-model", "v1.2.3" },
+                      { aStream * kSpread } } } }
+    };
+  };
+  const double before = AllocatedBytes();
+  const double storeMs = ElapsedMs([&] {
+    for (int i = 0; i < kStreams; ++i) {
+      directory.OnGossip(report(i), i * kKeptMs / kStreams);
+      directory.OnTick(i * kKeptMs / kStreams);
+    }
+  });
+  Print("origins of 174,000 streams", (AllocatedBytes() - before) / 1e6, "MB");
+  const std::string encoded =
+    model::EncodeCbor(transport::PeerMessage(report(kStreams)));
+  Print("report of one stream", static_cast<double>(encoded.size()), "bytes");
+  const double decodeMs = ElapsedMs([&] {
+    for (int i = 0; i < kStreams; ++i) {
+      static_cast<void>(model::DecodeCbor<transport::PeerMessage>(encoded));
+    }
+  });
+  Print("decode and store the origin of a stream",
+        (decodeMs + storeMs) * 1'000 / kStreams,
+        "us");
+}
+
 void
 MeasureQueue()
 {
@@ -400,6 +438,7 @@
   MeasureMessages();
   MeasureConfiguration(ledger, source);
   MeasureEndpoints();
+  MeasureStreamOrigins();
   MeasureQueue();
   MeasureStreams();
   return ledger.CheckInvariants().ok() ? 0 : 1;
