--- a/packages/routing/src/process/EndpointTable.cpp
+++ b/packages/routing/src/process/EndpointTable.cpp
@@ -180,88 +180,6 @@
   return expired;
 }
 
-void
-EndpointTable::SetEvacuations(Evacuations aEvacuations)
-{
-  evacuations_ = std::move(aEvacuations);
-}
-
-bool
-EndpointTable::IsUsable(const EndpointState& aEndpoint,
-                        const std::string& aServes,
-                        int64_t aNowMs) const
-{
-  return IsAvailable(aEndpoint, aServes, aNowMs) &&
-         !evacuations_.Contains(aEndpoint.announcement_.failureDomain_) &&
-         admitted_.Admits(aServes, aEndpoint.announcement_.softwareVersion_);
-}
-
-void
-EndpointTable::SetAdmittedVersions(AdmittedVersions aVersions)
-{
-  admitted_ = std::move(aVersions);
-}
-
-std::set<std::string>
-EndpointTable::VersionsOf(const std::string& aServes) const
-{
-  std::set<std::string> versions;
-  for (const auto& [name, endpoint] : endpoints_) {
-    const auto& serves = endpoint.announcement_.serves_;
-    if (std::find(serves.begin(), serves.end(), aServes) != serves.end()) {
-      versions.insert(endpoint.announcement_.softwareVersion_);
-    }
-  }
-  return versions;
-}
-
-bool
-EndpointTable::ServesAt(const model::StreamOrigin& aOrigin,
-                        int64_t aNowMs) const
-{
-  return std::any_of(
-    endpoints_.begin(), endpoints_.end(), [&](const auto& aPair) {
-      return IsOfVersion(aPair.second, aOrigin.softwareVersion_) &&
-             IsUsable(aPair.second, aOrigin.service_, aNowMs);
-    });
-}
-
-bool
-EndpointTable::IsOfVersion(const EndpointState& aEndpoint,
-                           const std::optional<std::string>& aVersion)
-{
-  return !aVersion || aEndpoint.announcement_.softwareVersion_ == *aVersion;
-}
-
-bool
-EndpointTable::IsAvailable(const EndpointState& aEndpoint,
-                           const std::string& aServes,
-                           int64_t aNowMs)
-{
-  const auto& announcement = aEndpoint.announcement_;
-  const auto& serves = announcement.serves_;
-  return !announcement.leaving_ &&
-         aNowMs - aEndpoint.announcedMs_ <= announcement.leaseMs_ &&
-         std::find(serves.begin(), serves.end(), aServes) != serves.end();
-}
-
-bool
-EndpointTable::MayTakeRequest(const EndpointState& aEndpoint,
-                              const std::string& aServes,
-                              int64_t aNowMs) const
-{
-  return static_cast<double>(aEndpoint.inFlight_ + 1) <= aEndpoint.window_ &&
-         !IsBackingOff(aEndpoint, aNowMs) &&
-         warmUp_.Allows(aEndpoint.announcement_.endpoint_, aServes, aNowMs);
-}
-
-bool
-EndpointTable::IsBackingOff(const EndpointState& aEndpoint, int64_t aNowMs)
-{
-  return aEndpoint.signals_.IsBackingOff(aEndpoint.announcement_.incarnation_,
-                                         aNowMs);
-}
-
 SignalEffect
 EndpointTable::OnSignals(const std::string& aEndpoint,
                          int64_t aIncarnation,
@@ -281,37 +199,6 @@
   return effect;
 }
 
-bool
-EndpointTable::TakesRequests(const std::string& aEndpoint,
-                             int64_t aIncarnation,
-                             int64_t aNowMs) const
-{
-  const auto found = endpoints_.find(aEndpoint);
-  return found != endpoints_.end() &&
-         found->second.announcement_.incarnation_ == aIncarnation &&
-         !found->second.announcement_.leaving_ &&
-         !evacuations_.Contains(found->second.announcement_.failureDomain_) &&
-         !IsBackingOff(found->second, aNowMs);
-}
-
-std::optional<int64_t>
-EndpointTable::BackoffUntilMs(const std::string& aServes, int64_t aNowMs) const
-{
-  std::optional<int64_t> earliest;
-  for (const auto& [name, endpoint] : endpoints_) {
-    if (!IsUsable(endpoint, aServes, aNowMs)) {
-      continue;
-    }
-    if (!IsBackingOff(endpoint, aNowMs)) {
-      return std::nullopt;
-    }
-    const int64_t until =
-      endpoint.signals_.BackoffUntilMs(endpoint.announcement_.incarnation_);
-    earliest = std::min(earliest.value_or(until), until);
-  }
-  return earliest;
-}
-
 void
 EndpointTable::TakeSlot(EndpointState& aEndpoint,
                         const std::string& aServes,
@@ -321,16 +208,6 @@
   warmUp_.Take(aEndpoint.announcement_.endpoint_, aServes, aNowMs);
 }
 
-bool
-EndpointTable::HasCapacity(const std::string& aServes, int64_t aNowMs) const
-{
-  return std::any_of(
-    endpoints_.begin(), endpoints_.end(), [&](const auto& aPair) {
-      return IsUsable(aPair.second, aServes, aNowMs) &&
-             MayTakeRequest(aPair.second, aServes, aNowMs);
-    });
-}
-
 std::vector<EndpointState*>
 EndpointTable::Candidates(const std::string& aServes,
                           const std::vector<std::string>& aExcluded,
@@ -506,25 +383,6 @@
   }
 }
 
-bool
-EndpointTable::Serves(const std::string& aServes, int64_t aNowMs) const
-{
-  return std::any_of(
-    endpoints_.begin(), endpoints_.end(), [&](const auto& aPair) {
-      return IsUsable(aPair.second, aServes, aNowMs);
-    });
-}
-
-bool
-EndpointTable::IsEvacuated(const std::string& aServes, int64_t aNowMs) const
-{
-  const bool isAvailable =
-    std::any_of(endpoints_.begin(), endpoints_.end(), [&](const auto& aPair) {
-      return IsAvailable(aPair.second, aServes, aNowMs);
-    });
-  return isAvailable && !Serves(aServes, aNowMs);
-}
-
 const model::Announcement*
 EndpointTable::Find(const std::string& aEndpoint) const
 {
--- a/packages/standin/src/process/SlopesMain.cpp
+++ b/packages/standin/src/process/SlopesMain.cpp
@@ -350,12 +350,10 @@
   control::StreamDirectory directory(
     { .sendToReplicas_ = [](const transport::PeerMessage&) {} });
   const auto report = [](model::StreamKey aStream) {
-    return transport::Gossip{
-      .from_ = 1,
-      .streams_ = transport::StreamGossip{
-        .began_ = { { { "language-model", "v1.2.3" },
-                      { aStream * kSpread } } } }
-    };
+    return transport::Gossip{ .from_ = 1,
+                              .streams_ = transport::StreamGossip{
+                                .began_ = { { { "language-model", "v1.2.3" },
+                                              { aStream * kSpread } } } } };
   };
   const double before = AllocatedBytes();
   const double storeMs = ElapsedMs([&] {
