A stopping router reads nothing behind its last replies, and stops in its grace period

A router that was idle just before the end of its grace period read on for up to 3 s of deregistration, beyond the SIGKILL. A lost reply to the deregistration ended the process at once, with no flush.

Connections that have stopped reading close behind their response and announce it; reading stops before the last requests are ended; the deregistration waits no longer than the grace period; its lost reply counts as its reply.

HttpServer.NextRequestOfARepliedConnectionIsNotReadAfterStopReading and RouterShutdown.DeregistrationWaitsNoLongerThanTheGracePeriod failed before and pass. The lost reply has no test.

--- a/packages/router/src/process/ForwardRole.h
+++ b/packages/router/src/process/ForwardRole.h
@@ -59,7 +59,11 @@
   void EndAll() { api_.EndAll(); }
   int64_t InFlight() const { return api_.InFlight(); }
   /// Accepts no more connections of callers and reads no more requests.
-  void StopReading() { server_.StopReading(); }
+  void StopReading()
+  {
+    server_.StopReading();
+    readyServer_.StopReading();
+  }
 
 private:
   PromptQuarantineOptions QuarantineOptions();
--- a/packages/router/src/process/RouterShutdown.cpp
+++ b/packages/router/src/process/RouterShutdown.cpp
@@ -1,5 +1,6 @@
 #include "process/RouterShutdown.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "cactuswick/telemetry/process/Log.h"
@@ -100,6 +101,9 @@
   }
   phase_ = Phase::kDeregistering;
   deregisterByMs_ = aNowMs + kDeregisterTimeoutMs;
+  if (options_.graceMs_) {
+    deregisterByMs_ = std::clamp(drainByMs_, aNowMs, deregisterByMs_);
+  }
   if (!idle) {
     Stop(absl::OkStatus());
   } else if (options_.isRegistered_()) {
@@ -117,8 +121,8 @@
   }
   if (!std::exchange(timedOut_, true)) {
     Log(Part::kRouter, Level::kWarning, "ending the requests in flight");
-    options_.onDrainTimeout_();
     options_.onStopReading_();
+    options_.onDrainTimeout_();
   }
   return aNowMs - drainByMs_ >= kReplyTimeoutMs;
 }
--- a/packages/router/src/process/RouterTask.cpp
+++ b/packages/router/src/process/RouterTask.cpp
@@ -296,6 +296,11 @@
           },
         .onEnded_ =
           [this] {
+            if (shutdown_.IsDeregistered()) {
+              // The reply to the deregistration was lost.
+              shutdown_.OnDeregistered(EventLoop::NowMs());
+              return;
+            }
             shutdown_.Stop(model::MakeError(
               model::ErrorKind::kForbidden,
               "incarnation",
--- a/packages/transport/src/connection/HttpExchange.cpp
+++ b/packages/transport/src/connection/HttpExchange.cpp
@@ -215,7 +215,7 @@
   for (const auto& header : aHeaders) {
     evhttp_add_header(output, header.name_.c_str(), header.value_.c_str());
   }
-  if (closeAfterReply_) {
+  if (closeAfterReply_ || connection_.HasStoppedReading()) {
     evhttp_add_header(output, "Connection", "close");
   }
 }
--- a/packages/transport/src/connection/HttpServer.cpp
+++ b/packages/transport/src/connection/HttpServer.cpp
@@ -278,7 +278,7 @@
 {
   StopListening();
   for (const auto& [stream, connection] : state_->connections_) {
-    bufferevent_disable(stream, EV_READ);
+    connection->StopReading();
   }
 }
 
--- a/packages/transport/src/connection/ServerConnection.cpp
+++ b/packages/transport/src/connection/ServerConnection.cpp
@@ -284,6 +284,12 @@
   self->outputBytes_ += aInfo->n_added - aInfo->n_deleted;
   self->progressMs_ = EventLoop::NowMs();
   self->Report();
+  if (self->hasStoppedReading_ &&
+      self->Stage() == CallerConnectionStage::kIdle) {
+    // evhttp would read on behind its response.
+    self->CloseDeferred();
+    return;
+  }
   if (self->malformed_ && self->Stage() == CallerConnectionStage::kIdle) {
     // Deferred, since evhttp has to end its response first.
     self->loop_.Defer([connection = self->self_] {
@@ -462,7 +468,7 @@
 void
 ServerConnection::ReadBody()
 {
-  if (std::exchange(isBodyOnHold_, false)) {
+  if (std::exchange(isBodyOnHold_, false) && !hasStoppedReading_) {
     progressMs_ = EventLoop::NowMs();
     bufferevent_enable(stream_, EV_READ);
   }
@@ -482,6 +488,13 @@
   ReadBody();
 }
 
+void
+ServerConnection::StopReading()
+{
+  hasStoppedReading_ = true;
+  bufferevent_disable(stream_, EV_READ);
+}
+
 bool
 ServerConnection::OnRequest(std::string_view aMethod, size_t aBodyBytes)
 {
--- a/packages/transport/src/connection/ServerConnection.h
+++ b/packages/transport/src/connection/ServerConnection.h
@@ -66,6 +66,11 @@
 
   /// Sets a callback that runs at most once, when the connection is closed.
   void SetClosedHook(std::function<void()> aHook);
+  /// Reads nothing more; the connection closes behind the response that is
+  /// pending, if there is one.
+  void StopReading();
+  /// Whether the pending response is the last one.
+  bool HasStoppedReading() const { return hasStoppedReading_; }
   /// Closes the connection from the loop, since evhttp may be in one of its
   /// callbacks; does nothing if evhttp closes it first, as it does on errors.
   void CloseDeferred();
@@ -167,6 +172,7 @@
   bool isResponseEnding_ = false;
   bool intakeOpen_ = false;
   bool isBodyOnHold_ = false;
+  bool hasStoppedReading_ = false;
   /// Input of the next request was read along with the one that is served.
   bool hasNextInput_ = false;
   std::function<void()> closedHook_;
--- a/tests/router/process/RouterShutdownTest.cpp
+++ b/tests/router/process/RouterShutdownTest.cpp
@@ -128,6 +128,22 @@
   EXPECT_FALSE(router.isReading_);
 }
 
+TEST(RouterShutdown, DeregistrationWaitsNoLongerThanTheGracePeriod)
+{
+  constexpr int64_t kGraceMs = 7'100;
+  FakeRouter router;
+  router.idle_ = false;
+  auto options = router.Options();
+  options.graceMs_ = kGraceMs;
+  RouterShutdown shutdown(std::move(options));
+  shutdown.Begin(0);
+  shutdown.OnTick(kLeaveMs);
+  router.idle_ = true;
+  shutdown.OnTick(kGraceMs - 1);
+  shutdown.OnTick(kGraceMs);
+  EXPECT_FALSE(router.isReading_);
+}
+
 TEST(RouterShutdown, DrainTimesOut)
 {
   FakeRouter router;
--- a/tests/transport/connection/HttpServerTest.cpp
+++ b/tests/transport/connection/HttpServerTest.cpp
@@ -99,6 +99,32 @@
   EXPECT_EQ(requests, 1);
 }
 
+TEST(HttpServer, NextRequestOfARepliedConnectionIsNotReadAfterStopReading)
+{
+  constexpr std::string_view kRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  constexpr int64_t kQuietMs = 100;
+  EventLoop loop;
+  int requests = 0;
+  HttpServer server(loop, { .onRequest_ = [&](auto aExchange) {
+                      ++requests;
+                      aExchange->Reply(200, {}, kServed);
+                      server.StopReading();
+                    } });
+  ASSERT_TRUE(server.Listen({ ProcessLoopbackHost(), kPort }).ok());
+  Waker done(loop, [&] { loop.Stop(); });
+  std::thread caller([&] {
+    const int first = ConnectTo(kPort);
+    EXPECT_TRUE(SendRequest(first, kRequest, kServed));
+    send(first, kRequest.data(), kRequest.size(), MSG_NOSIGNAL);
+    std::this_thread::sleep_for(std::chrono::milliseconds(kQuietMs));
+    done.Wake();
+    close(first);
+  });
+  loop.Run();
+  caller.join();
+  EXPECT_EQ(requests, 1);
+}
+
 class HttpServerEndless : public testing::TestWithParam<EndlessCase>
 {};
 
