--- a/packages/control/src/process/VersionAdmission.cpp
+++ b/packages/control/src/process/VersionAdmission.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "cactuswick/telemetry/process/Log.h"
 
@@ -57,11 +58,16 @@
 VersionAdmission::Update(int64_t aNowMs)
 {
   lastUpdateMs_ = aNowMs;
-  std::erase_if(proposedMs_,
-                [&](const auto& aPair) { return IsAdmitted(aPair.first); });
-  for (const auto& origin : options_.announced_()) {
-    seenMs_[origin] = aNowMs;
-    if (!IsAdmitted(origin)) {
+  const auto announced = options_.announced_();
+  std::erase_if(proposedMs_, [&](const auto& aPair) {
+    return IsAdmitted(aPair.first) || !announced.contains(aPair.first);
+  });
+  std::erase_if(seenMs_,
+                [&](const auto& aPair) { return !IsAdmitted(aPair.first); });
+  for (const auto& origin : announced) {
+    if (IsAdmitted(origin)) {
+      seenMs_[origin] = aNowMs;
+    } else {
       Admit(origin, aNowMs);
     }
   }
@@ -88,6 +94,7 @@
     return;
   }
   proposedMs_[aOrigin] = aNowMs;
+  MakeRoom(aOrigin.service_, aNowMs);
   Log(Part::kControl,
       Level::kInfo,
       Concat("admits a software version", Describe(aOrigin)));
@@ -98,19 +105,54 @@
 void
 VersionAdmission::WithdrawUnseen(int64_t aNowMs)
 {
+  std::vector<model::StreamOrigin> unseen;
   for (const auto& [service, versions] : options_.ledger_.Versions()) {
     for (const auto& version : versions) {
       const model::StreamOrigin origin{ service, version };
       const auto seen = seenMs_.try_emplace(origin, aNowMs).first;
       if (aNowMs - seen->second >= kVersionKeptMs) {
-        Log(Part::kControl,
-            Level::kInfo,
-            Concat("withdraws a software version", Describe(origin)));
-        options_.propose_(ledger::WithdrawVersion{ service, version });
+        unseen.push_back(origin);
         seen->second = aNowMs;
       }
     }
   }
+  for (const auto& origin : unseen) {
+    Withdraw(origin);
+  }
+}
+
+void
+VersionAdmission::MakeRoom(const std::string& aService, int64_t aNowMs)
+{
+  const auto& admitted = options_.ledger_.Versions();
+  const auto found = admitted.find(aService);
+  if (found == admitted.end() ||
+      found->second.size() < ledger::kMaxAdmittedVersions) {
+    return;
+  }
+  model::StreamOrigin longest;
+  int64_t longestSeenMs = aNowMs;
+  for (const auto& version : found->second) {
+    const model::StreamOrigin origin{ aService, version };
+    const auto seen = seenMs_.find(origin);
+    if (seen != seenMs_.end() && seen->second < longestSeenMs) {
+      longest = origin;
+      longestSeenMs = seen->second;
+    }
+  }
+  if (longestSeenMs < aNowMs) {
+    Withdraw(longest);
+  }
+}
+
+void
+VersionAdmission::Withdraw(const model::StreamOrigin& aOrigin)
+{
+  Log(Part::kControl,
+      Level::kInfo,
+      Concat("withdraws a software version", Describe(aOrigin)));
+  options_.propose_(
+    ledger::WithdrawVersion{ aOrigin.service_, aOrigin.softwareVersion_ });
 }
 
 } // namespace cactuswick::control
--- a/packages/control/src/process/VersionAdmission.h
+++ b/packages/control/src/process/VersionAdmission.h
@@ -37,6 +37,10 @@
 private:
   void Update(int64_t aNowMs);
   void Admit(const model::StreamOrigin& aOrigin, int64_t aNowMs);
+  /// Withdraws the version of a service that was not announced for longest, if
+  /// the service has no room for another.
+  void MakeRoom(const std::string& aService, int64_t aNowMs);
+  void Withdraw(const model::StreamOrigin& aOrigin);
   void WithdrawUnseen(int64_t aNowMs);
   bool IsAdmitted(const model::StreamOrigin& aOrigin) const;
 
--- a/packages/router/src/connection/ForwardApi.cpp
+++ b/packages/router/src/connection/ForwardApi.cpp
@@ -234,6 +234,7 @@
   aPlan.tryTakeRetry_ = [this, service = aPlan.service_] {
     return RetryBudgetOf(service).TryTake();
   };
+  aPlan.tokensPerEvent_ = 1;
   const auto* service = deployment_->FindService(aPlan.service_);
   if (service == nullptr || !service->engine_) {
     return absl::OkStatus();
--- a/packages/router/src/process/Dispatcher.cpp
+++ b/packages/router/src/process/Dispatcher.cpp
@@ -121,11 +121,11 @@
 Dispatcher::DispatchQueued(const std::string& aServes)
 {
   ServiceQueue& serviceQueue = serviceQueues_[aServes];
-  std::vector<routing::QueuedRequest> unplaced;
+  Unplaced unplaced;
   while (serviceQueue.queue_.Size() > 0 &&
          PlaceNext(aServes, serviceQueue, unplaced)) {
   }
-  for (const auto& request : unplaced) {
+  for (const auto& request : unplaced.requests_) {
     // It has not used its turn. A hook may have cancelled it meanwhile.
     serviceQueue.queue_.CorrectCost(request, 0);
     if (requests_.contains(request.id_)) {
@@ -137,7 +137,7 @@
 bool
 Dispatcher::PlaceNext(const std::string& aServes,
                       ServiceQueue& aServiceQueue,
-                      std::vector<routing::QueuedRequest>& aUnplaced)
+                      Unplaced& aUnplaced)
 {
   const int64_t now = EventLoop::NowMs();
   // Without a free slot nothing is popped, as a popped request has used its
@@ -147,14 +147,12 @@
   }
   const auto next = aServiceQueue.queue_.Pop();
   const auto found = requests_.find(next->id_);
-  auto place = Acquire(found->second, found->second.excluded_, now);
+  const auto& version = found->second.softwareVersion_;
+  const bool isBusy = version && aUnplaced.busyVersions_.contains(*version);
+  const auto place = isBusy ? std::nullopt : Choose(found->second, now);
   if (!place) {
-    // Only endpoints at which earlier attempts failed have a free slot: better
-    // than none.
-    place = Acquire(found->second, {}, now);
-  }
-  if (!place) {
-    aUnplaced.push_back(*next);
+    aUnplaced.requests_.push_back(*next);
+    aUnplaced.busyVersions_.insert(version.value_or(""));
     return true;
   }
   const DispatchRequest request = std::move(found->second);
@@ -164,6 +162,13 @@
   return true;
 }
 
+std::optional<routing::PromptPlacement>
+Dispatcher::Choose(const DispatchRequest& aRequest, int64_t aNowMs)
+{
+  auto place = Acquire(aRequest, aRequest.excluded_, aNowMs);
+  return place ? std::move(place) : Acquire(aRequest, {}, aNowMs);
+}
+
 std::optional<routing::PromptPlacement>
 Dispatcher::Acquire(const DispatchRequest& aRequest,
                     const std::vector<std::string>& aExcluded,
--- a/packages/router/src/process/Dispatcher.h
+++ b/packages/router/src/process/Dispatcher.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -129,12 +130,24 @@
   void EndEvacuated(int64_t aNowMs);
   void ScheduleDispatch(const std::string& aServes);
   void DispatchQueued(const std::string& aServes);
+  /// Requests that could not be placed in one pass through a queue.
+  struct Unplaced
+  {
+    std::vector<routing::QueuedRequest> requests_;
+    /// Software versions of which no endpoint has a free slot.
+    std::set<std::string> busyVersions_;
+  };
   /// Places the request whose turn it is, or moves it to @p aUnplaced if no
   /// endpoint of its software version has a free slot. Returns false if no
   /// endpoint has.
   bool PlaceNext(const std::string& aServes,
                  ServiceQueue& aServiceQueue,
-                 std::vector<routing::QueuedRequest>& aUnplaced);
+                 Unplaced& aUnplaced);
+  /// Chooses an endpoint, also one at which an earlier attempt failed if no
+  /// other has a free slot.
+  std::optional<routing::PromptPlacement> Choose(
+    const DispatchRequest& aRequest,
+    int64_t aNowMs);
   std::optional<routing::PromptPlacement> Acquire(
     const DispatchRequest& aRequest,
     const std::vector<std::string>& aExcluded,
--- a/packages/router/src/process/ForwardRole.cpp
+++ b/packages/router/src/process/ForwardRole.cpp
@@ -44,6 +44,9 @@
 constexpr int64_t kGrantHorizonMs = 9'000;
 constexpr int64_t kRefillPercent = 85;
 constexpr int64_t kMarginPercent = 140;
+/// Time since the leader was heard of after which it may have admitted versions
+/// that this router does not know.
+constexpr int64_t kContactMs = 1'500;
 constexpr int kHttpUnavailable = 503;
 constexpr int64_t kMsPerSecond = 1'000;
 
@@ -161,10 +164,17 @@
 ForwardRole::OriginsOptions()
 {
   return { .endpoints_ = options_.dispatcher_.Endpoints(),
+           .isInContact_ =
+             [this] {
+               return options_.control_.IsReachable() &&
+                      EventLoop::NowMs() - options_.control_.LastReceiveMs() <=
+                        kContactMs;
+             },
            .self_ = options_.self_,
-           .send_ = [this](const transport::PeerMessage& aMessage) {
-             options_.control_.SendUnreliable(aMessage);
-           } };
+           .send_ =
+             [this](const transport::PeerMessage& aMessage) {
+               options_.control_.SendUnreliable(aMessage);
+             } };
 }
 
 bool
--- a/packages/router/src/process/StreamOrigins.cpp
+++ b/packages/router/src/process/StreamOrigins.cpp
@@ -28,7 +28,9 @@
   const auto [found, isNew] =
     streams_.try_emplace(aStream, KnownStream{ .origin_ = aOrigin });
   KnownStream& stream = found->second;
-  stream.isAmbiguous_ |= !isNew && stream.origin_ != aOrigin;
+  if (!isNew && stream.origin_ != aOrigin) {
+    stream.other_ = aOrigin;
+  }
   stream.sinceMs_ = aNowMs;
   order_.emplace_back(aStream, aNowMs);
   DropOld(aNowMs);
@@ -64,10 +66,14 @@
 {
   if (aQuery.stream_) {
     const auto found = streams_.find(*aQuery.stream_);
-    if (found != streams_.end() && !found->second.isAmbiguous_) {
+    if (found != streams_.end() && !found->second.other_) {
       return found->second.origin_;
     }
   }
+  if (!options_.isInContact_()) {
+    // Another version may have been admitted meanwhile.
+    return std::nullopt;
+  }
   const bool isOfOneVersion = std::all_of(
     aQuery.services_.begin(),
     aQuery.services_.end(),
@@ -118,6 +124,7 @@
 StreamOrigins::Ask(Question& aQuestion, int64_t aNowMs) const
 {
   aQuestion.askedMs_ = aNowMs;
+  ++aQuestion.asked_;
   options_.send_(transport::Gossip{
     .from_ = options_.self_(),
     .streams_ = transport::StreamGossip{ .sought_ = { aQuestion.stream_ } } });
@@ -130,6 +137,9 @@
   for (const auto& [stream, known] : streams_) {
     if (MayBeOfSeveralVersions(known.origin_.service_)) {
       unreported_[known.origin_].push_back(stream);
+      if (known.other_) {
+        unreported_[*known.other_].push_back(stream);
+      }
     }
   }
 }
@@ -142,7 +152,8 @@
   }
   for (const auto& group : aGossip.streams_->began_) {
     for (const auto stream : group.streams_) {
-      EndQuestions(stream, group.origin_);
+      EndQuestions([=](const Question& aOne) { return aOne.stream_ == stream; },
+                   group.origin_);
     }
   }
   for (const auto stream : aGossip.streams_->unknown_) {
@@ -153,24 +164,26 @@
 void
 StreamOrigins::OnUnknown(model::StreamKey aStream)
 {
-  bool isGivenUp = false;
   for (auto& [request, question] : questions_) {
-    isGivenUp |=
-      question.stream_ == aStream && ++question.unknown_ >= kUnknownReplies;
-  }
-  if (isGivenUp) {
-    EndQuestions(aStream, std::nullopt);
+    // The reply may be to another request's question.
+    if (question.stream_ == aStream && question.unknown_ < question.asked_) {
+      ++question.unknown_;
+    }
   }
+  EndQuestions(
+    [](const Question& aOne) { return aOne.unknown_ >= kUnknownReplies; },
+    std::nullopt);
 }
 
 void
-StreamOrigins::EndQuestions(model::StreamKey aStream,
-                            const std::optional<model::StreamOrigin>& aOrigin)
+StreamOrigins::EndQuestions(
+  const std::function<bool(const Question&)>& aCondition,
+  const std::optional<model::StreamOrigin>& aOrigin)
 {
   // A hook may cancel other questions, so they are taken out first.
   std::vector<FoundHook> hooks;
   std::erase_if(questions_, [&](auto& aPair) {
-    const bool ends = aPair.second.stream_ == aStream;
+    const bool ends = aCondition(aPair.second);
     if (ends) {
       hooks.push_back(std::move(aPair.second.hook_));
     }
@@ -193,17 +206,16 @@
     options_.send_(transport::Gossip{ .from_ = options_.self_(),
                                       .streams_ = std::move(report) });
   }
-  std::vector<model::StreamKey> expired;
+  EndQuestions(
+    [&](const Question& aOne) {
+      return aNowMs - aOne.sinceMs_ >= options_.timeoutMs_;
+    },
+    std::nullopt);
   for (auto& [request, question] : questions_) {
-    if (aNowMs - question.sinceMs_ >= options_.timeoutMs_) {
-      expired.push_back(question.stream_);
-    } else if (aNowMs - question.askedMs_ >= kAskAgainMs) {
+    if (aNowMs - question.askedMs_ >= kAskAgainMs) {
       Ask(question, aNowMs);
     }
   }
-  for (const auto stream : expired) {
-    EndQuestions(stream, std::nullopt);
-  }
 }
 
 } // namespace cactuswick::router
--- a/packages/router/src/process/StreamOrigins.h
+++ b/packages/router/src/process/StreamOrigins.h
@@ -26,6 +26,9 @@
   /// Time after which a question without a reply is given up.
   int64_t timeoutMs_ = 1'000;
   const routing::EndpointTable& endpoints_;
+  /// Returns whether the leader has been heard of just now, so that the
+  /// admitted versions are those in force.
+  std::function<bool()> isInContact_ = [] { return true; };
   /// Returns the incarnation of this router.
   std::function<ledger::Incarnation()> self_;
   /// Sends a message to the leader; it may be lost.
@@ -82,8 +85,8 @@
   struct KnownStream
   {
     model::StreamOrigin origin_;
-    /// Another origin was recorded for the same stream.
-    bool isAmbiguous_ = false;
+    /// Another origin that was recorded for the same stream.
+    std::optional<model::StreamOrigin> other_;
     int64_t sinceMs_ = 0;
   };
 
@@ -93,7 +96,8 @@
     FoundHook hook_;
     int64_t sinceMs_ = 0;
     int64_t askedMs_ = 0;
-    /// Number of replies that said that the stream is unknown.
+    int64_t asked_ = 0;
+    /// Number of times asked to which the reply was that it is unknown.
     int64_t unknown_ = 0;
   };
 
@@ -104,7 +108,8 @@
   /// several.
   std::optional<std::string> OnlyVersionOf(const std::string& aService) const;
   void Ask(Question& aQuestion, int64_t aNowMs) const;
-  void EndQuestions(model::StreamKey aStream,
+  /// Ends the questions that meet a condition.
+  void EndQuestions(const std::function<bool(const Question&)>& aCondition,
                     const std::optional<model::StreamOrigin>& aOrigin);
   void OnUnknown(model::StreamKey aStream);
   void DropOld(int64_t aNowMs);
--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -56,7 +56,7 @@
                 .maxSends_ = plan_.route_.maxAttempts_,
                 .deadlineMs_ = plan_.deadlineMs_,
                 .minTimeLeftMs_ = kMinAttemptMs,
-                .tryTakeRetry_ = plan_.tryTakeRetry_ })
+                .tryTakeRetry_ = [this] { return plan_.tryTakeRetry_(); } })
   , relay_(RelayOptionsOf(plan_))
   , prefill_(aDependencies.dispatcher_, aDependencies.metrics_)
   , deadlineTimer_(aDependencies.loop_, [this] { OnDeadline(); })
--- a/packages/router/src/request/ForwardExchangeOrigin.cpp
+++ b/packages/router/src/request/ForwardExchangeOrigin.cpp
@@ -35,6 +35,7 @@
       Fail(status);
       return;
     }
+    relay_ = ResponseRelay(RelayOptionsOf(plan_));
   }
   if (!FailIfVersionGone()) {
     Admit();
@@ -57,7 +58,10 @@
 bool
 ForwardExchange::FailIfVersionGone()
 {
-  if (!origin_ || dependencies_.dispatcher_.ServesAt(*origin_)) {
+  const Dispatcher& dispatcher = dependencies_.dispatcher_;
+  // If no endpoint serves at all, the version may come back.
+  if (!origin_ || dispatcher.ServesAt(*origin_) ||
+      !dispatcher.Serves(origin_->service_)) {
     return false;
   }
   Fail(VersionGoneError(*origin_));
--- a/packages/routing/include/cactuswick/routing/process/EndpointTable.h
+++ b/packages/routing/include/cactuswick/routing/process/EndpointTable.h
@@ -76,8 +76,8 @@
   /// admitted.
   void SetAdmittedVersions(AdmittedVersions aVersions);
   const AdmittedVersions& Admitted() const { return admitted_; }
-  /// Returns the software versions of the known endpoints of a service, also of
-  /// those that leave.
+  /// Returns the software versions that endpoints of a service have announced
+  /// to this router so far, also those that have left.
   std::set<std::string> VersionsOf(const std::string& aServes) const;
   /// Returns whether any endpoint of the origin's service and software version
   /// may get requests, even if all slots are taken.
@@ -216,6 +216,7 @@
   /// Takes older endpoints with the same address out of use.
   void SupersedeAtAddress(const model::Announcement& aAnnouncement);
   bool IsRetired(const model::Announcement& aAnnouncement) const;
+  void RecordVersion(const model::Announcement& aAnnouncement);
 
   /// Returns whether an endpoint serves @p aServes, evacuated or not.
   static bool IsAvailable(const EndpointState& aEndpoint,
@@ -239,6 +240,8 @@
   EndpointTableOptions options_;
   Evacuations evacuations_;
   AdmittedVersions admitted_;
+  /// Software versions that were announced so far, by service.
+  std::map<std::string, std::set<std::string>> announcedVersions_;
   WarmUp warmUp_;
   PrefillView othersPrefill_;
   std::map<std::string, EndpointState> endpoints_;
--- a/packages/routing/src/process/EndpointAvailability.cpp
+++ b/packages/routing/src/process/EndpointAvailability.cpp
@@ -7,6 +7,14 @@
 
 namespace cactuswick::routing {
 
+namespace {
+
+/// Versions of one service that are recorded; two are enough to know that there
+/// are several.
+constexpr size_t kMaxRecordedVersions = 8;
+
+} // namespace
+
 void
 EndpointTable::SetEvacuations(Evacuations aEvacuations)
 {
@@ -32,14 +40,20 @@
 std::set<std::string>
 EndpointTable::VersionsOf(const std::string& aServes) const
 {
-  std::set<std::string> versions;
-  for (const auto& [name, endpoint] : endpoints_) {
-    const auto& serves = endpoint.announcement_.serves_;
-    if (std::find(serves.begin(), serves.end(), aServes) != serves.end()) {
-      versions.insert(endpoint.announcement_.softwareVersion_);
+  const auto found = announcedVersions_.find(aServes);
+  return found == announcedVersions_.end() ? std::set<std::string>()
+                                           : found->second;
+}
+
+void
+EndpointTable::RecordVersion(const model::Announcement& aAnnouncement)
+{
+  for (const auto& service : aAnnouncement.serves_) {
+    auto& versions = announcedVersions_[service];
+    if (versions.size() < kMaxRecordedVersions) {
+      versions.insert(aAnnouncement.softwareVersion_);
     }
   }
-  return versions;
 }
 
 bool
--- a/packages/routing/src/process/EndpointTable.cpp
+++ b/packages/routing/src/process/EndpointTable.cpp
@@ -59,6 +59,7 @@
   const auto found = endpoints_.find(aAnnouncement.endpoint_);
   if (found == endpoints_.end()) {
     SupersedeAtAddress(aAnnouncement);
+    RecordVersion(aAnnouncement);
     endpoints_[aAnnouncement.endpoint_] =
       EndpointState{ .announcement_ = aAnnouncement,
                      .announcedMs_ = aNowMs - aAgeMs,
@@ -77,6 +78,9 @@
     model::KeepSoftwareVersion(aAnnouncement, endpoint.announcement_);
   const bool renewal =
     model::IsRenewal(next, endpoint.announcement_, elapsedMs);
+  if (!renewal) {
+    RecordVersion(next);
+  }
   if (aAnnouncement.incarnation_ != endpoint.announcement_.incarnation_) {
     endpoint.failures_ = 0;
     endpoint.ejectedUntilMs_ = 0;
--- a/tests/control/process/VersionAdmissionTest.cpp
+++ b/tests/control/process/VersionAdmissionTest.cpp
@@ -1,5 +1,6 @@
 #include "process/VersionAdmission.h"
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -95,5 +96,44 @@
   EXPECT_EQ(Admitted(), (Versions{ "1" }));
 }
 
+TEST_F(VersionAdmissionTest, VersionThatLeftUnadmittedIsNoLongerLookedFor)
+{
+  constexpr int64_t kStepMs = 20;
+  constexpr int64_t kQuietMs = 4'000;
+  int looks = 0;
+  VersionAdmission admission({ .ledger_ = ledger_,
+                               .announced_ =
+                                 [&] {
+                                   ++looks;
+                                   return announced_;
+                                 },
+                               .propose_ = [](const ledger::Command&) {} });
+  announced_ = { { "s", "1" } };
+  admission.OnTick(true, 0);
+  announced_.clear();
+  admission.OnEndpointsChanged();
+  admission.OnTick(true, kStepMs);
+  looks = 0;
+  for (int64_t now = 2 * kStepMs; now <= kQuietMs; now += kStepMs) {
+    admission.OnTick(true, now);
+  }
+  EXPECT_EQ(looks, 0);
+}
+
+TEST_F(VersionAdmissionTest, EndpointThatChangesItsVersionShutsNoOtherOut)
+{
+  constexpr int64_t kPingMs = 1'000;
+  constexpr int64_t kPings = 40;
+  for (int64_t ping = 0; ping < kPings; ++ping) {
+    announced_ = { { "s", std::to_string(ping) } };
+    admission_.OnTick(true, ping * kPingMs);
+    admission_.OnEndpointsChanged();
+  }
+  announced_ = { { "s", "new" } };
+  admission_.OnTick(true, kPings * kPingMs);
+  const auto admitted = Admitted();
+  EXPECT_NE(std::find(admitted.begin(), admitted.end(), "new"), admitted.end());
+}
+
 } // namespace
 } // namespace cactuswick::control
--- a/tests/router/process/StreamOriginsTest.cpp
+++ b/tests/router/process/StreamOriginsTest.cpp
@@ -22,6 +22,7 @@
     : table_({})
     , origins_({ .timeoutMs_ = kTimeoutMs,
                  .endpoints_ = table_,
+                 .isInContact_ = [this] { return isInContact_; },
                  .self_ = [] { return kSelf; },
                  .send_ =
                    [this](const transport::PeerMessage& aMessage) {
@@ -59,6 +60,7 @@
   routing::EndpointTable table_;
   std::vector<transport::StreamGossip> sent_;
   StreamOrigins origins_;
+  bool isInContact_ = true;
   int replies_ = 0;
   std::optional<model::StreamOrigin> found_;
 };
@@ -73,6 +75,20 @@
   EXPECT_TRUE(sent_.empty());
 }
 
+TEST_F(StreamOriginsTest, OutOfContactTheOnlyKnownVersionMayNotBeTheOnlyOne)
+{
+  Admit({ "1" });
+  isInContact_ = false;
+  Find(kQuery);
+  EXPECT_EQ(replies_, 0);
+  origins_.OnTick(kTimeoutMs);
+  EXPECT_EQ(replies_, 1);
+  EXPECT_EQ(found_, std::nullopt);
+  origins_.OnBegan(kStream, kOld, 0);
+  Find(kQuery);
+  EXPECT_EQ(found_, kOld);
+}
+
 TEST_F(StreamOriginsTest, OwnStreamIsKnownAmongSeveralVersions)
 {
   Admit({ "1", "2" });
@@ -205,5 +221,55 @@
   EXPECT_EQ(replies_, 1);
 }
 
+TEST_F(StreamOriginsTest, IdOfStreamsAtTwoVersionsStaysUnknownToANewLeader)
+{
+  Admit({ "1", "2" });
+  origins_.OnBegan(kStream, kOld, 0);
+  origins_.OnBegan(kStream, kNew, 0);
+  origins_.OnTick(1);
+  sent_.clear();
+  origins_.ReportAll();
+  origins_.OnTick(2);
+  // Either both origins, from which control tells that it is ambiguous, or
+  // none.
+  const size_t reported = sent_.empty() ? 0 : sent_.front().began_.size();
+  EXPECT_NE(reported, 1U);
+}
+
+TEST_F(StreamOriginsTest, TwoRequestsForOneStreamAreEachAskedForOnceMore)
+{
+  Admit({ "1", "2" });
+  const auto count = [this](std::optional<model::StreamOrigin>) { ++replies_; };
+  origins_.Find(1, kQuery, count, 0);
+  origins_.Find(2, kQuery, count, 0);
+  Receive({ .unknown_ = { kStream } });
+  Receive({ .unknown_ = { kStream } });
+  EXPECT_EQ(replies_, 0);
+}
+
+TEST_F(StreamOriginsTest, WithoutAdmittedVersionsAVersionThatHasLeftStillCounts)
+{
+  constexpr int64_t kLeaseMs = 10;
+  const auto announce = [this](const std::string& aName,
+                               const std::string& aVersion,
+                               int64_t aNowMs) {
+    table_.ApplyAnnouncement({ .endpoint_ = aName,
+                               .serves_ = { "s" },
+                               .address_ = aName + ":1",
+                               .incarnation_ = 1,
+                               .sequence_ = 1,
+                               .leaseMs_ = kLeaseMs,
+                               .softwareVersion_ = aVersion },
+                             0,
+                             aNowMs);
+  };
+  announce("a", "1", 0);
+  table_.Expire(kLeaseMs + 1);
+  announce("b", "2", kLeaseMs + 1);
+  // A stream that another router began at version 1 is taken up here.
+  Find(kQuery);
+  EXPECT_NE(found_, kNew);
+}
+
 } // namespace
 } // namespace cactuswick::router
