Whether an endpoint's software version is admitted is kept with the endpoint

Placement asks for each endpoint several times a request; it looked the version up by two strings each time. The slope tool's keys overflowed, which never ended.

--- a/packages/routing/include/cactuswick/routing/process/EndpointState.h
+++ b/packages/routing/include/cactuswick/routing/process/EndpointState.h
@@ -31,6 +31,8 @@
   /// Time at which a prompt was last placed there, by prefix hash.
   std::map<uint64_t, int64_t> prefixPlacedMs_;
   EndpointSignals signals_;
+  /// The endpoint's software version is admitted for its services.
+  bool isAdmitted_ = true;
 };
 
 } // namespace cactuswick::routing
--- a/packages/routing/include/cactuswick/routing/process/EndpointTable.h
+++ b/packages/routing/include/cactuswick/routing/process/EndpointTable.h
@@ -217,6 +217,8 @@
   void SupersedeAtAddress(const model::Announcement& aAnnouncement);
   bool IsRetired(const model::Announcement& aAnnouncement) const;
   void RecordVersion(const model::Announcement& aAnnouncement);
+  /// Returns whether the software version is admitted for all services.
+  bool IsAdmitted(const model::Announcement& aAnnouncement) const;
 
   /// Returns whether an endpoint serves @p aServes, evacuated or not.
   static bool IsAvailable(const EndpointState& aEndpoint,
--- a/packages/routing/src/process/EndpointAvailability.cpp
+++ b/packages/routing/src/process/EndpointAvailability.cpp
@@ -28,13 +28,26 @@
 {
   return IsAvailable(aEndpoint, aServes, aNowMs) &&
          !evacuations_.Contains(aEndpoint.announcement_.failureDomain_) &&
-         admitted_.Admits(aServes, aEndpoint.announcement_.softwareVersion_);
+         aEndpoint.isAdmitted_;
 }
 
 void
 EndpointTable::SetAdmittedVersions(AdmittedVersions aVersions)
 {
   admitted_ = std::move(aVersions);
+  for (auto& [name, endpoint] : endpoints_) {
+    endpoint.isAdmitted_ = IsAdmitted(endpoint.announcement_);
+  }
+}
+
+bool
+EndpointTable::IsAdmitted(const model::Announcement& aAnnouncement) const
+{
+  const auto& serves = aAnnouncement.serves_;
+  return std::all_of(
+    serves.begin(), serves.end(), [&](const std::string& aService) {
+      return admitted_.Admits(aService, aAnnouncement.softwareVersion_);
+    });
 }
 
 std::set<std::string>
--- a/packages/routing/src/process/EndpointTable.cpp
+++ b/packages/routing/src/process/EndpointTable.cpp
@@ -63,7 +63,8 @@
     endpoints_[aAnnouncement.endpoint_] =
       EndpointState{ .announcement_ = aAnnouncement,
                      .announcedMs_ = aNowMs - aAgeMs,
-                     .window_ = static_cast<double>(aAnnouncement.slots_) };
+                     .window_ = static_cast<double>(aAnnouncement.slots_),
+                     .isAdmitted_ = IsAdmitted(aAnnouncement) };
     UpdateCold(aAnnouncement, aAgeMs, aNowMs);
     return true;
   }
@@ -80,6 +81,7 @@
     model::IsRenewal(next, endpoint.announcement_, elapsedMs);
   if (!renewal) {
     RecordVersion(next);
+    endpoint.isAdmitted_ = IsAdmitted(next);
   }
   if (aAnnouncement.incarnation_ != endpoint.announcement_.incarnation_) {
     endpoint.failures_ = 0;
--- a/packages/standin/src/process/SlopesMain.cpp
+++ b/packages/standin/src/process/SlopesMain.cpp
@@ -344,16 +344,17 @@
 void
 MeasureStreamOrigins()
 {
-  constexpr model::StreamKey kSpread = 0x1e37'79b9'7f4a'7c15;
   constexpr int kStreams = 174'000;
   constexpr int kKeptMs = 60'000;
   control::StreamDirectory directory(
     { .sendToReplicas_ = [](const transport::PeerMessage&) {} });
-  const auto report = [](model::StreamKey aStream) {
+  const auto report = [](int aNumber) {
     return transport::Gossip{ .from_ = 1,
                               .streams_ = transport::StreamGossip{
-                                .began_ = { { { "language-model", "v1.2.3" },
-                                              { aStream * kSpread } } } } };
+                                .began_ = {
+                                  { { "language-model", "v1.2.3" },
+                                    { model::StreamKeyOf(
+                                      "w", std::to_string(aNumber)) } } } } };
   };
   const double before = AllocatedBytes();
   const double storeMs = ElapsedMs([&] {
