A response that ends with its head is sent without a body

Cause: evhttp_send_reply sends the body it is given, whatever the method and the status are; it only leaves out Content-Length. HttpExchange::Reply always gave it one. The same elsewhere: replies with 204 and 304, refusals at the head and of a connection that is cut (PrintEarlyResponse), and evhttp's own page of HTML for a target that it cannot parse. AbortAfter, on a stream without a body, left the channel open without an answer, as evhttp drops the chunk and its callback.

Change: Reply drops the body where HTTP has none; PrintEarlyResponse takes the method; AbortAfter aborts there; a target that evhttp cannot parse is refused with 400 before evhttp sees it, with a log line, also for other methods.

--- a/packages/transport/include/cactuswick/transport/connection/HttpExchange.h
+++ b/packages/transport/include/cactuswick/transport/connection/HttpExchange.h
@@ -55,10 +55,11 @@
   /// "Connection: close". Takes effect if called before the response starts.
   void CloseAfterReply() { closeAfterReply_ = true; }
 
-  /// Sends a complete response.
+  /// Sends a complete response; without the body if the response can have none,
+  /// by its status or the method HEAD.
   void Reply(int aStatus, const Headers& aHeaders, std::string_view aBody);
 
-  /// Starts a chunked response.
+  /// Starts a chunked response; chunks are dropped if it can have no body.
   void StartStream(int aStatus, const Headers& aHeaders);
   void SendChunk(std::string_view aData);
   /// Returns the estimated memory in bytes of chunks not yet written to the
--- a/packages/transport/src/connection/EarlyResponseText.cpp
+++ b/packages/transport/src/connection/EarlyResponseText.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 std::string
-PrintEarlyResponse(const EarlyResponse& aResponse)
+PrintEarlyResponse(const EarlyResponse& aResponse, std::string_view aMethod)
 {
   std::string text = model::Concat("HTTP/1.1 ",
                                    aResponse.status_,
@@ -37,7 +37,7 @@
     model::AppendTo(text, header.name_, ": ", header.value_, "\r\n");
   }
   model::AppendTo(text, "Content-Length: ", aResponse.body_.size(), "\r\n\r\n");
-  return text + aResponse.body_;
+  return aMethod == "HEAD" ? text : text + aResponse.body_;
 }
 
 } // namespace cactuswick::transport
--- a/packages/transport/src/connection/HttpExchange.cpp
+++ b/packages/transport/src/connection/HttpExchange.cpp
@@ -22,6 +22,9 @@
 constexpr size_t kMinChunkBytes = 512;
 /// Interval of polls for a reset while there is unread input.
 constexpr int64_t kResetCheckMs = 100;
+constexpr int kFirstFinalStatus = 200;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
 
 struct BufferDeleter
 {
@@ -47,6 +50,15 @@
   return body;
 }
 
+/// Returns whether the response ends with its head, whatever its headers say
+/// (RFC 9112, section 6.3).
+bool
+EndsWithHead(std::string_view aMethod, int aStatus)
+{
+  return aMethod == "HEAD" || aStatus < kFirstFinalStatus ||
+         aStatus == kNoContent || aStatus == kNotModified;
+}
+
 std::string
 Decode(const char* aText)
 {
@@ -239,7 +251,9 @@
     return;
   }
   AddHeaders(aHeaders);
-  const BufferPointer body = ToBuffer(aBody);
+  // evhttp would send it in the place of the next response.
+  const BufferPointer body =
+    ToBuffer(EndsWithHead(method_, aStatus) ? std::string_view() : aBody);
   evhttp_request* request = request_;
   Release();
   evhttp_send_reply(request, aStatus, nullptr, body.get());
@@ -293,6 +307,11 @@
   if (request_ == nullptr) {
     return;
   }
+  if (EndsWithHead(method_, evhttp_request_get_response_code(request_))) {
+    // evhttp would neither send the chunk nor report that it is sent.
+    Abort();
+    return;
+  }
   evhttp_request* request = request_;
   Release();
   const auto close = [](evhttp_connection*, void* aConnection) {
--- a/packages/transport/src/connection/ServerConnection.cpp
+++ b/packages/transport/src/connection/ServerConnection.cpp
@@ -64,6 +64,20 @@
   evbuffer_free(kept);
 }
 
+/// Returns whether evhttp can parse the target; it would refuse any other with
+/// a page of HTML, which has no place in a response to HEAD.
+bool
+IsParsable(const std::string& aTarget)
+{
+  evhttp_uri* uri =
+    evhttp_uri_parse_with_flags(aTarget.c_str(), EVHTTP_URI_NONCONFORMANT);
+  if (uri == nullptr) {
+    return false;
+  }
+  evhttp_uri_free(uri);
+  return true;
+}
+
 /// Response to a request that was not read and may be sent again.
 EarlyResponse
 UnavailableResponse()
@@ -387,6 +401,10 @@
 ServerConnection::CheckHead(const RequestHead& aHead)
 {
   CallerConnections& callers = loop_.Callers();
+  if (!IsParsable(aHead.uri_)) {
+    callers.RecordCut(CutReason::kMalformed, "target: cannot be parsed");
+    return EarlyResponse{ .status_ = kBadRequest };
+  }
   if (aHead.bodyBytes_ == size_t{ 0 }) {
     return std::nullopt;
   }
@@ -422,8 +440,9 @@
   }
   loop_.Callers().RecordCut(aReason);
   if (phase_ == Phase::kBody && outputBytes_ == 0) {
-    options_.linger_(bufferevent_getfd(stream_),
-                     PrintEarlyResponse(UnavailableResponse()));
+    options_.linger_(
+      bufferevent_getfd(stream_),
+      PrintEarlyResponse(UnavailableResponse(), reader_.Head().method_));
   }
   evhttp_connection_free(connection_);
 }
@@ -475,7 +494,8 @@
     return;
   }
   phase_ = Phase::kRefused;
-  const std::string text = PrintEarlyResponse(aResponse);
+  const std::string text =
+    PrintEarlyResponse(aResponse, reader_.Head().method_);
   bufferevent_enable(stream_, EV_WRITE);
   bufferevent_write(stream_, text.data(), text.size());
   timer_.StartOnce(kDiscardMs);
--- a/tests/system/test_framing.py
+++ b/tests/system/test_framing.py
@@ -135,6 +135,30 @@
         <= (1 if path == "/once/a" else 2)
 
 
+# Guards against MIXED (review/6): the text of a refusal stood on the kept channel
+# of a HEAD request, where the next answer is due.
+@pytest.mark.parametrize("path,key,status", [
+    ("/unknown/a", KEY, 404), ("/call/a", "other", 401), ("/call/a", KEY, 502)])
+def test_refused_head_leaves_nothing_on_its_channel(run, path, key, status):
+    for endpoint in run.endpoints:
+        endpoint.fault = "reset" if status == 502 else ""
+    lines = head("HEAD", path).replace(KEY.encode(), key.encode())
+    host, port = run.forward_address(1).split(":")
+    with socket.create_connection((host, int(port))) as connection:
+        connection.settimeout(CLOSE_SECONDS)
+        response = b""
+        connection.sendall(lines)
+        while b"\r\n\r\n" not in response:
+            response += connection.recv(4096)
+        for endpoint in run.endpoints:
+            endpoint.fault = ""
+        connection.sendall(head("GET", "/call/b", request_id="next"))
+        while b"/call/b" not in response:
+            response += connection.recv(4096)
+    assert response.startswith(b"HTTP/1.1 %d " % status)
+    assert response.split(b"\r\n\r\n", 1)[1].startswith(b"HTTP/1.1 200 ")
+
+
 def test_safe_call_is_served_elsewhere_after_a_cut_head():
     with running_platform(services=("desk", "desk", "engine")) as run:
         run.endpoints[0].fault = "cut_head"
