A status that HTTP does not define is no response

Here 000 held, but an endpoint's answer with 600 to 999 was passed on: forwarded calls and streams got 600 and 999, a service call got them as "whole" and was billed for it; a model request got an error.

Cause: MessageReader asked for three digits of 100 or more and had no upper bound.

Change: a status outside of 100 to 599 is a malformed response, so that the attempt breaks off and is made elsewhere where that is safe. A line names it: "malformed response, status: expected a status from 100 to 599, got 000 endpoint=...", by all three exchanges, as it is for every other malformed response. What is too long for a status isn't logged.

--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -6,6 +6,7 @@
 #include "cactuswick/model/process/Error.h"
 #include "cactuswick/model/process/Text.h"
 #include "request/ForwardPrompt.h"
+#include "request/MalformedResponseLog.h"
 #include "request/ResponseOwner.h"
 
 namespace cactuswick::router {
@@ -274,6 +275,7 @@
   }
   const bool sent = call_->WasDispatched();
   attempts_.RecordAttempt(sent);
+  LogIfMalformed(*call_, plan_.request_.id_, attempts_.Endpoint().endpoint_);
   switch (relay_.ClassifyEnd(aStatus.ok(), call_->EndsByClose())) {
     case AttemptEnd::kNotRun:
       OnNotRun();
--- a/packages/router/src/request/ModelExchange.cpp
+++ b/packages/router/src/request/ModelExchange.cpp
@@ -5,6 +5,7 @@
 
 #include "cactuswick/model/process/Error.h"
 #include "cactuswick/model/process/Text.h"
+#include "request/MalformedResponseLog.h"
 
 namespace cactuswick::router {
 
@@ -157,6 +158,7 @@
 void
 ModelExchange::OnDone(const absl::Status& aStatus)
 {
+  LogIfMalformed(*call_, Info().logId_, attempts_.Endpoint().endpoint_);
   const bool complete =
     aStatus.ok() && (!request_.stream_ || parser_.IsComplete());
   if (complete && httpStatus_ == kHttpOk) {
--- a/packages/router/src/request/ServiceExchange.cpp
+++ b/packages/router/src/request/ServiceExchange.cpp
@@ -5,6 +5,7 @@
 #include "cactuswick/ledger/version/Ledger.h"
 #include "cactuswick/model/process/Error.h"
 #include "cactuswick/model/process/Text.h"
+#include "request/MalformedResponseLog.h"
 
 namespace cactuswick::router {
 
@@ -199,6 +200,7 @@
     OnResponseComplete();
     return;
   }
+  LogIfMalformed(*call_, Info().logId_, attempts_.Endpoint().endpoint_);
   if (call_->WasDispatched()) {
     attempts_.MarkMayHaveRun();
   }
--- a/packages/transport/include/cactuswick/transport/connection/HttpCall.h
+++ b/packages/transport/include/cactuswick/transport/connection/HttpCall.h
@@ -72,6 +72,10 @@
   /// the closed connection ends it.
   bool EndsByClose() const;
 
+  /// Returns what part of the response breaks the grammar of HTTP, and how;
+  /// empty if none does.
+  std::string Malformation() const;
+
   /// Pauses or resumes reading the response, for backpressure.
   void SetReading(bool aReading);
 
--- a/packages/transport/src/connection/HttpCall.cpp
+++ b/packages/transport/src/connection/HttpCall.cpp
@@ -108,6 +108,12 @@
   return seconds * kMsPerSecond - kKeepAliveMarginMs;
 }
 
+std::string
+Describe(const MessageError& aError)
+{
+  return model::Concat(aError.field_, ": ", aError.detail_);
+}
+
 /// Removes everything from @p aBuffer and returns what was behind its first
 /// @p aKept bytes, which are put back.
 std::string
@@ -314,8 +320,7 @@
     } else if (!finished_) {
       loop_.Defer([this, aError] {
         Finish(ErrorKind::kUpstreamFailed,
-               model::Concat(
-                 "malformed response, ", aError.field_, ": ", aError.detail_));
+               model::Concat("malformed response, ", Describe(aError)));
       });
     }
   }
@@ -475,4 +480,13 @@
   return state_->gate_.EndsByClose();
 }
 
+std::string
+HttpCall::Malformation() const
+{
+  const auto& error = state_->gate_.Error();
+  return error && error->kind_ == MessageErrorKind::kMalformed
+           ? Describe(*error)
+           : "";
+}
+
 } // namespace cactuswick::transport
--- a/packages/transport/src/connection/MessageReader.cpp
+++ b/packages/transport/src/connection/MessageReader.cpp
@@ -40,6 +40,32 @@
   return absl::EqualsIgnoreCase(aHeader.name_, model::ToAbsl(aName));
 }
 
+/// Parses the three digits of a status that HTTP defines (RFC 9110, section
+/// 15).
+bool
+ParseStatus(std::string_view aText, int& aStatus)
+{
+  constexpr size_t kDigits = 3;
+  constexpr uint64_t kFirst = 100;
+  constexpr uint64_t kLast = 599;
+  uint64_t status = 0;
+  const bool isDefined = aText.size() == kDigits &&
+                         ParseLength(aText, kDecimal, status) &&
+                         status >= kFirst && status <= kLast;
+  aStatus = isDefined ? static_cast<int>(status) : 0;
+  return isDefined;
+}
+
+/// Returns what stands in the place of a status for a log; nothing that is too
+/// long to be one.
+std::string
+PrintableStatus(std::string_view aText)
+{
+  constexpr size_t kMaxBytes = 8;
+  return aText.size() <= kMaxBytes && IsToken(aText) ? std::string(aText)
+                                                     : "another text";
+}
+
 /// The coding of earlier versions of HTTP that changes nothing; some servers
 /// still announce it.
 bool
@@ -228,7 +254,10 @@
                         ? ParseRequestLine()
                         : ParseStatusLine();
   if (!parsed) {
-    return Fail(MessageErrorKind::kMalformed, "first line", "not of HTTP/1.1");
+    return state_ == State::kFailed ? MessageStep::kError
+                                    : Fail(MessageErrorKind::kMalformed,
+                                           "first line",
+                                           "not of HTTP/1.1");
   }
   state_ = State::kHeaderLine;
   return MessageStep::kNeedsMore;
@@ -263,19 +292,21 @@
 bool
 MessageReader::ParseStatusLine()
 {
-  constexpr size_t kStatusDigits = 3;
-  constexpr int kMinStatus = 100;
   const std::string_view line = line_;
   const size_t space = std::min(line.find(' '), line.size());
+  if (!ParseVersion(line.substr(0, space))) {
+    return false;
+  }
   const std::string_view rest = line.substr(std::min(space + 1, line.size()));
-  uint64_t status = 0;
-  const bool hasStatus =
-    ParseVersion(line.substr(0, space)) &&
-    ParseLength(rest.substr(0, kStatusDigits), kDecimal, status) &&
-    status >= kMinStatus;
-  head_.status_ = static_cast<int>(status);
-  return hasStatus && IsFieldText(rest) &&
-         (rest.size() == kStatusDigits || rest[kStatusDigits] == ' ');
+  const std::string_view status = rest.substr(0, rest.find(' '));
+  if (!ParseStatus(status, head_.status_)) {
+    Fail(MessageErrorKind::kMalformed,
+         "status",
+         model::Concat("expected a status from 100 to 599, got ",
+                       PrintableStatus(status)));
+    return false;
+  }
+  return IsFieldText(rest);
 }
 
 bool
--- a/tests/system/simulated_endpoint.py
+++ b/tests/system/simulated_endpoint.py
@@ -4,6 +4,7 @@
 import contextlib
 import http.server
 import json
+import os
 import socket
 import socketserver
 import struct
@@ -60,10 +61,13 @@
         # head, then closes), "no_event" (an empty stream), "half_event" (the stream
         # ends inside an event), "drip" (after an event, a byte now and then of
         # one that never ends), "hints" (an interim response shortly before the
-        # response) or a kind of endless.ENDLESS.
+        # response), "odd_status" (a response whose status line says odd_status),
+        # "early_reset" (a part of a response without a length before the request's
+        # body is read, then a reset) or a kind of endless.ENDLESS.
         self._fault = ""
         # Bytes of the response that "cut_head" sends.
         self.head_bytes = 0
+        self.odd_status = ""
         # Request id in the refusal of another request; empty for none.
         self.stale_refusal = ""
         # Further headers of all responses, and of refusals only.
@@ -174,7 +178,8 @@
             first = not hasattr(call, "previous")
             call.fault = "refuse" if first else "late_copy"
         length = int(call.headers.get("Content-Length", 0))
-        body = call.rfile.read(length)
+        early = call.fault == "early_reset"
+        body = call.rfile.read(0 if early else length)
         misdirected = call.headers["X-Expect-Instance"] != self.id
         self.received.append({"path": call.path, "body": body,
                               "method": call.command,
@@ -192,6 +197,9 @@
         if call.fault == "cut_head":
             self.cut_head(call)
             return
+        if call.fault in ("odd_status", "early_reset"):
+            self.send_bytes_of_no_answer(call)
+            return
         if call.fault in endless.ENDLESS:
             call.close_connection = True
             endless.send_endless(call.fault, call.connection,
@@ -240,6 +248,24 @@
         call.wfile.write(head[:self.head_bytes])
         call.connection.shutdown(socket.SHUT_WR)
 
+    def send_bytes_of_no_answer(self, call):
+        """Sends a whole response with an odd status, or a part of one without a
+        length, then a reset."""
+        early = call.fault == "early_reset"
+        call.wfile.write((
+            f"HTTP/1.1 {'200 OK' if early else self.odd_status}\r\n"
+            f"X-Request-Id: {call.headers['X-Request-Id']}\r\n"
+            f"X-Response-Stamp: stamp-{self.id}\r\n"
+            f"{'' if early else 'Content-Length: 4' + chr(13) + chr(10)}\r\n"
+            "body").encode())
+        call.close_connection = True
+        if early:
+            time.sleep(0.05)
+            call.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                       struct.pack("ii", 1, 0))
+            # The server's own shutdown would send the end of the response first.
+            os.close(call.connection.detach())
+
     def send_misdirected(self, call):
         """Responds that the request is for an earlier incarnation."""
         call.send_response(421)
--- a/tests/system/test_framing.py
+++ b/tests/system/test_framing.py
@@ -135,6 +135,46 @@
         <= (1 if path == "/once/a" else 2)
 
 
+# Guards against MIXED (reports of other operators): an endpoint's answer with a
+# status that HTTP does not define was passed on.
+@pytest.mark.parametrize("kept", [False, True])
+@pytest.mark.parametrize("status", [
+    "000", "099", "600", "999", "20", "2000", "+20", "-20", "abc", "101", "199"])
+@pytest.mark.parametrize("path", ["/once/a", "/call/a", "/stream/a"])
+def test_odd_status_is_no_response(run, path, status, kept):
+    if kept:
+        for _ in range(4):
+            assert run.ask("/call/warm").status == 200
+    for endpoint in run.endpoints:
+        endpoint.fault = "odd_status"
+        endpoint.odd_status = f"{status} Odd"
+    response = run.ask(path)
+    assert response.status == 502
+    assert len([call for call in received(run, path) if call["ran"]]) \
+        <= (1 if path == "/once/a" else 2)
+    if status not in ("101", "199"):
+        said = f"expected a status from 100 to 599, got {status}"
+        assert any(said in line for line in run.log_lines())
+
+
+# Guards against MIXED (reports of other operators): an endpoint answered a long
+# upload with a part of a 200 without a length and reset the connection.
+@pytest.mark.parametrize("kept", [False, True])
+@pytest.mark.parametrize("body_bytes", [0, 70_000, 900_000])
+@pytest.mark.parametrize("path", ["/once/a", "/call/a", "/stream/a"])
+def test_response_reset_during_the_upload_is_no_response(run, path, body_bytes,
+                                                         kept):
+    if kept:
+        for _ in range(4):
+            assert run.ask("/call/warm").status == 200
+    for endpoint in run.endpoints:
+        endpoint.fault = "early_reset"
+    response = run.ask(path, method="POST", body="u" * body_bytes)
+    assert response.status == 502
+    assert len([call for call in received(run, path) if call["ran"]]) \
+        <= (1 if path == "/once/a" else 2)
+
+
 # Guards against MIXED (review/6): the text of a refusal stood on the kept channel
 # of a HEAD request, where the next answer is due.
 @pytest.mark.parametrize("path,key,status", [
