An id of streams at two versions stays unknown to a new leader

What callers saw: nothing yet; found by a unit test, which failed before: StreamOriginsTest.NewLeaderHearsOfBothVersionsOfOneId (one group of two reported again).

Cause: a router marked an id that its workspace had used at two versions, but reported it to a new leader with the first version only. After the death of all replicas another router's take-up of the second stream would have been sent to the first one's version.

Change: both origins are kept and reported, so that control holds the id as unknown.

16 of 16 tests of StreamOrigins pass. Three others of them are new and passed before: streams are reported again, the oldest of 4,096 give way, a stream is kept from the last time that it went on.

--- a/packages/router/src/process/StreamOrigins.cpp
+++ b/packages/router/src/process/StreamOrigins.cpp
@@ -28,7 +28,9 @@
   const auto [found, isNew] =
     streams_.try_emplace(aStream, KnownStream{ .origin_ = aOrigin });
   KnownStream& stream = found->second;
-  stream.isAmbiguous_ |= !isNew && stream.origin_ != aOrigin;
+  if (!isNew && stream.origin_ != aOrigin) {
+    stream.other_ = aOrigin;
+  }
   stream.sinceMs_ = aNowMs;
   order_.emplace_back(aStream, aNowMs);
   DropOld(aNowMs);
@@ -64,7 +66,7 @@
 {
   if (aQuery.stream_) {
     const auto found = streams_.find(*aQuery.stream_);
-    if (found != streams_.end() && !found->second.isAmbiguous_) {
+    if (found != streams_.end() && !found->second.other_) {
       return found->second.origin_;
     }
   }
@@ -128,8 +130,10 @@
 {
   unreported_.clear();
   for (const auto& [stream, known] : streams_) {
-    if (MayBeOfSeveralVersions(known.origin_.service_)) {
-      unreported_[known.origin_].push_back(stream);
+    for (const auto& origin : { std::optional(known.origin_), known.other_ }) {
+      if (origin && MayBeOfSeveralVersions(origin->service_)) {
+        unreported_[*origin].push_back(stream);
+      }
     }
   }
 }
--- a/packages/router/src/process/StreamOrigins.h
+++ b/packages/router/src/process/StreamOrigins.h
@@ -82,8 +82,8 @@
   struct KnownStream
   {
     model::StreamOrigin origin_;
-    /// Another origin was recorded for the same stream.
-    bool isAmbiguous_ = false;
+    /// Another origin that was recorded for the same stream.
+    std::optional<model::StreamOrigin> other_;
     int64_t sinceMs_ = 0;
   };
 
--- a/tests/router/process/StreamOriginsTest.cpp
+++ b/tests/router/process/StreamOriginsTest.cpp
@@ -173,6 +173,64 @@
   EXPECT_EQ(replies_, 0);
 }
 
+TEST_F(StreamOriginsTest, NewLeaderHearsOfBothVersionsOfOneId)
+{
+  Admit({ "1", "2" });
+  origins_.OnBegan(kStream, kOld, 0);
+  origins_.OnBegan(kStream, kNew, 0);
+  origins_.OnTick(1);
+  origins_.ReportAll();
+  origins_.OnTick(2);
+  ASSERT_EQ(sent_.size(), 2U);
+  EXPECT_EQ(sent_.back().began_, sent_.front().began_);
+  EXPECT_EQ(sent_.back().began_.size(), 2U);
+}
+
+TEST_F(StreamOriginsTest, NewLeaderHearsOfStreamsAgain)
+{
+  Admit({ "1", "2" });
+  origins_.OnBegan(kStream, kOld, 0);
+  origins_.OnTick(1);
+  origins_.OnTick(2);
+  ASSERT_EQ(sent_.size(), 1U);
+  origins_.ReportAll();
+  origins_.OnTick(3);
+  ASSERT_EQ(sent_.size(), 2U);
+  EXPECT_EQ(sent_.back().began_, sent_.front().began_);
+}
+
+TEST_F(StreamOriginsTest, TheOldestStreamsGiveWay)
+{
+  constexpr model::StreamKey kMaxStreams = 4'096;
+  Admit({ "1", "2" });
+  for (model::StreamKey stream = 1; stream <= kMaxStreams + 1; ++stream) {
+    origins_.OnBegan(stream, kOld, 0);
+  }
+  Find({ .stream_ = 1, .service_ = "s", .services_ = { "s" } });
+  EXPECT_EQ(replies_, 0);
+  Find({ .stream_ = 2, .service_ = "s", .services_ = { "s" } });
+  EXPECT_EQ(found_, kOld);
+  origins_.ReportAll();
+  sent_.clear();
+  origins_.OnTick(1);
+  ASSERT_EQ(sent_.size(), 1U);
+  EXPECT_EQ(sent_.front().began_.front().streams_.size(), kMaxStreams);
+}
+
+TEST_F(StreamOriginsTest, StreamIsKeptFromTheLastTimeThatItWentOn)
+{
+  constexpr int64_t kKeptMs = 60'000;
+  Admit({ "1", "2" });
+  origins_.OnBegan(kStream, kOld, 0);
+  origins_.OnBegan(2, kOld, 0);
+  origins_.OnBegan(kStream, kOld, kKeptMs);
+  origins_.OnTick(kKeptMs + 1);
+  Find(kQuery);
+  EXPECT_EQ(found_, kOld);
+  Find({ .stream_ = 2, .service_ = "s", .services_ = { "s" } });
+  EXPECT_EQ(replies_, 1);
+}
+
 TEST_F(StreamOriginsTest, OtherServiceOfTheRouteMayHaveSeveralVersions)
 {
   const std::vector<model::ServiceVersions> services{ { "s", { "1" } },
