Tests: bounds of the streams' directory, versions that come back

Reports that come again take no other stream's place, origins go with their streams, a withdrawn version is admitted again, and a new leader proposes what the last one has not committed.

--- a/tests/control/process/StreamDirectoryTest.cpp
+++ b/tests/control/process/StreamDirectoryTest.cpp
@@ -1,5 +1,7 @@
 #include "process/StreamDirectory.h"
 
+#include <string>
+
 #include <gtest/gtest.h>
 
 namespace cactuswick::control {
@@ -95,6 +97,26 @@
             std::vector<model::StreamKey>{ 1 });
 }
 
+TEST_F(StreamDirectoryTest, ReportThatComesAgainTakesNoPlaceOfOthers)
+{
+  directory_.OnGossip(Report(kOld, { 1, 2 }), 0);
+  directory_.OnGossip(Report(kOld, { 1, 2 }), 1);
+  directory_.OnTick(1);
+  EXPECT_EQ(directory_.Size(), 2U);
+  EXPECT_TRUE(directory_.OnGossip(Question({ 1, 2 }), 1)->unknown_.empty());
+}
+
+TEST_F(StreamDirectoryTest, OriginsAreForgottenWithTheirStreams)
+{
+  constexpr int64_t kManyOrigins = 5'000;
+  for (int64_t i = 0; i < kManyOrigins; ++i) {
+    const int64_t now = i * (kKeptMs + 1);
+    directory_.OnTick(now);
+    directory_.OnGossip(Report({ "s", std::to_string(i) }, { i }), now);
+    ASSERT_EQ(directory_.OnGossip(Question({ i }), now)->began_.size(), 1U);
+  }
+}
+
 TEST_F(StreamDirectoryTest, OtherGossipIsIgnored)
 {
   EXPECT_EQ(directory_.OnGossip({ .from_ = kRouter }, 0), std::nullopt);
--- a/tests/control/process/VersionAdmissionTest.cpp
+++ b/tests/control/process/VersionAdmissionTest.cpp
@@ -83,6 +83,33 @@
   EXPECT_EQ(Admitted(), (Versions{ "2" }));
 }
 
+TEST_F(VersionAdmissionTest, VersionThatComesBackIsAdmittedAgain)
+{
+  constexpr int64_t kLate = VersionAdmission::kVersionKeptMs + 5'000;
+  announced_ = { { "s", "1" }, { "s", "2" } };
+  admission_.OnTick(true, 0);
+  announced_ = { { "s", "2" } };
+  admission_.OnTick(true, kLate);
+  announced_ = { { "s", "1" }, { "s", "2" } };
+  admission_.OnEndpointsChanged();
+  admission_.OnTick(true, kLate + 1);
+  EXPECT_EQ(Admitted(), (Versions{ "2", "1" }));
+  admission_.OnTick(true, 2 * kLate);
+  EXPECT_EQ(Admitted(), (Versions{ "2", "1" }));
+}
+
+TEST_F(VersionAdmissionTest, NewLeaderProposesWhatTheOtherHasNotCommitted)
+{
+  commits_ = false;
+  announced_ = { { "s", "1" } };
+  admission_.OnTick(true, 0);
+  admission_.OnTick(false, 1);
+  commits_ = true;
+  admission_.OnTick(true, 2);
+  EXPECT_EQ(proposals_, 2);
+  EXPECT_EQ(Admitted(), (Versions{ "1" }));
+}
+
 TEST_F(VersionAdmissionTest, NewLeaderWaitsTheWholeTimeItself)
 {
   constexpr int64_t kKeptMs = VersionAdmission::kVersionKeptMs;
