--- a/tests/system/platform_run.py
+++ b/tests/system/platform_run.py
@@ -181,10 +181,10 @@
 @contextlib.contextmanager
 def running_platform(services=("desk", "desk", "engine", "engine"), routers=2,
                      leave_ms=PlatformRun.leave_ms, zones=("a",), settings=None,
-                     make=PlatformRun):
+                     make=PlatformRun, versions=("v1",)):
     """Runs control replicas, routers and one endpoint for each service, in
-    these zones by turns; all routers know and serve them. `make` makes the
-    deployment."""
+    these zones and at these software versions by turns; all routers know and
+    serve them. `make` makes the deployment."""
     deployment = make(controls=3, routers=routers, settings=settings)
     deployment.leave_ms = leave_ms
     endpoints = deployment.endpoints = []
@@ -198,7 +198,8 @@
                  "the first deployment is acknowledged")
         for number, service in enumerate(services, 1):
             endpoints.append(SimulatedEndpoint(
-                deployment, number, service, zones[(number - 1) % len(zones)]))
+                deployment, number, service, zones[(number - 1) % len(zones)],
+                versions[(number - 1) % len(versions)]))
         deployment.wait_ready(numbers)
         deployment.wait_known(endpoints)
         for router in numbers:
--- a/tests/system/simulated_endpoint.py
+++ b/tests/system/simulated_endpoint.py
@@ -21,9 +21,12 @@
 class SimulatedEndpoint:
     """A simulated endpoint: sends heartbeats, serves calls and streams."""
 
-    def __init__(self, run, number, service, zone="a"):
+    def __init__(self, run, number, service, zone="a", version="v1"):
         self.run = run
         self.zone = zone
+        self.version = version
+        # Guards id, version, born and sequence of one incarnation.
+        self.incarnation = threading.Lock()
         self.id = f"i-{number}"
         self.service = service
         self.address = f"{run.net}.2.{number}:9001"
@@ -32,8 +35,12 @@
         self.state = "ready"
         self.received = []
         self.events = 5
-        # Whether the events of a stream have ids.
+        # Whether the events of a stream have ids, and whether their data names
+        # the software version that wrote them.
         self.numbered = True
+        self.marked = False
+        # Streams wait before this event for as long as it is set.
+        self.held_event = None
         # Seconds that a call takes, seconds until a stream begins and seconds
         # between its events.
         self.work_s = 0
@@ -47,6 +54,7 @@
         # respond, the number of crashes, and of those by each of the parts.
         self.deadly_parts = set()
         self.crashes = 0
+        self.restarts = 0
         self.crashes_by_part = collections.Counter()
         self.connections = set()
         # Fault of the next requests: "" (none), "refuse", "reset", "break"
@@ -148,10 +156,27 @@
 
     def restart(self):
         if not self.stopped.is_set():
-            self.id = f"{self.id.split('.')[0]}.{self.crashes}"
+            with self.incarnation:
+                self.id = f"{self.id.split('.')[0]}.{self.crashes}"
+                self.born = int(time.time() * 1000)
+                self.sequence = 0
+            self.listen()
+
+    def restart_as(self, version):
+        """Becomes a new incarnation at a software version."""
+        with self.incarnation:
+            self.restarts += 1
+            self.id = f"{self.id.split('.')[0]}.r{self.restarts}"
+            self.version = version
             self.born = int(time.time() * 1000)
             self.sequence = 0
-            self.listen()
+
+    def deregister(self):
+        """Announces that this endpoint has left; it announces nothing more."""
+        with self.incarnation:
+            self.stopped.set()
+        return self.run.control_call(
+            "POST", f"/cactuswick/Instances.Deregister/{self.id}")
 
     def deadly_parts_of(self, call):
         """Returns the shared parts of the prompt that crash this endpoint."""
@@ -175,10 +200,13 @@
             call.fault = "refuse" if first else "late_copy"
         length = int(call.headers.get("Content-Length", 0))
         body = call.rfile.read(length)
-        misdirected = call.headers["X-Expect-Instance"] != self.id
+        with self.incarnation:
+            misdirected = call.headers["X-Expect-Instance"] != self.id
+            call.version = self.version
         self.received.append({"path": call.path, "body": body,
                               "method": call.command,
                               "at": time.monotonic(), "endpoint": self,
+                              "version": call.version,
                               "headers": dict(call.headers),
                               "ran": not misdirected
                                      and call.fault != "refuse"})
@@ -295,8 +323,11 @@
             first = 1
         for number in range(first, self.events + 1):
             time.sleep(self.gap_s)
+            while number == self.held_event and not self.stopped.wait(0.02):
+                pass
             name = f"id: {number}\n" if self.numbered else ""
-            piece = f"{name}data: e{number}\n\n".encode()
+            mark = f"@{call.version}" if self.marked else ""
+            piece = f"{name}data: e{number}{mark}\n\n".encode()
             if call.fault == "break" and number == 3:
                 call.wfile.write(b"5\r\nid: 3\r\n")
                 call.close_connection = True
@@ -327,15 +358,16 @@
         return self.address
 
     def send_heartbeat(self):
-        self.sequence += 1
-        body = json.dumps({
-            "Service": self.service, "Address": self.announced_address(),
-            "Zone": self.zone,
-            "Version": "v1", "Slots": 8, "State": self.state,
-            "ColdLeftMs": self.cold_left_ms(), "Sequence": self.sequence,
-            "born": self.born})
+        with self.incarnation:
+            self.sequence += 1
+            name = self.id
+            body = json.dumps({
+                "Service": self.service, "Address": self.announced_address(),
+                "Zone": self.zone, "Version": self.version, "Slots": 8,
+                "State": self.state, "ColdLeftMs": self.cold_left_ms(),
+                "Sequence": self.sequence, "born": self.born})
         return self.run.control_call(
-            "POST", f"/cactuswick/Instances.Heartbeat/{self.id}", body)
+            "POST", f"/cactuswick/Instances.Heartbeat/{name}", body)
 
     def stop(self):
         self.stopped.set()
