Soak: streams are taken up, endpoints start again at other versions

Callers leave some streams after a few events and take up those that are cut, at any router, up to three times; endpoints that restart do so as a new incarnation at one of three versions. No stream may hold events of two, over all of its parts.

--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -31,7 +31,7 @@
 from simulated_endpoint import SimulatedEndpoint  # noqa: E402
 from soak_checks import (RequestRecord, check_memory,  # noqa: E402
                          check_quarantine, check_records, check_recovery,
-                         prompt_prefix)
+                         describe_take_ups, prompt_prefix)
 
 CONTROLS = 3
 ROUTERS = 3
@@ -39,6 +39,10 @@
 PREPAID = 60_000
 # Share of the streams that have a deadly prompt part, once there is one.
 DEADLY_SHARE = 0.1
+# Versions of endpoints, streams that callers leave early, and their take-ups.
+VERSIONS = ["v1", "v2", "v3"]
+LEFT_SHARE, LEFT_BYTES = 0.15, 60
+TAKE_UPS = 3
 
 
 class SoakRun(ForwardedDeployment, PlatformRun):
@@ -78,6 +82,7 @@
         self.events = 8
         self.work_s = 0.02 * number
         self.gap_s = 0.02
+        self.marked = True
 
     def announced_address(self):
         host, port = self.address.split(":")
@@ -111,33 +116,46 @@
             record.parts = ["hot", f"topic{count % 5}"]
             if self.run.deadly_parts and rng.random() < DEADLY_SHARE:
                 record.parts.append(rng.choice(self.run.deadly_parts))
-            with self.lock:
-                self.records.append(record)
-            if connection is None:
-                address = self.run.forward_address(
-                    rng.randint(1, ROUTERS))
-                connection = http.client.HTTPConnection(address, timeout=8)
-            if not self.ask(connection, record) or rng.random() < 0.02:
-                connection.close()
-                connection = None
-            time.sleep(rng.uniform(0.01, 0.08))
+            connection = self.send(connection, record, rng)
+            while record.can_be_taken_up(TAKE_UPS):
+                record = record.take_up()
+                connection = self.send(connection, record, rng)
         if connection is not None:
             connection.close()
 
+    def send(self, connection, record, rng):
+        """Sends one request; returns the connection if it can be reused."""
+        with self.lock:
+            self.records.append(record)
+        connection = connection or http.client.HTTPConnection(
+            self.run.forward_address(rng.randint(1, ROUTERS)), timeout=8)
+        limit = LEFT_BYTES if rng.random() < LEFT_SHARE else None
+        if not self.ask(connection, record, limit) or rng.random() < 0.02:
+            connection.close()
+            connection = None
+        time.sleep(rng.uniform(0.01, 0.08))
+        return connection
+
     @staticmethod
-    def ask(connection, record):
-        """Sends one request; returns whether the connection can be reused."""
+    def ask(connection, record, limit=None):
+        """Sends one request, leaves a stream after `limit` bytes if it is set;
+        returns whether the connection can be reused."""
+        resumes = ({"Last-Event-Id": str(record.last_event),
+                    "Resumes": record.began_by} if record.last_event else {})
         try:
             connection.request(
                 "POST", record.path, record.name, {
                     "Host": HOST, "X-Request-Id": record.name,
-                    "Authorization": f"Token {KEY}",
+                    "Authorization": f"Token {KEY}", **resumes,
                     **({"X-Token-Count":
                         f"{record.prompt},{record.max_tokens}",
                         "X-Prompt-Prefix": prompt_prefix(record)}
                        if record.path.startswith("/stream/") else {})})
             response = connection.getresponse()
             record.status = response.status
+            if limit and record.path.startswith("/stream/"):
+                record.body = response.read(limit).decode()
+                return False
             try:
                 record.body = response.read().decode()
                 record.whole = True
@@ -322,11 +340,10 @@
 
     def restart_endpoint(self, rng):
         endpoint = rng.choice(self.run.endpoints)
-        self.note(f"endpoint {endpoint.id} leaves and starts again")
+        self.note(f"endpoint {endpoint.id} {endpoint.version} restarts")
         endpoint.state = "draining"
         time.sleep(rng.uniform(0.3, 2))
-        endpoint.born = int(time.time() * 1000)
-        endpoint.sequence = 0
+        endpoint.restart_as(rng.choice(VERSIONS))
         endpoint.state = "ready"
 
 
@@ -384,7 +401,8 @@
     violations += [f"{name} exited unexpectedly" for name in ended]
     served = sum(record.status == 200 for record in records)
     return violations, faults.history, \
-        f"{len(records)} requests, {served} served, {spent} tokens"
+        f"{len(records)} requests, {served} served, {spent} tokens, " \
+        f"{describe_take_ups(records)}"
 
 
 def run_in_processes(seeds, seconds, jobs):
--- a/tests/system/soak_checks.py
+++ b/tests/system/soak_checks.py
@@ -4,6 +4,7 @@
 import time
 
 from deployment import wait_for
+from streams import EVENT, events_of
 
 TOKENS_PER_EVENT = 4
 # Longest time from the last fault until all requests are served (RecoverS).
@@ -29,10 +30,36 @@
         self.whole = False
         self.body = ""
         self.parts = []
+        # The request that began the stream and the stream's last event before
+        # this request.
+        self.began_by = name
+        self.last_event = 0
+        self.take_ups = 0
 
     def events(self):
         return self.body.count("\n\n")
 
+    def can_be_taken_up(self, times):
+        """Returns whether it is a stream that was cut short after an event, and
+        was taken up fewer times than that."""
+        ended = self.status == 200 and self.whole
+        return self.path.startswith("/stream/") and not ended and \
+            self.end() > 0 and self.take_ups < times
+
+    def end(self):
+        """Returns the number of the last event that the caller has."""
+        return self.last_event + (self.events() if self.status == 200 else 0)
+
+    def take_up(self):
+        """Returns the request that takes this stream up."""
+        record = RequestRecord(f"{self.began_by}-{self.take_ups}", self.path,
+                               self.prompt, self.max_tokens)
+        record.parts = self.parts
+        record.began_by = self.began_by
+        record.last_event = self.end()
+        record.take_ups = self.take_ups + 1
+        return record
+
 
 def prompt_prefix(record):
     """Returns the header that lists the parts of a stream's prompt."""
@@ -61,12 +88,10 @@
             violations.append(f"{record.name} was denied: {record.status}")
         if record.path.startswith("/stream/"):
             # The events received are in order, and complete if the stream is.
-            expected = "".join(f"id: {n}\ndata: e{n}\n\n"
-                               for n in range(1, record.events() + 1))
             whole = record.status == 200 and record.whole
-            if record.status == 200 and not record.body.startswith(expected):
+            if record.status == 200 and not is_in_order(record):
                 violations.append(f"{record.name} got mixed events")
-            if whole and record.events() != run.endpoints[0].events:
+            if whole and record.end() != run.endpoints[0].events:
                 violations.append(f"{record.name} looks complete but is not")
             if record.status == 200 and record.events() > 0:
                 spent += record.prompt + min(
@@ -76,7 +101,36 @@
             violations.append(f"{record.name} got {record.body!r}")
     if spent > prepaid:
         violations.append(f"{spent} tokens delivered of {prepaid}")
-    return violations, spent
+    return violations + check_versions(records), spent
+
+
+def is_in_order(record):
+    """Returns whether exactly the events after the last one have come."""
+    first = record.last_event + 1
+    numbers = [number for number, _ in events_of(record.body)]
+    text = "".join(event.group(0) for event in EVENT.finditer(record.body))
+    return record.body.startswith(text) and numbers == list(
+        range(first, first + record.events()))
+
+
+def check_versions(records):
+    """Checks that no stream holds events of two versions, however often it was
+    taken up."""
+    versions = {}
+    for record in records:
+        if record.path.startswith("/stream/") and record.status == 200:
+            versions.setdefault(record.began_by, set()).update(
+                version for _, version in events_of(record.body))
+    return [f"{name} holds events of {sorted(found)}"
+            for name, found in versions.items() if len(found) > 1]
+
+
+def describe_take_ups(records):
+    """Returns how many take-ups were sent and how many brought events."""
+    sent = [record for record in records if record.began_by != record.name]
+    served = sum(record.status == 200 and record.events() > 0
+                 for record in sent)
+    return f"{len(sent)} take-ups, {served} served"
 
 
 def check_memory(run):
