A version that an earlier replica has dropped binds no stream

What callers saw, in fleets of two releases: streams that were refused for good with 503 no_endpoint ("no endpoint runs the software version that began the stream").

Cause: replicas of an earlier release pass announcements on without their version. A router recorded the empty name as the origin; once a newer replica named the version of the same endpoint, no endpoint ran the recorded one.

Change: while nothing is admitted for a service, an empty version is not recorded, so that such a stream is found by the versions of the known endpoints or refused as unknown.

--- a/packages/router/src/request/ForwardExchangeOrigin.cpp
+++ b/packages/router/src/request/ForwardExchangeOrigin.cpp
@@ -47,9 +47,16 @@
   if (!IsResumableStream(plan_)) {
     return;
   }
-  if (!origin_) {
-    origin_ = { plan_.service_, attempts_.Endpoint().softwareVersion_ };
+  const auto origin = origin_.value_or(model::StreamOrigin{
+    plan_.service_, attempts_.Endpoint().softwareVersion_ });
+  // A replica of an earlier release may have dropped the endpoint's version.
+  const bool isVersionKnown =
+    !origin.softwareVersion_.empty() ||
+    dependencies_.dispatcher_.Endpoints().Admitted().Knows(origin.service_);
+  if (!isVersionKnown) {
+    return;
   }
+  origin_ = origin;
   dependencies_.origins_.OnBegan(
     StreamKeyOf(plan_), *origin_, EventLoop::NowMs());
 }
--- a/tests/system/test_mixed_releases.py
+++ b/tests/system/test_mixed_releases.py
@@ -4,6 +4,7 @@
 scripts/build-previous-release.sh.
 """
 
+import itertools
 import json
 import threading
 
@@ -11,6 +12,8 @@
 
 from deployment import BIN, request, wait_for
 from platform_run import PlatformRun, running_platform
+from simulated_endpoint import SimulatedEndpoint
+from streams import OpenStream, events_of, runs_of, take_up
 
 DAEMON = BIN / "cactuswickd"
 PREVIOUS = (BIN.parent / "previous-release" / "build" / "bin" / "cactuswickd")
@@ -79,6 +82,11 @@
         self.start_replica(number)
         self.wait_member(number)
 
+    def admitted(self, version):
+        """Returns whether a leader has begun to admit a version."""
+        text = f"admits a software version service=engine version={version}"
+        return any(text in line for line in self.log_lines())
+
     def evacuate(self, number, step="Start"):
         return request(self.control_api(number), "POST",
                        f"/cactuswick/Evacuation.{step}/north")
@@ -215,3 +223,171 @@
         callers.wait_calls()
     callers.check_all_served()
     check_billed(run, before, len(callers.statuses))
+
+
+def wait_answer(run, router):
+    """Returns the first whole response to a new stream."""
+    return wait_for(lambda: (answer := run.ask(
+        "/stream/x", router, request_id=run.new_id("new"))).status == 200
+        and answer.whole and answer, RECOVERY_SECONDS,
+        f"router {router} serves")
+
+
+def served_again(run, stream, router):
+    """Takes a stream up until it is served; returns the response."""
+    answers = []
+
+    def attempt():
+        answers.append(take_up(run, stream, router, run.new_id("again")))
+        return answers[-1].status == 200 and answers[-1]
+    try:
+        return wait_for(attempt, RECOVERY_SECONDS,
+                        f"{stream.request_id} is taken up at r{router}")
+    except AssertionError:
+        print(answers[-1].body, "\n".join(run.log_lines()[-400:]))
+        raise
+
+
+def begin(run):
+    """Begins streams at all routers, which then wait."""
+    run.hold(3)
+    return [OpenStream(run, run.new_id("s"), router).read(2)
+            for router in ROUTERS for _ in range(2)]
+
+
+def check_take_ups(run, streams=()):
+    """Streams that the routers begin are taken up, half of them at the other
+    router."""
+    streams = streams or begin(run)
+    run.hold(None)
+    for number, stream in enumerate(streams):
+        answer = served_again(run, stream, ROUTERS[number % 2])
+        assert events_of(answer.body) == [(n, "v1") for n in range(3, 6)]
+
+
+def add_version(run, version, number):
+    """Starts an engine of a new version, which every router has to use."""
+    engine = SimulatedEndpoint(run, number, "engine", "north", version)
+    engine.marked = True
+    run.endpoints.append(engine)
+    for router in ROUTERS:
+        name = run.new_id(f"to-{version}-{router}")
+        wait_for(lambda r=router, n=name: run.ask(
+            "/stream/x", r, request_id=n).status == 200 and any(
+                call["endpoint"] is engine for call in runs_of(run, n)),
+            RECOVERY_SECONDS, f"router {router} sends to {version}")
+    return engine
+
+
+def check_no_joined_streams(run, router):
+    """Streams of a new router break at every version; none is joined from two,
+    and take-ups run at the version of their stream or are refused."""
+    engines = [endpoint for endpoint in run.endpoints
+               if endpoint.service == "engine"]
+    for engine in engines:
+        engine.fault, engine.resumed_fault = "break", ""
+    try:
+        for _ in range(CALLS_PER_STEP):
+            answer = run.ask("/stream/x", router, request_id=run.new_id("b"))
+            assert answer.status == 200
+            assert len({version for _, version in events_of(answer.body)}) == 1
+    finally:
+        for engine in engines:
+            engine.fault = ""
+
+
+def check_take_ups_among_versions(run, router):
+    """At a new router, take-ups among versions end with all their events at
+    their version, or have not run."""
+    run.hold(3)
+    streams = [OpenStream(run, run.new_id("s"), other).read(2)
+               for other in ROUTERS for _ in range(4)]
+    run.hold(None)
+    for stream in sorted(streams, key=lambda stream: stream.version):
+        name = run.new_id("again")
+        answer = take_up(run, stream, router, name)
+        if answer.status == 200:
+            assert events_of(answer.body) == [
+                (number, stream.version) for number in range(3, 6)]
+        else:
+            assert answer.status == SERVICE_UNAVAILABLE
+            assert answer.kind() == "origin_unknown"
+            assert not runs_of(run, name)
+
+
+@pytest.fixture
+def marked(run):
+    numbers = itertools.count()
+    run.new_id = lambda what: f"{what}-{next(numbers)}"
+    run.hold = lambda event: [setattr(endpoint, "held_event", event)
+                              for endpoint in run.endpoints]
+    for endpoint in run.endpoints:
+        endpoint.marked = True
+    return run
+
+
+def test_streams_are_taken_up_at_every_step_of_an_update(marked):
+    """With one version; the routers are updated between the replicas, so that
+    old ones stand beside new ones of both kinds."""
+    run = marked
+    check_take_ups(run)
+    run.update_replica(1)
+    run.update_router(1)
+    check_take_ups(run)
+    run.update_replica(2)
+    check_take_ups(run)
+    run.update_replica(3)
+    check_take_ups(run)
+    run.update_router(2)
+    check_take_ups(run)
+    assert not run.previous
+
+
+def test_streams_that_began_below_old_replicas_go_on_after_their_update(marked):
+    """Old replicas drop versions, which routers learn with the update."""
+    run = marked
+    run.update_router(2)
+    wait_answer(run, 2)
+    streams = begin(run)
+    for number in REPLICAS:
+        run.update_replica(number)
+    wait_for(lambda: run.admitted("v1"), RECOVERY_SECONDS, "v1 is admitted")
+    check_take_ups(run, streams)
+
+
+def test_new_version_serves_below_an_old_leader(marked):
+    """Nothing is admitted there, as old replicas drop versions; routers use
+    the endpoints that they know."""
+    run = marked
+    leader = run.update_followers()
+    run.update_router(2)
+    check_take_ups(run)
+    add_version(run, "v2", 5)
+    assert run.previous == {f"c{leader}", "r1"}
+    assert not run.admitted("v2")
+
+
+def test_new_version_serves_below_a_new_leader_with_old_followers(marked):
+    """The leader may admit nothing before the others can read it."""
+    run = marked
+    # Endpoints announce themselves here first.
+    new = REPLICAS[0]
+    run.update_replica(new)
+    run.update_router(2)
+    for _ in range(10):
+        if run.wait_leader() == new:
+            break
+        run.restart_replica(run.leader())
+    assert run.leader() == new
+    check_take_ups(run)
+    add_version(run, "v2", 5)
+    # Once all are updated, the versions are admitted and streams reported.
+    for number in set(REPLICAS) - {new}:
+        run.update_replica(number)
+    run.update_router(1)
+    wait_for(lambda: run.admitted("v2"), RECOVERY_SECONDS, "v2 is admitted")
+    add_version(run, "v3", 6)
+    for router in ROUTERS:
+        wait_answer(run, router)
+        check_no_joined_streams(run, router)
+        check_take_ups_among_versions(run, router)
