Tests of stream versions wait for a leader

test_take_up_after_routers_and_leader_were_killed_stays_at_its_version failed once beside a load of 14 (KeyError 'cNone'): no replica led when it asked which one to kill.

--- a/tests/system/test_stream_versions.py
+++ b/tests/system/test_stream_versions.py
@@ -135,6 +135,9 @@
             assert (answer.kind(), answer.json()["error"]["outcome"]) == (
                 kind, "refused")
 
+    def wait_leader(self):
+        return wait_for(self.leader, CHANGE_SECONDS, "a replica leads")
+
     def kill_routers(self):
         for number in ROUTERS:
             self.kill(f"r{number}")
@@ -270,7 +273,7 @@
         both):
     streams = both.begin()
     both.wait_reported()
-    leader = both.leader()
+    leader = both.wait_leader()
     both.kill_routers()
     both.kill(f"c{leader}")
     both.start_routers()
@@ -280,7 +283,7 @@
 def test_take_up_after_the_leader_was_killed_stays_at_its_version(both):
     """Routers report streams again, or the new leader was told."""
     streams = both.begin()
-    both.kill(f"c{both.leader()}")
+    both.kill(f"c{both.wait_leader()}")
     both.check_taken_up(streams)
 
 
