A router that has lost control does not guess at which version a stream began

Cause: the only version that a router knows may not be the only one any more.

Change: that rule counts for 0.6 s after the leader was heard of; later the router asks, and the reply is contact again. Another version of a service gets requests 1 s after a router has heard of its admission, when those that have not heard of it go by the rule no more. What remains: a push that takes more than 0.4 s longer to one router than to another.

--- a/packages/router/src/process/Dispatcher.cpp
+++ b/packages/router/src/process/Dispatcher.cpp
@@ -85,7 +85,7 @@
 void
 Dispatcher::SetAdmittedVersions(routing::AdmittedVersions aVersions)
 {
-  endpoints_.SetAdmittedVersions(std::move(aVersions));
+  endpoints_.SetAdmittedVersions(std::move(aVersions), EventLoop::NowMs());
   for (const auto& [serves, serviceQueue] : serviceQueues_) {
     ScheduleDispatch(serves);
   }
--- a/packages/router/src/process/ForwardRole.cpp
+++ b/packages/router/src/process/ForwardRole.cpp
@@ -46,7 +46,8 @@
 constexpr int64_t kMarginPercent = 140;
 /// Time since the leader was heard of after which it may have admitted versions
 /// that this router does not know.
-constexpr int64_t kContactMs = 1'500;
+constexpr int64_t kContactMs = 600;
+static_assert(kContactMs < routing::EndpointTable::kVersionOpensMs);
 constexpr int kHttpUnavailable = 503;
 constexpr int64_t kMsPerSecond = 1'000;
 
--- a/packages/router/src/process/StreamOrigins.cpp
+++ b/packages/router/src/process/StreamOrigins.cpp
@@ -109,6 +109,7 @@
   }
   Question& question = questions_[aRequest];
   question = { .stream_ = *aQuery.stream_,
+               .query_ = aQuery,
                .hook_ = std::move(aHook),
                .sinceMs_ = aNowMs };
   Ask(question, aNowMs);
@@ -163,6 +164,20 @@
 void
 StreamOrigins::OnUnknown(model::StreamKey aStream)
 {
+  // The reply is contact with the leader, so an only version counts again.
+  std::vector<std::pair<FoundHook, model::StreamOrigin>> found;
+  std::erase_if(questions_, [&](auto& aPair) {
+    const auto origin = aPair.second.stream_ == aStream
+                          ? FindHere(aPair.second.query_)
+                          : std::nullopt;
+    if (origin) {
+      found.emplace_back(std::move(aPair.second.hook_), *origin);
+    }
+    return origin.has_value();
+  });
+  for (const auto& [hook, origin] : found) {
+    hook(origin);
+  }
   for (auto& [request, question] : questions_) {
     // The reply may be to another request's question.
     if (question.stream_ == aStream && question.unknown_ < question.asked_) {
--- a/packages/router/src/process/StreamOrigins.h
+++ b/packages/router/src/process/StreamOrigins.h
@@ -93,6 +93,7 @@
   struct Question
   {
     model::StreamKey stream_ = 0;
+    StreamQuery query_;
     FoundHook hook_;
     int64_t sinceMs_ = 0;
     int64_t askedMs_ = 0;
--- a/packages/routing/include/cactuswick/routing/process/AdmittedVersions.h
+++ b/packages/routing/include/cactuswick/routing/process/AdmittedVersions.h
@@ -26,6 +26,9 @@
   /// several, or of none that is known.
   std::optional<std::string> OnlyVersionOf(const std::string& aService) const;
 
+  /// Returns all versions of all services.
+  std::vector<model::StreamOrigin> All() const;
+
   bool operator==(const AdmittedVersions&) const = default;
 
 private:
--- a/packages/routing/include/cactuswick/routing/process/EndpointTable.h
+++ b/packages/routing/include/cactuswick/routing/process/EndpointTable.h
@@ -72,9 +72,14 @@
   void SetEvacuations(Evacuations aEvacuations);
   const Evacuations& Evacuated() const { return evacuations_; }
 
+  /// Time after which endpoints of another version of a service get requests.
+  /// Until then routers that have not heard of it may take the version before
+  /// for the only one; longer than they go by what they know.
+  static constexpr int64_t kVersionOpensMs = 1'000;
+
   /// Keeps requests from endpoints of software versions that have not been
-  /// admitted.
-  void SetAdmittedVersions(AdmittedVersions aVersions);
+  /// admitted, or only just now.
+  void SetAdmittedVersions(AdmittedVersions aVersions, int64_t aNowMs);
   const AdmittedVersions& Admitted() const { return admitted_; }
   /// Returns the software versions that endpoints of a service have announced
   /// to this router so far, also those that have left.
@@ -219,6 +224,9 @@
   void RecordVersion(const model::Announcement& aAnnouncement);
   /// Returns whether the software version is admitted for all services.
   bool IsAdmitted(const model::Announcement& aAnnouncement) const;
+  /// Lets requests to the versions whose time has come.
+  void OpenVersions(int64_t aNowMs);
+  void UpdateAdmitted();
 
   /// Returns whether an endpoint serves @p aServes, evacuated or not.
   static bool IsAvailable(const EndpointState& aEndpoint,
@@ -242,6 +250,8 @@
   EndpointTableOptions options_;
   Evacuations evacuations_;
   AdmittedVersions admitted_;
+  /// Time at which a version opens that was admitted beside others.
+  std::map<model::StreamOrigin, int64_t> opensMs_;
   /// Software versions that were announced so far, by service.
   std::map<std::string, std::set<std::string>> announcedVersions_;
   WarmUp warmUp_;
--- a/packages/routing/src/process/AdmittedVersions.cpp
+++ b/packages/routing/src/process/AdmittedVersions.cpp
@@ -37,4 +37,16 @@
            : std::nullopt;
 }
 
+std::vector<model::StreamOrigin>
+AdmittedVersions::All() const
+{
+  std::vector<model::StreamOrigin> all;
+  for (const auto& [service, versions] : versions_) {
+    for (const auto& version : versions) {
+      all.push_back({ service, version });
+    }
+  }
+  return all;
+}
+
 } // namespace cactuswick::routing
--- a/packages/routing/src/process/EndpointAvailability.cpp
+++ b/packages/routing/src/process/EndpointAvailability.cpp
@@ -32,9 +32,33 @@
 }
 
 void
-EndpointTable::SetAdmittedVersions(AdmittedVersions aVersions)
-{
+EndpointTable::SetAdmittedVersions(AdmittedVersions aVersions, int64_t aNowMs)
+{
+  for (const auto& origin : aVersions.All()) {
+    const bool isOther =
+      admitted_.Knows(origin.service_) &&
+      !admitted_.Admits(origin.service_, origin.softwareVersion_);
+    if (isOther) {
+      opensMs_[origin] = aNowMs + kVersionOpensMs;
+    }
+  }
   admitted_ = std::move(aVersions);
+  UpdateAdmitted();
+}
+
+void
+EndpointTable::OpenVersions(int64_t aNowMs)
+{
+  const auto opened = std::erase_if(
+    opensMs_, [&](const auto& aPair) { return aPair.second <= aNowMs; });
+  if (opened > 0) {
+    UpdateAdmitted();
+  }
+}
+
+void
+EndpointTable::UpdateAdmitted()
+{
   for (auto& [name, endpoint] : endpoints_) {
     endpoint.isAdmitted_ = IsAdmitted(endpoint.announcement_);
   }
@@ -46,7 +70,9 @@
   const auto& serves = aAnnouncement.serves_;
   return std::all_of(
     serves.begin(), serves.end(), [&](const std::string& aService) {
-      return admitted_.Admits(aService, aAnnouncement.softwareVersion_);
+      const std::string& version = aAnnouncement.softwareVersion_;
+      return admitted_.Admits(aService, version) &&
+             !opensMs_.contains({ aService, version });
     });
 }
 
--- a/packages/routing/src/process/EndpointTable.cpp
+++ b/packages/routing/src/process/EndpointTable.cpp
@@ -166,6 +166,7 @@
 std::vector<std::string>
 EndpointTable::Expire(int64_t aNowMs)
 {
+  OpenVersions(aNowMs);
   std::vector<std::string> expired;
   for (auto& [name, endpoint] : endpoints_) {
     std::erase_if(endpoint.prefixPlacedMs_, [aNowMs](const auto& aPair) {
