--- a/packages/standin/src/process/SlopesMain.cpp
+++ b/packages/standin/src/process/SlopesMain.cpp
@@ -345,7 +345,7 @@
 MeasureStreamOrigins()
 {
   constexpr int kStreams = 174'000;
-  constexpr int kKeptMs = 60'000;
+  constexpr int64_t kKeptMs = 60'000;
   control::StreamDirectory directory(
     { .sendToReplicas_ = [](const transport::PeerMessage&) {} });
   const auto report = [](int aNumber) {
@@ -359,8 +359,9 @@
   const double before = AllocatedBytes();
   const double storeMs = ElapsedMs([&] {
     for (int i = 0; i < kStreams; ++i) {
-      directory.OnGossip(report(i), i * kKeptMs / kStreams);
-      directory.OnTick(i * kKeptMs / kStreams);
+      const int64_t now = kKeptMs * i / kStreams;
+      directory.OnGossip(report(i), now);
+      directory.OnTick(now);
     }
   });
   Print("origins of 174,000 streams", (AllocatedBytes() - before) / 1e6, "MB");
