--- a/packages/transport/include/cactuswick/transport/connection/PeerMessage.h
+++ b/packages/transport/include/cactuswick/transport/connection/PeerMessage.h
@@ -253,8 +253,7 @@
   /// own, from the leader the sum over all routers. A field of this message, as
   /// earlier releases close a link on which a message of a new type arrives.
   std::optional<model::PendingPrefill> prefill_;
-  /// Where streams began. A field of this message for the same reason, as are
-  /// the next ones.
+  /// Where streams began; a field of this message for the same reason.
   std::optional<StreamGossip> streams_;
 
   bool operator==(const Gossip&) const = default;
