Streams that are taken up again go on, though killed routers hold the budgets

Cause: most streams break off because their router dies, and what it held of their budget is held for good. New requests used up the rest before the callers came back; the ledger and the routers' queues knew no difference between the two.

Change: for 60 s after tokens of a declared budget were held for a dead router, its last 1 % (no more than was held then) is granted to take-ups only, and no more than they reserve. In a router, take-ups wait ahead of new requests, and a denial to one of these does not refuse them; time-outs and loans go by the reservation that waits longest. Control's line "grant denied" names what is kept. Nothing is kept while no router has died, nor before a version is admitted (log format 2), so that ledgers of two releases agree.

A reviewer new to the work found, before this commit: a denied take-up that counted what was kept as held, reservations that outlived their time-out behind take-ups, tokens kept of budgets that no deployment declares.

--- a/packages/control/src/connection/ControlService.cpp
+++ b/packages/control/src/connection/ControlService.cpp
@@ -275,7 +275,11 @@
                     " granted=",
                     account->granted_,
                     " held=",
-                    account->held_));
+                    account->held_,
+                    " kept=",
+                    options_.ledger_.KeptForTakeUps(*account),
+                    " takes_up=",
+                    aRequest.takesUp_ ? 1 : 0));
 }
 
 void
--- a/packages/ledger/include/cactuswick/ledger/request/OpResult.h
+++ b/packages/ledger/include/cactuswick/ledger/request/OpResult.h
@@ -16,9 +16,10 @@
 {
   Tokens granted_ = 0;
   Tokens available_ = 0;
-  /// Tokens of this budget that are held or in other routers' grants.
+  /// Tokens of this budget that are held, kept for others, or in other routers'
+  /// grants.
   Tokens elsewhere_ = 0;
-  /// The part of @c elsewhere_ that is held: no router can return it.
+  /// The part of @c elsewhere_ that is held or kept: no router can return it.
   Tokens held_ = 0;
   bool budgetExists_ = true;
 
--- a/packages/ledger/include/cactuswick/ledger/request/RouterOp.h
+++ b/packages/ledger/include/cactuswick/ledger/request/RouterOp.h
@@ -31,6 +31,9 @@
   Tokens minimum_ = 0;
   /// Requested before the tokens are needed: recalls no other router's grant.
   bool prefetch_ = false;
+  /// For a stream that its caller takes up again: also from what is kept for
+  /// these.
+  bool takesUp_ = false;
 
   bool operator==(const AcquireGrant&) const = default;
 };
@@ -312,7 +315,8 @@
   return model::MakeFields(model::Field{ "budget", &AcquireGrant::budget_ },
                            model::Field{ "want", &AcquireGrant::want_ },
                            model::Field{ "minimum", &AcquireGrant::minimum_ },
-                           model::Field{ "ahead", &AcquireGrant::prefetch_ });
+                           model::Field{ "ahead", &AcquireGrant::prefetch_ },
+                           model::Field{ "takes_up", &AcquireGrant::takesUp_ });
 }
 constexpr auto
 FieldsOf(const ReturnGrant*)
--- a/packages/ledger/include/cactuswick/ledger/version/Ledger.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Ledger.h
@@ -64,6 +64,11 @@
 /// bytes.
 inline constexpr size_t kMaxVersionBytes = 256;
 
+/// Time for which a part of a budget is kept for streams that are taken up
+/// again, from when tokens of it are held for a dead router, in milliseconds of
+/// log time. As long as origins of streams are kept.
+inline constexpr int64_t kTakeUpHorizonMs = 60'000;
+
 /// Maximum number of claims. Further ones are refused: evicting a claim could
 /// let a call run twice.
 inline constexpr size_t kMaxClaims = 1'000'000;
@@ -131,6 +136,10 @@
   std::vector<AccountRecord> Accounts(std::string_view aPrefix,
                                       size_t aLimit) const;
 
+  /// Returns how many of the available tokens of a budget are kept for streams
+  /// that are taken up again.
+  Tokens KeptForTakeUps(const Account& aAccount) const;
+
   const std::vector<GrantShare>& GrantsOf(const std::string& aBudget) const;
 
   const std::map<Incarnation, RouterRecord>& Routers() const
@@ -208,6 +217,9 @@
                      Tokens aAmount,
                      bool aHold);
   void DropEmptyShare(const std::string& aBudget, Incarnation aHolder);
+  /// Holds tokens that a dead router may have used; of a declared budget, some
+  /// of the available ones are kept from then on.
+  void HoldForDead(Account& aAccount, Tokens aAmount);
 
   void EndIncarnation(Incarnation aIncarnation);
   /// Stops waiting for copies of @p aDead's settlements at @p aRouter, which
--- a/packages/ledger/include/cactuswick/ledger/version/Records.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Records.h
@@ -25,6 +25,10 @@
   int64_t version_ = 0;
   /// The total comes from a deployment and may be lowered.
   bool declared_ = false;
+  /// Until this log time the last @c keptMost_ tokens are granted only to
+  /// streams that are taken up again.
+  LogTimeMs keptUntilMs_ = 0;
+  Tokens keptMost_ = 0;
 
   Tokens Available() const { return toppedUp_ - billed_ - granted_ - held_; }
   bool operator==(const Account&) const = default;
@@ -342,12 +346,15 @@
 constexpr auto
 FieldsOf(const Account*)
 {
-  return model::MakeFields(model::Field{ "topped_up", &Account::toppedUp_ },
-                           model::Field{ "billed", &Account::billed_ },
-                           model::Field{ "granted", &Account::granted_ },
-                           model::Field{ "held", &Account::held_ },
-                           model::Field{ "version", &Account::version_ },
-                           model::Field{ "declared", &Account::declared_ });
+  return model::MakeFields(
+    model::Field{ "topped_up", &Account::toppedUp_ },
+    model::Field{ "billed", &Account::billed_ },
+    model::Field{ "granted", &Account::granted_ },
+    model::Field{ "held", &Account::held_ },
+    model::Field{ "version", &Account::version_ },
+    model::Field{ "declared", &Account::declared_ },
+    model::Field{ "kept_until_ms", &Account::keptUntilMs_ },
+    model::Field{ "kept_most", &Account::keptMost_ });
 }
 constexpr auto
 FieldsOf(const GrantShare*)
--- a/packages/ledger/src/version/Ledger.cpp
+++ b/packages/ledger/src/version/Ledger.cpp
@@ -134,19 +134,22 @@
     return GrantResult{ .budgetExists_ = false };
   }
   Account& account = found->second;
-  const Tokens available = account.Available();
+  const Tokens keptForAny = KeptForTakeUps(account);
+  const Tokens kept = aOp.takesUp_ ? 0 : keptForAny;
+  const Tokens available = account.Available() - kept;
   const Tokens minimum =
     std::clamp(aOp.minimum_, Tokens{ 1 }, model::kMaxTokens);
   GrantResult result{ .available_ = available,
-                      .elsewhere_ = account.granted_ + account.held_,
-                      .held_ = account.held_ };
+                      .elsewhere_ = account.granted_ + account.held_ + kept,
+                      .held_ = account.held_ + kept };
   if (const Tokens* share = FindShare(aOp.budget_, aRouter)) {
     result.elsewhere_ -= *share;
   }
   if (available < minimum) {
     return result;
   }
-  Tokens target = std::min(aOp.want_, available / kGrantShareDivisor);
+  Tokens target = std::min(
+    aOp.want_, (account.Available() - keptForAny) / kGrantShareDivisor);
   if (account.declared_ && aOp.prefetch_) {
     // Shared by all routers; each request takes at most half of it, so that the
     // first ones leave something for the others.
@@ -249,7 +252,7 @@
   } else {
     // The recipient has died and its use of the tokens is unknown.
     account->second.granted_ -= aOp.amount_;
-    account->second.held_ += aOp.amount_;
+    HoldForDead(account->second, aOp.amount_);
   }
   return EmptyResult{};
 }
--- a/packages/ledger/src/version/LedgerRouters.cpp
+++ b/packages/ledger/src/version/LedgerRouters.cpp
@@ -165,7 +165,9 @@
     Tokens* share = FindShare(budget, aDead);
     Account& account = accounts_[budget];
     account.granted_ -= *share;
-    account.held_ += held ? *share : 0;
+    if (held) {
+      HoldForDead(account, *share);
+    }
     *share = 0;
     DropEmptyShare(budget, aDead);
   }
--- a/packages/router/src/process/Biller.cpp
+++ b/packages/router/src/process/Biller.cpp
@@ -105,7 +105,7 @@
   }
   for (const auto& [budget, queue] : queues_) {
     if (options_.reportsUsage_ && !queue.waiters_.IsEmpty() &&
-        now - queue.waiters_.First().sinceMs_ >= kBorrowAfterMs) {
+        now - queue.waiters_.OldestMs() >= kBorrowAfterMs) {
       Borrow(budget, now);
     }
   }
@@ -232,36 +232,38 @@
 }
 
 void
-Biller::Reserve(const std::string& aBudget,
-                ledger::Tokens aAmount,
-                int64_t aOwner,
-                ReserveHook aHook)
+Biller::Reserve(const Reservation& aReservation, ReserveHook aHook)
 {
   const int64_t now = EventLoop::NowMs();
-  const auto queue = queues_.find(aBudget);
+  const auto& [budget, amount, owner, takesUp] = aReservation;
+  const auto queue = queues_.find(budget);
   const bool hasWaiters =
     queue != queues_.end() && !queue->second.waiters_.IsEmpty();
-  if (!hasWaiters && grants_.Reserve(aBudget, aAmount, now)) {
+  if (!hasWaiters && grants_.Reserve(budget, amount, now)) {
     // In usage-reporting mode grants are prefetched at intervals, and in
     // between only if the next interval is not covered.
     if (!options_.reportsUsage_ ||
-        grants_.RunsOutWithin(aBudget, ReportIntervalMs(), now)) {
-      prefetcher_.Refill(aBudget);
+        grants_.RunsOutWithin(budget, ReportIntervalMs(), now)) {
+      prefetcher_.Refill(budget);
     }
     aHook(absl::OkStatus());
     return;
   }
-  BudgetQueue& waiting = queues_[aBudget];
-  if (aAmount >= waiting.refusedLoan_ && now < waiting.refusedLoanUntilMs_ &&
+  BudgetQueue& waiting = queues_[budget];
+  if (amount >= waiting.refusedLoan_ && now < waiting.refusedLoanUntilMs_ &&
       !options_.control_.IsReachable()) {
     aHook(NoLenderError());
     return;
   }
-  waiting.waiters_.Add({ .owner_ = aOwner,
-                         .amount_ = aAmount,
+  waiting.waiters_.Add({ .owner_ = owner,
+                         .amount_ = amount,
                          .sinceMs_ = now,
+                         .takesUp_ = takesUp,
                          .hook_ = std::move(aHook) });
-  RequestForWaiters(aBudget);
+  if (takesUp) {
+    ServeWaiters(budget);
+  }
+  RequestForWaiters(budget);
 }
 
 GrantWaitStatus
@@ -303,18 +305,18 @@
       now < queue.waiters_.First().retryAtMs_) {
     return;
   }
-  const auto request = grants_.Ask(
-    aBudget, queue.waiters_.First().amount_, now, queue.waiters_.TotalAmount());
+  const WaitingReservation& first = queue.waiters_.First();
+  auto request =
+    grants_.Ask(aBudget, first.amount_, now, queue.waiters_.TotalAmount());
+  request.takesUp_ = first.takesUp_;
   queue.openRequest_ = { .want_ = request.want_, .sinceMs_ = now };
-  options_.control_.Submit(request,
-                           [this, aBudget, minimum = request.minimum_](
-                             const ledger::OpResult& aResult) {
-                             queues_[aBudget].openRequest_.reset();
-                             if (const auto* grant =
-                                   std::get_if<ledger::GrantResult>(&aResult)) {
-                               OnGrant(aBudget, minimum, *grant);
-                             }
-                           });
+  options_.control_.Submit(
+    request, [this, request](const ledger::OpResult& aResult) {
+      queues_[request.budget_].openRequest_.reset();
+      if (const auto* grant = std::get_if<ledger::GrantResult>(&aResult)) {
+        OnGrant(request, *grant);
+      }
+    });
   if (options_.reportsUsage_) {
     // In the same batch, so that later reservations need no extra round trip.
     prefetcher_.Refill(aBudget);
@@ -335,48 +337,48 @@
 }
 
 void
-Biller::OnGrant(const std::string& aBudget,
-                ledger::Tokens aMinimum,
+Biller::OnGrant(const ledger::AcquireGrant& aRequest,
                 const ledger::GrantResult& aResult)
 {
-  BudgetQueue& queue = queues_[aBudget];
+  const std::string& budget = aRequest.budget_;
+  BudgetQueue& queue = queues_[budget];
   if (aResult.granted_ > 0) {
     options_.metrics_.Count(Counter::kGrantsAcquired);
-    grants_.OnGranted(aBudget, aResult.granted_);
+    grants_.OnGranted(budget, aResult.granted_);
   }
-  ServeWaiters(aBudget);
+  ServeWaiters(budget);
   if (aResult.granted_ == 0 && !queue.waiters_.IsEmpty()) {
-    OnDenied(aBudget, aMinimum, aResult);
+    OnDenied(aRequest, aResult);
   }
   // Smaller reservations behind a failed one may still fit.
-  ServeWaiters(aBudget);
+  ServeWaiters(budget);
   if (std::exchange(queue.recalled_, false)) {
-    ReturnRecalled(aBudget);
+    ReturnRecalled(budget);
   }
-  if (!prefetcher_.IsPending(aBudget)) {
-    RequestForWaiters(aBudget);
+  if (!prefetcher_.IsPending(budget)) {
+    RequestForWaiters(budget);
   }
 }
 
 void
-Biller::OnDenied(const std::string& aBudget,
-                 ledger::Tokens aMinimum,
+Biller::OnDenied(const ledger::AcquireGrant& aRequest,
                  const ledger::GrantResult& aResult)
 {
   options_.metrics_.Count(Counter::kGrantsDenied);
-  ReservationQueue& waiters = queues_[aBudget].waiters_;
+  ReservationQueue& waiters = queues_[aRequest.budget_].waiters_;
   WaitingReservation& first = waiters.First();
   if (!aResult.budgetExists_) {
     waiters.FailFirst(MakeError(
       ErrorKind::kUnknownResource, "budget", "the budget does not exist"));
     return;
   }
-  if (first.amount_ - grants_.Free(aBudget) < aMinimum) {
-    // The denied amount was requested for a reservation that has been cancelled
-    // or served.
+  if (first.amount_ - grants_.Free(aRequest.budget_) < aRequest.minimum_ ||
+      (first.takesUp_ && !aRequest.takesUp_)) {
+    // Requested for a reservation that has been cancelled, served or overtaken.
     return;
   }
-  switch (ClassifyDenial(DeniedBudgetOf(aBudget, aResult), first.amount_)) {
+  switch (
+    ClassifyDenial(DeniedBudgetOf(aRequest.budget_, aResult), first.amount_)) {
     case DenialOutcome::kExhausted:
       waiters.Fail(first.amount_,
                    MakeError(ErrorKind::kBudgetExhausted,
@@ -437,9 +439,8 @@
   for (auto& [budget, queue] : queues_) {
     ServeWaiters(budget);
     while (!queue.waiters_.IsEmpty() && !IsReplyExpected(queue, aNowMs) &&
-           aNowMs - queue.waiters_.First().sinceMs_ >
-             options_.reserveTimeoutMs_) {
-      queue.waiters_.FailFirst(
+           aNowMs - queue.waiters_.OldestMs() > options_.reserveTimeoutMs_) {
+      queue.waiters_.FailOldest(
         reachable
           ? HeldElsewhereError()
           : MakeError(ErrorKind::kControlUnreachable,
--- a/packages/router/src/process/Biller.h
+++ b/packages/router/src/process/Biller.h
@@ -48,6 +48,18 @@
   routing::GrantTableOptions grants_;
 };
 
+/// Tokens that a request needs before it runs.
+struct Reservation
+{
+  std::string budget_;
+  ledger::Tokens amount_ = 0;
+  /// Identifies the request for CancelReserve.
+  int64_t owner_ = 0;
+  /// For a stream that its caller takes up again: served before others, also
+  /// from what control keeps for these.
+  bool takesUp_ = false;
+};
+
 /// State of the reservations that wait for a budget.
 struct GrantWaitStatus
 {
@@ -71,12 +83,8 @@
 
   Biller(transport::EventLoop& aLoop, const BillerOptions& aOptions);
 
-  /// Reserves tokens and calls @p aHook with the result. @p aOwner identifies
-  /// the request for CancelReserve.
-  void Reserve(const std::string& aBudget,
-               ledger::Tokens aAmount,
-               int64_t aOwner,
-               ReserveHook aHook);
+  /// Reserves tokens and calls @p aHook with the result.
+  void Reserve(const Reservation& aReservation, ReserveHook aHook);
   /// Cancels a waiting reservation without calling its hook. Those queued
   /// behind it are served or requested at once.
   void CancelReserve(int64_t aOwner);
@@ -190,14 +198,12 @@
   /// waiting reservations.
   ledger::Tokens ExpectedSurplus(const std::string& aBudget) const;
   int64_t ReportIntervalMs() const;
-  /// Handles the reply to a request for @p aMinimum or more.
-  void OnGrant(const std::string& aBudget,
-               ledger::Tokens aMinimum,
+  /// Handles the reply to a request for waiting reservations.
+  void OnGrant(const ledger::AcquireGrant& aRequest,
                const ledger::GrantResult& aResult);
-  /// Fails the first waiting reservation if the denial of @p aMinimum leaves it
-  /// no prospect; one that needs less is requested again.
-  void OnDenied(const std::string& aBudget,
-                ledger::Tokens aMinimum,
+  /// Fails the first waiting reservation if the denial of @p aRequest leaves it
+  /// no prospect; one that needs less, or may have more, is requested again.
+  void OnDenied(const ledger::AcquireGrant& aRequest,
                 const ledger::GrantResult& aResult);
   /// Returns what is known of a budget after a denial.
   DeniedBudget DeniedBudgetOf(const std::string& aBudget,
--- a/packages/router/src/process/ReservationQueue.cpp
+++ b/packages/router/src/process/ReservationQueue.cpp
@@ -8,7 +8,14 @@
 void
 ReservationQueue::Add(WaitingReservation aReservation)
 {
-  waiting_.push_back({ ++lastNumber_, std::move(aReservation) });
+  const auto behind = aReservation.takesUp_
+                        ? std::find_if(waiting_.begin(),
+                                       waiting_.end(),
+                                       [](const Entry& aEntry) {
+                                         return !aEntry.reservation_.takesUp_;
+                                       })
+                        : waiting_.end();
+  waiting_.insert(behind, { ++lastNumber_, std::move(aReservation) });
 }
 
 bool
@@ -19,6 +26,21 @@
          }) > 0;
 }
 
+std::deque<ReservationQueue::Entry>::const_iterator
+ReservationQueue::Oldest() const
+{
+  return std::min_element(
+    waiting_.begin(), waiting_.end(), [](const Entry& a, const Entry& b) {
+      return a.number_ < b.number_;
+    });
+}
+
+int64_t
+ReservationQueue::OldestMs() const
+{
+  return Oldest()->reservation_.sinceMs_;
+}
+
 ledger::Tokens
 ReservationQueue::TotalAmount() const
 {
@@ -62,6 +84,15 @@
   hook(aStatus);
 }
 
+void
+ReservationQueue::FailOldest(const absl::Status& aStatus)
+{
+  const auto oldest = Oldest();
+  const ReserveHook hook = oldest->reservation_.hook_;
+  waiting_.erase(oldest);
+  hook(aStatus);
+}
+
 void
 ReservationQueue::Fail(ledger::Tokens aMinimum, const absl::Status& aStatus)
 {
--- a/packages/router/src/process/ReservationQueue.h
+++ b/packages/router/src/process/ReservationQueue.h
@@ -23,10 +23,13 @@
   /// While this one is first in the queue, no grant is requested before this
   /// time.
   int64_t retryAtMs_ = 0;
+  /// For a stream that its caller takes up again.
+  bool takesUp_ = false;
   ReserveHook hook_;
 };
 
-/// The waiting reservations of one budget, in the order of their arrival. Their
+/// The waiting reservations of one budget: first those for streams that are
+/// taken up again, then the others, both in the order of their arrival. Their
 /// hooks may reserve again and cancel others.
 class ReservationQueue
 {
@@ -44,6 +47,9 @@
   {
     return waiting_.front().reservation_;
   }
+  /// Returns when the one that waits longest was added, in milliseconds. Only
+  /// while not empty.
+  int64_t OldestMs() const;
   ledger::Tokens TotalAmount() const;
   /// Returns the part of @p aFree tokens that covers whole reservations, taken
   /// in order; those that don't fit are passed over.
@@ -53,6 +59,8 @@
   /// for the amount of the first. Does nothing if called from one of the hooks.
   void Serve(const std::function<bool(ledger::Tokens)>& aTryReserve);
   void FailFirst(const absl::Status& aStatus);
+  /// Fails the one that waits longest. Only while not empty.
+  void FailOldest(const absl::Status& aStatus);
   /// Fails the reservations that wait now for @p aMinimum or more.
   void Fail(ledger::Tokens aMinimum, const absl::Status& aStatus);
 
@@ -64,6 +72,8 @@
     WaitingReservation reservation_;
   };
 
+  std::deque<Entry>::const_iterator Oldest() const;
+
   std::deque<Entry> waiting_;
   int64_t lastNumber_ = 0;
   /// Guards against reentry: Serve is running further up the stack.
--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -98,9 +98,10 @@
   const int64_t sinceMs = EventLoop::NowMs();
   const int64_t waitingBefore =
     dependencies_.biller_.GrantWaitStatusOf(plan_.budget_).waiting_;
-  dependencies_.biller_.Reserve(plan_.budget_,
-                                plan_.tokensToReserve_,
-                                plan_.id_,
+  dependencies_.biller_.Reserve({ .budget_ = plan_.budget_,
+                                  .amount_ = plan_.tokensToReserve_,
+                                  .owner_ = plan_.id_,
+                                  .takesUp_ = TakesUpStream(plan_) },
                                 [=, this](const absl::Status& aStatus) {
                                   RecordGrantWait(sinceMs, waitingBefore);
                                   if (!aStatus.ok()) {
--- a/packages/router/src/request/ModelExchange.cpp
+++ b/packages/router/src/request/ModelExchange.cpp
@@ -52,13 +52,12 @@
   exchange_->SetClosedHook([this] { OnCallerDisconnected(); });
   const ledger::Tokens bound =
     request_.promptTokensBound_ + request_.maxTokens_;
-  dependencies_.biller_.Reserve(Info().budget_,
-                                bound,
-                                Info().id_,
-                                [this, bound](const absl::Status& aStatus) {
-                                  reserved_ = aStatus.ok() ? bound : 0;
-                                  OnReserved(aStatus);
-                                });
+  dependencies_.biller_.Reserve(
+    { .budget_ = Info().budget_, .amount_ = bound, .owner_ = Info().id_ },
+    [this, bound](const absl::Status& aStatus) {
+      reserved_ = aStatus.ok() ? bound : 0;
+      OnReserved(aStatus);
+    });
 }
 
 void
--- a/packages/router/src/request/ServiceExchange.cpp
+++ b/packages/router/src/request/ServiceExchange.cpp
@@ -45,9 +45,9 @@
     Enqueue();
     return;
   }
-  dependencies_.biller_.Reserve(Info().budget_,
-                                serviceCall_.price_,
-                                Info().id_,
+  dependencies_.biller_.Reserve({ .budget_ = Info().budget_,
+                                  .amount_ = serviceCall_.price_,
+                                  .owner_ = Info().id_ },
                                 [this](const absl::Status& aStatus) {
                                   if (!aStatus.ok()) {
                                     Refuse(aStatus);
--- a/tests/ledger/version/LedgerDeploymentTest.cpp
+++ b/tests/ledger/version/LedgerDeploymentTest.cpp
@@ -46,12 +46,15 @@
     return std::get<BatchReply>(reply).results_.at(0);
   }
 
-  Tokens Grant(Incarnation aRouter, Tokens aWant, bool aPrefetch = false)
+  Tokens Grant(Incarnation aRouter,
+               Tokens aWant,
+               bool aPrefetch = false,
+               bool aTakesUp = false)
   {
     return std::get<GrantResult>(
              Op(aRouter,
                 AcquireGrant{
-                  kBudget, aWant, aPrefetch ? 1 : aWant, aPrefetch }))
+                  kBudget, aWant, aPrefetch ? 1 : aWant, aPrefetch, aTakesUp }))
       .granted_;
   }
 
@@ -220,7 +223,7 @@
   const auto steps =
     *rc::gen::container<std::vector<std::tuple<int, int, int>>>(
       300,
-      rc::gen::tuple(rc::gen::inRange(0, 8),
+      rc::gen::tuple(rc::gen::inRange(-1, 8),
                      rc::gen::inRange(0, kRouters),
                      rc::gen::inRange(1, 9'000)));
   for (const auto& [action, which, amount] : steps) {
@@ -228,6 +231,10 @@
     Holder& other = routers[(which + 1) % kRouters];
     const Tokens tokens = std::min<Tokens>(amount, router.free_);
     switch (action) {
+      case -1:
+        run.Run(AdmitVersion{ "s", "1" });
+        router.free_ += run.Grant(router.incarnation_, amount, false, true);
+        break;
       case 0:
       case 1:
         router.free_ += run.Grant(router.incarnation_, amount, action == 0);
--- a/tests/ledger/version/LedgerPropertyTest.cpp
+++ b/tests/ledger/version/LedgerPropertyTest.cpp
@@ -42,6 +42,7 @@
   {
     Run(ApplyResource{ "q1", 0, model::Workspace{ .name_ = "w" } });
     Run(ApplyResource{ "q2", 0, model::Budget{ .name_ = kBudget } });
+    Run(AdmitVersion{ "s", "1" });
     for (int router = 0; router < kRouters; ++router) {
       Register(router);
     }
@@ -80,7 +81,10 @@
     switch (aStep.action_) {
       case 3:
       case 4:
-        return AcquireGrant{ kBudget, 2 * aStep.amount_, aStep.amount_ };
+        return AcquireGrant{ .budget_ = kBudget,
+                             .want_ = 2 * aStep.amount_,
+                             .minimum_ = aStep.amount_,
+                             .takesUp_ = aStep.action_ == 4 };
       case 5:
         return ReturnGrant{ kBudget, aStep.amount_ };
       case 6:
--- a/tests/router/process/BillerFixture.h
+++ b/tests/router/process/BillerFixture.h
@@ -152,16 +152,21 @@
   }
 
   /// Reserves tokens and counts the reservation once it is granted or refused.
-  void Reserve(ledger::Tokens aAmount, int64_t aOwner = 0)
+  void Reserve(ledger::Tokens aAmount,
+               int64_t aOwner = 0,
+               bool aTakesUp = false)
   {
-    biller_.Reserve(
-      kBudget, aAmount, aOwner, [this](const absl::Status& aStatus) {
-        granted_ += aStatus.ok() ? 1 : 0;
-        if (!aStatus.ok()) {
-          refused_.push_back(model::KindOf(aStatus));
-        }
-        loop_.Stop();
-      });
+    biller_.Reserve({ .budget_ = kBudget,
+                      .amount_ = aAmount,
+                      .owner_ = aOwner,
+                      .takesUp_ = aTakesUp },
+                    [this](const absl::Status& aStatus) {
+                      granted_ += aStatus.ok() ? 1 : 0;
+                      if (!aStatus.ok()) {
+                        refused_.push_back(model::KindOf(aStatus));
+                      }
+                      loop_.Stop();
+                    });
   }
 
   /// Obtains a grant of 10,000 tokens and reserves 2,000 of them.
--- a/tests/router/process/BillerTest.cpp
+++ b/tests/router/process/BillerTest.cpp
@@ -261,12 +261,13 @@
   constexpr int64_t kOwner = 5;
   bool failed = false;
   ASSERT_TRUE(listening_.ok());
-  biller_.Reserve(kBudget, 3'000, 1, [&](const absl::Status& aStatus) {
-    EXPECT_FALSE(aStatus.ok());
-    biller_.CancelReserve(kOwner);
-  });
-  biller_.Reserve(
-    kBudget, 3'000, kOwner, [&](const absl::Status&) { failed = true; });
+  biller_.Reserve({ .budget_ = kBudget, .amount_ = 3'000, .owner_ = 1 },
+                  [&](const absl::Status& aStatus) {
+                    EXPECT_FALSE(aStatus.ok());
+                    biller_.CancelReserve(kOwner);
+                  });
+  biller_.Reserve({ .budget_ = kBudget, .amount_ = 3'000, .owner_ = kOwner },
+                  [&](const absl::Status&) { failed = true; });
   NextBatch();
   AnswerAndWait({});
   EXPECT_FALSE(failed);
@@ -280,12 +281,13 @@
   int served = 0;
   ASSERT_TRUE(listening_.ok());
   for (int i = 0; i < kRequests; ++i) {
-    biller_.Reserve(kBudget, 100, i, [&](const absl::Status& aStatus) {
-      served += aStatus.ok() ? 1 : 0;
-      deepest = std::max(deepest, ++depth);
-      biller_.Release(kBudget, 100);
-      --depth;
-    });
+    biller_.Reserve({ .budget_ = kBudget, .amount_ = 100, .owner_ = i },
+                    [&](const absl::Status& aStatus) {
+                      served += aStatus.ok() ? 1 : 0;
+                      deepest = std::max(deepest, ++depth);
+                      biller_.Release(kBudget, 100);
+                      --depth;
+                    });
   }
   NextBatch();
   AnswerAndWait({ .granted_ = 100 });
@@ -293,5 +295,23 @@
   EXPECT_EQ(deepest, 1);
 }
 
+TEST_F(BillerTest, DenialOfNewRequestDoesNotRefuseTakeUp)
+{
+  constexpr int64_t kNew = 1;
+  constexpr int64_t kTakeUp = 2;
+  ASSERT_TRUE(listening_.ok());
+  Reserve(300, kNew);
+  NextBatch();
+  Reserve(300, kTakeUp, true);
+  const auto requests = GrantRequestsIn(
+    AnswerAndWait({ .elsewhere_ = 5'000, .held_ = 5'000 }), false);
+  EXPECT_TRUE(refused_.empty());
+  ASSERT_EQ(requests.size(), 1U);
+  EXPECT_TRUE(requests.at(0).takesUp_);
+  Answer(300);
+  RunUntilGranted(1);
+  EXPECT_TRUE(refused_.empty());
+}
+
 } // namespace
 } // namespace cactuswick::router
--- a/tests/router/process/ReservationQueueTest.cpp
+++ b/tests/router/process/ReservationQueueTest.cpp
@@ -12,10 +12,11 @@
 class ReservationQueueTest : public testing::Test
 {
 protected:
-  void Add(int64_t aOwner, Tokens aAmount)
+  void Add(int64_t aOwner, Tokens aAmount, bool aTakesUp = false)
   {
     queue_.Add({ .owner_ = aOwner,
                  .amount_ = aAmount,
+                 .takesUp_ = aTakesUp,
                  .hook_ = [this, aOwner](const absl::Status& aStatus) {
                    (aStatus.ok() ? served_ : failed_).push_back(aOwner);
                  } });
@@ -36,6 +37,25 @@
   std::vector<int64_t> failed_;
 };
 
+TEST_F(ReservationQueueTest, StreamsTakenUpGoFirst)
+{
+  Add(1, 100);
+  Add(2, 100, true);
+  Add(3, 100);
+  Add(4, 100, true);
+  Serve(400);
+  EXPECT_EQ(served_, (std::vector<int64_t>{ 2, 4, 1, 3 }));
+}
+
+TEST_F(ReservationQueueTest, OldestMayWaitBehindStreamsTakenUp)
+{
+  Add(1, 100);
+  Add(2, 100, true);
+  EXPECT_EQ(queue_.First().owner_, 2);
+  queue_.FailOldest(absl::CancelledError());
+  EXPECT_EQ(failed_, std::vector<int64_t>{ 1 });
+}
+
 TEST_F(ReservationQueueTest, ServesInOrderUntilOneDoesNotFit)
 {
   Add(1, 100);
