A version that an older relay dropped first is no second version

While control admits nothing, a router with two versions refuses.

Change: an incarnation without a version counts as unknown until its version is known, not as a version of its own. Incarnations that leave unknown still count.

Result: the new case of AdmittedVersions gets { "", "1" } before and { "1" } after.

--- a/packages/routing/include/cactuswick/routing/process/EndpointTable.h
+++ b/packages/routing/include/cactuswick/routing/process/EndpointTable.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cactuswick/ledger/request/RouterOp.h"
@@ -254,6 +255,10 @@
   std::map<model::StreamOrigin, int64_t> opensMs_;
   /// Software versions that were announced so far, by service.
   std::map<std::string, std::set<std::string>> announcedVersions_;
+  /// Endpoints and incarnations whose version a relay of an earlier release has
+  /// dropped, by service, until it is known.
+  std::map<std::string, std::set<std::pair<std::string, int64_t>>>
+    unknownVersions_;
   WarmUp warmUp_;
   PrefillView othersPrefill_;
   std::map<std::string, EndpointState> endpoints_;
--- a/packages/routing/src/process/EndpointAvailability.cpp
+++ b/packages/routing/src/process/EndpointAvailability.cpp
@@ -12,6 +12,7 @@
 /// Versions of one service that are recorded; two are enough to know that there
 /// are several.
 constexpr size_t kMaxRecordedVersions = 8;
+constexpr size_t kMaxUnknownVersions = 8'192;
 
 } // namespace
 
@@ -80,15 +81,28 @@
 EndpointTable::VersionsOf(const std::string& aServes) const
 {
   const auto found = announcedVersions_.find(aServes);
-  return found == announcedVersions_.end() ? std::set<std::string>()
-                                           : found->second;
+  auto versions =
+    found == announcedVersions_.end() ? std::set<std::string>() : found->second;
+  const auto unknown = unknownVersions_.find(aServes);
+  if (unknown != unknownVersions_.end() && !unknown->second.empty()) {
+    versions.insert("");
+  }
+  return versions;
 }
 
 void
 EndpointTable::RecordVersion(const model::Announcement& aAnnouncement)
 {
+  const std::pair run{ aAnnouncement.endpoint_, aAnnouncement.incarnation_ };
   for (const auto& service : aAnnouncement.serves_) {
     auto& versions = announcedVersions_[service];
+    auto& unknown = unknownVersions_[service];
+    if (aAnnouncement.softwareVersion_.empty() &&
+        unknown.size() < kMaxUnknownVersions) {
+      unknown.insert(run);
+      continue;
+    }
+    unknown.erase(run);
     if (versions.size() < kMaxRecordedVersions) {
       versions.insert(aAnnouncement.softwareVersion_);
     }
--- a/tests/routing/process/AdmittedVersionsTest.cpp
+++ b/tests/routing/process/AdmittedVersionsTest.cpp
@@ -101,5 +101,21 @@
   EXPECT_EQ(table.VersionsOf("s"), (std::set<std::string>{ "", "1" }));
 }
 
+TEST(AdmittedVersions, VersionThatARelayDroppedFirstIsNoSecondVersion)
+{
+  EndpointTable table({});
+  table.ApplyAnnouncement(At("a", ""), 0, kNowMs);
+  table.ApplyAnnouncement(At("b", ""), 0, kNowMs);
+  EXPECT_EQ(table.VersionsOf("s"), std::set<std::string>{ "" });
+  model::Announcement known = At("a", "1");
+  known.sequence_ = 2;
+  table.ApplyAnnouncement(known, 0, kNowMs + 1);
+  EXPECT_EQ(table.VersionsOf("s"), (std::set<std::string>{ "", "1" }));
+  known.endpoint_ = "b";
+  known.address_ = "b:1";
+  table.ApplyAnnouncement(known, 0, kNowMs + 1);
+  EXPECT_EQ(table.VersionsOf("s"), std::set<std::string>{ "1" });
+}
+
 } // namespace
 } // namespace cactuswick::routing
