A change of the settings file while a process starts is applied

Cause: settings were parsed from one reading of the file, and later readings were compared with a second one, which had the change already.

Change: Settings keeps the text that it was parsed from, and the daemon compares with that.

--- a/packages/daemon/src/process/Daemon.cpp
+++ b/packages/daemon/src/process/Daemon.cpp
@@ -117,7 +117,7 @@
   Daemon(const settings::Settings& aSettings, std::string aPath)
     : settings_(aSettings)
     , configPath_(std::move(aPath))
-    , configText_(ReadFile(configPath_))
+    , configText_(aSettings.Text())
     , roleExits_(loop_, [this](const RoleExit& aExit) { OnRoleExit(aExit); })
     , terminate_(loop_, SIGTERM, [this] { OnStopSignal(); })
     , interrupt_(loop_, SIGINT, [this] { OnStopSignal(); })
--- a/packages/daemon/src/process/Daemon.h
+++ b/packages/daemon/src/process/Daemon.h
@@ -9,8 +9,9 @@
 
 /// Runs the roles of @p aSettings until they have stopped.
 ///
-/// Rereads the file at @p aPath when it changes or on SIGHUP. Only addresses of
-/// other processes are reloaded; all other settings need a restart.
+/// Rereads the file at @p aPath on SIGHUP and every second, and applies what
+/// differs from the text of @p aSettings or of the last reading. Only addresses
+/// of other processes are reloaded; all other settings need a restart.
 /// SIGTERM and SIGINT drain; a second one stops at once.
 absl::Status
 RunDaemon(const settings::Settings& aSettings, const std::string& aPath);
--- a/packages/settings/include/cactuswick/settings/process/Settings.h
+++ b/packages/settings/include/cactuswick/settings/process/Settings.h
@@ -34,6 +34,9 @@
   /// Reads and parses a file. Returns kIo when it cannot be read.
   static absl::StatusOr<Settings> Load(const std::string& aPath);
 
+  /// Returns the text that was parsed.
+  const std::string& Text() const { return text_; }
+
   std::string Get(const TextSetting& aSetting) const;
   int64_t Get(const IntegerSetting& aSetting) const;
   /// Returns the number of a setting of ValueFormat::kDecimal.
@@ -60,6 +63,7 @@
 
   absl::Status CheckRequired(std::string_view aFileName) const;
 
+  std::string text_;
   /// Keyed by "section/key".
   std::map<std::string, Value> values_;
 };
--- a/packages/settings/src/process/Settings.cpp
+++ b/packages/settings/src/process/Settings.cpp
@@ -193,6 +193,7 @@
     : fileName_(aFileName)
     , rest_(aText)
   {
+    settings_.text_ = aText;
   }
 
   absl::StatusOr<Settings> Run()
--- a/tests/settings/process/SettingsTest.cpp
+++ b/tests/settings/process/SettingsTest.cpp
@@ -21,6 +21,7 @@
 {
   const auto settings = Settings::Parse("f", kValidText);
   ASSERT_TRUE(settings.ok()) << settings.status().ToString();
+  EXPECT_EQ(settings->Text(), kValidText);
   EXPECT_EQ(settings->Get(kVm), "r1");
   EXPECT_EQ(settings->Get(kQueueLimit), kQueueLimit.default_);
   EXPECT_EQ(settings->GetAddresses(kRouterControl).size(), 2U);
