A SIGHUP while a process starts is kept until the daemon handles it

One that was started with SIGHUP blocked never handled it.

Cause: SIGHUP had its default action until the daemon's watch was there, and the mask that a process inherits was left as it was.

Change: main blocks SIGHUP first of all; the daemon unblocks it once it handles it, so that one that came before is handled then.

--- a/packages/daemon/src/process/Daemon.cpp
+++ b/packages/daemon/src/process/Daemon.cpp
@@ -14,6 +14,7 @@
 #include "cactuswick/router/process/RouterTask.h"
 #include "cactuswick/telemetry/process/Log.h"
 #include "cactuswick/transport/process/EventLoop.h"
+#include "process/Hangup.h"
 
 namespace cactuswick::daemon {
 
@@ -126,6 +127,7 @@
   {
     // Writes to a closed connection report an error instead.
     std::signal(SIGPIPE, SIG_IGN);
+    DeliverHangup();
   }
 
   absl::Status Run()
--- a/packages/daemon/src/process/Main.cpp
+++ b/packages/daemon/src/process/Main.cpp
@@ -7,6 +7,7 @@
 #include "cactuswick/model/process/Error.h"
 #include "cactuswick/telemetry/process/Log.h"
 #include "process/Daemon.h"
+#include "process/Hangup.h"
 
 namespace {
 
@@ -126,6 +127,7 @@
 int
 main(int aCount, char** aValues)
 {
+  daemon::HoldHangup();
   try {
     return Run(ParseArguments(aCount, aValues));
   } catch (const std::exception& error) {
