--- a/packages/daemon/src/process/Daemon.cpp
+++ b/packages/daemon/src/process/Daemon.cpp
@@ -14,6 +14,7 @@
 #include "cactuswick/router/process/RouterTask.h"
 #include "cactuswick/telemetry/process/Log.h"
 #include "cactuswick/transport/process/EventLoop.h"
+#include "process/Hangup.h"
 
 namespace cactuswick::daemon {
 
@@ -117,7 +118,7 @@
   Daemon(const settings::Settings& aSettings, std::string aPath)
     : settings_(aSettings)
     , configPath_(std::move(aPath))
-    , configText_(ReadFile(configPath_))
+    , configText_(aSettings.Text())
     , roleExits_(loop_, [this](const RoleExit& aExit) { OnRoleExit(aExit); })
     , terminate_(loop_, SIGTERM, [this] { OnStopSignal(); })
     , interrupt_(loop_, SIGINT, [this] { OnStopSignal(); })
@@ -126,6 +127,7 @@
   {
     // Writes to a closed connection report an error instead.
     std::signal(SIGPIPE, SIG_IGN);
+    DeliverHangup();
   }
 
   absl::Status Run()
