--- a/packages/ledger/src/version/LedgerTakeUps.cpp
+++ b/packages/ledger/src/version/LedgerTakeUps.cpp
@@ -8,8 +8,10 @@
 
 namespace {
 
-/// Share of a budget's total that is kept at most; new requests lose as much.
-constexpr Tokens kKeptPercent = 1;
+/// What is kept, as a share of what is held for dead routers, and at most as a
+/// share of the budget's total. New requests lose as much.
+constexpr Tokens kHeldPercent = 10;
+constexpr Tokens kTotalPercent = 3;
 constexpr Tokens kPercent = 100;
 
 } // namespace
@@ -27,8 +29,9 @@
     aAccount.keptMost_ = 0;
   }
   // What the broken streams had reserved is part of what is held.
-  aAccount.keptMost_ = std::min(aAccount.keptMost_ + aAmount,
-                                aAccount.toppedUp_ * kKeptPercent / kPercent);
+  aAccount.keptMost_ =
+    std::min(aAccount.keptMost_ + aAmount * kHeldPercent / kPercent,
+             aAccount.toppedUp_ * kTotalPercent / kPercent);
   aAccount.keptUntilMs_ = counters_.timeMs_ + kTakeUpHorizonMs;
 }
 
--- a/tests/system/test_take_up_budget.py
+++ b/tests/system/test_take_up_budget.py
@@ -13,8 +13,8 @@
 from test_stream_versions import (CHANGE_SECONDS, EVENTS, READ, ROUTERS,
                                   STREAMS, VersionsRun, running)
 
-# Of it 1 % is kept for take-ups: more than twice what STREAMS need with SIZE,
-# little more than they need with CROWDED_SIZE.
+# A tenth of what routers hold when they are killed is kept for take-ups: more
+# than STREAMS need with SIZE, little more than they need with CROWDED_SIZE.
 PREPAID = 300_000
 # Tokens of an answer: five events of a stride of four.
 ANSWER = 20
