A SIGHUP at the end of a stop does not change the exit code

Cause: when the daemon's watch of SIGHUP ends, libevent restores the default action, and the process lives on for a moment.

Change: the daemon holds SIGHUP back again before its watch ends.

--- a/packages/daemon/src/process/Daemon.cpp
+++ b/packages/daemon/src/process/Daemon.cpp
@@ -130,6 +130,12 @@
     DeliverHangup();
   }
 
+  Daemon(const Daemon&) = delete;
+  Daemon& operator=(const Daemon&) = delete;
+
+  /// The watch of SIGHUP leaves its default action behind.
+  ~Daemon() { HoldHangup(); }
+
   absl::Status Run()
   {
     absl::Status status = StartControl();
--- a/tests/system/test_reload.py
+++ b/tests/system/test_reload.py
@@ -98,3 +98,16 @@
     started = logged_at(run, "starting vm=")
     reloaded = logged_at(run, "reloading changed settings")
     assert (reloaded - started).total_seconds() < POLL_SECONDS
+
+
+def test_sighup_while_a_router_stops_does_not_change_its_exit_code(run):
+    for _ in range(5):
+        run.start_router(1)
+        wait_serving(run)
+        process = run.processes.pop("r1")
+        process.send_signal(signal.SIGTERM)
+        end = time.monotonic() + 10
+        while process.poll() is None and time.monotonic() < end:
+            process.send_signal(signal.SIGHUP)
+        run.wait_or_kill(process, 0)
+        assert process.returncode == 0
