What a router knows reaches the leader before it decides about a part

It waits 200 ms after repeated evidence, but not for a router that is back and has not spoken yet. The same interval held back the replies to WatchParts for up to 200 ms, which is all that the leader waits for them (by reading).

Evidence at a connection is sent at once now, replies to WatchParts after the 20 ms in which the requests of a crash are collected. Both are bounded by connections and by the leader's own messages.

--- a/packages/router/src/process/PromptQuarantine.cpp
+++ b/packages/router/src/process/PromptQuarantine.cpp
@@ -21,7 +21,8 @@
 /// report covers them.
 constexpr int64_t kCollectMs = 20;
 /// Minimum time between two reports, which bounds the leader's work if
-/// responses break all the time.
+/// responses break all the time. What the leader has asked for and what it
+/// hears of a router that has connected do not wait for it.
 constexpr int64_t kReportIntervalMs = 200;
 /// Minimum time between two reports of responses to the same watched part.
 constexpr int64_t kAnswerReportMs = 500;
@@ -296,7 +297,7 @@
     }
   }
   if (!pending_.answered_.empty()) {
-    ScheduleFlush();
+    FlushAfter(kCollectMs);
   }
 }
 
@@ -311,7 +312,7 @@
   pendingParts_ = PartCountOf(pending_.reports_);
   AddAnswersToReports(now);
   if (!pending_.reports_.empty()) {
-    ScheduleFlush();
+    FlushAfter(0);
   }
 }
 
@@ -342,6 +343,13 @@
   }
 }
 
+void
+PromptQuarantine::FlushAfter(int64_t aDelayMs)
+{
+  flushScheduled_ = true;
+  flushTimer_.StartOnce(aDelayMs);
+}
+
 void
 PromptQuarantine::Flush()
 {
--- a/packages/router/src/process/PromptQuarantine.h
+++ b/packages/router/src/process/PromptQuarantine.h
@@ -117,6 +117,9 @@
   void OnTick();
   void Flush();
   void ScheduleFlush();
+  /// Sends without regard to the interval of reports what the leader may need
+  /// for a decision that it is about to make.
+  void FlushAfter(int64_t aDelayMs);
   /// Adds the responses to the parts of the reports, which the leader could not
   /// hear of when it was not connected.
   void AddAnswersToReports(int64_t aNowMs);
--- a/tests/router/process/PromptQuarantineTest.cpp
+++ b/tests/router/process/PromptQuarantineTest.cpp
@@ -12,6 +12,11 @@
 using model::Concat;
 using transport::EventLoop;
 
+/// By then the requests of a crash have been collected and reported.
+constexpr int64_t kCollectedMs = 60;
+/// Well within the 200 ms between two reports.
+constexpr int64_t kAtOnceMs = 60;
+
 /// The quarantine of one router, whose control is simulated.
 class QuarantineOfRouter
 {
@@ -130,6 +135,35 @@
             router.sent_[1].reports_[0].ageMs_);
 }
 
+TEST(PromptQuarantine, EvidenceReachesANewLeaderAtOnce)
+{
+  QuarantineOfRouter router;
+  router.quarantine_.OnAnswered({ 1, { "topic" } });
+  router.Crash(2, { "topic", "bad" });
+  router.Run(kCollectedMs);
+  ASSERT_EQ(router.sent_.size(), 1U);
+  router.quarantine_.OnConnected();
+  router.Run(kAtOnceMs);
+  ASSERT_EQ(router.sent_.size(), 2U);
+  EXPECT_EQ(router.sent_[1].reports_.size(), 1U);
+  ASSERT_EQ(router.sent_[1].answered_.size(), 1U);
+  EXPECT_EQ(router.sent_[1].answered_[0].part_, "topic");
+}
+
+TEST(PromptQuarantine, KnownResponsesToWatchedPartsAreReportedAtOnce)
+{
+  QuarantineOfRouter router;
+  router.quarantine_.OnAnswered({ 1, { "topic" } });
+  router.Crash(2, { "topic", "bad" });
+  router.Run(kCollectedMs);
+  ASSERT_EQ(router.sent_.size(), 1U);
+  router.quarantine_.OnWatch({ { "topic", "bad" } });
+  router.Run(kAtOnceMs);
+  ASSERT_EQ(router.sent_.size(), 2U);
+  ASSERT_EQ(router.sent_[1].answered_.size(), 1U);
+  EXPECT_EQ(router.sent_[1].answered_[0].part_, "topic");
+}
+
 TEST(PromptQuarantine, EndpointThatRespondsAfterABreakIsReportedAlive)
 {
   QuarantineOfRouter router;
