Tokens are kept for take-ups only while several versions are admitted

Cause: after a loss of everything a tenth of what is held is kept, and new requests lose it though hardly any stream is taken up.

--- a/packages/ledger/include/cactuswick/ledger/version/Ledger.h
+++ b/packages/ledger/include/cactuswick/ledger/version/Ledger.h
@@ -217,8 +217,11 @@
                      Tokens aAmount,
                      bool aHold);
   void DropEmptyShare(const std::string& aBudget, Incarnation aHolder);
+  /// Returns whether several software versions of one service are admitted.
+  bool HasSeveralVersions() const;
   /// Holds tokens that a dead router may have used; of a declared budget, some
-  /// of the available ones are kept from then on.
+  /// of the available ones are kept from then on while several versions are
+  /// admitted.
   void HoldForDead(Account& aAccount, Tokens aAmount);
 
   void EndIncarnation(Incarnation aIncarnation);
--- a/packages/ledger/src/version/LedgerTakeUps.cpp
+++ b/packages/ledger/src/version/LedgerTakeUps.cpp
@@ -22,7 +22,7 @@
   aAccount.held_ += aAmount;
   // Replicas of earlier releases, which keep nothing, cannot read a log with
   // admitted versions.
-  if (aAmount <= 0 || versions_.empty() || !aAccount.declared_) {
+  if (aAmount <= 0 || !HasSeveralVersions() || !aAccount.declared_) {
     return;
   }
   if (counters_.timeMs_ >= aAccount.keptUntilMs_) {
@@ -39,7 +39,7 @@
 Ledger::KeptForTakeUps(const Account& aAccount) const
 {
   const bool keeps =
-    counters_.timeMs_ < aAccount.keptUntilMs_ && !versions_.empty();
+    counters_.timeMs_ < aAccount.keptUntilMs_ && HasSeveralVersions();
   return keeps
            ? std::clamp(aAccount.Available(), Tokens{ 0 }, aAccount.keptMost_)
            : 0;
--- a/packages/ledger/src/version/LedgerVersions.cpp
+++ b/packages/ledger/src/version/LedgerVersions.cpp
@@ -51,4 +51,13 @@
   return Accepted{ .revision_ = counters_.revision_ };
 }
 
+bool
+Ledger::HasSeveralVersions() const
+{
+  return std::any_of(
+    versions_.begin(), versions_.end(), [](const auto& aService) {
+      return aService.second.size() > 1;
+    });
+}
+
 } // namespace cactuswick::ledger
--- a/tests/ledger/version/LedgerDeploymentTest.cpp
+++ b/tests/ledger/version/LedgerDeploymentTest.cpp
@@ -233,6 +233,7 @@
     switch (action) {
       case -1:
         run.Run(AdmitVersion{ "s", "1" });
+        run.Run(AdmitVersion{ "s", "2" });
         router.free_ += run.Grant(router.incarnation_, amount, false, true);
         break;
       case 0:
--- a/tests/ledger/version/LedgerPropertyTest.cpp
+++ b/tests/ledger/version/LedgerPropertyTest.cpp
@@ -43,6 +43,7 @@
     Run(ApplyResource{ "q1", 0, model::Workspace{ .name_ = "w" } });
     Run(ApplyResource{ "q2", 0, model::Budget{ .name_ = kBudget } });
     Run(AdmitVersion{ "s", "1" });
+    Run(AdmitVersion{ "s", "2" });
     for (int router = 0; router < kRouters; ++router) {
       Register(router);
     }
