A response under way is not cut before its caller stops waiting

Cause: on a link whose connections take long the router moves a request's deadline forward, by up to a quarter of the caller's time, so that a refusal still arrives in time. The same deadline ended responses that were under way. Around a planned stop the estimate is high for all, as every call opens a new connection.

Ruled out by the log: the end of the drain (33.4 s; those cuts say cut:draining), the 300 ms for last replies, TCP's user timeout.

Change: ForwardDeadlines keeps the two apart. Without an answer a request still fails early; one whose response has begun goes on until its caller stops waiting. A stopping router takes a late request only if that time, and not the estimate, lies before the end of its drain.

--- a/packages/router/src/connection/ForwardApi.cpp
+++ b/packages/router/src/connection/ForwardApi.cpp
@@ -30,12 +30,6 @@
 /// Retry-After is at most the caller's remaining time divided by this, as
 /// callers do not follow a longer wait.
 constexpr int64_t kRetryAfterDivisor = 3;
-/// A request waits for an endpoint for at most the caller's time divided by
-/// this.
-constexpr int64_t kQueueTimeDivisor = 2;
-/// The deadline is moved forward by at most the caller's time divided by this
-/// for packets that wait at this VM's link.
-constexpr int64_t kLinkDelayDivisor = 4;
 
 } // namespace
 
@@ -126,7 +120,7 @@
                     .startMs_ = EventLoop::NowMs() };
   plan.prompt_ = SharedPromptOf(plan.request_);
   SetDeadlines(plan);
-  if (!options_.accepts_(plan.deadlineMs_)) {
+  if (!options_.accepts_(plan.deadlines_.callerMs_)) {
     return DrainingError();
   }
   status = ResolveWorkspace(plan);
@@ -143,7 +137,7 @@
   plan.moveTo_ = [this](ForwardPlan& aPlan, const std::string& aService) {
     return MoveTo(aPlan, aService);
   };
-  plan.retryAfterMs_ = [this, deadline = plan.deadlineMs_](ErrorKind aKind) {
+  plan.retryAfterMs_ = [this, deadline = plan.deadlines_.attemptMs_](ErrorKind aKind) {
     return RetryAfterMs(aKind, deadline);
   };
   return plan;
@@ -155,13 +149,10 @@
   const int64_t timeout = aPlan.route_.timeoutMs_;
   const int64_t wait =
     std::min(timeout, aPlan.request_.deadlineMs_.value_or(timeout));
-  // The request has waited at the link before it was read, and its response
-  // will; a round trip is both.
-  const int64_t atLink =
-    std::min(options_.services_.linkDelay_.EstimateMs(aPlan.startMs_),
-             wait / kLinkDelayDivisor);
-  aPlan.deadlineMs_ = aPlan.startMs_ + wait - atLink;
-  aPlan.queueDeadlineMs_ = aPlan.startMs_ + wait / kQueueTimeDivisor;
+  aPlan.deadlines_ =
+    DeadlinesOf(aPlan.startMs_,
+                wait,
+                options_.services_.linkDelay_.EstimateMs(aPlan.startMs_));
 }
 
 absl::Status
--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -55,7 +55,7 @@
   , attempts_({ .dispatcher_ = aDependencies.dispatcher_,
                 .metrics_ = aDependencies.metrics_,
                 .maxSends_ = plan_.route_.maxAttempts_,
-                .deadlineMs_ = plan_.deadlineMs_,
+                .deadlineMs_ = plan_.deadlines_.attemptMs_,
                 .minTimeLeftMs_ = kMinAttemptMs,
                 .tryTakeRetry_ = [this] { return plan_.tryTakeRetry_(); } })
   , relay_(RelayOptionsOf(plan_))
@@ -70,7 +70,7 @@
 {
   exchange_->SetClosedHook([this] { OnCallerDisconnected(); });
   deadlineTimer_.StartOnce(
-    std::max(int64_t{ 1 }, plan_.deadlineMs_ - EventLoop::NowMs()));
+    std::max(int64_t{ 1 }, plan_.deadlines_.attemptMs_ - EventLoop::NowMs()));
   if (TakesUpStream(plan_)) {
     FindOrigin();
   } else {
@@ -125,7 +125,7 @@
                    .priority_ = plan_.priority_,
                    .cost_ =
                      std::max(ledger::Tokens{ 1 }, plan_.tokensToReserve_),
-                   .deadlineMs_ = plan_.queueDeadlineMs_ },
+                   .deadlineMs_ = plan_.deadlines_.queueMs_ },
       .serves_ = plan_.service_,
       .prompt_ = PromptLoadOf(plan_.request_),
       .softwareVersion_ =
@@ -178,7 +178,10 @@
 ForwardExchange::CallOptionsFor(const model::Announcement& aEndpoint) const
 {
   const int64_t now = EventLoop::NowMs();
-  const int64_t left = std::max(int64_t{ 1 }, plan_.deadlineMs_ - now);
+  const int64_t left =
+    std::max(int64_t{ 1 }, plan_.deadlines_.attemptMs_ - now);
+  const int64_t callerLeft =
+    std::max(int64_t{ 1 }, plan_.deadlines_.callerMs_ - now);
   const auto address = transport::ParseAddress("address", aEndpoint.address_);
   const ForwardMetadata send{ .endpoint_ = aEndpoint.endpoint_,
                               .workspace_ = plan_.workspace_,
@@ -196,7 +199,7 @@
              dependencies_.linkDelay_.ConnectTimeoutMs(kConnectTimeoutMs, now),
              left),
            .firstByteTimeoutMs_ = left + kConnectTimeoutMs,
-           .progressTimeoutMs_ = left + kConnectTimeoutMs,
+           .progressTimeoutMs_ = callerLeft + kConnectTimeoutMs,
            .pool_ = &dependencies_.pool_,
            // A late copy of the endpoint's earlier response would carry this
            // request's id and be taken for the response to this attempt.
--- a/packages/router/src/request/ForwardExchangeEnd.cpp
+++ b/packages/router/src/request/ForwardExchangeEnd.cpp
@@ -10,10 +10,17 @@
 using model::ErrorKind;
 using model::MakeError;
 using routing::AttemptOutcome;
+using transport::EventLoop;
 
 void
 ForwardExchange::OnDeadline()
 {
+  const int64_t leftMs =
+    plan_.deadlines_.EndMs(relay_.HasBegun()) - EventLoop::NowMs();
+  if (leftMs > 0) {
+    deadlineTimer_.StartOnce(leftMs);
+    return;
+  }
   MarkMayHaveRunIfSent();
   const auto status =
     MakeError(ErrorKind::kDeadlineUnreachable,
--- a/packages/router/src/request/ForwardPlan.cpp
+++ b/packages/router/src/request/ForwardPlan.cpp
@@ -62,7 +62,7 @@
                       .priority_ = aPlan.priority_,
                       .firstTokenTargetMs_ = aPlan.route_.latencyTargetMs_ },
            .budget_ = aPlan.budget_,
-           .deadlineMs_ = aPlan.deadlineMs_,
+           .deadlineMs_ = aPlan.deadlines_.attemptMs_,
            .startMs_ = aPlan.startMs_ };
 }
 
--- a/packages/router/src/request/ForwardPlan.h
+++ b/packages/router/src/request/ForwardPlan.h
@@ -10,6 +10,7 @@
 #include "cactuswick/router/connection/ForwardDialect.h"
 #include "process/Dispatcher.h"
 #include "process/StreamOrigins.h"
+#include "request/ForwardDeadlines.h"
 #include "request/RequestTelemetry.h"
 #include "request/ResponseRelay.h"
 
@@ -36,10 +37,7 @@
   /// Version of the deployment from which the plan was made.
   int64_t deploymentVersion_ = 0;
   int64_t startMs_ = 0;
-  /// Time at which a response has to be sent to reach the caller in time.
-  int64_t deadlineMs_ = 0;
-  /// Time at which a request that still waits for an endpoint is refused.
-  int64_t queueDeadlineMs_ = 0;
+  ForwardDeadlines deadlines_;
   /// Budget that pays for the request; empty for none.
   std::string budget_;
   /// Upper bound of the tokens used, to reserve; 0 for no reservation.
