Last replies are sent for as long as the grace period lasts

What callers would see: a reply that waits at a full link 300 ms after a stopping router has read its last request is dropped, with seconds of the grace period left.

Change: the last replies may take until the end of the drain; 300 ms only where that is over.

Test: RouterShutdown.ReplyOnASlowLinkIsSentWhileTheGracePeriodLasts; before, the router stops 300 ms after the deregistration.

--- a/packages/router/src/process/RouterShutdown.cpp
+++ b/packages/router/src/process/RouterShutdown.cpp
@@ -16,7 +16,7 @@
 /// Timeout for the deregistration to be committed.
 constexpr int64_t kDeregisterTimeoutMs = 3'000;
 /// Time to send the replies of requests that the timeout has ended, and the
-/// last replies before the router stops.
+/// least time for the last replies before the router stops.
 constexpr int64_t kReplyTimeoutMs = 300;
 /// All requests are accepted during the first part of the grace period, its
 /// length divided by this, so that each has most of the period to finish.
@@ -89,6 +89,9 @@
   // still queued when the process ends is lost.
   phase_ = Phase::kFlushing;
   flushByMs_ = aNowMs + kReplyTimeoutMs;
+  if (options_.graceMs_) {
+    flushByMs_ = std::max(flushByMs_, drainByMs_);
+  }
   options_.onStopReading_();
 }
 
--- a/tests/router/process/RouterShutdownTest.cpp
+++ b/tests/router/process/RouterShutdownTest.cpp
@@ -116,6 +116,24 @@
   EXPECT_EQ(router.steps_, (Steps{ "leave", "deregister", "stopped" }));
 }
 
+TEST(RouterShutdown, ReplyOnASlowLinkIsSentWhileTheGracePeriodLasts)
+{
+  constexpr int64_t kGraceMs = 7'100;
+  constexpr int64_t kDeregisteredMs = kLeaveMs + 10;
+  FakeRouter router;
+  auto options = router.Options();
+  options.graceMs_ = kGraceMs;
+  RouterShutdown shutdown(std::move(options));
+  shutdown.Begin(0);
+  shutdown.OnTick(kLeaveMs);
+  router.idle_ = false;
+  shutdown.OnDeregistered(kDeregisteredMs);
+  shutdown.OnTick(kGraceMs - 1);
+  EXPECT_EQ(router.steps_, (Steps{ "leave", "deregister" }));
+  shutdown.OnTick(kGraceMs);
+  EXPECT_EQ(router.steps_, (Steps{ "leave", "deregister", "stopped" }));
+}
+
 TEST(RouterShutdown, NothingIsReadOnceTheTimeoutHasEndedTheRequests)
 {
   FakeRouter router;
