Routers that do not reach the endpoints connect through others

Cause: a router connects to endpoints directly or not at all.

All decisions stay with the caller's router; the tunnel is a connection. What a cut-off router sees neither ejects endpoints nor counts against prompt parts.

--- a/packages/router/src/connection/ForwardApi.cpp
+++ b/packages/router/src/connection/ForwardApi.cpp
@@ -137,9 +137,10 @@
   plan.moveTo_ = [this](ForwardPlan& aPlan, const std::string& aService) {
     return MoveTo(aPlan, aService);
   };
-  plan.retryAfterMs_ = [this, deadline = plan.deadlines_.attemptMs_](ErrorKind aKind) {
-    return RetryAfterMs(aKind, deadline);
-  };
+  plan.retryAfterMs_ =
+    [this, deadline = plan.deadlines_.attemptMs_](ErrorKind aKind) {
+      return RetryAfterMs(aKind, deadline);
+    };
   return plan;
 }
 
@@ -316,6 +317,23 @@
   }
 }
 
+void
+ForwardApi::OnCutOff()
+{
+  for (const auto& [id, exchange] : exchanges_) {
+    exchange->OnCutOff();
+  }
+}
+
+bool
+ForwardApi::HasSilentCall(int64_t aSinceMs) const
+{
+  return std::any_of(
+    exchanges_.begin(), exchanges_.end(), [&](const auto& aPair) {
+      return aPair.second->IsSilentSince(aSinceMs);
+    });
+}
+
 void
 ForwardApi::OnEndpointsStopped()
 {
--- a/packages/router/src/connection/ForwardApi.h
+++ b/packages/router/src/connection/ForwardApi.h
@@ -46,6 +46,12 @@
   void OnQuarantined();
   /// Withdraws unsent requests from endpoints that take none any more.
   void OnEndpointsStopped();
+  /// Sends requests again that this router, which is cut off from the
+  /// endpoints, could not send or whose endpoints it does not hear.
+  void OnCutOff();
+  /// Returns whether a request has had nothing from its endpoint since
+  /// @p aSinceMs.
+  bool HasSilentCall(int64_t aSinceMs) const;
   /// Ends all requests in flight because the router stops.
   void EndAll();
   int64_t InFlight() const { return static_cast<int64_t>(exchanges_.size()); }
--- a/packages/router/src/process/ForwardRole.cpp
+++ b/packages/router/src/process/ForwardRole.cpp
@@ -48,6 +48,9 @@
 /// that this router does not know.
 constexpr int64_t kContactMs = 600;
 static_assert(kContactMs < routing::EndpointTable::kVersionOpensMs);
+/// Time without a byte of any endpoint, while requests wait, after which this
+/// router may be cut off from them.
+constexpr int64_t kSilenceMs = 800;
 constexpr int kHttpUnavailable = 503;
 constexpr int64_t kMsPerSecond = 1'000;
 
@@ -72,11 +75,18 @@
   , quarantine_(options_.loop_, QuarantineOptions())
   , prefill_(ReporterOptions())
   , origins_(OriginsOptions())
-  , services_{ options_.loop_,       options_.biller_,
-               options_.dispatcher_, pool_,
-               options_.metrics_,    options_.burn_,
-               options_.dialect_,    quarantine_,
-               options_.linkDelay_,  origins_ }
+  , path_(PathOptions())
+  , services_{ options_.loop_,
+               options_.biller_,
+               options_.dispatcher_,
+               pool_,
+               options_.metrics_,
+               options_.burn_,
+               options_.dialect_,
+               quarantine_,
+               options_.linkDelay_,
+               origins_,
+               path_ }
   , api_({ .services_ = services_,
            .retries_ = [this] { return RetryOptions(); },
            .isReady_ = options_.isReady_,
@@ -111,6 +121,10 @@
     status.Update(
       readyServer_.Listen(settings.GetAddress(settings::kForwardReadyListen)));
   }
+  if (!settings.Get(settings::kRouterTunnelListen).empty()) {
+    status.Update(
+      path_.Listen(settings.GetAddress(settings::kRouterTunnelListen)));
+  }
   return status;
 }
 
@@ -178,6 +192,26 @@
              } };
 }
 
+EndpointPathOptions
+ForwardRole::PathOptions()
+{
+  const auto& settings = options_.settings_;
+  const bool hasTunnels = !settings.Get(settings::kRouterTunnelListen).empty();
+  return { .loop_ = options_.loop_,
+           .dispatcher_ = options_.dispatcher_,
+           .linkDelay_ = options_.linkDelay_,
+           .metrics_ = options_.metrics_,
+           .failureDomain_ = settings.Get(settings::kFailureDomain),
+           .region_ = settings.Get(settings::kRegion),
+           .tunnelPort_ =
+             hasTunnels
+               ? settings.GetAddress(settings::kRouterTunnelListen).port_
+               : uint16_t{ 0 },
+           .servesOthers_ =
+             [this] { return options_.isReady_() && !options_.isLeaving_(); },
+           .onCutOff_ = [this] { api_.OnCutOff(); } };
+}
+
 bool
 ForwardRole::HasEngines() const
 {
@@ -197,6 +231,11 @@
     prefill_.OnTick(aNowMs);
   }
   origins_.OnTick(aNowMs);
+  if (aNowMs - path_.LastReceivedMs() >= kSilenceMs &&
+      api_.HasSilentCall(aNowMs - kSilenceMs)) {
+    path_.OnSilence();
+  }
+  path_.OnTick(aNowMs);
 }
 
 void
@@ -227,6 +266,7 @@
     origins_.ReportAll();
   }
   if (aDelta.routersChanged_) {
+    path_.SetRouters(options_.config_.Routers(), options_.self_());
     SetWarmUpRouters();
   }
   if (aDelta.deployment_) {
--- a/packages/router/src/process/ForwardRole.h
+++ b/packages/router/src/process/ForwardRole.h
@@ -6,6 +6,7 @@
 #include "cactuswick/settings/process/Settings.h"
 #include "cactuswick/transport/connection/HttpServer.h"
 #include "connection/ForwardApi.h"
+#include "process/EndpointPath.h"
 #include "process/PrefillReporter.h"
 #include "process/StreamOrigins.h"
 #include "version/ConfigView.h"
@@ -58,6 +59,9 @@
   /// Ends all requests in flight because the router stops.
   void EndAll() { api_.EndAll(); }
   int64_t InFlight() const { return api_.InFlight(); }
+  /// Returns the number of connections to endpoints that are open for other
+  /// routers.
+  size_t TunnelsForOthers() const { return path_.TunnelsForOthers(); }
   /// Accepts no more connections of callers and reads no more requests.
   void StopReading()
   {
@@ -69,6 +73,7 @@
   PromptQuarantineOptions QuarantineOptions();
   PrefillReporterOptions ReporterOptions();
   StreamOriginsOptions OriginsOptions();
+  EndpointPathOptions PathOptions();
   /// Returns whether a service of the deployment has model engines.
   bool HasEngines() const;
   void OnReadyRequest(transport::HttpExchange& aExchange) const;
@@ -89,6 +94,7 @@
   PromptQuarantine quarantine_;
   PrefillReporter prefill_;
   StreamOrigins origins_;
+  EndpointPath path_;
   ForwardDependencies services_;
   ForwardApi api_;
   transport::HttpServer server_;
--- a/packages/router/src/process/RouterTask.cpp
+++ b/packages/router/src/process/RouterTask.cpp
@@ -98,6 +98,7 @@
         [this] {
           // Responses that have ended may still be in output buffers.
           return InFlight() == 0 && biller_->PendingCount() == 0 &&
+                 (!forward_ || forward_->TunnelsForOthers() == 0) &&
                  loop_.Callers().Budget().HeldBytes(
                    transport::HeldKind::kResponse) == 0;
         },
--- a/packages/router/src/request/Attempts.h
+++ b/packages/router/src/request/Attempts.h
@@ -55,6 +55,10 @@
   /// that was sent takes one retry from the retry budget.
   bool TryRetry(bool aWasSent);
 
+  /// Returns whether the request may be sent once more after the present
+  /// attempt, which was sent.
+  bool HasAnotherSend() const { return sends_ + 1 < options_.maxSends_; }
+
   /// Returns whether an earlier attempt was made at this endpoint's address.
   bool HasTried(const model::Announcement& aEndpoint) const;
 
--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -151,9 +151,15 @@
     return;
   }
   relay_.BeginAttempt();
+  tunnel_ = dependencies_.path_.ChooseTunnel(triedTunnels_);
+  lastReceivedMs_ = EventLoop::NowMs();
   transport::HttpCallOptions options = CallOptionsFor(aEndpoint);
   options.onConnected_ = [this](int64_t aElapsedMs) {
-    dependencies_.linkDelay_.Observe(aElapsedMs, EventLoop::NowMs());
+    lastReceivedMs_ = EventLoop::NowMs();
+    dependencies_.linkDelay_.Observe(aElapsedMs, lastReceivedMs_);
+    if (!tunnel_) {
+      dependencies_.path_.OnConnected();
+    }
     attempts_.OnSent();
   };
   options.skips_ = [this](int aStatus, const transport::Headers& aHeaders) {
@@ -191,6 +197,7 @@
                               .isGeneration_ =
                                 plan_.request_.promptTokens_.has_value() };
   return { .address_ = address.value_or(transport::Address{}),
+           .tunnel_ = tunnel_,
            .method_ = exchange_->Method(),
            .path_ = exchange_->Uri(),
            .headers_ = dependencies_.dialect_.encode_(plan_.request_, send),
@@ -204,12 +211,15 @@
            // A late copy of the endpoint's earlier response would carry this
            // request's id and be taken for the response to this attempt.
            .opensNewConnection_ = attempts_.HasTried(aEndpoint),
-           .acceptsUnframed_ = true };
+           // When the router between dies, its connection ends as a whole
+           // response without a length does.
+           .acceptsUnframed_ = !tunnel_ };
 }
 
 void
 ForwardExchange::OnHead(int aStatus, const transport::Headers& aHeaders)
 {
+  OnReceived();
   ForwardResponseHead head =
     dependencies_.dialect_.decodeResponseHead_(aStatus, aHeaders);
   if (OwnerOf(head, plan_.request_.id_) != ResponseOwner::kThisRequest) {
@@ -235,6 +245,7 @@
 void
 ForwardExchange::OnData(std::string_view aData)
 {
+  OnReceived();
   const RelayOutput output = relay_.Feed(aData);
   if (output.startsResponse_) {
     telemetry_.OnFirstToken();
@@ -278,6 +289,11 @@
     return;
   }
   const bool sent = call_->WasDispatched();
+  RecordPath(sent);
+  if (tunnel_ && !sent) {
+    OnNoTunnel(aStatus);
+    return;
+  }
   attempts_.RecordAttempt(sent);
   LogIfMalformed(*call_, plan_.request_.id_, attempts_.Endpoint().endpoint_);
   switch (relay_.ClassifyEnd(aStatus.ok(), call_->EndsByClose())) {
@@ -333,7 +349,10 @@
   if (aWasSent) {
     attempts_.MarkMayHaveRun();
   }
-  LeaveEndpoint(AttemptOutcome::kFailed, aLabel);
+  // The endpoint is not to blame for what may be this router's own partition.
+  LeaveEndpoint(dependencies_.path_.IsInDoubt() ? AttemptOutcome::kNeutral
+                                                : AttemptOutcome::kFailed,
+                aLabel);
   OnAttemptFailed(aStatus, aWasSent);
 }
 
--- a/packages/router/src/request/ForwardExchange.h
+++ b/packages/router/src/request/ForwardExchange.h
@@ -4,12 +4,14 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "cactuswick/router/connection/ForwardDialect.h"
 #include "cactuswick/routing/process/LinkDelay.h"
 #include "cactuswick/transport/connection/HttpCall.h"
 #include "connection/ForwardErrors.h"
 #include "process/Biller.h"
+#include "process/EndpointPath.h"
 #include "process/PromptQuarantine.h"
 #include "process/StreamOrigins.h"
 #include "request/Attempts.h"
@@ -33,6 +35,7 @@
   PromptQuarantine& quarantine_;
   routing::LinkDelay& linkDelay_;
   StreamOrigins& origins_;
+  EndpointPath& path_;
 };
 
 /// Handles one forwarded request: reserves budget, queues, sends it to an
@@ -56,6 +59,12 @@
   /// endpoint takes no requests any more; refuses it if it waits for endpoints
   /// that ask to back off for longer than it can wait.
   void OnEndpointsStopped();
+  /// Sends the request again, through another router, if it was not sent or may
+  /// be repeated and waits for an endpoint that this router does not reach.
+  void OnCutOff();
+  /// Returns whether a call on a direct connection has had nothing from its
+  /// endpoint since @p aSinceMs.
+  bool IsSilentSince(int64_t aSinceMs) const;
   /// Fails the request because the router stops.
   void OnRouterStops();
 
@@ -94,6 +103,14 @@
   bool IsMisdirected() const;
   void OnData(std::string_view aData);
   void OnCallDone(const absl::Status& aStatus);
+  /// Records what an attempt has shown of the path to its endpoint.
+  void RecordPath(bool aSent);
+  /// Handles an attempt for which the chosen router has opened no tunnel.
+  void OnNoTunnel(const absl::Status& aStatus);
+  /// Queues the request again after it has not been sent, without counting an
+  /// attempt.
+  void Withdraw(std::string_view aLabel);
+  void OnReceived();
   void OnNotRun();
   void OnServerError();
   /// Records that the endpoint responds normally to the prompt's parts.
@@ -136,6 +153,12 @@
   transport::Timer deadlineTimer_;
   transport::Timer backpressureTimer_;
   std::unique_ptr<transport::HttpCall> call_;
+  /// Router through which the present attempt is made; nullopt if directly.
+  std::optional<transport::Address> tunnel_;
+  /// Routers that opened no tunnel for this request.
+  std::vector<transport::Address> triedTunnels_;
+  /// Time at which the present attempt was sent or had bytes from its endpoint.
+  int64_t lastReceivedMs_ = 0;
   ledger::Tokens reserved_ = 0;
   /// Log fields of the wait for a grant; empty if there was no wait.
   std::string grantWaitFields_;
--- a/packages/router/src/request/ForwardExchangeEndpoints.cpp
+++ b/packages/router/src/request/ForwardExchangeEndpoints.cpp
@@ -76,8 +76,14 @@
   if (!call_ || call_->WasDispatched() || attempts_.MayBeSent()) {
     return;
   }
+  Withdraw("withdrawn");
+}
+
+void
+ForwardExchange::Withdraw(std::string_view aLabel)
+{
   dependencies_.metrics_.Count(Counter::kAttemptsWithdrawn);
-  LeaveEndpoint(AttemptOutcome::kNeutral, "withdrawn");
+  LeaveEndpoint(AttemptOutcome::kNeutral, aLabel);
   relay_.EndAttempt();
   Enqueue();
 }
--- a/packages/router/src/request/ForwardExchangeQuarantine.cpp
+++ b/packages/router/src/request/ForwardExchangeQuarantine.cpp
@@ -31,7 +31,9 @@
 void
 ForwardExchange::RecordBreak()
 {
-  if (!answered_) {
+  // A partition or the router between may have broken the connection.
+  const bool isEndpointsOwn = !tunnel_ && !dependencies_.path_.IsInDoubt();
+  if (!answered_ && isEndpointsOwn) {
     brokeUnanswered_ = true;
     dependencies_.quarantine_.OnBroken(
       attempts_.Endpoint(), plan_.prompt_, relay_.Head().IsSuccess());
--- a/packages/routing/include/cactuswick/routing/process/EndpointTable.h
+++ b/packages/routing/include/cactuswick/routing/process/EndpointTable.h
@@ -171,6 +171,11 @@
                      int64_t aIncarnation,
                      int64_t aNowMs) const;
 
+  /// Returns whether requests may be sent to the endpoint at an address.
+  bool TakesRequestsAt(const std::string& aAddress, int64_t aNowMs) const;
+  /// Returns the addresses of all endpoints that are not leaving.
+  std::vector<std::string> AddressesInUse() const;
+
   /// Returns when the first endpoint for a model or service takes requests
   /// again if all of them asked to back off; nullopt otherwise.
   std::optional<int64_t> BackoffUntilMs(const std::string& aServes,
--- a/packages/routing/src/process/EndpointAvailability.cpp
+++ b/packages/routing/src/process/EndpointAvailability.cpp
@@ -216,4 +216,29 @@
   return isAvailable && !Serves(aServes, aNowMs);
 }
 
+bool
+EndpointTable::TakesRequestsAt(const std::string& aAddress,
+                               int64_t aNowMs) const
+{
+  return std::any_of(
+    endpoints_.begin(), endpoints_.end(), [&](const auto& aPair) {
+      const auto& announcement = aPair.second.announcement_;
+      return announcement.address_ == aAddress &&
+             TakesRequests(
+               announcement.endpoint_, announcement.incarnation_, aNowMs);
+    });
+}
+
+std::vector<std::string>
+EndpointTable::AddressesInUse() const
+{
+  std::vector<std::string> addresses;
+  for (const auto& [name, endpoint] : endpoints_) {
+    if (!endpoint.announcement_.leaving_) {
+      addresses.push_back(endpoint.announcement_.address_);
+    }
+  }
+  return addresses;
+}
+
 } // namespace cactuswick::routing
--- a/packages/settings/include/cactuswick/settings/process/SettingList.h
+++ b/packages/settings/include/cactuswick/settings/process/SettingList.h
@@ -223,6 +223,16 @@
   "",       ValueFormat::kAddress,
   "",       "Address at which other routers reach peer_listen, if it differs."
 };
+inline constexpr TextSetting kRouterTunnelListen{
+  "router",
+  "tunnel_listen",
+  "",
+  ValueFormat::kAddress,
+  "",
+  "Listen address for routers that cannot reach the endpoints and connect to "
+  "them through this one; the port is the same at all routers. Empty for no "
+  "such connections."
+};
 inline constexpr TextSetting kRouterControl{
   "router", "control",
   "",       ValueFormat::kAddressList,
--- a/packages/settings/src/process/SettingList.cpp
+++ b/packages/settings/src/process/SettingList.cpp
@@ -66,6 +66,7 @@
                                   kRouterListen,
                                   kRouterPeerListen,
                                   kRouterPeerAdvertise,
+                                  kRouterTunnelListen,
                                   kRouterControl,
                                   kRouterControlPort,
                                   kRouterMetricsListen,
--- a/packages/telemetry/include/cactuswick/telemetry/process/Metrics.h
+++ b/packages/telemetry/include/cactuswick/telemetry/process/Metrics.h
@@ -51,6 +51,12 @@
   kResponsesAfterSkipped,
   /// Streams that were not taken up, as it is not known where they began.
   kOriginsUnknown,
+  /// Times at which a router found itself cut off from the endpoints.
+  kCutOffs,
+  /// Connections to endpoints that a router opened for others.
+  kTunnelsOpened,
+  /// Requests that were sent to endpoints through other routers.
+  kTunnelledAttempts,
 };
 
 /// Distributions. Count and sum are exact; the quantiles are estimated by the
--- a/packages/telemetry/src/process/Metrics.cpp
+++ b/packages/telemetry/src/process/Metrics.cpp
@@ -67,6 +67,9 @@
   MetricName{ "responses_skipped_total" },
   MetricName{ "responses_after_skipped_total" },
   MetricName{ "origins_unknown_total" },
+  MetricName{ "cut_off_total" },
+  MetricName{ "tunnels_opened_total" },
+  MetricName{ "tunnelled_attempts_total" },
 };
 constexpr std::array kSummaryNames = {
   MetricName{ "first_token_ms", "rank" },
@@ -108,7 +111,7 @@
 };
 
 static_assert(kCounterNames.size() ==
-              static_cast<size_t>(Counter::kOriginsUnknown) + 1);
+              static_cast<size_t>(Counter::kTunnelledAttempts) + 1);
 static_assert(kSummaryNames.size() ==
               static_cast<size_t>(Summary::kCatchUpMs) + 1);
 static_assert(kGaugeNames.size() ==
--- a/packages/transport/include/cactuswick/transport/connection/HttpCall.h
+++ b/packages/transport/include/cactuswick/transport/connection/HttpCall.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -11,6 +12,7 @@
 #include "cactuswick/transport/connection/Headers.h"
 #include "cactuswick/transport/connection/RequestBody.h"
 #include "cactuswick/transport/connection/HttpPool.h"
+#include "cactuswick/transport/connection/TunnelOutcome.h"
 #include "cactuswick/transport/process/Address.h"
 #include "cactuswick/transport/process/EventLoop.h"
 
@@ -20,11 +22,16 @@
 struct HttpCallOptions
 {
   Address address_;
+  /// Router that connects to the address in place of this one, by a tunnel for
+  /// this call only; nullopt connects directly.
+  std::optional<Address> tunnel_;
   std::string method_ = "POST";
   std::string path_;
   Headers headers_;
   RequestBody body_;
   int64_t connectTimeoutMs_ = 1'000;
+  /// Longest wait for the tunnel's reply once the request is being sent to it.
+  int64_t tunnelReplyTimeoutMs_ = 2'000;
   /// Longest wait for the response head once the request is being sent.
   int64_t firstByteTimeoutMs_ = 30'000;
   /// Longest time without data after the response head.
@@ -43,7 +50,8 @@
   /// it is skipped, and the next one on the connection is read. Called on
   /// connections from a pool; null takes the first response.
   std::function<bool(int aStatus, const Headers& aHeaders)> skips_;
-  /// Called when a new connection is established, after @p aElapsedMs.
+  /// Called when a new connection, to the address or to the tunnel's router, is
+  /// established, after @p aElapsedMs.
   std::function<void(int64_t aElapsedMs)> onConnected_;
   std::function<void(int aStatus, const Headers& aHeaders)> onHeaders_;
   std::function<void(std::string_view aData)> onData_;
@@ -68,6 +76,10 @@
   /// server, so that a retry is safe.
   bool WasDispatched() const;
 
+  /// Returns the tunnel's reply, if it has come; until then the request may
+  /// have been passed on.
+  std::optional<TunnelOutcome> TunnelReply() const;
+
   /// Returns whether the response has neither a length nor chunks, so that only
   /// the closed connection ends it.
   bool EndsByClose() const;
--- a/packages/transport/src/connection/HttpCall.cpp
+++ b/packages/transport/src/connection/HttpCall.cpp
@@ -19,6 +19,7 @@
 #include "connection/HttpRequests.h"
 #include "connection/ResponseGate.h"
 #include "connection/SocketOptions.h"
+#include "connection/TunnelReply.h"
 
 namespace cactuswick::transport {
 
@@ -146,16 +147,15 @@
 
   void Start()
   {
-    if (options_.pool_ != nullptr && !options_.opensNewConnection_) {
+    if (options_.pool_ != nullptr && !options_.opensNewConnection_ &&
+        !options_.tunnel_) {
       connection_ = options_.pool_->Take(options_.address_);
     }
     if (!connection_) {
       connectsSinceMs_ = EventLoop::NowMs();
-      connection_.reset(
-        evhttp_connection_base_new(loop_.Base(),
-                                   nullptr,
-                                   options_.address_.host_.c_str(),
-                                   options_.address_.port_));
+      const Address& peer = options_.tunnel_.value_or(options_.address_);
+      connection_.reset(evhttp_connection_base_new(
+        loop_.Base(), nullptr, peer.host_.c_str(), peer.port_));
     }
     evhttp_connection_set_max_body_size(
       connection_.get(), static_cast<ev_ssize_t>(options_.maxBodyBytes_));
@@ -183,6 +183,19 @@
       return;
     }
     TuneSocket(bufferevent_getfd(stream));
+    AskForTunnel(stream);
+  }
+
+  /// Puts the request for the tunnel before the one of this call: evhttp writes
+  /// behind it once the connection is established.
+  void AskForTunnel(bufferevent* aStream)
+  {
+    if (options_.tunnel_) {
+      const std::string head = TunnelRequestHead(options_.address_);
+      addsTunnelHead_ = true;
+      bufferevent_write(aStream, head.data(), head.size());
+      addsTunnelHead_ = false;
+    }
   }
 
   /// Adds the headers; those that frame the request are always this call's own.
@@ -198,7 +211,7 @@
       const std::string host = options_.address_.ToString();
       evhttp_add_header(output, "Host", host.c_str());
     }
-    if (options_.pool_ == nullptr) {
+    if (!UsesPool()) {
       evhttp_add_header(output, "Connection", "close");
     }
     const size_t bodyBytes = options_.body_.Text().size();
@@ -208,6 +221,11 @@
     }
   }
 
+  bool UsesPool() const
+  {
+    return options_.pool_ != nullptr && !options_.tunnel_;
+  }
+
   /// Returns the connection to the pool if it can be reused. Bytes after the
   /// response belong to no request, so they rule out reuse. So do a response of
   /// another request before it, and a call that was given up during its
@@ -222,7 +240,7 @@
     const bool reusable = !finished_ && bufferevent_getfd(stream) >= 0 &&
                           keepAliveMs_ > 0 && evbuffer_get_length(input) == 0 &&
                           evbuffer_get_length(output) == 0 && gate_.IsExact();
-    if (options_.pool_ != nullptr && reusable) {
+    if (UsesPool() && reusable) {
       options_.pool_->Put(
         options_.address_, std::move(connection_), keepAliveMs_);
     }
@@ -265,9 +283,11 @@
     auto* self = static_cast<State*>(aSelf);
     self->loop_.TrafficCounters().AddWritten(Remote::kEndpoint,
                                              aInfo->n_deleted);
-    if (aInfo->n_added > 0 && !self->dispatched_) {
+    if (aInfo->n_added > 0 && !self->dispatched_ && !self->addsTunnelHead_) {
       self->dispatched_ = true;
-      self->timer_.StartOnce(self->options_.firstByteTimeoutMs_);
+      self->timer_.StartOnce(self->options_.tunnel_
+                               ? self->options_.tunnelReplyTimeoutMs_
+                               : self->options_.firstByteTimeoutMs_);
       self->ReportConnected();
     }
   }
@@ -297,8 +317,8 @@
     }
     self->loop_.TrafficCounters().AddRead(Remote::kEndpoint, aInfo->n_added);
     self->passing_ = true;
-    const std::string added =
-      TakeBehind(aInput, evbuffer_get_length(aInput) - aInfo->n_added);
+    const std::string added = self->PassTunnelReply(
+      TakeBehind(aInput, evbuffer_get_length(aInput) - aInfo->n_added));
     const std::string passed = self->gate_.Pass(added);
     evbuffer_add(aInput, passed.data(), passed.size());
     self->passing_ = false;
@@ -312,6 +332,29 @@
     }
   }
 
+  /// Returns what was read behind the reply of the tunnel.
+  std::string PassTunnelReply(std::string aBytes)
+  {
+    if (!options_.tunnel_ || tunnelReply_.Outcome()) {
+      return aBytes;
+    }
+    std::string behind = tunnelReply_.Pass(aBytes);
+    const auto& outcome = tunnelReply_.Outcome();
+    if (!outcome) {
+      return {};
+    }
+    if (*outcome == TunnelOutcome::kOpened) {
+      timer_.StartOnce(options_.firstByteTimeoutMs_);
+      return behind;
+    }
+    // No byte has been passed on to the endpoint.
+    dispatched_ = false;
+    loop_.Defer([this] {
+      Finish(ErrorKind::kUpstreamFailed, "no tunnel to the endpoint");
+    });
+    return {};
+  }
+
   /// Deferred, since evhttp is still processing the input.
   void FailMalformed(const MessageError& aError)
   {
@@ -427,11 +470,13 @@
   /// Bytes read since the head or a part of the body was last delivered.
   size_t unparsedBytes_ = 0;
   int interimResponses_ = 0;
+  TunnelReplyReader tunnelReply_;
   /// Reads the input before evhttp does.
   ResponseGate gate_;
   /// The input is being changed.
   bool passing_ = false;
   bool dispatched_ = false;
+  bool addsTunnelHead_ = false;
   bool rejectedUnframed_ = false;
   bool tooLarge_ = false;
   bool finished_ = false;
@@ -474,6 +519,12 @@
   return state_->dispatched_;
 }
 
+std::optional<TunnelOutcome>
+HttpCall::TunnelReply() const
+{
+  return state_->tunnelReply_.Outcome();
+}
+
 bool
 HttpCall::EndsByClose() const
 {
--- a/packages/transport/src/connection/PeerLink.cpp
+++ b/packages/transport/src/connection/PeerLink.cpp
@@ -2,7 +2,6 @@
 
 #include <utility>
 
-#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 
@@ -11,6 +10,7 @@
 #include <event2/event.h>
 
 #include "cactuswick/model/process/Codec.h"
+#include "connection/SocketAddress.h"
 #include "connection/SocketOptions.h"
 #include "connection/WebSocketSession.h"
 
@@ -23,16 +23,6 @@
   void operator()(bufferevent* aStream) const { bufferevent_free(aStream); }
 };
 
-sockaddr_in
-ToSocketAddress(const Address& aAddress)
-{
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(aAddress.port_);
-  inet_pton(AF_INET, aAddress.host_.c_str(), &address.sin_addr);
-  return address;
-}
-
 /// Returns a socket for an outgoing link, bound to the local IP address
 /// @p aFrom; -1, with which libevent creates one, if it is empty.
 int
--- a/packages/transport/src/connection/PeerListener.cpp
+++ b/packages/transport/src/connection/PeerListener.cpp
@@ -3,12 +3,10 @@
 #include <map>
 #include <utility>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-
 #include <event2/listener.h>
 
 #include "cactuswick/model/process/Error.h"
+#include "connection/SocketAddress.h"
 
 namespace cactuswick::transport {
 
@@ -68,10 +66,7 @@
 absl::Status
 PeerListener::Listen(const Address& aAddress)
 {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(aAddress.port_);
-  inet_pton(AF_INET, aAddress.host_.c_str(), &address.sin_addr);
+  sockaddr_in address = ToSocketAddress(aAddress);
   const auto accept =
     [](evconnlistener*, evutil_socket_t aSocket, sockaddr*, int, void* aSelf) {
       static_cast<State*>(aSelf)->Accept(aSocket);
--- a/tests/system/platform_run.py
+++ b/tests/system/platform_run.py
@@ -34,6 +34,9 @@
     def forward_address(self, number):
         return f"{self.net}.1.{number}:8010"
 
+    def tunnel_address(self, number):
+        return f"{self.net}.1.{number}:8012"
+
     def ready_address(self, number):
         return f"{self.net}.1.{number}:8011"
 
@@ -93,6 +96,7 @@
             "router": {"listen": self.router_address(number),
                        "peer_listen": self.router_peer_listen(number),
                        "peer_advertise": self.router_peer_address(number),
+                       "tunnel_listen": self.tunnel_address(number),
                        **self.router_control()},
             "operator": {"key_sha256":
                          hashlib.sha256(OPERATOR_KEY.encode()).hexdigest()},
@@ -101,7 +105,11 @@
                         "ready_listen": self.ready_address(number),
                         "leave_ms": self.leave_ms, "grace_s": self.grace_s},
             "log": {"format": "json"}})
-        self.start(f"r{number}", BIN / "cactuswickd", "--config", settings)
+        self.start(f"r{number}", BIN / "cactuswickd", "--config", settings,
+                   env=self.router_environment(number))
+
+    def router_environment(self, _number):
+        return {}
 
     def control_call(self, method, path, body=None):
         """Tries one replica after the other, as the platform does."""
