Contact with control is the time of what it has answered

Cause: PeerLink took the time at which bytes are read for the time at which the peer was reached. After a freeze, or when a cut heals, bytes lie in the socket that were sent before another version was admitted; the router then counted as in contact and went by the versions that it knew. Warm-up went by the same time.

Change: the side that connected sends its time with each keep-alive, the other returns it at once. Contact is the newest time returned, so that all that the peer had sent before it has been read. An earlier release returns none; its links go by the time of reading as before. The bound of 0.6 s becomes 0.9 s, as it holds from the sending now: another router sends to a new version 1 s after it was admitted at the earliest.

--- a/packages/router/src/process/ControlClient.cpp
+++ b/packages/router/src/process/ControlClient.cpp
@@ -484,9 +484,9 @@
 }
 
 int64_t
-ControlClient::LastReceiveMs() const
+ControlClient::LastContactMs() const
 {
-  return EventLoop::NowMs() - state_->link_.Activity().sinceReceiveMs_;
+  return EventLoop::NowMs() - state_->link_.Activity().sinceContactMs_;
 }
 
 bool
--- a/packages/router/src/process/ControlClient.h
+++ b/packages/router/src/process/ControlClient.h
@@ -82,9 +82,10 @@
 
   /// Returns whether the leader answers in time.
   bool IsReachable() const;
-  /// Returns the time of the last bytes from the replica, in milliseconds of
-  /// EventLoop::NowMs().
-  int64_t LastReceiveMs() const;
+  /// Returns the time at which the replica was last known to be reached, in
+  /// milliseconds of EventLoop::NowMs(): what it had sent before that time has
+  /// been received.
+  int64_t LastContactMs() const;
   bool IsRegistered() const;
   ControlTimings Times() const;
   ledger::Incarnation Incarnation() const;
--- a/packages/router/src/process/ForwardRole.cpp
+++ b/packages/router/src/process/ForwardRole.cpp
@@ -44,9 +44,9 @@
 constexpr int64_t kGrantHorizonMs = 9'000;
 constexpr int64_t kRefillPercent = 85;
 constexpr int64_t kMarginPercent = 140;
-/// Time since the leader was heard of after which it may have admitted versions
-/// that this router does not know.
-constexpr int64_t kContactMs = 600;
+/// Time since the leader was reached after which it may have admitted versions
+/// that this router does not know and that others send requests to.
+constexpr int64_t kContactMs = 900;
 static_assert(kContactMs < routing::EndpointTable::kVersionOpensMs);
 /// Time without a byte of any endpoint, while requests wait, after which this
 /// router may be cut off from them.
@@ -182,7 +182,7 @@
            .isInContact_ =
              [this] {
                return options_.control_.IsReachable() &&
-                      EventLoop::NowMs() - options_.control_.LastReceiveMs() <=
+                      EventLoop::NowMs() - options_.control_.LastContactMs() <=
                         kContactMs;
              },
            .self_ = options_.self_,
--- a/packages/router/src/process/RouterTask.cpp
+++ b/packages/router/src/process/RouterTask.cpp
@@ -421,7 +421,7 @@
     const int64_t now = EventLoop::NowMs();
     if (control_->IsReachable()) {
       dispatcher_.Endpoints().ColdEndpoints().OnContact(
-        control_->LastReceiveMs());
+        control_->LastContactMs());
     }
     if (const auto line = trafficLog_.OnTick(now)) {
       Log(
--- a/packages/transport/include/cactuswick/transport/connection/PeerLink.h
+++ b/packages/transport/include/cactuswick/transport/connection/PeerLink.h
@@ -14,7 +14,7 @@
 /// Timeouts and buffer limit of a PeerLink.
 struct PeerLinkLimits
 {
-  /// Interval after which a KeepAlive is sent if nothing else was.
+  /// Interval at which KeepAlives are sent.
   int64_t keepAliveMs_ = 400;
   /// A link on which nothing is received for longer is closed.
   int64_t silenceTimeoutMs_ = 1'500;
@@ -40,6 +40,11 @@
   /// Time since bytes of a message other than a KeepAlive were last received,
   /// or since the link was created.
   int64_t sinceMessageMs_ = 0;
+  /// Time since the peer was last known to be reached: since the last message
+  /// was sent that it has answered, or since it was dialled. Bytes that are
+  /// read now may have been sent long ago, before a freeze of this process or a
+  /// cut of the link.
+  int64_t sinceContactMs_ = 0;
   int64_t receivedBytes_ = 0;
   /// Bytes received of an incomplete message, without those that were read
   /// together with the end of the previous message.
--- a/packages/transport/include/cactuswick/transport/connection/PeerMessage.h
+++ b/packages/transport/include/cactuswick/transport/connection/PeerMessage.h
@@ -20,9 +20,16 @@
 /// Matches a reply to its request on one link.
 using CallId = int64_t;
 
-/// Sent when nothing else was sent within the keep-alive interval.
+/// Sent at intervals by the side that connected, and answered at once; by the
+/// other side also when nothing else was sent within the interval. Earlier
+/// releases ignore the fields.
 struct KeepAlive
 {
+  /// Time on the sender's clock, to be returned in echoMs_.
+  std::optional<int64_t> sentMs_;
+  /// The sentMs_ that is answered.
+  std::optional<int64_t> echoMs_;
+
   bool operator==(const KeepAlive&) const = default;
 };
 
--- a/packages/transport/include/cactuswick/transport/connection/PeerMessageFields.h
+++ b/packages/transport/include/cactuswick/transport/connection/PeerMessageFields.h
@@ -22,7 +22,8 @@
 constexpr auto
 FieldsOf(const KeepAlive*)
 {
-  return model::MakeFields();
+  return model::MakeFields(model::Field{ "sent_ms", &KeepAlive::sentMs_ },
+                           model::Field{ "echo_ms", &KeepAlive::echoMs_ });
 }
 
 constexpr std::string_view
--- a/packages/transport/src/connection/PeerLink.cpp
+++ b/packages/transport/src/connection/PeerLink.cpp
@@ -1,5 +1,6 @@
 #include "cactuswick/transport/connection/PeerLink.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <netinet/in.h>
@@ -18,6 +19,10 @@
 
 namespace {
 
+/// KeepAlives without an echo after which the peer counts as an earlier release
+/// that never sends one.
+constexpr int kKeepAlivesWithoutEcho = 3;
+
 struct StreamDeleter
 {
   void operator()(bufferevent* aStream) const { bufferevent_free(aStream); }
@@ -50,6 +55,7 @@
         PeerLinkLimits aLimits,
         PeerLinkHooks aHooks)
     : loop_(aLoop)
+    , isClient_(aIsClient)
     , limits_(aLimits)
     , hooks_(std::move(aHooks))
     , stream_(
@@ -64,6 +70,7 @@
     , timer_(aLoop, [this] { OnTimer(); })
     , lastReceiveMs_(EventLoop::NowMs())
     , lastPayloadMs_(lastReceiveMs_)
+    , lastContactMs_(lastReceiveMs_)
   {
     bufferevent_setcb(stream_.get(), &OnRead, nullptr, &OnEvent, this);
     bufferevent_enable(stream_.get(), EV_READ | EV_WRITE);
@@ -84,11 +91,39 @@
   {
     open_ = true;
     partialBytes_ = 0;
+    if (isClient_) {
+      SendKeepAlive();
+    }
     if (hooks_.onOpen_) {
       hooks_.onOpen_();
     }
   }
 
+  void SendKeepAlive()
+  {
+    ++unansweredKeepAlives_;
+    Send(EncodedMessage(KeepAlive{ .sentMs_ = EventLoop::NowMs() }));
+  }
+
+  void OnKeepAlive(const KeepAlive& aMessage)
+  {
+    if (aMessage.sentMs_) {
+      Send(EncodedMessage(KeepAlive{ .echoMs_ = aMessage.sentMs_ }));
+    }
+    if (aMessage.echoMs_) {
+      hasEcho_ = true;
+      lastContactMs_ = std::max(lastContactMs_, *aMessage.echoMs_);
+    }
+  }
+
+  int64_t LastContactMs() const
+  {
+    const bool isEarlierRelease =
+      !hasEcho_ &&
+      (!isClient_ || unansweredKeepAlives_ > kKeepAlivesWithoutEcho);
+    return isEarlierRelease ? lastReceiveMs_ : lastContactMs_;
+  }
+
   void OnMessage(const std::string& aBytes)
   {
     partialBytes_ = 0;
@@ -97,8 +132,9 @@
       Close();
       return;
     }
-    if (std::holds_alternative<KeepAlive>(*message)) {
+    if (const auto* keepAlive = std::get_if<KeepAlive>(&*message)) {
       lastPayloadMs_ = payloadBeforeReadMs_;
+      OnKeepAlive(*keepAlive);
       return;
     }
     payloadBeforeReadMs_ = lastPayloadMs_;
@@ -113,7 +149,9 @@
       Close();
       return;
     }
-    if (open_ && !sentSinceTimer_) {
+    if (open_ && isClient_) {
+      SendKeepAlive();
+    } else if (open_ && !sentSinceTimer_) {
       Send(EncodedMessage(KeepAlive{}));
     }
     sentSinceTimer_ = false;
@@ -182,6 +220,7 @@
   }
 
   EventLoop& loop_;
+  bool isClient_;
   PeerLinkLimits limits_;
   PeerLinkHooks hooks_;
   std::unique_ptr<bufferevent, StreamDeleter> stream_;
@@ -190,6 +229,10 @@
   int64_t lastReceiveMs_;
   int64_t lastPayloadMs_;
   int64_t payloadBeforeReadMs_ = 0;
+  /// Time at which the last message was sent that the peer has answered.
+  int64_t lastContactMs_;
+  bool hasEcho_ = false;
+  int unansweredKeepAlives_ = 0;
   int64_t receivedBytes_ = 0;
   int64_t partialBytes_ = 0;
   bool open_ = false;
@@ -263,6 +306,7 @@
   const int64_t now = EventLoop::NowMs();
   return { .sinceReceiveMs_ = now - state_->lastReceiveMs_,
            .sinceMessageMs_ = now - state_->lastPayloadMs_,
+           .sinceContactMs_ = now - state_->LastContactMs(),
            .receivedBytes_ = state_->receivedBytes_,
            .partialBytes_ = state_->partialBytes_ };
 }
