An answer that has begun keeps its caller's time at the endpoint and in retries

- Endpoints got the estimated deadline and stop at it, also in the middle of an answer.
They get 0.4 s more, at most the caller's time.
- A 200 that is held back until it is complete became a 504 at the estimate.
- A stream that its caller has a part of and that breaks later than half of its time got no other endpoint, as nothing may wait for one by then.

Test: ForwardDeadlines.EndpointIsNotStoppedByTheEstimateAlone.

--- a/packages/router/src/request/Attempts.h
+++ b/packages/router/src/request/Attempts.h
@@ -25,7 +25,7 @@
   int64_t maxSends_ = 3;
   /// Maximum number of attempts in which the endpoint was unreachable.
   int64_t maxUnsent_ = 3;
-  /// Time at which the caller stops waiting.
+  /// Time by which a response has to be sent; see SetDeadline().
   int64_t deadlineMs_ = 0;
   /// No attempt starts with less time than this before the deadline.
   int64_t minTimeLeftMs_ = 1;
@@ -42,6 +42,8 @@
 
   /// Queues the request for an endpoint at which it has not failed before.
   void Enqueue(DispatchRequest aRequest);
+  /// Sets the time by which further attempts have to be done.
+  void SetDeadline(int64_t aDeadlineMs) { options_.deadlineMs_ = aDeadlineMs; }
   /// Removes the request from the queue without calling its hooks.
   void Cancel();
 
--- a/packages/router/src/request/ForwardDeadlines.h
+++ b/packages/router/src/request/ForwardDeadlines.h
@@ -14,6 +14,9 @@
   /// forward by an estimate of the link's delay, so it only bounds what has not
   /// been answered yet.
   int64_t attemptMs_ = 0;
+  /// Endpoints work on the request until then: a little longer, as the estimate
+  /// may be too long, and an answer that is under way may still arrive.
+  int64_t endpointMs_ = 0;
   /// The caller stops waiting.
   int64_t callerMs_ = 0;
 
--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -113,6 +113,19 @@
                                 });
 }
 
+bool
+ForwardExchange::IsResponseUnderWay() const
+{
+  return relay_.HasBegun() || (call_ && relay_.Head().status_ != 0);
+}
+
+int64_t
+ForwardExchange::QueueDeadlineMs() const
+{
+  return relay_.HasBegun() ? plan_.deadlines_.endpointMs_
+                           : plan_.deadlines_.queueMs_;
+}
+
 void
 ForwardExchange::Enqueue()
 {
@@ -125,7 +138,7 @@
                    .priority_ = plan_.priority_,
                    .cost_ =
                      std::max(ledger::Tokens{ 1 }, plan_.tokensToReserve_),
-                   .deadlineMs_ = plan_.deadlines_.queueMs_ },
+                   .deadlineMs_ = QueueDeadlineMs() },
       .serves_ = plan_.service_,
       .prompt_ = PromptLoadOf(plan_.request_),
       .softwareVersion_ =
@@ -185,7 +198,7 @@
 {
   const int64_t now = EventLoop::NowMs();
   const int64_t left =
-    std::max(int64_t{ 1 }, plan_.deadlines_.attemptMs_ - now);
+    std::max(int64_t{ 1 }, plan_.deadlines_.endpointMs_ - now);
   const int64_t callerLeft =
     std::max(int64_t{ 1 }, plan_.deadlines_.callerMs_ - now);
   const auto address = transport::ParseAddress("address", aEndpoint.address_);
@@ -250,6 +263,7 @@
   if (output.startsResponse_) {
     telemetry_.OnFirstToken();
     exchange_->StartStream(relay_.Head().status_, relay_.Head().headers_);
+    attempts_.SetDeadline(plan_.deadlines_.endpointMs_);
     RecordOrigin();
   }
   if (output.hasEvents_) {
--- a/packages/router/src/request/ForwardExchange.h
+++ b/packages/router/src/request/ForwardExchange.h
@@ -127,6 +127,11 @@
   void OnAttemptFailed(const absl::Status& aStatus, bool aWasSent);
   bool TryRetry(bool aWasSent);
   void OnAllEvacuated();
+  /// Returns whether an endpoint has begun to respond, or has done so in an
+  /// earlier attempt of which the caller has a part.
+  bool IsResponseUnderWay() const;
+  /// Returns until when the request may wait for an endpoint.
+  int64_t QueueDeadlineMs() const;
   void OnDeadline();
   void OnCallerDisconnected();
   void ApplyBackpressure();
--- a/packages/router/src/request/ForwardExchangeEnd.cpp
+++ b/packages/router/src/request/ForwardExchangeEnd.cpp
@@ -16,7 +16,7 @@
 ForwardExchange::OnDeadline()
 {
   const int64_t leftMs =
-    plan_.deadlines_.EndMs(relay_.HasBegun()) - EventLoop::NowMs();
+    plan_.deadlines_.EndMs(IsResponseUnderWay()) - EventLoop::NowMs();
   if (leftMs > 0) {
     deadlineTimer_.StartOnce(leftMs);
     return;
--- a/packages/router/src/request/ForwardExchangeEndpoints.cpp
+++ b/packages/router/src/request/ForwardExchangeEndpoints.cpp
@@ -25,7 +25,7 @@
 {
   const auto backoffUntilMs =
     dependencies_.dispatcher_.BackoffUntilMs(plan_.service_);
-  if (!backoffUntilMs || *backoffUntilMs < plan_.deadlines_.queueMs_) {
+  if (!backoffUntilMs || *backoffUntilMs < QueueDeadlineMs()) {
     return false;
   }
   Fail(model::MakeError(model::ErrorKind::kQueueFull,
--- a/tests/router/request/ForwardDeadlinesTest.cpp
+++ b/tests/router/request/ForwardDeadlinesTest.cpp
@@ -26,6 +26,14 @@
   EXPECT_EQ(DeadlinesOf(kStartMs, kWaitMs, 0).queueMs_, kStartMs + kWaitMs / 2);
 }
 
+TEST(ForwardDeadlines, EndpointIsNotStoppedByTheEstimateAlone)
+{
+  EXPECT_EQ(DeadlinesOf(kStartMs, kWaitMs, 300).endpointMs_,
+            kStartMs + kWaitMs);
+  EXPECT_EQ(DeadlinesOf(kStartMs, kWaitMs, kFullLinkMs).endpointMs_,
+            kStartMs + kWaitMs - kWaitMs / 4 + 400);
+}
+
 RC_GTEST_PROP(ForwardDeadlines, AreInOrderForAnyDelay, ())
 {
   const auto start = *rc::gen::inRange<int64_t>(0, 1'000'000);
@@ -34,7 +42,8 @@
   const auto deadlines = DeadlinesOf(start, wait, delay);
   RC_ASSERT(start <= deadlines.queueMs_);
   RC_ASSERT(deadlines.queueMs_ <= deadlines.attemptMs_);
-  RC_ASSERT(deadlines.attemptMs_ <= deadlines.callerMs_);
+  RC_ASSERT(deadlines.attemptMs_ <= deadlines.endpointMs_);
+  RC_ASSERT(deadlines.endpointMs_ <= deadlines.callerMs_);
 }
 
 } // namespace
