A partition is told from dead endpoints by probes alone; tunnels end cleanly

- Three endpoints that died together cut a router off, and if all routers saw it, none opened tunnels.
A router is cut off now only if probes that it sent after it suspected itself all fail.
- At a cut with kept connections alive, answers under way were asked for again; with silent ones, the requests sent last were not.
All idempotent ones are, if no endpoint at all is heard.
- Requests that failed together doubled the time for which a neighbour is avoided, and with all avoided the router connected directly again.
They count once, and the one due first is asked.
- A neighbour that did not reach the endpoint either was asked again by the same request.
- An endpoint was ejected for a tunnel that broke.
- Tunnels held up a router's stop, and one whose refused request was long stayed for 5 s.
- A reply that is no tunnel's counted as "not passed on"; it may have been.

--- a/packages/router/src/process/EndpointPath.cpp
+++ b/packages/router/src/process/EndpointPath.cpp
@@ -117,8 +117,7 @@
 void
 EndpointPath::OnConnectFailed(const std::string& aAddress)
 {
-  reach_.OnConnectFailed(
-    aAddress, options_.dispatcher_.Endpoints().Size(), EventLoop::NowMs());
+  reach_.OnConnectFailed(aAddress, EventLoop::NowMs());
   OnChanged();
 }
 
@@ -157,6 +156,7 @@
 {
   const auto address = transport::ParseAddress("", aAddress);
   if (!address.ok() || probes_.size() >= kMaxProbes) {
+    reach_.OnProbeFailed(aAddress, EventLoop::NowMs());
     return;
   }
   const int64_t id = ++lastProbe_;
@@ -169,7 +169,8 @@
       if (aConnected) {
         OnConnected();
       } else {
-        OnConnectFailed(aAddress);
+        reach_.OnProbeFailed(aAddress, EventLoop::NowMs());
+        OnChanged();
       }
     });
 }
--- a/packages/router/src/process/EndpointPath.h
+++ b/packages/router/src/process/EndpointPath.h
@@ -43,6 +43,10 @@
 class EndpointPath
 {
 public:
+  /// Time without a byte of any endpoint, while requests wait, after which this
+  /// router may be cut off from them.
+  static constexpr int64_t kSilenceMs = 800;
+
   explicit EndpointPath(EndpointPathOptions aOptions);
 
   /// Opens tunnels for other routers at this address.
@@ -63,7 +67,11 @@
   void OnTunnelFailed(const transport::Address& aRouter);
   /// An endpoint has sent something on a direct connection.
   void OnReceived(int64_t aNowMs) { lastReceivedMs_ = aNowMs; }
-  int64_t LastReceivedMs() const { return lastReceivedMs_; }
+  /// Returns whether no endpoint has sent anything for long.
+  bool IsSilent(int64_t aNowMs) const
+  {
+    return aNowMs - lastReceivedMs_ >= kSilenceMs;
+  }
   /// Requests wait, and no endpoint has sent anything for long.
   void OnSilence();
   void OnTick(int64_t aNowMs);
@@ -71,6 +79,8 @@
   bool IsCutOff() const { return reach_.IsCutOff(); }
   /// Returns whether failures may be this router's own.
   bool IsInDoubt() const { return reach_.IsInDoubt(); }
+  /// Ends the tunnels of other routers because this one stops.
+  void CloseTunnels() { server_.CloseAll(); }
   /// Returns the number of tunnels that are open for other routers.
   size_t TunnelsForOthers() const { return server_.Size(); }
 
--- a/packages/router/src/process/ForwardRole.cpp
+++ b/packages/router/src/process/ForwardRole.cpp
@@ -48,9 +48,6 @@
 /// that this router does not know and that others send requests to.
 constexpr int64_t kContactMs = 900;
 static_assert(kContactMs < routing::EndpointTable::kVersionOpensMs);
-/// Time without a byte of any endpoint, while requests wait, after which this
-/// router may be cut off from them.
-constexpr int64_t kSilenceMs = 800;
 constexpr int kHttpUnavailable = 503;
 constexpr int64_t kMsPerSecond = 1'000;
 
@@ -231,8 +228,8 @@
     prefill_.OnTick(aNowMs);
   }
   origins_.OnTick(aNowMs);
-  if (aNowMs - path_.LastReceivedMs() >= kSilenceMs &&
-      api_.HasSilentCall(aNowMs - kSilenceMs)) {
+  if (path_.IsSilent(aNowMs) &&
+      api_.HasSilentCall(aNowMs - EndpointPath::kSilenceMs)) {
     path_.OnSilence();
   }
   path_.OnTick(aNowMs);
--- a/packages/router/src/process/ForwardRole.h
+++ b/packages/router/src/process/ForwardRole.h
@@ -57,7 +57,11 @@
   void OnConnected();
   bool HasDeployment() const { return api_.Deployment() != nullptr; }
   /// Ends all requests in flight because the router stops.
-  void EndAll() { api_.EndAll(); }
+  void EndAll()
+  {
+    api_.EndAll();
+    path_.CloseTunnels();
+  }
   int64_t InFlight() const { return api_.InFlight(); }
   /// Returns the number of connections to endpoints that are open for other
   /// routers.
--- a/packages/router/src/request/ForwardExchange.cpp
+++ b/packages/router/src/request/ForwardExchange.cpp
@@ -363,10 +363,11 @@
   if (aWasSent) {
     attempts_.MarkMayHaveRun();
   }
-  // The endpoint is not to blame for what may be this router's own partition.
-  LeaveEndpoint(dependencies_.path_.IsInDoubt() ? AttemptOutcome::kNeutral
-                                                : AttemptOutcome::kFailed,
-                aLabel);
+  // The endpoint is not to blame for what may be this router's own partition or
+  // the router between.
+  const bool mayBeOthers = tunnel_ || dependencies_.path_.IsInDoubt();
+  LeaveEndpoint(
+    mayBeOthers ? AttemptOutcome::kNeutral : AttemptOutcome::kFailed, aLabel);
   OnAttemptFailed(aStatus, aWasSent);
 }
 
--- a/packages/router/src/request/ForwardExchangePath.cpp
+++ b/packages/router/src/request/ForwardExchangePath.cpp
@@ -34,7 +34,9 @@
 ForwardExchange::RecordPath(bool aSent)
 {
   if (!tunnel_) {
-    if (!aSent) {
+    // An attempt that the deadline ends says nothing of the endpoint.
+    const bool isOwnFailure = EventLoop::NowMs() < plan_.deadlines_.attemptMs_;
+    if (!aSent && isOwnFailure) {
       dependencies_.path_.OnConnectFailed(attempts_.Endpoint().address_);
     }
     return;
@@ -52,12 +54,12 @@
   const auto reply = call_->TunnelReply();
   const bool isEndpointsFault =
     reply == TunnelOutcome::kNotTaken || reply == TunnelOutcome::kUnreachable;
+  triedTunnels_.push_back(*tunnel_);
   if (isEndpointsFault) {
     attempts_.RecordAttempt(false);
     OnAttemptUnusable("unreached", aStatus, false);
     return;
   }
-  triedTunnels_.push_back(*tunnel_);
   const int64_t leftMs = plan_.deadlines_.attemptMs_ - EventLoop::NowMs();
   if (triedTunnels_.size() < kMaxTunnelRouters && leftMs >= kMinTunnelMs) {
     Withdraw("no_tunnel");
@@ -85,7 +87,8 @@
     Withdraw("cut_off");
     return;
   }
-  const bool isSilent = IsSilentSince(dependencies_.path_.LastReceivedMs());
+  // Connections that were kept may live on; while one does, all are left alone.
+  const bool isSilent = dependencies_.path_.IsSilent(EventLoop::NowMs());
   if (!isSilent || !plan_.route_.IsIdempotent() || !relay_.CanRetry() ||
       !attempts_.HasAnotherSend() || !TryRetry(true)) {
     return;
--- a/packages/routing/include/cactuswick/routing/process/TunnelChoice.h
+++ b/packages/routing/include/cactuswick/routing/process/TunnelChoice.h
@@ -38,8 +38,9 @@
   /// Sets the other routers that serve.
   void SetRouters(std::vector<TunnelRouter> aRouters);
 
-  /// Returns the address of a router, without those that failed just now and
-  /// those in @p aTried; nullopt if none is left.
+  /// Returns the address of a router without those in @p aTried; one that
+  /// failed just now only if there is no other. Returns nullopt if none is
+  /// left.
   std::optional<std::string> Choose(const std::vector<std::string>& aTried,
                                     int64_t aNowMs);
   void OnOpened(const std::string& aAddress, int64_t aNowMs);
@@ -57,6 +58,9 @@
 
   /// Returns how far a router is from this one; nearer ones are asked first.
   int64_t DistanceOf(const TunnelRouter& aRouter) const;
+  /// Returns the router that has to be avoided for the shortest time.
+  std::optional<std::string> NextDue(
+    const std::vector<std::string>& aTried) const;
   bool IsProven(const std::string& aAddress, int64_t aNowMs) const;
   bool IsAvoided(const std::string& aAddress, int64_t aNowMs) const;
 
--- a/packages/routing/src/process/EndpointReach.cpp
+++ b/packages/routing/src/process/EndpointReach.cpp
@@ -32,12 +32,11 @@
   }
   state_ = State::kReachable;
   failedMs_.clear();
+  probing_.clear();
 }
 
 void
-EndpointReach::OnConnectFailed(const std::string& aAddress,
-                               size_t aKnown,
-                               int64_t aNowMs)
+EndpointReach::OnConnectFailed(const std::string& aAddress, int64_t aNowMs)
 {
   probesReached_ = 0;
   if (state_ == State::kCutOff) {
@@ -45,13 +44,19 @@
   }
   ForgetOldFailures(aNowMs);
   failedMs_[aAddress] = aNowMs;
-  const size_t needed = std::min(options_.cutOffFailures_, aKnown);
-  if (failedMs_.size() >= std::max(needed, kFailuresToSuspect)) {
+  if (state_ == State::kReachable && failedMs_.size() >= kFailuresToSuspect) {
+    Suspect(aNowMs);
+  }
+}
+
+void
+EndpointReach::OnProbeFailed(const std::string& aAddress, int64_t aNowMs)
+{
+  OnConnectFailed(aAddress, aNowMs);
+  const bool wasProbed = probing_.erase(aAddress) > 0;
+  if (state_ == State::kSuspected && wasProbed && probing_.empty()) {
     state_ = State::kCutOff;
     lastProbeMs_ = aNowMs;
-  } else if (state_ == State::kReachable &&
-             failedMs_.size() >= std::min(kFailuresToSuspect, aKnown)) {
-    Suspect(aNowMs);
   }
 }
 
@@ -69,6 +74,7 @@
   state_ = State::kSuspected;
   suspectedMs_ = aNowMs;
   hasProbed_ = false;
+  probing_.clear();
 }
 
 void
@@ -83,31 +89,50 @@
 EndpointReach::TakeProbes(const std::vector<std::string>& aKnown,
                           int64_t aNowMs)
 {
-  size_t count = 0;
   if (state_ == State::kSuspected && !hasProbed_) {
     hasProbed_ = true;
-    count = options_.cutOffFailures_;
-  } else if (state_ == State::kSuspected &&
-             aNowMs - suspectedMs_ > options_.windowMs_) {
+    // One endpoint alone tells nothing of the router.
+    if (aKnown.size() < kFailuresToSuspect) {
+      return {};
+    }
+    auto probes = Sample(aKnown, options_.probes_);
+    probing_ = { probes.begin(), probes.end() };
+    return probes;
+  }
+  if (state_ == State::kSuspected &&
+      aNowMs - suspectedMs_ > options_.windowMs_) {
     state_ = State::kReachable;
     failedMs_.clear();
-  } else if (state_ == State::kCutOff &&
-             aNowMs - lastProbeMs_ >= options_.probeIntervalMs_) {
+  }
+  if (state_ == State::kCutOff &&
+      aNowMs - lastProbeMs_ >= options_.probeIntervalMs_) {
     lastProbeMs_ = aNowMs;
-    count = 1;
+    return Sample(aKnown, 1);
   }
+  return {};
+}
+
+std::vector<std::string>
+EndpointReach::Sample(const std::vector<std::string>& aKnown, size_t aCount)
+{
   std::vector<std::string> untried;
-  std::copy_if(aKnown.begin(),
-               aKnown.end(),
-               std::back_inserter(untried),
-               [&](const std::string& aAddress) {
-                 return state_ == State::kCutOff ||
-                        !failedMs_.contains(aAddress);
-               });
-  std::vector<std::string> probes;
-  std::sample(
-    untried.begin(), untried.end(), std::back_inserter(probes), count, random_);
-  return probes;
+  if (state_ == State::kSuspected) {
+    std::copy_if(aKnown.begin(),
+                 aKnown.end(),
+                 std::back_inserter(untried),
+                 [&](const std::string& aAddress) {
+                   return !failedMs_.contains(aAddress);
+                 });
+  }
+  const auto& candidates =
+    untried.size() < kFailuresToSuspect ? aKnown : untried;
+  std::vector<std::string> sample;
+  std::sample(candidates.begin(),
+              candidates.end(),
+              std::back_inserter(sample),
+              aCount,
+              random_);
+  return sample;
 }
 
 } // namespace cactuswick::routing
--- a/packages/routing/src/process/TunnelChoice.cpp
+++ b/packages/routing/src/process/TunnelChoice.cpp
@@ -90,12 +90,28 @@
      std::uniform_int_distribution<int>(1, kExploreInterval)(random_) == 1);
   const auto& candidates = explores ? others : proven;
   if (candidates.empty()) {
-    return std::nullopt;
+    return NextDue(aTried);
   }
   std::uniform_int_distribution<size_t> draw(0, candidates.size() - 1);
   return candidates[draw(random_)]->address_;
 }
 
+std::optional<std::string>
+TunnelChoice::NextDue(const std::vector<std::string>& aTried) const
+{
+  std::optional<std::string> next;
+  int64_t dueMs = 0;
+  for (const auto& [address, experience] : experiences_) {
+    const bool isTried =
+      std::find(aTried.begin(), aTried.end(), address) != aTried.end();
+    if (!isTried && (!next || experience.avoidedUntilMs_ < dueMs)) {
+      next = address;
+      dueMs = experience.avoidedUntilMs_;
+    }
+  }
+  return next;
+}
+
 void
 TunnelChoice::OnOpened(const std::string& aAddress, int64_t aNowMs)
 {
@@ -106,6 +122,10 @@
 TunnelChoice::OnFailed(const std::string& aAddress, int64_t aNowMs)
 {
   Experience& experience = experiences_[aAddress];
+  // Requests that were under way together fail together.
+  if (aNowMs < experience.avoidedUntilMs_) {
+    return;
+  }
   experience.provenUntilMs_ = 0;
   experience.avoidedUntilMs_ = aNowMs + (kAvoidMs << experience.failures_);
   experience.failures_ = std::min(kMaxAvoidFailures, experience.failures_ + 1);
--- a/packages/transport/include/cactuswick/transport/connection/TunnelServer.h
+++ b/packages/transport/include/cactuswick/transport/connection/TunnelServer.h
@@ -45,6 +45,8 @@
 
   absl::Status Listen(const Address& aAddress);
 
+  /// Closes all tunnels; those that are asked for later are served.
+  void CloseAll();
   /// Returns the number of tunnels that are open or being opened.
   size_t Size() const;
 
--- a/packages/transport/src/connection/HttpCall.cpp
+++ b/packages/transport/src/connection/HttpCall.cpp
@@ -341,6 +341,11 @@
     std::string behind = tunnelReply_.Pass(aBytes);
     const auto& outcome = tunnelReply_.Outcome();
     if (!outcome) {
+      if (tunnelReply_.IsMalformed()) {
+        loop_.Defer([this] {
+          Finish(ErrorKind::kUpstreamFailed, "malformed reply of a tunnel");
+        });
+      }
       return {};
     }
     if (*outcome == TunnelOutcome::kOpened) {
--- a/packages/transport/src/connection/Tunnel.cpp
+++ b/packages/transport/src/connection/Tunnel.cpp
@@ -20,7 +20,7 @@
 /// Bytes held for one direction at which reading goes on.
 constexpr size_t kResumeBytes = kMaxHeldBytes / 2;
 constexpr size_t kMaxReadBytes = size_t{ 16 } << 10;
-/// Longest time for which the last bytes are sent and the client may still
+/// Longest time in which the client takes none of the last bytes, or does not
 /// close its side.
 constexpr int64_t kClosingTimeoutMs = 5'000;
 
@@ -69,8 +69,7 @@
   } else if (self->phase_ == Phase::kOpen) {
     PassOn(self->client_.get(), self->endpoint_.get());
   } else if (self->phase_ == Phase::kClosing) {
-    evbuffer* input = bufferevent_get_input(self->client_.get());
-    evbuffer_drain(input, evbuffer_get_length(input));
+    self->DiscardInput();
   }
 }
 
@@ -207,9 +206,16 @@
 {
   if (phase_ == Phase::kConnecting) {
     OnConnectFailed();
-  } else {
-    Close();
+    return;
   }
+  const size_t unsentBytes = HeldBytes(client_.get());
+  if (phase_ == Phase::kClosing && unsentBytes < unsentBytes_) {
+    // A slow client takes the last bytes.
+    unsentBytes_ = unsentBytes;
+    timer_.StartOnce(kClosingTimeoutMs);
+    return;
+  }
+  Close();
 }
 
 void
@@ -234,11 +240,21 @@
 {
   phase_ = Phase::kClosing;
   bufferevent_setwatermark(client_.get(), EV_WRITE, 0, 0);
+  // A full input would keep the client's close from being noticed.
+  DiscardInput();
   bufferevent_enable(client_.get(), EV_READ);
   timer_.StartOnce(kClosingTimeoutMs);
+  unsentBytes_ = HeldBytes(client_.get());
   EndSending();
 }
 
+void
+Tunnel::DiscardInput()
+{
+  evbuffer* input = bufferevent_get_input(client_.get());
+  evbuffer_drain(input, evbuffer_get_length(input));
+}
+
 void
 Tunnel::EndSending()
 {
@@ -274,7 +290,9 @@
   }
   loop_.Defer([this, alive = std::weak_ptr<bool>(alive_)] {
     if (!alive.expired()) {
-      onClosed_();
+      // The hook destroys the tunnel.
+      const auto hook = std::move(onClosed_);
+      hook();
     }
   });
 }
--- a/packages/transport/src/connection/Tunnel.h
+++ b/packages/transport/src/connection/Tunnel.h
@@ -64,6 +64,7 @@
   /// Closes this side of the client's connection once all bytes are sent.
   void CloseAfterSending();
   void EndSending();
+  void DiscardInput();
   /// Closes the client's connection so that the client sees a reset.
   void Reset();
   void Close();
@@ -76,6 +77,8 @@
   BuffereventPointer client_;
   BuffereventPointer endpoint_;
   Timer timer_;
+  /// Bytes for the client at the last look while the tunnel closes.
+  size_t unsentBytes_ = 0;
   /// Expires with the tunnel, before deferred calls.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/packages/transport/src/connection/TunnelReply.cpp
+++ b/packages/transport/src/connection/TunnelReply.cpp
@@ -75,12 +75,11 @@
   head_ += aBytes;
   const auto end = head_.find(kTunnelHeadEnd);
   if (end == std::string::npos) {
-    if (head_.size() > kMaxTunnelHeadBytes) {
-      outcome_ = TunnelOutcome::kUnavailable;
-    }
+    malformed_ = head_.size() > kMaxTunnelHeadBytes;
     return {};
   }
-  outcome_ = ParseTunnelReply(head_).value_or(TunnelOutcome::kUnavailable);
+  outcome_ = ParseTunnelReply(head_);
+  malformed_ = !outcome_;
   return head_.substr(end + kTunnelHeadEnd.size());
 }
 
--- a/packages/transport/src/connection/TunnelReply.h
+++ b/packages/transport/src/connection/TunnelReply.h
@@ -38,13 +38,16 @@
   /// Returns the bytes behind the reply head, if it is complete.
   std::string Pass(std::string_view aBytes);
 
-  /// Returns the outcome once the reply head is complete. A malformed one
-  /// counts as kUnavailable.
+  /// Returns the outcome once the reply head is complete.
   const std::optional<TunnelOutcome>& Outcome() const { return outcome_; }
+  /// Returns whether the bytes are no reply of a router; then it is not known
+  /// whether anything was passed on.
+  bool IsMalformed() const { return malformed_; }
 
 private:
   std::string head_;
   std::optional<TunnelOutcome> outcome_;
+  bool malformed_ = false;
 };
 
 } // namespace cactuswick::transport
--- a/packages/transport/src/connection/TunnelServer.cpp
+++ b/packages/transport/src/connection/TunnelServer.cpp
@@ -84,6 +84,12 @@
   return absl::OkStatus();
 }
 
+void
+TunnelServer::CloseAll()
+{
+  state_->tunnels_.clear();
+}
+
 size_t
 TunnelServer::Size() const
 {
