A new link to control is no contact before the missed configuration has come

On a new link, after a cut or a change of leader, the reply to a report and the echo of the first keep-alive may arrive before the configuration that the router has missed: control paces its pushes. Contact on a link now begins with the last message of that initial state, as of the subscription. An echo that waits behind a message that is still arriving is waited for.

No test of its own: PeerLink.BytesReadAfterAFreezeAreNoContact and the system tests of stream versions cover the paths.

--- a/packages/router/src/process/ControlClient.cpp
+++ b/packages/router/src/process/ControlClient.cpp
@@ -187,6 +187,8 @@
 
   void SendSubscription()
   {
+    subscribedMs_ = EventLoop::NowMs();
+    hasInitialState_ = false;
     link_.Send(transport::Subscribe{ incarnation_, revision_ });
   }
 
@@ -327,6 +329,9 @@
   void On(const transport::ControlMembers& aMessage)
   {
     OnLeaderActivity();
+    // The last message of the state that the leader sends to a subscriber.
+    hasInitialState_ = true;
+    contactMs_ = std::max(contactMs_, subscribedMs_);
     std::vector<transport::Address> discovered;
     for (const auto& text : aMessage.addresses_) {
       const auto address = transport::ParseAddress("", text);
@@ -342,6 +347,18 @@
   {
   }
 
+  /// On a new link, what the leader answers counts only once the configuration
+  /// that was missed has been received.
+  int64_t LastContactMs()
+  {
+    const int64_t onLinkMs =
+      EventLoop::NowMs() - link_.Activity().sinceContactMs_;
+    if (hasInitialState_ && link_.IsUp()) {
+      contactMs_ = std::max(contactMs_, onLinkMs);
+    }
+    return contactMs_;
+  }
+
   /// Operations of one event-loop iteration share a batch.
   void ScheduleBatch()
   {
@@ -402,6 +419,13 @@
   /// The current replica has answered or pushed, which only a leader does.
   bool isServing_ = false;
 
+  /// Time of the subscription on the present link, and whether the state at
+  /// that time has been received.
+  int64_t subscribedMs_ = 0;
+  bool hasInitialState_ = false;
+  /// Latest time of contact on this link or an earlier one.
+  int64_t contactMs_ = 0;
+
   ledger::Incarnation incarnation_ = 0;
   ledger::LogTimeMs logTimeMs_ = 0;
   int64_t revision_ = 0;
@@ -486,7 +510,7 @@
 int64_t
 ControlClient::LastContactMs() const
 {
-  return EventLoop::NowMs() - state_->link_.Activity().sinceContactMs_;
+  return state_->LastContactMs();
 }
 
 bool
--- a/packages/routing/include/cactuswick/routing/process/EndpointTable.h
+++ b/packages/routing/include/cactuswick/routing/process/EndpointTable.h
@@ -75,8 +75,9 @@
 
   /// Time after which endpoints of another version of a service get requests.
   /// Until then routers that have not heard of it may take the version before
-  /// for the only one; longer than they go by what they know.
-  static constexpr int64_t kVersionOpensMs = 1'000;
+  /// for the only one; longer than they go by what they know, with a margin for
+  /// the time that a push takes to all of them.
+  static constexpr int64_t kVersionOpensMs = 1'500;
 
   /// Keeps requests from endpoints of software versions that have not been
   /// admitted, or only just now.
--- a/packages/transport/src/connection/PeerLink.cpp
+++ b/packages/transport/src/connection/PeerLink.cpp
@@ -118,9 +118,10 @@
 
   int64_t LastContactMs() const
   {
-    const bool isEarlierRelease =
-      !hasEcho_ &&
-      (!isClient_ || unansweredKeepAlives_ > kKeepAlivesWithoutEcho);
+    // An echo may wait behind a message that is still arriving.
+    const bool mayEchoYet =
+      unansweredKeepAlives_ <= kKeepAlivesWithoutEcho || partialBytes_ > 0;
+    const bool isEarlierRelease = !hasEcho_ && (!isClient_ || !mayEchoYet);
     return isEarlierRelease ? lastReceiveMs_ : lastContactMs_;
   }
 
