--- a/tests/system/platform_run.py
+++ b/tests/system/platform_run.py
@@ -34,9 +34,6 @@
     def forward_address(self, number):
         return f"{self.net}.1.{number}:8010"
 
-    def tunnel_address(self, number):
-        return f"{self.net}.1.{number}:8012"
-
     def ready_address(self, number):
         return f"{self.net}.1.{number}:8011"
 
@@ -96,7 +93,7 @@
             "router": {"listen": self.router_address(number),
                        "peer_listen": self.router_peer_listen(number),
                        "peer_advertise": self.router_peer_address(number),
-                       "tunnel_listen": self.tunnel_address(number),
+                       **self.router_tunnels(number),
                        **self.router_control()},
             "operator": {"key_sha256":
                          hashlib.sha256(OPERATOR_KEY.encode()).hexdigest()},
@@ -108,6 +105,10 @@
         self.start(f"r{number}", BIN / "cactuswickd", "--config", settings,
                    env=self.router_environment(number))
 
+    def router_tunnels(self, number):
+        """Returns the settings of tunnels to endpoints."""
+        return {"tunnel_listen": f"{self.net}.1.{number}:8012"}
+
     def router_environment(self, _number):
         return {}
 
--- a/tests/system/test_mixed_releases.py
+++ b/tests/system/test_mixed_releases.py
@@ -42,6 +42,11 @@
             command = (PREVIOUS, *command[1:])
         super().start(name, *command, env=env)
 
+    def router_tunnels(self, number):
+        # The previous release does not know the setting.
+        is_old = f"r{number}" in self.previous
+        return {} if is_old else super().router_tunnels(number)
+
     def update_replica(self, number):
         """Updates a replica and waits until it follows or leads."""
         self.stop(f"c{number}")
