--- a/tests/routing/process/EndpointReachTest.cpp
+++ b/tests/routing/process/EndpointReachTest.cpp
@@ -216,5 +216,25 @@
   }
 }
 
+RC_GTEST_PROP(EndpointReach, NoticesAPartitionWithHalfOfTheEndpointsDead, ())
+{
+  constexpr int kTicks = 400;
+  World world;
+  world.endpoints_ = *rc::gen::inRange<size_t>(4, 40);
+  world.dead_ = *rc::gen::inRange<size_t>(0, world.endpoints_ / 2);
+  const int phases = *rc::gen::inRange(1, 6);
+  for (int phase = 0; phase < phases; ++phase) {
+    world.isCut_ = phase % 2 == 1;
+    for (int tick = 0; tick < kTicks; ++tick) {
+      world.Tick();
+    }
+    const bool isCutOff = world.reach_.IsCutOff();
+    RC_ASSERT(!world.isCut_ || isCutOff);
+    if (world.dead_ == 0) {
+      RC_ASSERT(world.isCut_ == isCutOff);
+    }
+  }
+}
+
 } // namespace
 } // namespace cactuswick::routing
